chart: interpret state charts from TOML files on looplab/fsm

Cause: every long-lived object and request needs a chart that operators can read and replace. Conclusion: an instance is a state and two times; the machine itself is shared because only the control thread fires events.

--- /dev/null
+++ b/chart/check.go
@@ -0,0 +1,145 @@
+package chart
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Check verifies the structure of a chart and returns all faults joined:
+// duplicate or unknown states, unreachable states, states that are neither
+// final nor left by any event, final states that are left, waiting states
+// without a timeout, and guarded alternatives that can never be taken.
+// Unknown guards and actions are found by NewMachine, which knows the
+// bindings.
+func Check(def *Definition) error {
+	var faults []error
+	faults = append(faults, checkNames(def)...)
+	faults = append(faults, checkTargets(def)...)
+	faults = append(faults, checkStates(def)...)
+	faults = append(faults, checkAlternatives(def)...)
+	faults = append(faults, checkReachable(def)...)
+	return errors.Join(faults...)
+}
+
+func checkNames(def *Definition) []error {
+	var faults []error
+	if def.Name == "" {
+		faults = append(faults, errors.New("chart has no name"))
+	}
+	if def.state(def.Initial) == nil {
+		faults = append(faults, fmt.Errorf("initial state %q is not defined", def.Initial))
+	}
+	seen := map[State]bool{}
+	for _, s := range def.States {
+		if seen[s.Name] {
+			faults = append(faults, fmt.Errorf("state %s is defined twice", s.Name))
+		}
+		seen[s.Name] = true
+	}
+	return faults
+}
+
+func checkTargets(def *Definition) []error {
+	var faults []error
+	for _, t := range def.Transitions {
+		if t.Event == "" {
+			faults = append(faults, fmt.Errorf("transition to %s has no event", t.To))
+		}
+		if len(t.From) == 0 {
+			faults = append(faults, fmt.Errorf("event %s has no source state", t.Event))
+		}
+		for _, name := range append([]State{t.To}, t.From...) {
+			if def.state(name) == nil {
+				faults = append(faults, fmt.Errorf("event %s names unknown state %q", t.Event, name))
+			}
+		}
+	}
+	return faults
+}
+
+func checkStates(def *Definition) []error {
+	var faults []error
+	for i := range def.States {
+		if err := checkState(def, &def.States[i]); err != nil {
+			faults = append(faults, err)
+		}
+	}
+	return faults
+}
+
+func checkState(def *Definition, s *StateDef) error {
+	left := len(def.leaving(s.Name)) > 0
+	switch s.Kind {
+	case Final:
+		if left || s.OnTimeout != "" || s.Timeout != 0 {
+			return fmt.Errorf("final state %s is left by an event or a timeout", s.Name)
+		}
+		return nil
+	case Waiting:
+		if s.Timeout == 0 || s.OnTimeout == "" {
+			return fmt.Errorf("state %s waits with no timeout", s.Name)
+		}
+	case Stable:
+		if (s.Timeout == 0) != (s.OnTimeout == "") {
+			return fmt.Errorf("state %s has only half of a timeout", s.Name)
+		}
+	default:
+		return fmt.Errorf("state %s has unknown kind %q", s.Name, s.Kind)
+	}
+	if !left {
+		return fmt.Errorf("state %s is neither final nor left by any event", s.Name)
+	}
+	if s.OnTimeout != "" && !leavesBy(def, s.Name, s.OnTimeout) {
+		return fmt.Errorf("state %s has no transition for its timeout event %s", s.Name, s.OnTimeout)
+	}
+	return nil
+}
+
+func leavesBy(def *Definition, from State, event Event) bool {
+	for _, t := range def.leaving(from) {
+		if t.Event == event {
+			return true
+		}
+	}
+	return false
+}
+
+// checkAlternatives refuses transitions that follow an unguarded one with
+// the same event and source, since they can never be taken.
+func checkAlternatives(def *Definition) []error {
+	var faults []error
+	for _, s := range def.States {
+		unguarded := map[Event]bool{}
+		for _, t := range def.leaving(s.Name) {
+			if unguarded[t.Event] {
+				faults = append(faults, fmt.Errorf("state %s: event %s to %s can never be taken", s.Name, t.Event, t.To))
+			}
+			if t.Guard == "" {
+				unguarded[t.Event] = true
+			}
+		}
+	}
+	return faults
+}
+
+func checkReachable(def *Definition) []error {
+	reached := map[State]bool{def.Initial: true}
+	open := []State{def.Initial}
+	for len(open) > 0 {
+		next := open[0]
+		open = open[1:]
+		for _, t := range def.leaving(next) {
+			if !reached[t.To] {
+				reached[t.To] = true
+				open = append(open, t.To)
+			}
+		}
+	}
+	var faults []error
+	for _, s := range def.States {
+		if !reached[s.Name] {
+			faults = append(faults, fmt.Errorf("state %s is unreachable", s.Name))
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/chart/definition.go
@@ -0,0 +1,107 @@
+package chart
+
+import (
+	"fmt"
+	"time"
+)
+
+// State is the name of a state in a chart.
+type State string
+
+// Event is the name of an event in a chart.
+type Event string
+
+// Kind tells how long an instance may stay in a state.
+type Kind string
+
+// The kinds of states.
+const (
+	// Waiting states expect an event and need a timeout.
+	Waiting Kind = "waiting"
+	// Stable states hold until an event arrives and need no timeout.
+	Stable Kind = "stable"
+	// Final states are left by no event.
+	Final Kind = "final"
+)
+
+// Definition is a chart as read from its file.
+type Definition struct {
+	Name        string       `toml:"name"`
+	Title       string       `toml:"title"`
+	Initial     State        `toml:"initial"`
+	States      []StateDef   `toml:"state"`
+	Transitions []Transition `toml:"transition"`
+}
+
+// StateDef describes one state.
+type StateDef struct {
+	Name State `toml:"name"`
+	Kind Kind  `toml:"kind"`
+	// Timeout is a duration with its unit, for example "5s".
+	Timeout Duration `toml:"timeout"`
+	// OnTimeout is the event that fires when the timeout passes.
+	OnTimeout Event `toml:"on_timeout"`
+}
+
+// Transition moves an instance from one of several states to another.
+// Transitions that share an event and a source state are tried in the order
+// of the file; the first one whose guard holds is taken.
+type Transition struct {
+	Event   Event    `toml:"event"`
+	From    []State  `toml:"from"`
+	To      State    `toml:"to"`
+	Guard   string   `toml:"guard"`
+	Actions []string `toml:"actions"`
+}
+
+// Duration is a time.Duration that is written with its unit.
+type Duration time.Duration
+
+// UnmarshalText parses a duration such as "250ms". It returns an error when
+// the unit is missing or the duration is not positive.
+func (d *Duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("parse duration: %w", err)
+	}
+	if value <= 0 {
+		return fmt.Errorf("duration %s is not positive", value)
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// MarshalText writes the duration with its unit.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// state returns the description of a state, or nil when the chart lacks it.
+func (d *Definition) state(name State) *StateDef {
+	for i := range d.States {
+		if d.States[i].Name == name {
+			return &d.States[i]
+		}
+	}
+	return nil
+}
+
+// leaving returns the transitions that leave a state, in file order.
+func (d *Definition) leaving(from State) []*Transition {
+	var out []*Transition
+	for i := range d.Transitions {
+		if contains(d.Transitions[i].From, from) {
+			out = append(out, &d.Transitions[i])
+		}
+	}
+	return out
+}
+
+func contains(states []State, name State) bool {
+	for _, s := range states {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/chart/explore.go
@@ -0,0 +1,48 @@
+package chart
+
+import "fmt"
+
+// Step is one transition that Explore takes.
+type Step struct {
+	From  State
+	Event Event
+	To    State
+	Guard string
+}
+
+// Monitor is a safety rule as a finite automaton. It maps its memory before
+// a step to its memory after it, or returns an error when the step breaks
+// the rule.
+type Monitor func(memory int, step Step) (int, error)
+
+// Explore walks every path of a chart, with each guard taken both ways, until
+// no new pair of state and monitor memory appears. It returns the error of
+// the monitor with the path that led to it. The monitor must use a bounded
+// number of memory values.
+func Explore(def *Definition, monitor Monitor) error {
+	type node struct {
+		state  State
+		memory int
+	}
+	start := node{state: def.Initial}
+	paths := map[node][]Step{start: nil}
+	open := []node{start}
+	for len(open) > 0 {
+		current := open[0]
+		open = open[1:]
+		for _, t := range def.leaving(current.state) {
+			step := Step{From: current.state, Event: t.Event, To: t.To, Guard: t.Guard}
+			memory, err := monitor(current.memory, step)
+			path := append(append([]Step{}, paths[current]...), step)
+			if err != nil {
+				return fmt.Errorf("chart %s: %w on path %v", def.Name, err, path)
+			}
+			next := node{state: t.To, memory: memory}
+			if _, known := paths[next]; !known {
+				paths[next] = path
+				open = append(open, next)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/chart/machine.go
@@ -0,0 +1,184 @@
+package chart
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/looplab/fsm"
+)
+
+// Bindings maps the guard and action names of a chart to functions over the
+// subject that the chart describes.
+type Bindings[T any] struct {
+	Guards  map[string]func(subject T, now time.Time) bool
+	Actions map[string]func(subject T, now time.Time)
+}
+
+// Instance is the position of one subject in a chart.
+type Instance struct {
+	State   State
+	Entered time.Time
+	// Deadline is when the timeout of the state passes, or zero.
+	Deadline time.Time
+}
+
+// Machine interprets one chart for all instances. It is not safe for use by
+// several goroutines.
+type Machine[T any] struct {
+	def      *Definition
+	fsm      *fsm.FSM
+	bindings Bindings[T]
+	choices  map[choiceKey][]choice
+	states   map[State]*StateDef
+}
+
+type choiceKey struct {
+	event Event
+	from  State
+}
+
+type choice struct {
+	transition *Transition
+	fsmEvent   string
+}
+
+// RefusedError tells that a chart has no transition for an event in the
+// state of the instance, or that every guard refused it.
+type RefusedError struct {
+	Chart string
+	State State
+	Event Event
+}
+
+// Error describes the refused event.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("chart %s: event %s refused in state %s", e.Chart, e.Event, e.State)
+}
+
+// NewMachine compiles a checked chart. It returns an error when the chart
+// names a guard or action that the bindings lack.
+func NewMachine[T any](def *Definition, bindings Bindings[T]) (*Machine[T], error) {
+	if err := Check(def); err != nil {
+		return nil, fmt.Errorf("chart %s: %w", def.Name, err)
+	}
+	if err := checkBindings(def, bindings); err != nil {
+		return nil, fmt.Errorf("chart %s: %w", def.Name, err)
+	}
+	m := &Machine[T]{def: def, bindings: bindings, choices: map[choiceKey][]choice{}, states: map[State]*StateDef{}}
+	for i := range def.States {
+		m.states[def.States[i].Name] = &def.States[i]
+	}
+	m.fsm = fsm.NewFSM(string(def.Initial), m.compile(), fsm.Callbacks{})
+	return m, nil
+}
+
+func checkBindings[T any](def *Definition, bindings Bindings[T]) error {
+	var faults []error
+	for _, t := range def.Transitions {
+		if _, known := bindings.Guards[t.Guard]; t.Guard != "" && !known {
+			faults = append(faults, fmt.Errorf("event %s names unknown guard %q", t.Event, t.Guard))
+		}
+		for _, action := range t.Actions {
+			if _, known := bindings.Actions[action]; !known {
+				faults = append(faults, fmt.Errorf("event %s names unknown action %q", t.Event, action))
+			}
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// compile gives each guarded alternative an event name of its own, because
+// looplab/fsm allows one target per event and source state.
+func (m *Machine[T]) compile() fsm.Events {
+	var events fsm.Events
+	for i := range m.def.Transitions {
+		t := &m.def.Transitions[i]
+		for _, from := range t.From {
+			key := choiceKey{event: t.Event, from: from}
+			name := fmt.Sprintf("%s#%d", t.Event, len(m.choices[key]))
+			m.choices[key] = append(m.choices[key], choice{transition: t, fsmEvent: name})
+			events = append(events, fsm.EventDesc{Name: name, Src: []string{string(from)}, Dst: string(t.To)})
+		}
+	}
+	return events
+}
+
+// Start returns an instance in the initial state.
+func (m *Machine[T]) Start(now time.Time) Instance {
+	instance := Instance{}
+	m.enter(&instance, m.def.Initial, now)
+	return instance
+}
+
+// Fire moves the instance by an event and then runs the actions of the
+// transition. It returns a RefusedError and changes nothing when the chart
+// does not allow the event.
+func (m *Machine[T]) Fire(instance *Instance, subject T, event Event, now time.Time) error {
+	chosen, ok := m.choose(instance.State, subject, event, now)
+	if !ok {
+		return &RefusedError{Chart: m.def.Name, State: instance.State, Event: event}
+	}
+	m.fsm.SetState(string(instance.State))
+	err := m.fsm.Event(context.Background(), chosen.fsmEvent)
+	if err != nil && !errors.As(err, new(fsm.NoTransitionError)) {
+		return fmt.Errorf("chart %s: %w", m.def.Name, err)
+	}
+	m.enter(instance, State(m.fsm.Current()), now)
+	for _, action := range chosen.transition.Actions {
+		m.bindings.Actions[action](subject, now)
+	}
+	return nil
+}
+
+// Can reports whether the chart allows the event now.
+func (m *Machine[T]) Can(instance *Instance, subject T, event Event, now time.Time) bool {
+	_, ok := m.choose(instance.State, subject, event, now)
+	return ok
+}
+
+// Expire fires the timeout event of the state when its deadline has passed
+// and reports whether it did.
+func (m *Machine[T]) Expire(instance *Instance, subject T, now time.Time) (bool, error) {
+	if instance.Deadline.IsZero() || now.Before(instance.Deadline) {
+		return false, nil
+	}
+	return true, m.Fire(instance, subject, m.states[instance.State].OnTimeout, now)
+}
+
+// Definition returns the chart that the machine interprets.
+func (m *Machine[T]) Definition() *Definition {
+	return m.def
+}
+
+// Timeout returns the timeout of a state, or 0 when it has none.
+func (m *Machine[T]) Timeout(state State) time.Duration {
+	if s := m.states[state]; s != nil {
+		return time.Duration(s.Timeout)
+	}
+	return 0
+}
+
+// IsFinal reports whether no event leaves the state of the instance.
+func (m *Machine[T]) IsFinal(instance *Instance) bool {
+	return m.states[instance.State].Kind == Final
+}
+
+func (m *Machine[T]) choose(from State, subject T, event Event, now time.Time) (choice, bool) {
+	for _, c := range m.choices[choiceKey{event: event, from: from}] {
+		if c.transition.Guard == "" || m.bindings.Guards[c.transition.Guard](subject, now) {
+			return c, true
+		}
+	}
+	return choice{}, false
+}
+
+func (m *Machine[T]) enter(instance *Instance, state State, now time.Time) {
+	instance.State = state
+	instance.Entered = now
+	instance.Deadline = time.Time{}
+	if timeout := m.states[state].Timeout; timeout != 0 {
+		instance.Deadline = now.Add(time.Duration(timeout))
+	}
+}
