core: decisions of the request path

Admission, placement by least load, bounded queue, retry budget, circuit per backend server, planned stop and state dump.

--- /dev/null
+++ b/core/cachekey/cachekey.go
@@ -0,0 +1,88 @@
+// Package cachekey derives the content-addressed keys of cache blocks.
+//
+// A key binds the organisation, the model, the adapter, the weight version
+// and all content up to the end of the block. A lookup with a key therefore
+// cannot return a block of another organisation or weight version, even when
+// an index is wrong.
+package cachekey
+
+import (
+	"strconv"
+
+	"github.com/zeebo/blake3"
+)
+
+const (
+	// KeyBytes is the length of a key in bytes.
+	KeyBytes = 32
+	// BlockTokens is the number of tokens in one cache block.
+	BlockTokens = 2000
+	// BytesPerToken is the estimated length of a token in bytes.
+	BytesPerToken = 4
+	// BlockBytes is the length of the prompt text of one block in bytes.
+	BlockBytes = BlockTokens * BytesPerToken
+)
+
+// derivation separates these keys from any other use of the hash.
+const derivation = "tanagerspread cache block v1"
+
+// Key names one cache block.
+type Key [KeyBytes]byte
+
+// Scope is what a key binds besides content.
+type Scope struct {
+	Organisation string
+	Model        string
+	Adapter      string
+	Weights      int
+}
+
+// Root returns the key from which the chain of a scope starts.
+func Root(scope Scope) Key {
+	hasher := blake3.NewDeriveKey(derivation)
+	for _, part := range []string{scope.Organisation, scope.Model, scope.Adapter, strconv.Itoa(scope.Weights)} {
+		writePart(hasher, part)
+	}
+	return sum(hasher)
+}
+
+// Chain returns the keys of the whole blocks of a prompt. The tail that does
+// not fill a block has no key.
+func Chain(scope Scope, prompt []byte) []Key {
+	parent := Root(scope)
+	keys := make([]Key, 0, len(prompt)/BlockBytes)
+	for len(prompt) >= BlockBytes {
+		parent = next(parent, prompt[:BlockBytes])
+		keys = append(keys, parent)
+		prompt = prompt[BlockBytes:]
+	}
+	return keys
+}
+
+func next(parent Key, content []byte) Key {
+	hasher, err := blake3.NewKeyed(parent[:])
+	if err != nil {
+		panic(err) // The key length is a constant that the library accepts.
+	}
+	write(hasher, content)
+	return sum(hasher)
+}
+
+// writePart prefixes each part with its length, so that no two scopes have
+// the same encoding.
+func writePart(hasher *blake3.Hasher, part string) {
+	write(hasher, []byte(strconv.Itoa(len(part))+":"))
+	write(hasher, []byte(part))
+}
+
+func write(hasher *blake3.Hasher, data []byte) {
+	if _, err := hasher.Write(data); err != nil {
+		panic(err) // The hasher documents that Write never fails.
+	}
+}
+
+func sum(hasher *blake3.Hasher) Key {
+	var key Key
+	copy(key[:], hasher.Sum(nil))
+	return key
+}
--- /dev/null
+++ b/core/code/table.go
@@ -0,0 +1,141 @@
+package code
+
+// The result codes. The meaning of each one is in the table below.
+const (
+	BodyTooLarge           Code = 1001
+	MalformedBody          Code = 1002
+	UnknownModel           Code = 1003
+	UnknownService         Code = 1004
+	MissingIdempotencyKey  Code = 1005
+	MalformedHeader        Code = 1006
+	SlowCaller             Code = 1007
+	UnknownRoute           Code = 1008
+	TooManyItems           Code = 1009
+	MissingToken           Code = 1101
+	UnknownToken           Code = 1102
+	ModelNotAllowed        Code = 1103
+	KeyReused              Code = 1201
+	InProgress             Code = 1202
+	OutcomeUnknown         Code = 1203
+	ClaimUnavailable       Code = 1204
+	AnswerNotKept          Code = 1205
+	NoServer               Code = 1301
+	BackendLost            Code = 1302
+	BackendSilent          Code = 1303
+	AnswerTruncated        Code = 1304
+	AnswerMismatched       Code = 1305
+	Quarantined            Code = 1306
+	BackendRefused         Code = 1307
+	DialRefused            Code = 1308
+	RetriesExhausted       Code = 1309
+	RetriesExhaustedNotRun Code = 1310
+	AnswerTooLarge         Code = 1311
+	OrganisationLimit      Code = 1401
+	DeadlineTooShort       Code = 1402
+	DeadlinePassedNotRun   Code = 1403
+	DeadlinePassed         Code = 1404
+	QueueFull              Code = 1405
+	CallerGone             Code = 1406
+	Starting               Code = 1501
+	Draining               Code = 1502
+	Overloaded             Code = 1503
+	Fenced                 Code = 1504
+	RuleMalformed          Code = 1601
+	RuleUnattributed       Code = 1602
+	RuleConflict           Code = 1603
+	VersionConflict        Code = 1604
+	ConfigTooLarge         Code = 1605
+	NotAccepted            Code = 1606
+	OutcomeOfApplyUnknown  Code = 1607
+	KeyValueAway           Code = 1701
+	CompareFailed          Code = 1702
+	LeaseLapsed            Code = 1703
+	VMListAway             Code = 1704
+	StoreAway              Code = 1705
+	StoreFull              Code = 1706
+	BlockInvalid           Code = 1707
+	OrderRefused           Code = 1708
+	EngineAway             Code = 1709
+	KeyMissing             Code = 1710
+	RateLimited            Code = 1711
+	SettingUnknown         Code = 1801
+	SettingMissing         Code = 1802
+	SettingInvalid         Code = 1803
+	SettingRepeated        Code = 1804
+	SettingHostName        Code = 1805
+	SettingsUnreadable     Code = 1806
+	ChartInvalid           Code = 1807
+	Internal               Code = 1901
+	InvariantFailed        Code = 1902
+	PeerAway               Code = 1903
+)
+
+// table lists every code in ascending order.
+var table = []Info{
+	{BodyTooLarge, "body-too-large", 413, NotRun, RetryNever, "the request body is larger than the limit"},
+	{MalformedBody, "malformed-body", 400, NotRun, RetryNever, "the request body is not valid JSON of the expected form"},
+	{UnknownModel, "unknown-model", 404, NotRun, RetryNever, "no rule defines the model"},
+	{UnknownService, "unknown-service", 404, NotRun, RetryNever, "no rule defines the service"},
+	{MissingIdempotencyKey, "missing-idempotency-key", 400, NotRun, RetryNever, "the route is non-idempotent and the call has no Idempotency-Key"},
+	{MalformedHeader, "malformed-header", 400, NotRun, RetryNever, "a header has an invalid, repeated or oversized value"},
+	{SlowCaller, "slow-caller", 408, NotRun, RetryLater, "the caller did not send its request in time"},
+	{UnknownRoute, "unknown-route", 404, NotRun, RetryNever, "the path or method is not served"},
+	{TooManyItems, "too-many-items", 400, NotRun, RetryNever, "the request has more messages or fields than the limit"},
+	{MissingToken, "missing-token", 401, NotRun, RetryNever, "the request has no bearer token"},
+	{UnknownToken, "unknown-token", 401, NotRun, RetryNever, "no rule knows the bearer token"},
+	{ModelNotAllowed, "model-not-allowed", 403, NotRun, RetryNever, "the organisation may not use the model or service"},
+	{KeyReused, "key-reused", 422, NotRun, RetryNever, "the idempotency key was used with another body"},
+	{InProgress, "in-progress", 409, NotRun, RetrySameKey, "a request with this idempotency key is in progress"},
+	{OutcomeUnknown, "outcome-unknown", 409, Unknown, RetrySameKey, "the request with this idempotency key may have run and its answer is lost"},
+	{ClaimUnavailable, "claim-unavailable", 503, NotRun, RetryLater, "the key-value service is away, so a non-idempotent request is refused"},
+	{AnswerNotKept, "answer-not-kept", 409, Ran, RetrySameKey, "the request with this idempotency key ran and its answer was too large to keep"},
+	{NoServer, "no-server", 503, NotRun, RetryLater, "no backend server can take the request"},
+	{BackendLost, "backend-lost", 502, Unknown, RetryLater, "the backend server failed during the request"},
+	{BackendSilent, "backend-silent", 504, Unknown, RetryLater, "the backend server stopped sending within the allowed time"},
+	{AnswerTruncated, "answer-truncated", 502, Unknown, RetryLater, "the answer ended before it was whole"},
+	{AnswerMismatched, "answer-mismatched", 502, Unknown, RetryLater, "the backend server answered another request"},
+	{Quarantined, "quarantined", 422, NotRun, RetryNever, "the request crashed backend servers and is quarantined"},
+	{BackendRefused, "backend-refused", 502, NotRun, RetryLater, "the backend server refused the request before running it"},
+	{DialRefused, "dial-refused", 502, NotRun, RetryLater, "no connection to a backend server could be opened"},
+	{RetriesExhausted, "retries-exhausted", 503, Unknown, RetryLater, "the retry budget is used up after a failed attempt"},
+	{RetriesExhaustedNotRun, "retries-exhausted-not-run", 503, NotRun, RetryLater, "the retry budget is used up and no attempt reached a backend server"},
+	{AnswerTooLarge, "answer-too-large", 502, Unknown, RetryNever, "the answer is larger than the limit"},
+	{OrganisationLimit, "organisation-limit", 429, NotRun, RetryLater, "the organisation has reached its rate limit"},
+	{DeadlineTooShort, "deadline-too-short", 504, NotRun, RetryNever, "the predicted wait is longer than the caller's deadline"},
+	{DeadlinePassedNotRun, "deadline-passed-not-run", 504, NotRun, RetryLater, "the deadline passed before the request was dispatched"},
+	{DeadlinePassed, "deadline-passed", 504, Unknown, RetryLater, "the deadline passed after the request was dispatched"},
+	{QueueFull, "queue-full", 429, NotRun, RetryLater, "the queue of the request's class is full"},
+	{CallerGone, "caller-gone", 499, Unknown, RetryLater, "the caller closed the connection"},
+	{Starting, "starting", 503, NotRun, RetryLater, "the node has no configuration yet"},
+	{Draining, "draining", 503, NotRun, RetryLater, "the node is stopping"},
+	{Overloaded, "overloaded", 503, NotRun, RetryLater, "the control queue of the node is full"},
+	{Fenced, "fenced", 503, NotRun, RetryLater, "the node cannot confirm that its configuration is in force"},
+	{RuleMalformed, "rule-malformed", 400, NotRun, RetryNever, "a rule cannot be parsed"},
+	{RuleUnattributed, "rule-unattributed", 400, NotRun, RetryNever, "a rule has no comment that says who asked for it"},
+	{RuleConflict, "rule-conflict", 400, NotRun, RetryNever, "two rules contradict each other"},
+	{VersionConflict, "version-conflict", 409, NotRun, RetryLater, "another configuration was applied first"},
+	{ConfigTooLarge, "config-too-large", 413, NotRun, RetryNever, "the rules are larger than a value of the key-value service may be"},
+	{NotAccepted, "not-accepted", 202, Ran, RetryLater, "the configuration is committed but not yet in force on every node"},
+	{OutcomeOfApplyUnknown, "outcome-of-apply-unknown", 503, Unknown, RetryLater, "the answer to the configuration write was lost and could not be read back"},
+	{KeyValueAway, "key-value-away", 503, Unknown, RetryLater, "the key-value service did not answer"},
+	{CompareFailed, "compare-failed", 409, NotRun, RetryNever, "the compare-and-swap found another revision"},
+	{LeaseLapsed, "lease-lapsed", 410, NotRun, RetryNever, "the lease has lapsed"},
+	{VMListAway, "vm-list-away", 503, Unknown, RetryLater, "the VM list did not answer"},
+	{StoreAway, "store-away", 503, Unknown, RetryLater, "the store VM did not answer"},
+	{StoreFull, "store-full", 507, NotRun, RetryLater, "the store VM has no room"},
+	{BlockInvalid, "block-invalid", 422, NotRun, RetryNever, "a cache block failed verification"},
+	{OrderRefused, "order-refused", 409, NotRun, RetryNever, "the backend server refused an order with an old fencing number"},
+	{EngineAway, "engine-away", 503, Unknown, RetryLater, "the model engine did not answer"},
+	{KeyMissing, "key-missing", 404, NotRun, RetryNever, "the key-value service has no such key"},
+	{RateLimited, "rate-limited", 429, NotRun, RetryLater, "the platform service refused the call over its rate limit"},
+	{SettingUnknown, "setting-unknown", 400, NotRun, RetryNever, "a settings key or section is unknown"},
+	{SettingMissing, "setting-missing", 400, NotRun, RetryNever, "a required setting is missing"},
+	{SettingInvalid, "setting-invalid", 400, NotRun, RetryNever, "a setting has an invalid value"},
+	{SettingRepeated, "setting-repeated", 400, NotRun, RetryNever, "a setting is given twice"},
+	{SettingHostName, "setting-host-name", 400, NotRun, RetryNever, "an address is not an IP number with a port"},
+	{SettingsUnreadable, "settings-unreadable", 400, NotRun, RetryNever, "the settings file cannot be read"},
+	{ChartInvalid, "chart-invalid", 400, NotRun, RetryNever, "a state chart breaks a rule of the loader"},
+	{Internal, "internal", 500, Unknown, RetryLater, "an unexpected condition inside the node"},
+	{InvariantFailed, "invariant-failed", 500, Unknown, RetryLater, "an invariant failed and the answer was withheld"},
+	{PeerAway, "peer-away", 503, Unknown, RetryLater, "a peer did not answer"},
+}
--- /dev/null
+++ b/core/config/rules.go
@@ -0,0 +1,76 @@
+// Package config holds the operators' rules as typed values and decides
+// which version of them is in force.
+package config
+
+import (
+	"time"
+
+	"tanagerspread/core/request"
+)
+
+// Version numbers a configuration. It only increases.
+type Version uint64
+
+// Rules is the parsed content of one rules file.
+type Rules struct {
+	Organisations map[request.Organisation]Organisation
+	Tokens        map[request.Digest]Token
+	Classes       map[request.Class]Class
+	Models        map[string]Model
+	Services      map[string]Service
+	Servers       map[string]ServerRule
+	Policy        Policy
+	// Comments maps "section/key" to who asked for the rule.
+	Comments map[string]string
+}
+
+// Organisation limits one organisation.
+type Organisation struct {
+	// Rate is the allowed number of requests per second.
+	Rate float64
+	// Burst is the number of requests allowed at once.
+	Burst int
+	// Models lists the models and services that it may use; empty means all.
+	Models []string
+}
+
+// Token binds a bearer token to an organisation.
+type Token struct {
+	Organisation request.Organisation
+}
+
+// Class describes one class of requests.
+type Class struct {
+	// Priority orders classes; 0 is the most urgent.
+	Priority int
+	// Queue is the largest number of requests that may wait on a node.
+	Queue int
+	// FirstToken is the goal for the time to the first token.
+	FirstToken time.Duration
+}
+
+// Model describes one served model.
+type Model struct {
+	// Weights is the weight version that new requests use.
+	Weights int
+	Class   request.Class
+}
+
+// Service describes one plain service.
+type Service struct {
+	NonIdempotent bool
+	Class         request.Class
+}
+
+// ServerRule is an operator's word about one backend server.
+type ServerRule struct {
+	Leaving bool
+}
+
+// Policy selects how requests are placed.
+type Policy struct {
+	// Placement is the name of the placement policy.
+	Placement string
+	// LinkPrice is the time that a transferred mebibyte is worth.
+	LinkPrice time.Duration
+}
--- /dev/null
+++ b/core/control/admit.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"time"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/code"
+	"tanagerspread/core/request"
+)
+
+// admit checks identity, route, limits and deadline of a new request.
+func (s *State) admit(now time.Time, m Admit) {
+	a := &active{Request: m.Request}
+	if err := s.checkAdmission(now, a); err != nil {
+		s.journal.add(now, a, "refuse", err.Detail)
+		s.reply(m.Request.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code)})
+		return
+	}
+	a.machine = s.charts.request
+	if a.once() {
+		a.machine = s.charts.once
+	}
+	a.position = a.machine.Start(now)
+	s.requests[a.ID] = a
+	s.fireRequest(a, "admit", now)
+	if a.once() {
+		s.fireRequest(a, "claim", now)
+	}
+	s.journal.add(now, a, "admit", "")
+	s.reply(a.ID, Admitted{Organisation: a.organisation, Class: a.class, Scope: a.scope, Claim: a.once()})
+}
+
+func (s *State) checkAdmission(now time.Time, a *active) *code.Error {
+	if err := s.checkNode(); err != nil {
+		return err
+	}
+	if err := s.identify(a); err != nil {
+		return err
+	}
+	if err := s.checkRoute(a); err != nil {
+		return err
+	}
+	if err := s.checkClass(a); err != nil {
+		return err
+	}
+	if !a.Deadline.IsZero() && !a.Deadline.After(now) {
+		return code.New(code.DeadlinePassedNotRun, "the deadline passed before the request arrived")
+	}
+	limit := s.rules.Organisations[a.organisation]
+	if !s.rates.Allow(a.organisation, limit.Rate, limit.Burst, now) {
+		return code.New(code.OrganisationLimit, "the organisation has reached its request rate")
+	}
+	return nil
+}
+
+// checkNode refuses requests while the node may not serve any.
+func (s *State) checkNode() *code.Error {
+	switch s.life.State {
+	case "starting":
+		return code.New(code.Starting, "the node has no configuration yet")
+	case "fenced":
+		return code.New(code.Fenced, "the node cannot confirm that its configuration is in force")
+	case "draining", "stopped":
+		return code.New(code.Draining, "the node is stopping")
+	}
+	return nil
+}
+
+// identify finds the organisation of the bearer token. The rules hold only
+// digests, so the lookup reveals nothing about a token by its timing.
+func (s *State) identify(a *active) *code.Error {
+	token, known := s.rules.Tokens[a.TokenDigest]
+	if !known {
+		return code.New(code.UnknownToken, "no rule knows the bearer token")
+	}
+	a.organisation = token.Organisation
+	return nil
+}
+
+func (s *State) checkRoute(a *active) *code.Error {
+	if !allowed(s.rules.Organisations[a.organisation].Models, a.Route.Name) {
+		return code.New(code.ModelNotAllowed, "the organisation may not use this model or service")
+	}
+	if a.Route.Kind == request.Service {
+		return s.checkService(a)
+	}
+	model, known := s.rules.Models[a.Route.Name]
+	if !known {
+		return code.New(code.UnknownModel, "no rule defines the model")
+	}
+	a.class = model.Class
+	a.scope = cachekey.Scope{Organisation: string(a.organisation), Model: a.Route.Name, Weights: model.Weights}
+	return nil
+}
+
+func (s *State) checkService(a *active) *code.Error {
+	service, known := s.rules.Services[a.Route.Name]
+	if !known {
+		return code.New(code.UnknownService, "no rule defines the service")
+	}
+	if service.NonIdempotent && !a.once() {
+		return code.New(code.MissingIdempotencyKey, "the service is non-idempotent and the call has no Idempotency-Key")
+	}
+	a.class = service.Class
+	return nil
+}
+
+// checkClass applies the class that the caller asked for.
+func (s *State) checkClass(a *active) *code.Error {
+	if a.Class != "" {
+		a.class = a.Class
+	}
+	class, known := s.rules.Classes[a.class]
+	if !known {
+		return code.New(code.MalformedHeader, "no rule defines the class")
+	}
+	a.rank = class
+	return nil
+}
+
+func allowed(names []string, name string) bool {
+	if len(names) == 0 {
+		return true
+	}
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// claimResult goes on with a request whose at-most-once record is settled.
+func (s *State) claimResult(now time.Time, m ClaimResult) {
+	a, ok := s.requests[m.Request]
+	if !ok {
+		s.refuse(m.Request, code.DeadlinePassedNotRun, "the request ended before its claim was settled")
+		return
+	}
+	switch {
+	case m.Refused != nil:
+		s.end(now, a, "refuse", m.Refused)
+	case m.Replay:
+		s.fireRequest(a, "replay", now)
+		s.forget(a)
+		s.reply(a.ID, Replay{})
+	case s.fireRequest(a, "claimed", now):
+		s.reply(a.ID, Proceed{})
+	default:
+		s.end(now, a, "refuse", code.New(code.DeadlinePassedNotRun, "the claim took too long"))
+	}
+}
+
+// configure puts a newer configuration into force and ignores any other.
+func (s *State) configure(now time.Time, m Configure) {
+	if m.Version <= s.version {
+		return
+	}
+	s.version = m.Version
+	s.rules = m.Rules
+	s.applyServerRules(now)
+	s.fireNode("configure", now)
+	s.assignQueued(now)
+}
--- /dev/null
+++ b/core/control/attempt.go
@@ -0,0 +1,191 @@
+package control
+
+import (
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/invariant"
+)
+
+// maxAttempts bounds the attempts of one request.
+const maxAttempts = 4
+
+// beginAttemptAt prepares the attempt that the chart's action then begins.
+func (s *State) beginAttemptAt(now time.Time, a *active, server *fleet.Server) {
+	a.attempt = &attempt{id: a.attempts + 1, server: server, began: now}
+}
+
+func (s *State) beginAttempt(a *active, now time.Time) {
+	a.attempts++
+	a.attempt.position = s.charts.attempt.Start(now)
+	a.attempt.server.InFlight++
+}
+
+func (s *State) endAttempt(a *active, _ time.Time) {
+	if a.attempt == nil {
+		return
+	}
+	a.attempt.server.InFlight--
+	a.attempt = nil
+}
+
+// markDispatched counts a connection that is open for sending. A
+// non-idempotent request must reach this point once.
+func (s *State) markDispatched(a *active, _ time.Time) {
+	a.dispatches++
+	if a.once() {
+		s.options.Checker.Check(a.dispatches == 1, invariant.OneDispatch, "request %s: %d dispatches", a.ID, a.dispatches)
+	}
+}
+
+// current returns the request and whether the attempt is its current one.
+func (s *State) current(id messageAttempt) (*active, bool) {
+	a, ok := s.requests[id.request]
+	if !ok || a.attempt == nil || a.attempt.id != id.attempt {
+		return a, false
+	}
+	return a, true
+}
+
+// connected decides whether an attempt may still be sent.
+func (s *State) connected(now time.Time, m Connected) {
+	a, ok := s.current(messageAttempt{m.Request, m.Attempt})
+	if !ok {
+		s.refuse(m.Request, code.DeadlinePassedNotRun, "the deadline passed while the connection was opened")
+		return
+	}
+	if a.attempt.server.Chart.State == "leaving" {
+		s.dialFailed(now, a)
+		return
+	}
+	if !s.fireRequest(a, "connect", now) {
+		s.end(now, a, "refuse", code.New(code.DeadlinePassedNotRun, "the deadline passed while the connection was opened"))
+		return
+	}
+	s.fireAttempt(a, "connect", now)
+	s.reply(a.ID, Proceed{})
+}
+
+func (s *State) firstToken(now time.Time, m FirstToken) {
+	if a, ok := s.current(messageAttempt{m.Request, m.Attempt}); ok {
+		s.fireAttempt(a, "receive", now)
+	}
+}
+
+// attemptDone ends an attempt and decides what follows.
+func (s *State) attemptDone(now time.Time, m AttemptDone) {
+	a, ok := s.current(messageAttempt{m.Request, m.Attempt})
+	if !ok {
+		s.refuseLate(m)
+		return
+	}
+	s.noteServer(now, a.attempt.server, m)
+	switch m.Outcome {
+	case Succeeded:
+		s.answered(now, a)
+	case DialFailed:
+		s.fireAttempt(a, "fail", now)
+		s.dialFailed(now, a)
+	case Rejected:
+		s.fireAttempt(a, "drop", now)
+		s.attemptFailed(now, a, "attempt_refused", m.Cause)
+	case Lost:
+		s.fireAttempt(a, "fail", now)
+		s.attemptFailed(now, a, "attempt_failed", m.Cause)
+	case Stopped:
+		s.fireAttempt(a, "drop", now)
+		s.attemptFailed(now, a, "expire", m.Cause)
+	}
+	s.assignQueued(now)
+}
+
+// refuseLate answers for an attempt whose request has ended meanwhile.
+func (s *State) refuseLate(m AttemptDone) {
+	if m.Outcome == DialFailed {
+		s.refuse(m.Request, code.DeadlinePassedNotRun, "the deadline passed before the request was sent")
+		return
+	}
+	s.refuse(m.Request, code.DeadlinePassed, "the deadline passed while the request ran")
+}
+
+func (s *State) answered(now time.Time, a *active) {
+	s.fireAttempt(a, "succeed", now)
+	if !s.fireRequest(a, "answered", now) {
+		s.end(now, a, "expire", code.New(code.Internal, "the response arrived in an unexpected state"))
+		return
+	}
+	s.budget.Credit()
+	s.reply(a.ID, Deliver{Record: a.once()})
+	s.forgetFinal(a)
+}
+
+// dialFailed repeats an attempt that never reached the backend server.
+func (s *State) dialFailed(now time.Time, a *active) {
+	a.avoid = append(a.avoid, a.attempt.server.ID)
+	s.fireRequest(a, "dial_failed", now)
+	s.follow(now, a, code.New(code.DialRefused, "no connection to a backend server could be opened"))
+}
+
+// attemptFailed repeats an attempt that failed after it was sent, when the
+// request's chart allows it.
+func (s *State) attemptFailed(now time.Time, a *active, event string, cause *code.Error) {
+	a.avoid = append(a.avoid, a.attempt.server.ID)
+	s.fireRequest(a, eventOf(event), now)
+	if cause == nil {
+		cause = code.New(code.BackendLost, "the backend server failed during the request")
+	}
+	s.follow(now, a, cause)
+}
+
+// follow continues a request after a failed attempt according to the state
+// that its chart entered.
+func (s *State) follow(now time.Time, a *active, cause *code.Error) {
+	switch a.position.State {
+	case "queued", "requeued":
+		s.enqueue(now, a)
+	default:
+		s.conclude(a, s.truthful(a, cause))
+	}
+}
+
+// truthful replaces a cause that claims that the request was not run when an
+// attempt was dispatched, and the other way round.
+func (s *State) truthful(a *active, cause *code.Error) *code.Error {
+	if a.mayHaveRun() && cause.Info().Execution == code.NotRun {
+		return code.Wrap(code.RetriesExhausted, "an earlier attempt may have run", cause)
+	}
+	return cause
+}
+
+// mayRetry is the guard of every further attempt.
+func (s *State) mayRetry(a *active, now time.Time) bool {
+	if int(a.attempts) >= maxAttempts {
+		return false
+	}
+	if !a.Deadline.IsZero() && !a.Deadline.After(now) {
+		return false
+	}
+	return s.budget.Left() >= 1
+}
+
+// noteServer stores what a response said about its backend server.
+func (s *State) noteServer(now time.Time, server *fleet.Server, m AttemptDone) {
+	if m.Load != nil {
+		server.Load = *m.Load
+		server.Load.ReportedAt = now
+	}
+	if m.Leaving {
+		s.fireServer(server, "leave", now)
+	}
+}
+
+func (s *State) creditServer(a *active, now time.Time) {
+	a.attempt.server.Failures = 0
+	s.fireServer(a.attempt.server, "succeed", now)
+}
+
+func (s *State) blameServer(a *active, now time.Time) {
+	a.attempt.server.Failures++
+	s.fireServer(a.attempt.server, "fail", now)
+}
--- /dev/null
+++ b/core/control/charts.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"fmt"
+	"io/fs"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/invariant"
+)
+
+// failureLimit is the number of failed attempts in a row that opens the
+// circuit of a backend server.
+const failureLimit = 3
+
+// machines holds the compiled chart of each kind of object.
+type machines struct {
+	request *chart.Machine[*active]
+	once    *chart.Machine[*active]
+	attempt *chart.Machine[*active]
+	server  *chart.Machine[*fleet.Server]
+	node    *chart.Machine[*State]
+}
+
+func (s *State) loadCharts(files fs.FS) error {
+	var err error
+	if s.charts.request, err = load(files, "request", s.requestBindings()); err != nil {
+		return err
+	}
+	if s.charts.once, err = load(files, "request-once", s.requestBindings()); err != nil {
+		return err
+	}
+	if s.charts.attempt, err = load(files, "attempt", s.attemptBindings()); err != nil {
+		return err
+	}
+	if s.charts.server, err = load(files, "server", serverBindings()); err != nil {
+		return err
+	}
+	s.charts.node, err = load(files, "node", nodeBindings())
+	return err
+}
+
+func load[T any](files fs.FS, name string, bindings chart.Bindings[T]) (*chart.Machine[T], error) {
+	def, err := chart.Load(files, name)
+	if err != nil {
+		return nil, err
+	}
+	machine, err := chart.NewMachine(def, bindings)
+	if err != nil {
+		return nil, fmt.Errorf("bind: %w", err)
+	}
+	return machine, nil
+}
+
+func (s *State) requestBindings() chart.Bindings[*active] {
+	return chart.Bindings[*active]{
+		Guards: map[string]func(*active, time.Time) bool{
+			"may_retry": s.mayRetry,
+		},
+		Actions: map[string]func(*active, time.Time){
+			"begin_attempt":   s.beginAttempt,
+			"end_attempt":     s.endAttempt,
+			"mark_dispatched": s.markDispatched,
+			"spend_retry":     func(*active, time.Time) { s.budget.Take() },
+			"mark_claimed":    func(a *active, _ time.Time) { a.claimed = true },
+		},
+	}
+}
+
+func (s *State) attemptBindings() chart.Bindings[*active] {
+	return chart.Bindings[*active]{
+		Actions: map[string]func(*active, time.Time){
+			"credit_server": s.creditServer,
+			"blame_server":  s.blameServer,
+		},
+	}
+}
+
+func serverBindings() chart.Bindings[*fleet.Server] {
+	return chart.Bindings[*fleet.Server]{
+		Guards: map[string]func(*fleet.Server, time.Time) bool{
+			"failures_reached_limit": func(server *fleet.Server, _ time.Time) bool {
+				return server.Failures >= failureLimit
+			},
+		},
+	}
+}
+
+func nodeBindings() chart.Bindings[*State] {
+	return chart.Bindings[*State]{
+		Guards: map[string]func(*State, time.Time) bool{
+			"nothing_in_progress": func(s *State, _ time.Time) bool { return len(s.requests) == 0 },
+		},
+		Actions: map[string]func(*State, time.Time){
+			"announce_stopped": func(s *State, _ time.Time) {
+				s.options.Checker.Check(len(s.requests) == 0, invariant.DrainCutsNothing, "%d requests in progress", len(s.requests))
+			},
+		},
+	}
+}
+
+// fireRequest moves a request and reports whether its chart allowed it.
+func (s *State) fireRequest(a *active, event chart.Event, now time.Time) bool {
+	if err := a.machine.Fire(&a.position, a, event, now); err != nil {
+		return false
+	}
+	a.limitWait(now)
+	return true
+}
+
+// limitWait shortens the timeout of the state to the caller's deadline.
+func (a *active) limitWait(now time.Time) {
+	if a.position.Deadline.IsZero() || a.Deadline.IsZero() {
+		return
+	}
+	if a.position.State == "recording" || a.position.State == "releasing" {
+		return
+	}
+	if a.Deadline.Before(a.position.Deadline) {
+		a.position.Deadline = a.Deadline
+	}
+	if a.position.Deadline.Before(now) {
+		a.position.Deadline = now
+	}
+}
--- /dev/null
+++ b/core/control/decision.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"time"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/code"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/request"
+)
+
+// Decision answers a question.
+type Decision interface {
+	decision()
+}
+
+// Admitted lets a request enter the node.
+type Admitted struct {
+	Organisation request.Organisation
+	Class        request.Class
+	// Scope binds the cache keys of the request.
+	Scope cachekey.Scope
+	// Claim is true when the at-most-once record must be claimed first.
+	Claim bool
+}
+
+// Proceed lets the asker go on.
+type Proceed struct{}
+
+// Replay tells the asker to return the kept response of an earlier call.
+type Replay struct{}
+
+// Dispatch sends an attempt to a backend server.
+type Dispatch struct {
+	Attempt  request.AttemptID
+	Server   fleet.ServerID
+	Address  string
+	Priority int
+	// DialTimeout, HeaderTimeout and GapTimeout bound the waits for the
+	// connection, the response headers, and between two parts.
+	DialTimeout   time.Duration
+	HeaderTimeout time.Duration
+	GapTimeout    time.Duration
+}
+
+// Deliver ends a request whose response is whole.
+type Deliver struct {
+	// Record is true when the at-most-once record must be completed and
+	// reported by Recorded.
+	Record bool
+}
+
+// Refusal ends a request with an error.
+type Refusal struct {
+	Err *code.Error
+	// RetryAfter is the advised delay before a repeat.
+	RetryAfter time.Duration
+	// Release is true when the at-most-once claim must be released and
+	// reported by Recorded.
+	Release bool
+}
+
+func (Admitted) decision() {}
+func (Proceed) decision()  {}
+func (Replay) decision()   {}
+func (Dispatch) decision() {}
+func (Deliver) decision()  {}
+func (Refusal) decision()  {}
+func (Dump) decision()     {}
+
+// Reply addresses a decision to the open question of a request.
+type Reply struct {
+	To       request.ID
+	Decision Decision
+}
+
+// Command asks a traffic goroutine to act.
+type Command interface {
+	command()
+}
+
+// NodeState announces a new state of the node.
+type NodeState struct {
+	State string
+	// Ready is the answer to the load balancer's readiness check.
+	Ready bool
+}
+
+func (NodeState) command() {}
+
+// Output is what one message led to.
+type Output struct {
+	Replies  []Reply
+	Commands []Command
+}
--- /dev/null
+++ b/core/control/ending.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/code"
+	"tanagerspread/core/invariant"
+	"tanagerspread/core/request"
+)
+
+// messageAttempt names an attempt in a message.
+type messageAttempt struct {
+	request request.ID
+	attempt request.AttemptID
+}
+
+func eventOf(name string) chart.Event {
+	return chart.Event(name)
+}
+
+// end fires the event that ends a request and answers its open question.
+func (s *State) end(now time.Time, a *active, event chart.Event, err *code.Error) {
+	s.fireRequest(a, event, now)
+	s.conclude(a, err)
+}
+
+// conclude answers the open question of a request that ends without a
+// response. A claimed request is kept until its claim is released.
+func (s *State) conclude(a *active, err *code.Error) {
+	err = s.checkTruth(a, err)
+	s.journal.add(a.position.Entered, a, "refuse", err.Detail)
+	if a.position.State == "releasing" {
+		a.ending = err
+		s.reply(a.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code), Release: true})
+		return
+	}
+	s.reply(a.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code)})
+	s.forgetFinal(a)
+}
+
+// checkTruth withholds a refusal that would say that a dispatched request
+// was not run.
+func (s *State) checkTruth(a *active, err *code.Error) *code.Error {
+	isTrue := !a.mayHaveRun() || err.Info().Execution != code.NotRun
+	if s.options.Checker.Check(isTrue, invariant.NotRunIsTrue, "request %s: code %d", a.ID, err.Code) {
+		return err
+	}
+	return code.Wrap(code.InvariantFailed, "the request may have run", err)
+}
+
+// recorded ends a request whose at-most-once record was completed or
+// released.
+func (s *State) recorded(now time.Time, m Recorded) {
+	a, ok := s.requests[m.Request]
+	if !ok {
+		s.reply(m.Request, Proceed{})
+		return
+	}
+	switch a.position.State {
+	case "recording":
+		s.fireRequest(a, "recorded", now)
+	case "releasing":
+		s.fireRequest(a, "released", now)
+	}
+	s.forgetFinal(a)
+	s.reply(m.Request, Proceed{})
+}
+
+// abandon ends a request whose caller has left.
+func (s *State) abandon(now time.Time, m Abandon) {
+	a, ok := s.requests[m.Request]
+	if !ok {
+		return
+	}
+	s.fireRequest(a, "abandon", now)
+	s.forgetFinal(a)
+	s.assignQueued(now)
+}
+
+// expireRequests fires the timeouts of requests.
+func (s *State) expireRequests(now time.Time) {
+	for _, a := range s.requests {
+		expired, err := a.machine.Expire(&a.position, a, now)
+		if !expired || err != nil {
+			continue
+		}
+		if a.position.State == "delivered" {
+			s.forgetFinal(a)
+			continue
+		}
+		s.conclude(a, s.deadlineError(a))
+	}
+}
+
+func (s *State) deadlineError(a *active) *code.Error {
+	if a.mayHaveRun() {
+		return code.New(code.DeadlinePassed, "the deadline passed while the request ran")
+	}
+	return code.New(code.DeadlinePassedNotRun, "the deadline passed before the request was sent")
+}
+
+func (s *State) forgetFinal(a *active) {
+	if a.machine.IsFinal(&a.position) {
+		s.forget(a)
+	}
+}
+
+func (s *State) forget(a *active) {
+	s.queue.Remove(a.ID)
+	delete(s.requests, a.ID)
+}
+
+// retryAfter is the advised delay before a refused request is repeated.
+func retryAfter(c code.Code) time.Duration {
+	if code.Lookup(c).Retry != code.RetryLater {
+		return 0
+	}
+	return time.Second
+}
--- /dev/null
+++ b/core/control/message.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"time"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/request"
+)
+
+// Message is what the control thread receives.
+type Message interface {
+	message()
+}
+
+// Question is a message that is answered by one Decision. A request has at
+// most one question open at a time.
+type Question interface {
+	Message
+	// Subject returns the request that the question is about.
+	Subject() request.ID
+}
+
+// Admit asks whether a new request may enter the node. It is answered by
+// Admitted or Refusal.
+type Admit struct {
+	Request request.Request
+}
+
+// ClaimResult reports what became of the at-most-once claim of a request. It
+// is answered by Proceed, Replay or Refusal.
+type ClaimResult struct {
+	Request request.ID
+	// Refused is why the claim was not made, or nil.
+	Refused *code.Error
+	// Replay is true when the record holds the response of an earlier call.
+	Replay bool
+}
+
+// Place asks for a backend server. It is answered by Dispatch or Refusal,
+// possibly after the request has waited in the queue.
+type Place struct {
+	Request      request.ID
+	Prefix       []cachekey.Key
+	PromptTokens int
+}
+
+// Connected reports that a connection to the backend server is open and asks
+// whether the request may be sent. It is answered by Proceed or Refusal.
+type Connected struct {
+	Request request.ID
+	Attempt request.AttemptID
+}
+
+// FirstToken reports that an attempt delivered its first part.
+type FirstToken struct {
+	Request request.ID
+	Attempt request.AttemptID
+	After   time.Duration
+}
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// Succeeded means that the whole response arrived.
+	Succeeded Outcome = iota + 1
+	// DialFailed means that no connection could be opened.
+	DialFailed
+	// Rejected means that the backend server said that it did not run the
+	// request.
+	Rejected
+	// Lost means that the attempt failed after it was dispatched.
+	Lost
+	// Stopped means that the node ended the attempt, for example because the
+	// caller left.
+	Stopped
+)
+
+// AttemptDone reports the end of an attempt. It is answered by Deliver,
+// Dispatch or Refusal.
+type AttemptDone struct {
+	Request request.ID
+	Attempt request.AttemptID
+	Outcome Outcome
+	// Cause describes a failed attempt.
+	Cause *code.Error
+	// Load is the load that the response reported, or nil.
+	Load *fleet.Load
+	// Leaving is true when the server said that it is leaving.
+	Leaving bool
+	// Died is true when the connection broke while the request was running.
+	Died bool
+}
+
+// Recorded reports that the at-most-once record of a delivered or released
+// request was written, or that writing it was given up. It is answered by
+// Deliver or Refusal.
+type Recorded struct {
+	Request request.ID
+}
+
+// Abandon reports that the caller of a request has left.
+type Abandon struct {
+	Request request.ID
+}
+
+// Configure puts a newer configuration into force.
+type Configure struct {
+	Version config.Version
+	Rules   *config.Rules
+}
+
+// VM is one entry of the VM list.
+type VM struct {
+	ID      string
+	Address string
+	Domain  fleet.Domain
+	Role    fleet.Role
+	Serves  string
+	Weights int
+	Leaving bool
+}
+
+// VMList reports the platform's list of VMs.
+type VMList struct {
+	VMs []VM
+}
+
+// Drain starts the planned stop of the node.
+type Drain struct{}
+
+// Tick lets timeouts pass.
+type Tick struct{}
+
+// DumpState asks for a copy of the control state. It is answered by Dump.
+type DumpState struct {
+	ID request.ID
+}
+
+// Subject returns the request that the question is about.
+func (m Admit) Subject() request.ID { return m.Request.ID }
+
+// Subject returns the request that the question is about.
+func (m ClaimResult) Subject() request.ID { return m.Request }
+
+// Subject returns the request that the question is about.
+func (m Place) Subject() request.ID { return m.Request }
+
+// Subject returns the request that the question is about.
+func (m Connected) Subject() request.ID { return m.Request }
+
+// Subject returns the request that the question is about.
+func (m AttemptDone) Subject() request.ID { return m.Request }
+
+// Subject returns the request that the question is about.
+func (m Recorded) Subject() request.ID { return m.Request }
+
+// Subject returns the identifier that the asker chose.
+func (m DumpState) Subject() request.ID { return m.ID }
+
+func (Admit) message()       {}
+func (ClaimResult) message() {}
+func (Place) message()       {}
+func (Connected) message()   {}
+func (FirstToken) message()  {}
+func (AttemptDone) message() {}
+func (Recorded) message()    {}
+func (Abandon) message()     {}
+func (Configure) message()   {}
+func (VMList) message()      {}
+func (Drain) message()       {}
+func (Tick) message()        {}
+func (DumpState) message()   {}
--- /dev/null
+++ b/core/control/servers.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/fleet"
+)
+
+// vmList takes over the platform's list of VMs. The list lags, so a server
+// that said itself that it leaves stays out until it is listed as leaving and
+// then live again.
+func (s *State) vmList(now time.Time, m VMList) {
+	listed := map[fleet.ServerID]bool{}
+	for _, vm := range m.VMs {
+		if vm.Role != fleet.RoleEngine && vm.Role != fleet.RoleService {
+			continue
+		}
+		listed[fleet.ServerID(vm.ID)] = true
+		s.noteVM(now, vm)
+	}
+	for id, server := range s.servers {
+		if !listed[id] {
+			s.fireServer(server, "remove", now)
+			delete(s.servers, id)
+		}
+	}
+	s.orderServers()
+	s.applyServerRules(now)
+	s.assignQueued(now)
+}
+
+func (s *State) noteVM(now time.Time, vm VM) {
+	server, known := s.servers[fleet.ServerID(vm.ID)]
+	if !known || server.Address != vm.Address {
+		server = &fleet.Server{ID: fleet.ServerID(vm.ID), Chart: s.charts.server.Start(now)}
+		s.servers[server.ID] = server
+	}
+	server.Address = vm.Address
+	server.Domain = vm.Domain
+	server.Role = vm.Role
+	server.Serves = vm.Serves
+	server.Weights = vm.Weights
+	if vm.Leaving {
+		server.ListedLeaving = true
+		s.fireServer(server, "leave", now)
+	} else if server.ListedLeaving {
+		server.ListedLeaving = false
+		s.fireServer(server, "return", now)
+	}
+}
+
+// orderServers keeps a sorted list, so that decisions do not depend on the
+// order of a map.
+func (s *State) orderServers() {
+	s.ordered = s.ordered[:0]
+	for _, server := range s.servers {
+		s.ordered = append(s.ordered, server)
+	}
+	sort.Slice(s.ordered, func(i, j int) bool { return s.ordered[i].ID < s.ordered[j].ID })
+}
+
+func (s *State) applyServerRules(now time.Time) {
+	if s.rules == nil {
+		return
+	}
+	for id, rule := range s.rules.Servers {
+		if server, known := s.servers[fleet.ServerID(id)]; known && rule.Leaving {
+			s.fireServer(server, "leave", now)
+		}
+	}
+}
+
+func (s *State) fireServer(server *fleet.Server, event chart.Event, now time.Time) {
+	// An event that the chart refuses changes nothing, for example a second
+	// "leave" of a leaving server.
+	_ = s.charts.server.Fire(&server.Chart, server, event, now)
+}
+
+func (s *State) fireAttempt(a *active, event chart.Event, now time.Time) {
+	// A late event of an attempt that has ended changes nothing.
+	_ = s.charts.attempt.Fire(&a.attempt.position, a, event, now)
+}
+
+func (s *State) expireServers(now time.Time) {
+	for _, server := range s.ordered {
+		_, _ = s.charts.server.Expire(&server.Chart, server, now)
+	}
+}
--- /dev/null
+++ b/core/control/state.go
@@ -0,0 +1,135 @@
+// Package control holds the state of the control thread and decides on each
+// message. A State is used by one goroutine only.
+package control
+
+import (
+	"fmt"
+	"io/fs"
+	"math/rand/v2"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/invariant"
+	"tanagerspread/core/limits"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/request"
+	"tanagerspread/core/retry"
+)
+
+// Options are the fixed properties of a node.
+type Options struct {
+	Node   string
+	Domain fleet.Domain
+	Charts fs.FS
+	// Seed starts the random numbers of the decisions.
+	Seed uint64
+	// Checker receives violations of invariants.
+	Checker invariant.Checker
+	// ServerSlots is the number of attempts that the node sends to one
+	// backend server at a time.
+	ServerSlots int
+}
+
+// State is the control state of one node.
+type State struct {
+	options  Options
+	charts   machines
+	random   *rand.Rand
+	life     chart.Instance
+	version  config.Version
+	rules    *config.Rules
+	requests map[request.ID]*active
+	servers  map[fleet.ServerID]*fleet.Server
+	// ordered lists the servers by identifier.
+	ordered []*fleet.Server
+	queue   *limits.Queue
+	rates   *limits.Rates
+	budget  *retry.Budget
+	policy  placement.Policy
+	journal journal
+	out     Output
+}
+
+// New returns the state of a node that starts at now. It returns an error
+// when a chart cannot be loaded.
+func New(options Options, now time.Time) (*State, error) {
+	s := &State{
+		options:  options,
+		random:   rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		requests: map[request.ID]*active{},
+		servers:  map[fleet.ServerID]*fleet.Server{},
+		queue:    limits.NewQueue(),
+		rates:    limits.NewRates(),
+		budget:   retry.NewBudget(),
+		policy:   placement.LeastLoad{},
+	}
+	if err := s.loadCharts(options.Charts); err != nil {
+		return nil, fmt.Errorf("load charts: %w", err)
+	}
+	s.life = s.charts.node.Start(now)
+	return s, nil
+}
+
+// Handle decides on one message. The slices of the output are reused by the
+// next call.
+func (s *State) Handle(now time.Time, message Message) Output {
+	s.out.Replies = s.out.Replies[:0]
+	s.out.Commands = s.out.Commands[:0]
+	s.decide(now, message)
+	return s.out
+}
+
+func (s *State) decide(now time.Time, message Message) {
+	switch m := message.(type) {
+	case Admit:
+		s.admit(now, m)
+	case ClaimResult:
+		s.claimResult(now, m)
+	case Place:
+		s.place(now, m)
+	case Connected:
+		s.connected(now, m)
+	case FirstToken:
+		s.firstToken(now, m)
+	case AttemptDone:
+		s.attemptDone(now, m)
+	case Recorded:
+		s.recorded(now, m)
+	case Abandon:
+		s.abandon(now, m)
+	case Configure:
+		s.configure(now, m)
+	case VMList:
+		s.vmList(now, m)
+	case Drain:
+		s.fireNode("drain", now)
+	case Tick:
+		s.tick(now)
+	case DumpState:
+		s.reply(m.ID, s.dump(now))
+	}
+}
+
+func (s *State) reply(to request.ID, decision Decision) {
+	s.out.Replies = append(s.out.Replies, Reply{To: to, Decision: decision})
+}
+
+func (s *State) command(command Command) {
+	s.out.Commands = append(s.out.Commands, command)
+}
+
+// refuse answers a request that the node does not keep.
+func (s *State) refuse(to request.ID, c code.Code, detail string) {
+	s.reply(to, Refusal{Err: code.New(c, detail), RetryAfter: retryAfter(c)})
+}
+
+// tick fires the timeouts of all charts.
+func (s *State) tick(now time.Time) {
+	s.expireNode(now)
+	s.expireServers(now)
+	s.expireRequests(now)
+	s.assignQueued(now)
+}
--- /dev/null
+++ b/core/event/catalogue.go
@@ -0,0 +1,35 @@
+package event
+
+// The events of requests.
+var (
+	RequestRefused   = add(2001, LevelInfo, "request refused", "request", "code", "execution")
+	RequestDelivered = add(2002, LevelDebug, "request delivered", "request", "attempts")
+	AttemptFailed    = add(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
+)
+
+// The events of at-most-once records.
+var (
+	ReleaseFailed  = add(2201, LevelError, "claim of an unsent request could not be released", "request")
+	CompleteFailed = add(2202, LevelError, "response of a non-idempotent request could not be recorded", "request")
+)
+
+// The events of a node's life.
+var (
+	NodeStarted      = add(2501, LevelInfo, "node started", "node", "domain", "listen")
+	NodeStateChanged = add(2502, LevelInfo, "node changed its state", "state")
+	NodeStopped      = add(2503, LevelInfo, "node stopped")
+	QueueFull        = add(2504, LevelError, "control queue is full; message refused", "message")
+)
+
+// The events of invariants.
+var (
+	InvariantFailed = add(2901, LevelError, "invariant failed", "invariant", "detail")
+)
+
+var catalogue []Event
+
+func add(number Number, level Level, text string, fields ...string) Event {
+	e := Event{Number: number, Level: level, Text: text, Fields: fields}
+	catalogue = append(catalogue, e)
+	return e
+}
--- /dev/null
+++ b/core/fleet/server.go
@@ -0,0 +1,53 @@
+// Package fleet describes the backend servers as one node sees them.
+package fleet
+
+import (
+	"time"
+
+	"tanagerspread/chart"
+)
+
+// ServerID names a backend server; it is the VM's name in the VM list.
+type ServerID string
+
+// Domain is the name of a failure domain.
+type Domain string
+
+// Role tells what a VM runs.
+type Role string
+
+// The roles of VMs in the VM list.
+const (
+	RoleEntry   Role = "entry"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+	RoleStore   Role = "store"
+)
+
+// Load is the load that a backend server reported.
+type Load struct {
+	Running       int
+	Waiting       int
+	PrefillTokens int
+	ReportedAt    time.Time
+}
+
+// Server is one backend server as this node sees it.
+type Server struct {
+	ID      ServerID
+	Address string
+	Domain  Domain
+	Role    Role
+	// Serves is the model or service that the server offers.
+	Serves string
+	// Weights is the weight version that the engine has loaded.
+	Weights int
+	Load    Load
+	// InFlight counts this node's own attempts on the server.
+	InFlight int
+	// Failures counts failed attempts since the last good one.
+	Failures int
+	// ListedLeaving is true while the VM list says that the VM is leaving.
+	ListedLeaving bool
+	Chart         chart.Instance
+}
--- /dev/null
+++ b/core/invariant/invariant.go
@@ -0,0 +1,54 @@
+// Package invariant asserts conditions that must always hold inside the
+// program.
+package invariant
+
+import "fmt"
+
+// Name identifies one invariant.
+type Name string
+
+// The invariants of the system.
+const (
+	OneDispatch        Name = "non-idempotent request is dispatched at most once"
+	VersionIncreases   Name = "configuration version never decreases"
+	SameOrganisation   Name = "cache scope belongs to the organisation of the request"
+	SameWeights        Name = "new request uses blocks of its own weight version only"
+	OwnAnswer          Name = "response belongs to the request of the caller"
+	NoNewWork          Name = "leaving server receives no new work"
+	NotRunIsTrue       Name = "request reported as not run was not dispatched"
+	ChartAllows        Name = "chart allows the event"
+	DrainCutsNothing   Name = "node stops only when no request is in progress"
+	VerifiedBlocksOnly Name = "imported block passed verification"
+)
+
+// Violation describes a failed invariant.
+type Violation struct {
+	Invariant Name
+	Detail    string
+}
+
+// Error describes the violation.
+func (v *Violation) Error() string {
+	return fmt.Sprintf("invariant failed: %s: %s", v.Invariant, v.Detail)
+}
+
+// Checker reports violations to its handler. The handler of tests panics; the
+// handler of a node logs and counts.
+type Checker struct {
+	report func(*Violation)
+}
+
+// NewChecker returns a checker that calls report for each violation.
+func NewChecker(report func(*Violation)) Checker {
+	return Checker{report: report}
+}
+
+// Check reports a violation when the condition is false and returns the
+// condition, so that the caller can turn a failure into a refusal.
+func (c Checker) Check(condition bool, name Name, format string, args ...any) bool {
+	if condition {
+		return true
+	}
+	c.report(&Violation{Invariant: name, Detail: fmt.Sprintf(format, args...)})
+	return false
+}
