node: serve a completion from caller to engine

Cause: the path must stand before its parts are deepened. Decision: each attempt opens its own connection, because net/http replays requests on reused connections and a reused connection may have gone silent.

--- /dev/null
+++ b/cmd/tanagerctl/main.go
@@ -0,0 +1,4 @@
+// Command tanagerctl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/tanagerspread/main.go
@@ -0,0 +1,4 @@
+// Command tanagerspread is the process that runs on an entry VM.
+package main
+
+func main() {}
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl holds the operators' commands.
+package ctl
--- /dev/null
+++ b/node/control/loop.go
@@ -0,0 +1,134 @@
+// Package control runs the control thread of a process: one goroutine locked
+// to its OS thread that owns the control state. Traffic goroutines reach it
+// through one bounded queue.
+package control
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/request"
+)
+
+const (
+	// queueLength bounds the messages that wait for the control thread.
+	queueLength = 4096
+	// admissionLength is the queue length at which new requests are refused,
+	// so that requests in progress still find room.
+	admissionLength = queueLength * 3 / 4
+	// tickInterval is the resolution of all timeouts in the charts.
+	tickInterval = 50 * time.Millisecond
+)
+
+// Loop is the control thread. Ask and Tell may be called by any goroutine.
+type Loop struct {
+	state   *control.State
+	inbox   chan envelope
+	done    chan struct{}
+	waiting map[request.ID]chan<- control.Decision
+	sink    func(control.Command)
+}
+
+type envelope struct {
+	message control.Message
+	reply   chan control.Decision
+}
+
+// NewLoop returns a loop over the state. The sink receives commands on the
+// control thread and must not block.
+func NewLoop(state *control.State, sink func(control.Command)) *Loop {
+	return &Loop{
+		state:   state,
+		inbox:   make(chan envelope, queueLength),
+		done:    make(chan struct{}),
+		waiting: map[request.ID]chan<- control.Decision{},
+		sink:    sink,
+	}
+}
+
+// Run handles messages until the context ends. It must be called once.
+func (l *Loop) Run(ctx context.Context) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	defer close(l.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.handle(envelope{message: control.Tick{}})
+		case e := <-l.inbox:
+			l.handle(e)
+		}
+	}
+}
+
+func (l *Loop) handle(e envelope) {
+	l.register(e)
+	output := l.state.Handle(time.Now(), e.message)
+	for _, reply := range output.Replies {
+		l.deliver(reply)
+	}
+	for _, command := range output.Commands {
+		l.sink(command)
+	}
+}
+
+func (l *Loop) register(e envelope) {
+	if question, ok := e.message.(control.Question); ok && e.reply != nil {
+		l.waiting[question.Subject()] = e.reply
+	}
+	if abandon, ok := e.message.(control.Abandon); ok {
+		delete(l.waiting, abandon.Request)
+	}
+}
+
+// deliver never blocks: each reply channel has room for the one decision
+// that its question gets.
+func (l *Loop) deliver(reply control.Reply) {
+	waiting, ok := l.waiting[reply.To]
+	if !ok {
+		return
+	}
+	delete(l.waiting, reply.To)
+	waiting <- reply.Decision
+}
+
+// Ask sends a question and waits for its decision. It returns code.Overloaded
+// when the queue is full, code.CallerGone when the context ends first, and
+// code.Draining when the loop has stopped.
+func (l *Loop) Ask(ctx context.Context, question control.Question) (control.Decision, *code.Error) {
+	if _, isNew := question.(control.Admit); isNew && len(l.inbox) >= admissionLength {
+		return nil, code.New(code.Overloaded, "the control queue of the node is full")
+	}
+	reply := make(chan control.Decision, 1)
+	select {
+	case l.inbox <- envelope{message: question, reply: reply}:
+	default:
+		return nil, code.New(code.Overloaded, "the control queue of the node is full")
+	}
+	select {
+	case decision := <-reply:
+		return decision, nil
+	case <-ctx.Done():
+		return nil, code.Wrap(code.CallerGone, "the caller closed the connection", ctx.Err())
+	case <-l.done:
+		return nil, code.New(code.Draining, "the node has stopped")
+	}
+}
+
+// Tell sends a message that has no answer. It reports false when the queue is
+// full.
+func (l *Loop) Tell(message control.Message) bool {
+	select {
+	case l.inbox <- envelope{message: message}:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/node/egress/completion.go
@@ -0,0 +1,177 @@
+package egress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
+	"tanagerspread/platform/engine"
+)
+
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 1 << 20
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome control.Outcome
+	Cause   *code.Error
+	Load    *fleet.Load
+	Leaving bool
+	// Died is true when the connection broke after the request was sent.
+	Died bool
+}
+
+// Complete runs one completion and passes each verified event to receive. An
+// error of receive stops the attempt.
+func (c *Client) Complete(ctx context.Context, address string, body engine.CompletionRequest, timeouts Timeouts, gate Gate, receive func(engine.CompletionEvent) error) Result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	request, err := completionRequest(ctx, address, body)
+	if err != nil {
+		return Result{Outcome: control.Stopped, Cause: code.Wrap(code.Internal, "the request cannot be encoded", err)}
+	}
+	response, closeConn, err := c.send(request, timeouts, gate)
+	if err != nil {
+		return failure(ctx, err)
+	}
+	defer closeConn()
+	defer func() { _ = response.Body.Close() }()
+	result := loadOf(response.Header)
+	if response.StatusCode != http.StatusOK {
+		return rejected(result, response)
+	}
+	reader, stop := newGapReader(response.Body, timeouts.Gap, cancel)
+	defer stop()
+	return finish(ctx, result, readEvents(reader, body, receive))
+}
+
+func completionRequest(ctx context.Context, address string, body engine.CompletionRequest) (*http.Request, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+engine.PathCompletions, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// readEvents verifies that the events belong to the request and are
+// complete and in order.
+func readEvents(body io.Reader, sent engine.CompletionRequest, receive func(engine.CompletionEvent) error) error {
+	next := 0
+	if sent.Resume != nil {
+		next = sent.Resume.From
+	}
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEventBytes)
+	for lines.Scan() {
+		data, isData := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !isData {
+			continue
+		}
+		event, err := decodeEvent(data, sent.RequestID, next)
+		if err != nil {
+			return err
+		}
+		next++
+		if err := receive(event); err != nil {
+			return &errStopped{cause: err}
+		}
+		if event.Done {
+			return nil
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return code.New(code.AnswerTruncated, "the response ended before it was whole")
+}
+
+func decodeEvent(data []byte, requestID string, next int) (engine.CompletionEvent, error) {
+	var event engine.CompletionEvent
+	if err := json.Unmarshal(data, &event); err != nil {
+		return event, code.Wrap(code.AnswerTruncated, "the response has a malformed event", err)
+	}
+	if event.RequestID != requestID {
+		return event, code.New(code.AnswerMismatched, "the response belongs to another request")
+	}
+	if event.Sequence != next {
+		return event, code.Newf(code.AnswerTruncated, "the response has sequence number %d instead of %d", event.Sequence, next)
+	}
+	return event, nil
+}
+
+// errStopped marks an attempt that the receiver ended.
+type errStopped struct {
+	cause error
+}
+
+func (e *errStopped) Error() string { return "stopped: " + e.cause.Error() }
+func (e *errStopped) Unwrap() error { return e.cause }
+
+// finish turns the end of the body into a result.
+func finish(ctx context.Context, result Result, err error) Result {
+	if err == nil {
+		result.Outcome = control.Succeeded
+		return result
+	}
+	failed := failure(ctx, err)
+	failed.Load = result.Load
+	failed.Leaving = result.Leaving
+	return failed
+}
+
+// failure classifies an error of an attempt. A cause given to the context
+// takes precedence, because it is the reason for the transport's error.
+func failure(ctx context.Context, err error) Result {
+	var stopped *errStopped
+	if errors.As(err, &stopped) {
+		return Result{Outcome: control.Stopped, Cause: code.Wrap(code.CallerGone, "the caller closed the connection", err)}
+	}
+	if NotSent(err) {
+		return Result{Outcome: control.DialFailed, Cause: classify(err)}
+	}
+	var silent *code.Error
+	if cause := context.Cause(ctx); errors.As(cause, &silent) {
+		return Result{Outcome: control.Lost, Cause: silent}
+	}
+	if ctx.Err() != nil {
+		return Result{Outcome: control.Stopped, Cause: code.Wrap(code.CallerGone, "the caller closed the connection", err)}
+	}
+	cause := classify(err)
+	return Result{Outcome: control.Lost, Cause: cause, Died: cause.Code == code.BackendLost}
+}
+
+func rejected(result Result, response *http.Response) Result {
+	result.Outcome = control.Lost
+	result.Cause = code.Newf(code.BackendLost, "the backend server responded with status %d", response.StatusCode)
+	if response.Header.Get(engine.HeaderExecution) == engine.ExecutionNotRun {
+		result.Outcome = control.Rejected
+		result.Cause = code.New(code.BackendRefused, "the backend server refused the request before running it")
+	}
+	return result
+}
+
+// loadOf reads the load that rides on a response.
+func loadOf(header http.Header) Result {
+	result := Result{Leaving: header.Get(engine.HeaderLeaving) == "true"}
+	running, err := strconv.Atoi(header.Get(engine.HeaderRunning))
+	if err != nil {
+		return result
+	}
+	waiting, _ := strconv.Atoi(header.Get(engine.HeaderWaiting))
+	prefill, _ := strconv.Atoi(header.Get(engine.HeaderPrefillTokens))
+	result.Load = &fleet.Load{Running: running, Waiting: waiting, PrefillTokens: prefill}
+	return result
+}
--- /dev/null
+++ b/node/egress/egress.go
@@ -0,0 +1,107 @@
+// Package egress sends attempts to backend servers over net/http.
+//
+// Each attempt uses a connection of its own. A reused connection may have
+// gone silent, and net/http replays requests on reused connections below the
+// level at which retries are decided.
+package egress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"tanagerspread/core/code"
+)
+
+// Timeouts bounds the waits of one attempt.
+type Timeouts struct {
+	// Dial bounds the opening of the connection.
+	Dial time.Duration
+	// Header bounds the wait for the response headers.
+	Header time.Duration
+	// Gap bounds the wait between two parts of the response.
+	Gap time.Duration
+}
+
+// Gate is asked once the connection is open and before any byte is sent. An
+// error keeps the request from being sent.
+type Gate func(ctx context.Context) error
+
+// errNotSent marks every failure before the first byte was sent.
+type errNotSent struct {
+	cause error
+}
+
+func (e *errNotSent) Error() string { return "not sent: " + e.cause.Error() }
+func (e *errNotSent) Unwrap() error { return e.cause }
+
+// NotSent reports whether the error happened before any byte of the request
+// was sent.
+func NotSent(err error) bool {
+	var notSent *errNotSent
+	return errors.As(err, &notSent)
+}
+
+// Dialer opens connections; tests replace it.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client sends attempts.
+type Client struct {
+	dial Dialer
+}
+
+// NewClient returns a client that opens connections with dial.
+func NewClient(dial Dialer) *Client {
+	return &Client{dial: dial}
+}
+
+// send runs one request on a connection of its own. The returned function
+// closes the connection.
+func (c *Client) send(request *http.Request, timeouts Timeouts, gate Gate) (*http.Response, func(), error) {
+	request.GetBody = nil
+	transport := &http.Transport{
+		DialContext:           c.gatedDial(timeouts.Dial, gate),
+		DisableKeepAlives:     true,
+		DisableCompression:    true,
+		ResponseHeaderTimeout: timeouts.Header,
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		transport.CloseIdleConnections()
+		return nil, nil, err
+	}
+	return response, transport.CloseIdleConnections, nil
+}
+
+func (c *Client) gatedDial(timeout time.Duration, gate Gate) Dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialContext, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		conn, err := c.dial(dialContext, network, address)
+		if err != nil {
+			return nil, &errNotSent{cause: err}
+		}
+		if err := gate(ctx); err != nil {
+			return nil, &errNotSent{cause: errors.Join(err, conn.Close())}
+		}
+		return conn, nil
+	}
+}
+
+// classify turns a transport error into a code.
+func classify(err error) *code.Error {
+	var coded *code.Error
+	if errors.As(err, &coded) {
+		return coded
+	}
+	if NotSent(err) {
+		return code.Wrap(code.DialRefused, "no connection to the backend server could be opened", err)
+	}
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return code.Wrap(code.BackendSilent, "the backend server stopped sending", err)
+	}
+	return code.Wrap(code.BackendLost, "the backend server failed during the request", err)
+}
--- /dev/null
+++ b/node/egress/service.go
@@ -0,0 +1,101 @@
+package egress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+)
+
+// The headers of a call to a plain service.
+const (
+	headerRequestID    = "Tanagerspread-Request-Id"
+	headerOrganisation = "Tanagerspread-Organisation"
+	headerDeadline     = "Tanagerspread-Deadline-Ms"
+	headerKeyDigest    = "Tanagerspread-Idempotency-Digest"
+)
+
+// maxServiceBytes bounds the response of a plain service.
+const maxServiceBytes = 4 << 20
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	Method       string
+	Path         string
+	ContentType  string
+	Body         []byte
+	RequestID    string
+	Organisation string
+	// KeyDigest is the digest of the idempotency key, or empty. The key
+	// itself stays off the wire, because net/http treats a request with an
+	// Idempotency-Key header as one that it may replay.
+	KeyDigest string
+	// Deadline is the time left until the caller's deadline.
+	Deadline time.Duration
+}
+
+// ServiceResponse is the whole response of a plain service.
+type ServiceResponse struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Call runs one call of a plain service and reads its whole response.
+func (c *Client) Call(ctx context.Context, address string, call ServiceCall, timeouts Timeouts, gate Gate) (ServiceResponse, Result) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	request, err := serviceRequest(ctx, address, call)
+	if err != nil {
+		return ServiceResponse{}, Result{Outcome: control.DialFailed, Cause: code.Wrap(code.MalformedHeader, "the call cannot be encoded", err)}
+	}
+	response, closeConn, err := c.send(request, timeouts, gate)
+	if err != nil {
+		return ServiceResponse{}, failure(ctx, err)
+	}
+	defer closeConn()
+	defer func() { _ = response.Body.Close() }()
+	result := loadOf(response.Header)
+	reader, stop := newGapReader(response.Body, timeouts.Gap, cancel)
+	defer stop()
+	body, err := io.ReadAll(io.LimitReader(reader, maxServiceBytes+1))
+	if err == nil {
+		err = checkService(response, call, body)
+	}
+	whole := ServiceResponse{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}
+	return whole, finish(ctx, result, err)
+}
+
+// checkService verifies that the response is whole and belongs to the call.
+func checkService(response *http.Response, call ServiceCall, body []byte) error {
+	if len(body) > maxServiceBytes {
+		return code.Newf(code.AnswerTooLarge, "the response is larger than %d bytes", maxServiceBytes)
+	}
+	if echoed := response.Header.Get(headerRequestID); echoed != "" && echoed != call.RequestID {
+		return code.New(code.AnswerMismatched, "the response belongs to another request")
+	}
+	return nil
+}
+
+func serviceRequest(ctx context.Context, address string, call ServiceCall) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	header := request.Header
+	if call.ContentType != "" {
+		header.Set("Content-Type", call.ContentType)
+	}
+	header.Set(headerRequestID, call.RequestID)
+	header.Set(headerOrganisation, call.Organisation)
+	header.Set(headerDeadline, strconv.FormatInt(call.Deadline.Milliseconds(), 10))
+	if call.KeyDigest != "" {
+		header.Set(headerKeyDigest, call.KeyDigest)
+	}
+	return request, nil
+}
--- /dev/null
+++ b/node/ingress/exchange.go
@@ -0,0 +1,179 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/event"
+	"tanagerspread/core/request"
+	"tanagerspread/node/egress"
+	"tanagerspread/node/eventlog"
+)
+
+// exchange carries one request through the questions to the control thread.
+type exchange struct {
+	front    *Front
+	request  request.Request
+	admitted control.Admitted
+	claim    Claim
+}
+
+// refused is how an exchange ends without a response.
+type refused struct {
+	err        *code.Error
+	retryAfter time.Duration
+}
+
+// ended is how an exchange ends when no attempt is needed or possible.
+type ended struct {
+	refused *refused
+	kept    *Kept
+}
+
+// runner performs one attempt.
+type runner func(ctx context.Context, dispatch control.Dispatch, gate egress.Gate) egress.Result
+
+// admit enters the request and settles its at-most-once claim. It returns nil
+// when the request may be placed.
+func (x *exchange) admit(ctx context.Context) *ended {
+	decision, err := x.front.options.Control.Ask(ctx, control.Admit{Request: x.request})
+	if err != nil {
+		return &ended{refused: &refused{err: err}}
+	}
+	admitted, ok := decision.(control.Admitted)
+	if !ok {
+		return &ended{refused: refusalOf(decision)}
+	}
+	x.admitted = admitted
+	if !admitted.Claim {
+		return nil
+	}
+	return x.settleClaim(ctx)
+}
+
+func (x *exchange) settleClaim(ctx context.Context) *ended {
+	x.claim = Claim{
+		Organisation: x.admitted.Organisation,
+		KeyDigest:    x.request.KeyDigest,
+		BodyDigest:   x.request.BodyDigest,
+		Request:      x.request.ID,
+	}
+	kept, claimErr := x.front.options.Recorder.Claim(ctx, x.claim)
+	result := control.ClaimResult{Request: x.request.ID, Refused: claimErr, Replay: kept != nil}
+	decision, err := x.front.options.Control.Ask(ctx, result)
+	if err != nil {
+		x.release(ctx)
+		return &ended{refused: &refused{err: notRun(err)}}
+	}
+	switch decision.(type) {
+	case control.Proceed:
+		return nil
+	case control.Replay:
+		return &ended{kept: kept}
+	}
+	if claimErr == nil && kept == nil {
+		x.release(ctx)
+	}
+	return &ended{refused: refusalOf(decision)}
+}
+
+// run places the request and performs attempts until it is delivered or
+// refused. It returns nil when the response is whole.
+func (x *exchange) run(ctx context.Context, prefix []cachekey.Key, run runner) *refused {
+	decision, err := x.front.options.Control.Ask(ctx, control.Place{
+		Request:      x.request.ID,
+		Prefix:       prefix,
+		PromptTokens: x.request.PromptTokens,
+	})
+	for err == nil {
+		dispatch, ok := decision.(control.Dispatch)
+		if !ok {
+			return x.conclude(ctx, decision)
+		}
+		result := run(ctx, dispatch, x.gate(dispatch.Attempt))
+		x.logFailure(dispatch, result)
+		decision, err = x.front.options.Control.Ask(context.WithoutCancel(ctx), control.AttemptDone{
+			Request: x.request.ID,
+			Attempt: dispatch.Attempt,
+			Outcome: result.Outcome,
+			Cause:   result.Cause,
+			Load:    result.Load,
+			Leaving: result.Leaving,
+			Died:    result.Died,
+		})
+	}
+	x.front.options.Control.Tell(control.Abandon{Request: x.request.ID})
+	return &refused{err: err}
+}
+
+// gate asks the control thread whether the request may be sent on the open
+// connection.
+func (x *exchange) gate(attempt request.AttemptID) egress.Gate {
+	return func(ctx context.Context) error {
+		decision, err := x.front.options.Control.Ask(ctx, control.Connected{Request: x.request.ID, Attempt: attempt})
+		if err != nil {
+			return err
+		}
+		if refusal, ok := decision.(control.Refusal); ok {
+			return refusal.Err
+		}
+		return nil
+	}
+}
+
+func (x *exchange) conclude(ctx context.Context, decision control.Decision) *refused {
+	refusal, ok := decision.(control.Refusal)
+	if !ok {
+		return nil
+	}
+	if refusal.Release {
+		x.release(ctx)
+	}
+	return &refused{err: refusal.Err, retryAfter: refusal.RetryAfter}
+}
+
+// release gives up the claim of a request that was not sent.
+func (x *exchange) release(ctx context.Context) {
+	ctx = context.WithoutCancel(ctx)
+	if err := x.front.options.Recorder.Release(ctx, x.claim); err != nil {
+		eventlog.Write(x.front.options.Logger, event.ReleaseFailed, err, "request", x.request.ID)
+	}
+	_, _ = x.front.options.Control.Ask(ctx, control.Recorded{Request: x.request.ID})
+}
+
+// record stores the response of a non-idempotent request.
+func (x *exchange) record(ctx context.Context, kept Kept) {
+	ctx = context.WithoutCancel(ctx)
+	if err := x.front.options.Recorder.Complete(ctx, x.claim, kept); err != nil {
+		eventlog.Write(x.front.options.Logger, event.CompleteFailed, err, "request", x.request.ID)
+	}
+	_, _ = x.front.options.Control.Ask(ctx, control.Recorded{Request: x.request.ID})
+}
+
+func (x *exchange) logFailure(dispatch control.Dispatch, result egress.Result) {
+	if result.Cause == nil {
+		return
+	}
+	eventlog.Write(x.front.options.Logger, event.AttemptFailed, result.Cause,
+		"request", x.request.ID, "attempt", int(dispatch.Attempt), "server", string(dispatch.Server), "code", int(result.Cause.Code))
+}
+
+func refusalOf(decision control.Decision) *refused {
+	refusal, ok := decision.(control.Refusal)
+	if !ok {
+		return &refused{err: code.New(code.Internal, "the control thread gave an unexpected decision")}
+	}
+	return &refused{err: refusal.Err, retryAfter: refusal.RetryAfter}
+}
+
+// notRun gives an error of a request that was not sent the execution class
+// not-run.
+func notRun(err *code.Error) *code.Error {
+	if err.Info().Execution == code.NotRun {
+		return err
+	}
+	return code.Wrap(code.DeadlinePassedNotRun, "the request ended before it was sent", err)
+}
--- /dev/null
+++ b/node/ingress/header.go
@@ -0,0 +1,98 @@
+package ingress
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/request"
+)
+
+// The headers that a caller may set.
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerDeadline       = "Tanagerspread-Deadline-Ms"
+	headerClass          = "Tanagerspread-Class"
+)
+
+const (
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+	// maxDeadline bounds the deadline that a caller may set.
+	maxDeadline = time.Hour
+	// defaultDeadline applies when the caller sets none.
+	defaultDeadline = 10 * time.Minute
+)
+
+// callerFields are the parts of a request that come from its headers.
+type callerFields struct {
+	tokenDigest request.Digest
+	keyDigest   string
+	class       request.Class
+	deadline    time.Time
+}
+
+func readHeaders(header http.Header, now time.Time) (callerFields, *code.Error) {
+	var fields callerFields
+	if err := checkRepeated(header); err != nil {
+		return fields, err
+	}
+	token, err := bearerToken(header)
+	if err != nil {
+		return fields, err
+	}
+	fields.tokenDigest = sha256.Sum256([]byte(token))
+	fields.class = request.Class(header.Get(headerClass))
+	if fields.keyDigest, err = keyDigest(header); err != nil {
+		return fields, err
+	}
+	fields.deadline, err = deadline(header, now)
+	return fields, err
+}
+
+// checkRepeated refuses headers that are given twice, since two hops could
+// read different ones.
+func checkRepeated(header http.Header) *code.Error {
+	for _, name := range []string{"Authorization", headerIdempotencyKey, headerDeadline, headerClass, "Content-Type"} {
+		if len(header.Values(name)) > 1 {
+			return code.Newf(code.MalformedHeader, "header %s is given more than once", name)
+		}
+	}
+	return nil
+}
+
+func bearerToken(header http.Header) (string, *code.Error) {
+	scheme, token, found := strings.Cut(header.Get("Authorization"), " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return "", code.New(code.MissingToken, "the request has no bearer token")
+	}
+	return token, nil
+}
+
+func keyDigest(header http.Header) (string, *code.Error) {
+	if len(header.Values(headerIdempotencyKey)) == 0 {
+		return "", nil
+	}
+	key := header.Get(headerIdempotencyKey)
+	if key == "" || len(key) > maxKeyBytes {
+		return "", code.Newf(code.MalformedHeader, "Idempotency-Key is empty or longer than %d bytes", maxKeyBytes)
+	}
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:]), nil
+}
+
+func deadline(header http.Header, now time.Time) (time.Time, *code.Error) {
+	text := header.Get(headerDeadline)
+	if text == "" {
+		return now.Add(defaultDeadline), nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+		return now, code.Newf(code.MalformedHeader, "%s is not a number of milliseconds up to %d", headerDeadline, maxDeadline.Milliseconds())
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond), nil
+}
--- /dev/null
+++ b/node/ingress/ingress.go
@@ -0,0 +1,113 @@
+// Package ingress serves callers over net/http. It decodes requests, asks the
+// control thread for each decision, and carries responses to the caller.
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/event"
+	"tanagerspread/core/request"
+	"tanagerspread/node/egress"
+	"tanagerspread/node/eventlog"
+)
+
+// Asker is the control thread as ingress sees it.
+type Asker interface {
+	Ask(ctx context.Context, question control.Question) (control.Decision, *code.Error)
+	Tell(message control.Message) bool
+}
+
+// Kept is the stored response of a non-idempotent request.
+type Kept struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Claim names the at-most-once record of one request.
+type Claim struct {
+	Organisation request.Organisation
+	KeyDigest    string
+	BodyDigest   string
+	Request      request.ID
+}
+
+// Recorder keeps the at-most-once records.
+type Recorder interface {
+	// Claim creates the record. It returns the kept response of an earlier
+	// call, or an error whose execution class tells what became of it.
+	Claim(ctx context.Context, claim Claim) (*Kept, *code.Error)
+	// Complete stores the response. A failure leaves the record claimed.
+	Complete(ctx context.Context, claim Claim, kept Kept) *code.Error
+	// Release gives up a claim whose request was not sent.
+	Release(ctx context.Context, claim Claim) *code.Error
+}
+
+// Options configures a front.
+type Options struct {
+	Control  Asker
+	Egress   *egress.Client
+	Recorder Recorder
+	Logger   logr.Logger
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int64
+}
+
+// Front serves callers.
+type Front struct {
+	options Options
+	ready   atomic.Bool
+}
+
+// NewFront returns a front that is not ready yet.
+func NewFront(options Options) *Front {
+	return &Front{options: options}
+}
+
+// SetReady sets the response to the load balancer's readiness check.
+func (f *Front) SetReady(ready bool) {
+	f.ready.Store(ready)
+}
+
+// Handler returns the routes for callers and the load balancer.
+func (f *Front) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { f.completion(w, r, false) })
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { f.completion(w, r, true) })
+	mux.HandleFunc("/services/{name}/{rest...}", f.service)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", f.readiness)
+	mux.HandleFunc("/", f.unknownRoute)
+	return mux
+}
+
+func (f *Front) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !f.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (f *Front) unknownRoute(w http.ResponseWriter, _ *http.Request) {
+	f.refuse(w, newID(), code.New(code.UnknownRoute, "the path or method is not served"), 0)
+}
+
+// refuse logs a refusal and responds with it.
+func (f *Front) refuse(w http.ResponseWriter, id request.ID, err *code.Error, retryAfter time.Duration) {
+	eventlog.Write(f.options.Logger, event.RequestRefused, err.Cause,
+		"request", id, "code", int(err.Code), "execution", string(err.Info().Execution))
+	writeRefusal(w, id, err, retryAfter)
+}
+
+func newID() request.ID {
+	return request.ID(uuid.NewString())
+}
--- /dev/null
+++ b/node/ingress/refusal.go
@@ -0,0 +1,64 @@
+package ingress
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/request"
+)
+
+// The headers that repeat a refusal's code and execution class.
+const (
+	headerCode      = "Tanagerspread-Code"
+	headerExecution = "Tanagerspread-Execution"
+	headerRequestID = "Tanagerspread-Request-Id"
+)
+
+// refusal is the JSON form of an error.
+type refusal struct {
+	Error refusalBody `json:"error"`
+}
+
+type refusalBody struct {
+	Code         int    `json:"code"`
+	Name         string `json:"name"`
+	Message      string `json:"message"`
+	Retry        string `json:"retry"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+	Execution    string `json:"execution"`
+	RequestID    string `json:"request_id"`
+}
+
+func newRefusal(id request.ID, err *code.Error, retryAfter time.Duration) refusal {
+	info := err.Info()
+	return refusal{Error: refusalBody{
+		Code:         int(err.Code),
+		Name:         info.Name,
+		Message:      err.Detail,
+		Retry:        string(info.Retry),
+		RetryAfterMS: retryAfter.Milliseconds(),
+		Execution:    string(info.Execution),
+		RequestID:    string(id),
+	}}
+}
+
+// writeRefusal responds with an error. No part of a response may have been
+// written before.
+func writeRefusal(w http.ResponseWriter, id request.ID, err *code.Error, retryAfter time.Duration) {
+	info := err.Info()
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(headerCode, strconv.Itoa(int(err.Code)))
+	header.Set(headerExecution, string(info.Execution))
+	header.Set(headerRequestID, string(id))
+	if retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+	w.WriteHeader(info.HTTPStatus)
+	// A failed write means that the caller has left; nothing is left to do.
+	_ = json.NewEncoder(w).Encode(newRefusal(id, err, retryAfter))
+}
--- /dev/null
+++ b/node/ingress/service.go
@@ -0,0 +1,98 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/request"
+	"tanagerspread/node/egress"
+)
+
+// service serves a call of a plain service.
+func (f *Front) service(w http.ResponseWriter, r *http.Request) {
+	id := newID()
+	fields, err := readHeaders(r.Header, time.Now())
+	if err != nil {
+		f.refuse(w, id, err, 0)
+		return
+	}
+	body, err := readBody(w, r, f.options.MaxBodyBytes)
+	if err != nil {
+		f.refuse(w, id, err, 0)
+		return
+	}
+	x := &exchange{front: f, request: request.Request{
+		ID:          id,
+		Route:       request.Route{Kind: request.Service, Name: r.PathValue("name")},
+		Deadline:    fields.deadline,
+		TokenDigest: fields.tokenDigest,
+		Class:       fields.class,
+		KeyDigest:   fields.keyDigest,
+		BodyDigest:  bodyDigest(r, body),
+	}}
+	f.serveService(w, r, x, egress.ServiceCall{
+		Method:      r.Method,
+		Path:        servicePath(r),
+		ContentType: r.Header.Get("Content-Type"),
+		Body:        body,
+		RequestID:   string(id),
+	})
+}
+
+func servicePath(r *http.Request) string {
+	path := "/" + r.PathValue("rest")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+func (f *Front) serveService(w http.ResponseWriter, r *http.Request, x *exchange, call egress.ServiceCall) {
+	ctx, cancel := x.context(r.Context())
+	defer cancel()
+	if end := x.admit(ctx); end != nil {
+		f.writeEnd(w, x, end)
+		return
+	}
+	call.Organisation = string(x.admitted.Organisation)
+	call.KeyDigest = x.request.KeyDigest
+	var response egress.ServiceResponse
+	refused := x.run(ctx, nil, func(ctx context.Context, dispatch control.Dispatch, gate egress.Gate) egress.Result {
+		var result egress.Result
+		call.Deadline = time.Until(x.request.Deadline)
+		response, result = f.options.Egress.Call(ctx, dispatch.Address, call, timeoutsOf(dispatch), gate)
+		return result
+	})
+	if refused != nil {
+		f.refuse(w, x.request.ID, refused.err, refused.retryAfter)
+		return
+	}
+	kept := Kept{Status: response.Status, ContentType: response.ContentType, Body: response.Body}
+	if x.admitted.Claim {
+		x.record(ctx, kept)
+	}
+	writeKept(w, x.request.ID, kept)
+}
+
+// cannotKeep is the recorder of a node without a key-value service: it
+// refuses every claim.
+type cannotKeep struct{}
+
+// NoRecorder returns a recorder that refuses every claim as not run.
+func NoRecorder() Recorder {
+	return cannotKeep{}
+}
+
+// Claim refuses the claim.
+func (cannotKeep) Claim(context.Context, Claim) (*Kept, *code.Error) {
+	return nil, code.New(code.ClaimUnavailable, "the key-value service is away")
+}
+
+// Complete does nothing.
+func (cannotKeep) Complete(context.Context, Claim, Kept) *code.Error { return nil }
+
+// Release does nothing.
+func (cannotKeep) Release(context.Context, Claim) *code.Error { return nil }
--- /dev/null
+++ b/node/ingress/sink.go
@@ -0,0 +1,119 @@
+package ingress
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/request"
+	"tanagerspread/platform/engine"
+)
+
+// maxAnswerBytes bounds the text of one response.
+const maxAnswerBytes = 8 << 20
+
+// sink receives the verified events of a completion and writes them to the
+// caller, as a stream or as one response.
+type sink struct {
+	w     http.ResponseWriter
+	id    request.ID
+	call  completionCall
+	text  strings.Builder
+	next  int
+	usage engine.Usage
+	// reason is why the engine stopped generating.
+	reason string
+	begun  bool
+}
+
+func newSink(w http.ResponseWriter, id request.ID, call completionCall) *sink {
+	return &sink{w: w, id: id, call: call}
+}
+
+// receive takes the next event in sequence.
+func (s *sink) receive(e engine.CompletionEvent) error {
+	if s.text.Len()+len(e.Text) > maxAnswerBytes {
+		return code.Newf(code.AnswerTooLarge, "the response is larger than %d bytes", maxAnswerBytes)
+	}
+	s.next = e.Sequence + 1
+	s.text.WriteString(e.Text)
+	if e.Usage != nil {
+		s.usage = *e.Usage
+	}
+	if e.Done {
+		s.reason = e.FinishReason
+		return nil
+	}
+	if !s.call.Stream {
+		return nil
+	}
+	return s.stream(chunkOf(s, e.Text, nil))
+}
+
+// stream writes one server-sent event and flushes it.
+func (s *sink) stream(value any) error {
+	s.begin()
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	if _, err := s.w.Write([]byte("data: " + string(data) + "\n\n")); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+func (s *sink) begin() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-store")
+	s.w.Header().Set(headerRequestID, string(s.id))
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// finish renders the whole response. A stream is kept as a whole response,
+// which is what a repeat of the request receives.
+func (s *sink) finish() Kept {
+	body, err := json.Marshal(wholeOf(s))
+	if err != nil {
+		body = nil
+	}
+	return Kept{Status: http.StatusOK, ContentType: "application/json", Body: body}
+}
+
+// send writes the whole response, or the end of the stream.
+func (s *sink) send(kept Kept) {
+	if !s.call.Stream {
+		writeKept(s.w, s.id, kept)
+		return
+	}
+	reason := s.reason
+	if s.stream(chunkOf(s, "", &reason)) != nil {
+		return
+	}
+	_, _ = s.w.Write([]byte("data: [DONE]\n\n"))
+}
+
+// fail ends a stream with an error event, so that it never ends silently.
+func (s *sink) fail(r refusal) {
+	if s.stream(r) != nil {
+		return
+	}
+	_, _ = s.w.Write([]byte("data: [DONE]\n\n"))
+}
+
+// writeKept writes a whole response.
+func writeKept(w http.ResponseWriter, id request.ID, kept Kept) {
+	header := w.Header()
+	header.Set("Content-Type", kept.ContentType)
+	header.Set("Content-Length", strconv.Itoa(len(kept.Body)))
+	header.Set(headerRequestID, string(id))
+	header.Set(headerExecution, string(code.Ran))
+	w.WriteHeader(kept.Status)
+	_, _ = w.Write(kept.Body)
+}
--- /dev/null
+++ b/node/ingress/wire.go
@@ -0,0 +1,107 @@
+package ingress
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"tanagerspread/core/code"
+)
+
+const (
+	// maxMessages bounds the messages of one chat.
+	maxMessages = 1024
+	// defaultMaxTokens is used when the caller names no bound.
+	defaultMaxTokens = 256
+	// maxMaxTokens bounds the generated tokens of one request.
+	maxMaxTokens = 32768
+)
+
+// completionCall is a decoded completion request of either form.
+type completionCall struct {
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	Chat      bool
+}
+
+type completionWire struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []messageWire `json:"messages"`
+	MaxTokens *int          `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type messageWire struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// decodeCompletion parses the body of a completion or chat request. Unknown
+// fields are ignored, as callers of this protocol expect.
+func decodeCompletion(body []byte, chat bool) (completionCall, *code.Error) {
+	var wire completionWire
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := decoder.Decode(&wire); err != nil {
+		return completionCall{}, code.Wrap(code.MalformedBody, "the body is not valid JSON of the expected form", err)
+	}
+	if decoder.More() {
+		return completionCall{}, code.New(code.MalformedBody, "the body has data after its JSON value")
+	}
+	return checkCompletion(wire, chat)
+}
+
+func checkCompletion(wire completionWire, chat bool) (completionCall, *code.Error) {
+	call := completionCall{Model: wire.Model, Prompt: wire.Prompt, Stream: wire.Stream, Chat: chat, MaxTokens: defaultMaxTokens}
+	if wire.Model == "" {
+		return call, code.New(code.MalformedBody, "the body names no model")
+	}
+	if len(wire.Messages) > maxMessages {
+		return call, code.Newf(code.TooManyItems, "the body has more than %d messages", maxMessages)
+	}
+	if chat {
+		call.Prompt = joinMessages(wire.Messages)
+	}
+	if call.Prompt == "" {
+		return call, code.New(code.MalformedBody, "the body has no prompt")
+	}
+	if wire.MaxTokens != nil {
+		call.MaxTokens = *wire.MaxTokens
+	}
+	if call.MaxTokens < 1 || call.MaxTokens > maxMaxTokens {
+		return call, code.Newf(code.MalformedBody, "max_tokens is not between 1 and %d", maxMaxTokens)
+	}
+	return call, nil
+}
+
+// joinMessages renders a chat as one prompt. A chat that grows by further
+// messages keeps its rendered prefix, so that cached blocks stay usable.
+func joinMessages(messages []messageWire) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString("<|" + m.Role + "|>\n" + m.Content + "\n")
+	}
+	return b.String()
+}
+
+// readBody reads a bounded body.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *code.Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, code.Newf(code.BodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return nil, code.Wrap(code.SlowCaller, "the caller did not send its request in time", err)
+	}
+	return nil, code.Wrap(code.MalformedBody, "the body cannot be read", err)
+}
--- /dev/null
+++ b/node/runtime/runtime.go
@@ -0,0 +1,127 @@
+// Package runtime assembles one node: the control thread and the traffic
+// goroutines around it.
+package runtime
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	corecontrol "tanagerspread/core/control"
+	"tanagerspread/core/event"
+	"tanagerspread/core/invariant"
+	"tanagerspread/node/control"
+	"tanagerspread/node/egress"
+	"tanagerspread/node/eventlog"
+	"tanagerspread/node/ingress"
+)
+
+const (
+	// headerTimeout bounds the wait for a caller's request headers.
+	headerTimeout = 10 * time.Second
+	// bodyTimeout bounds the wait for a caller's whole request.
+	bodyTimeout = 60 * time.Second
+	// maxHeaderBytes bounds the headers of a caller's request.
+	maxHeaderBytes = 32 << 10
+)
+
+// Options configures a node.
+type Options struct {
+	Control  corecontrol.Options
+	Listener net.Listener
+	Dial     egress.Dialer
+	Recorder ingress.Recorder
+	Logger   logr.Logger
+	// MaxBodyBytes bounds a caller's request body.
+	MaxBodyBytes int64
+}
+
+// Node is one running node.
+type Node struct {
+	options Options
+	loop    *control.Loop
+	front   *ingress.Front
+	stopped chan struct{}
+}
+
+// New returns a node that does not run yet. It returns an error when a chart
+// cannot be loaded.
+func New(options Options) (*Node, error) {
+	n := &Node{options: options, stopped: make(chan struct{})}
+	options.Control.Checker = invariant.NewChecker(n.violated)
+	state, err := corecontrol.New(options.Control, time.Now())
+	if err != nil {
+		return nil, fmt.Errorf("new node: %w", err)
+	}
+	n.loop = control.NewLoop(state, n.command)
+	n.front = ingress.NewFront(ingress.Options{
+		Control:      n.loop,
+		Egress:       egress.NewClient(options.Dial),
+		Recorder:     options.Recorder,
+		Logger:       options.Logger,
+		MaxBodyBytes: options.MaxBodyBytes,
+	})
+	return n, nil
+}
+
+// Control returns the control thread for messages from agents.
+func (n *Node) Control() *control.Loop {
+	return n.loop
+}
+
+// Drain starts the planned stop of the node.
+func (n *Node) Drain() {
+	n.loop.Tell(corecontrol.Drain{})
+}
+
+// Run serves until the node has stopped or the context ends. A planned stop
+// begins with Drain and cuts off no request in progress.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go n.loop.Run(ctx)
+	server := &http.Server{
+		Handler:           n.front.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(n.options.Listener) }()
+	eventlog.Write(n.options.Logger, event.NodeStarted, nil,
+		"node", n.options.Control.Node, "domain", string(n.options.Control.Domain), "listen", n.options.Listener.Addr().String())
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+		return errors.Join(ctx.Err(), server.Close())
+	case <-n.stopped:
+		err := server.Shutdown(ctx)
+		eventlog.Write(n.options.Logger, event.NodeStopped, err)
+		return err
+	}
+}
+
+// command carries out a command of the control thread without blocking it.
+func (n *Node) command(command corecontrol.Command) {
+	if c, ok := command.(corecontrol.NodeState); ok {
+		n.nodeState(c)
+	}
+}
+
+func (n *Node) nodeState(c corecontrol.NodeState) {
+	n.front.SetReady(c.Ready)
+	eventlog.Write(n.options.Logger, event.NodeStateChanged, nil, "state", c.State)
+	if c.State == "stopped" {
+		close(n.stopped)
+	}
+}
+
+func (n *Node) violated(v *invariant.Violation) {
+	eventlog.Write(n.options.Logger, event.InvariantFailed, v, "invariant", string(v.Invariant), "detail", v.Detail)
+}
