--- a/test.sh
+++ b/test.sh
@@ -18,8 +18,11 @@
 	exit 1
 fi
 
+echo "== each module alone"
+for module in "${modules[@]}"; do
+	GOWORK=off go build -C "$module" ./...
+done
 echo "== linter"
-GOWORK=off go build -C cmd -o /dev/null ./...
 go run "$linter" run "${patterns[@]}"
 
 echo "== tests"
