platform, standin: key-value client and stand-in

Cause: membership, configuration and at-most-once records need a key-value service to run against. Change: platform/wire holds the JSON plumbing, platform/kv the HTTP client and protocol, standin/kv the service in-process and over HTTP, with fault switches for outage, delay, lost responses, lease lapse and restore. Conclusion: a restore takes revisions back to those of the copy; a watch then returns the lower revision at once.

--- /dev/null
+++ b/standin/kv/handler.go
@@ -0,0 +1,84 @@
+package kv
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/wire"
+)
+
+// Handler returns the HTTP routes of the service.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+kv.PathKeys+"/{key}", s.get)
+	mux.HandleFunc("GET "+kv.PathKeys, s.list)
+	mux.HandleFunc("PUT "+kv.PathKeys+"/{key}", s.put)
+	mux.HandleFunc("DELETE "+kv.PathKeys+"/{key}", s.delete)
+	mux.HandleFunc("POST "+kv.PathLease, s.grant)
+	mux.HandleFunc("POST "+kv.PathLease+"/{lease}/renew", s.renew)
+	mux.HandleFunc("GET "+kv.PathWatch, s.watch)
+	return mux
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	entry, err := s.Get(r.Context(), r.PathValue("key"))
+	wire.ReplyOr(w, entry, err)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	entries, revision, err := s.List(r.Context(), r.URL.Query().Get(kv.QueryPrefix))
+	wire.ReplyOr(w, kv.ListReply{Entries: entries, Revision: revision}, err)
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	var body kv.PutRequest
+	if !wire.Decode(w, r, &body) {
+		return
+	}
+	revision, err := s.Put(r.Context(), kv.Write{
+		Key: r.PathValue("key"), Value: body.Value, Expected: body.Expected, Lease: body.Lease,
+	})
+	wire.ReplyOr(w, kv.PutReply{Revision: revision}, err)
+}
+
+func (s *Store) delete(w http.ResponseWriter, r *http.Request) {
+	expected, ok := revisionOf(w, r, kv.QueryExpected)
+	if !ok {
+		return
+	}
+	wire.ReplyOr(w, struct{}{}, s.Delete(r.Context(), r.PathValue("key"), expected))
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var body kv.GrantRequest
+	if !wire.Decode(w, r, &body) {
+		return
+	}
+	lease, err := s.Grant(r.Context(), time.Duration(body.TTLMS)*time.Millisecond)
+	wire.ReplyOr(w, kv.GrantReply{Lease: lease}, err)
+}
+
+func (s *Store) renew(w http.ResponseWriter, r *http.Request) {
+	wire.ReplyOr(w, struct{}{}, s.Renew(r.Context(), kv.LeaseID(r.PathValue("lease"))))
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	after, ok := revisionOf(w, r, kv.QueryAfter)
+	if !ok {
+		return
+	}
+	changes, revision, err := s.Watch(r.Context(), r.URL.Query().Get(kv.QueryPrefix), after)
+	wire.ReplyOr(w, kv.WatchReply{Changes: changes, Revision: revision}, err)
+}
+
+func revisionOf(w http.ResponseWriter, r *http.Request, name string) (kv.Revision, bool) {
+	number, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		wire.Refuse(w, code.Newf(code.MalformedBody, "%s is not a revision", name))
+		return 0, false
+	}
+	return kv.Revision(number), true
+}
--- /dev/null
+++ b/standin/kv/store_test.go
@@ -0,0 +1,133 @@
+package kv_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/wire"
+	standin "tanagerspread/standin/kv"
+)
+
+func codeOf(err *code.Error) code.Code {
+	if err == nil {
+		return 0
+	}
+	return err.Code
+}
+
+func put(t *testing.T, s kv.Service, key string, expected kv.Revision, lease kv.LeaseID) kv.Revision {
+	t.Helper()
+	revision, err := s.Put(context.Background(), kv.Write{Key: key, Value: []byte(key), Expected: expected, Lease: lease})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision
+}
+
+// TestClient guards against a client and a service that disagree on the
+// protocol: escaped keys, compare-and-swap, large values, watch, codes.
+func TestClient(t *testing.T) {
+	ctx := context.Background()
+	server := httptest.NewServer(standin.NewStore(standin.Options{}).Handler())
+	defer server.Close()
+	client := kv.NewClient(wire.Options{Address: strings.TrimPrefix(server.URL, "http://")})
+	defer client.Close()
+	key := "once/castlereagh/a//b %?"
+	revision := put(t, client, key, kv.Absent, "")
+	if _, err := client.Put(ctx, kv.Write{Key: key, Expected: kv.Absent}); codeOf(err) != code.CompareFailed {
+		t.Errorf("second create: got %v, want compare-failed", err)
+	}
+	large := kv.Write{Key: key, Value: make([]byte, kv.MaxValueBytes), Expected: revision}
+	second, err := client.Put(ctx, large)
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry, err := client.Get(ctx, key)
+	if err != nil || len(entry.Value) != kv.MaxValueBytes || entry.Revision != second {
+		t.Errorf("get: %d bytes, revision %d, error %v", len(entry.Value), entry.Revision, err)
+	}
+	changes, _, err := client.Watch(ctx, "once/", revision)
+	if err != nil || len(changes) != 1 || changes[0].Entry.Key != key {
+		t.Errorf("watch: got %d changes, error %v", len(changes), err)
+	}
+	if err := client.Delete(ctx, key, revision); codeOf(err) != code.CompareFailed {
+		t.Errorf("delete of an old revision: got %v, want compare-failed", err)
+	}
+	if err := client.Delete(ctx, key, second); err != nil {
+		t.Error(err)
+	}
+	if _, err := client.Get(ctx, key); codeOf(err) != code.KeyMissing {
+		t.Errorf("get after delete: got %v, want key-missing", err)
+	}
+}
+
+// TestLeaseLapse guards against keys that outlive their lease and against a
+// lapse that no watch sees.
+func TestLeaseLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		s := standin.NewStore(standin.Options{})
+		lease, err := s.Grant(ctx, 10*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		revision := put(t, s, "nodes/n1", kv.Absent, lease)
+		time.Sleep(9 * time.Second)
+		if err := s.Renew(ctx, lease); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		changes, _, err := s.Watch(ctx, "nodes/", revision)
+		if err != nil || len(changes) != 1 || !changes[0].Deleted {
+			t.Fatalf("watch: %+v, error %v", changes, err)
+		}
+		if waited := time.Since(began); waited != 10*time.Second {
+			t.Errorf("the lease lapsed after %v, want 10s after its renewal", waited)
+		}
+		if err := s.Renew(ctx, lease); codeOf(err) != code.LeaseLapsed {
+			t.Errorf("renewal after the lapse: got %v, want lease-lapsed", err)
+		}
+	})
+}
+
+// TestFaults guards against fault switches that do not do what tests of the
+// nodes rely on: lost responses, outage, restore and rate limits.
+func TestFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		s := standin.NewStore(standin.Options{WriteRate: 2})
+		s.LoseNext(1)
+		if _, err := s.Put(ctx, kv.Write{Key: "a"}); codeOf(err) != code.KeyValueAway {
+			t.Errorf("lost response: got %v, want key-value-away", err)
+		}
+		if entry, err := s.Get(ctx, "a"); err != nil || entry.Revision != 1 {
+			t.Errorf("the write of a lost response did not take effect: %v", err)
+		}
+		older := s.Copy()
+		put(t, s, "b", kv.Absent, "")
+		if _, err := s.Put(ctx, kv.Write{Key: "c"}); codeOf(err) != code.RateLimited {
+			t.Errorf("third write in one second: got %v, want rate-limited", err)
+		}
+		s.Restore(older)
+		began := time.Now()
+		if changes, revision, err := s.Watch(ctx, "", 2); err != nil || len(changes) != 0 || revision != 1 {
+			t.Errorf("watch after a restore: %+v, revision %d, error %v", changes, revision, err)
+		}
+		if waited := time.Since(began); waited != 0 {
+			t.Errorf("the watch waited %v, want a return at once", waited)
+		}
+		s.SetOutage(true)
+		if _, err := s.Get(ctx, "a"); codeOf(err) != code.KeyValueAway {
+			t.Errorf("outage: got %v, want key-value-away", err)
+		}
+		if calls := s.Calls(); calls[standin.OpPut] != 3 || calls[standin.OpWatch] != 1 {
+			t.Errorf("calls: %v", calls)
+		}
+	})
+}
--- /dev/null
+++ b/standin/kv/watch.go
@@ -0,0 +1,58 @@
+package kv
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/kv"
+)
+
+// Watch waits up to kv.WatchWait for changes under a prefix. Several changes
+// of one key arrive as the last one. After a restore the returned revision
+// may be lower than the given one; the caller then lists again.
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision) ([]kv.Change, kv.Revision, *code.Error) {
+	if err := s.begin(ctx, OpWatch, s.reads); err != nil {
+		return nil, 0, err
+	}
+	timer := time.NewTimer(kv.WatchWait)
+	defer timer.Stop()
+	for {
+		changes, revision, changed, err := s.poll(prefix, after)
+		if err != nil || len(changes) > 0 || revision < after {
+			return changes, revision, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, code.Wrap(code.KeyValueAway, "the watch was given up", ctx.Err())
+		case <-timer.C:
+			return nil, revision, nil
+		case <-changed:
+		}
+	}
+}
+
+// poll returns the changes after a revision, the current revision, and a
+// channel that is closed at the next change.
+func (s *Store) poll(prefix string, after kv.Revision) ([]kv.Change, kv.Revision, <-chan struct{}, *code.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage {
+		return nil, 0, nil, away()
+	}
+	var changes []kv.Change
+	for key, entry := range s.entries {
+		if entry.Revision > after && strings.HasPrefix(key, prefix) {
+			changes = append(changes, kv.Change{Entry: entry})
+		}
+	}
+	for key, revision := range s.deleted {
+		if revision > after && strings.HasPrefix(key, prefix) {
+			changes = append(changes, kv.Change{Entry: kv.Entry{Key: key, Revision: revision}, Deleted: true})
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Entry.Revision < changes[j].Entry.Revision })
+	return changes, s.revision, s.changed, nil
+}
