platform, standin: store VM protocol, client and stand-in

Cause: exported cache blocks need a place outside the engines. Change: blocks with length, checksum and generation, manifests that are accepted only when each of their blocks is held, pins with a time limit, memory and disk tiers, a shared link whose speed can change during a transfer. New code 1712 block-missing. Result: tests pass under -race. They fail without pins, the pins' time limit, the checksum, the manifest check, the removal of manifests with freed blocks, and the link limit. Conclusion: the length check alone can be taken out unnoticed, because the checksum covers it; it stays as the cheaper check.

--- a/core/code/table.go
+++ b/core/code/table.go
@@ -58,6 +58,7 @@
 	EngineAway             Code = 1709
 	KeyMissing             Code = 1710
 	RateLimited            Code = 1711
+	BlockMissing           Code = 1712
 	SettingUnknown         Code = 1801
 	SettingMissing         Code = 1802
 	SettingInvalid         Code = 1803
@@ -128,6 +129,7 @@
 	{EngineAway, "engine-away", 503, Unknown, RetryLater, "the model engine did not answer"},
 	{KeyMissing, "key-missing", 404, NotRun, RetryNever, "the key-value service has no such key"},
 	{RateLimited, "rate-limited", 429, NotRun, RetryLater, "the platform service refused the call over its rate limit"},
+	{BlockMissing, "block-missing", 404, NotRun, RetryNever, "the store VM does not hold the block or manifest"},
 	{SettingUnknown, "setting-unknown", 400, NotRun, RetryNever, "a settings key or section is unknown"},
 	{SettingMissing, "setting-missing", 400, NotRun, RetryNever, "a required setting is missing"},
 	{SettingInvalid, "setting-invalid", 400, NotRun, RetryNever, "a setting has an invalid value"},
--- /dev/null
+++ b/standin/store/handler.go
@@ -0,0 +1,188 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/store"
+	"tanagerspread/platform/wire"
+	"tanagerspread/standin/link"
+)
+
+// readBytes is the size of the parts in which a block is read.
+const readBytes = 16 << 10
+
+// Handler returns the HTTP routes of the store VM.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+store.PathBlocks+"/{key}", s.handlePut)
+	mux.HandleFunc("GET "+store.PathBlocks+"/{key}", s.handleGet)
+	mux.HandleFunc("PUT "+store.PathManifests+"/{key}", s.handleManifest)
+	mux.HandleFunc("POST "+store.PathFind, s.handleFind)
+	mux.HandleFunc("POST "+store.PathPins, s.handlePin)
+	mux.HandleFunc("DELETE "+store.PathPins+"/{pin}", s.handleUnpin)
+	mux.HandleFunc("GET "+store.PathStats, s.handleStats)
+	return s.alive(mux)
+}
+
+// alive breaks the connections of a dead store VM and applies the delay.
+func (s *Store) alive(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		death := s.death
+		delay := s.delay
+		s.mu.Unlock()
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		go cancelOn(ctx, death, cancel)
+		if delay > 0 {
+			wait(ctx, delay)
+		}
+		if ctx.Err() == nil && !isClosed(death) {
+			next.ServeHTTP(w, r.WithContext(ctx))
+		}
+		if isClosed(death) {
+			panic(http.ErrAbortHandler) // net/http closes the connection.
+		}
+	})
+}
+
+func cancelOn(ctx context.Context, death <-chan struct{}, cancel context.CancelFunc) {
+	select {
+	case <-death:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// handlePut reads a block over the link. A write that breaks off leaves
+// nothing behind.
+func (s *Store) handlePut(w http.ResponseWriter, r *http.Request) {
+	meta, refused := store.ReadMeta(r.PathValue("key"), r.Header)
+	if refused != nil {
+		wire.Refuse(w, refused)
+		return
+	}
+	content, err := receive(r.Context(), s.network, r.Body, meta.Length)
+	if err != nil {
+		wire.Refuse(w, code.Wrap(code.BlockInvalid, "the block broke off", err))
+		return
+	}
+	wire.ReplyOr(w, struct{}{}, s.putBlock(meta, content))
+}
+
+// errTooLong reports a block that is longer than its description says.
+var errTooLong = errors.New("more bytes than described")
+
+// receive reads length bytes at the speed of the link.
+func receive(ctx context.Context, network *link.Link, body io.Reader, length int) ([]byte, error) {
+	content := make([]byte, 0, length)
+	part := make([]byte, readBytes)
+	for {
+		n, err := body.Read(part)
+		if len(content)+n > length {
+			return nil, errTooLong
+		}
+		content = append(content, part[:n]...)
+		if waitErr := network.Transfer(ctx, n); waitErr != nil {
+			return nil, waitErr
+		}
+		if errors.Is(err, io.EOF) {
+			return content, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
+	meta, content, onDisk, refused := s.getBlock(r.PathValue("key"))
+	if refused != nil {
+		wire.Refuse(w, refused)
+		return
+	}
+	if onDisk && s.disk.Transfer(r.Context(), len(content)) != nil {
+		return
+	}
+	store.WriteMeta(w.Header(), meta)
+	for len(content) > 0 {
+		n := min(len(content), readBytes)
+		if s.network.Transfer(r.Context(), n) != nil {
+			panic(http.ErrAbortHandler) // net/http closes the connection.
+		}
+		if _, err := w.Write(content[:n]); err != nil {
+			return
+		}
+		content = content[n:]
+	}
+}
+
+func (s *Store) handleManifest(w http.ResponseWriter, r *http.Request) {
+	var manifest store.Manifest
+	if !wire.Decode(w, r, &manifest) {
+		return
+	}
+	if manifest.Key != r.PathValue("key") || len(manifest.Blocks) > store.MaxKeys {
+		wire.Refuse(w, code.New(code.MalformedBody, "the manifest has another key or too many blocks"))
+		return
+	}
+	wire.ReplyOr(w, struct{}{}, s.putManifest(manifest))
+}
+
+func (s *Store) handleFind(w http.ResponseWriter, r *http.Request) {
+	var request store.FindRequest
+	if !wire.Decode(w, r, &request) || !bounded(w, request.Keys) {
+		return
+	}
+	manifest, err := s.find(request.Keys)
+	wire.ReplyOr(w, manifest, err)
+}
+
+func (s *Store) handlePin(w http.ResponseWriter, r *http.Request) {
+	var request store.PinRequest
+	if !wire.Decode(w, r, &request) || !bounded(w, request.Keys) {
+		return
+	}
+	id, err := s.addPin(request.Keys, time.Duration(request.TTLMS)*time.Millisecond)
+	wire.ReplyOr(w, store.PinReply{Pin: id}, err)
+}
+
+func (s *Store) handleUnpin(w http.ResponseWriter, r *http.Request) {
+	s.unpin(r.PathValue("pin"))
+	wire.Reply(w, struct{}{})
+}
+
+func (s *Store) handleStats(w http.ResponseWriter, _ *http.Request) {
+	wire.Reply(w, s.Stats())
+}
+
+func bounded(w http.ResponseWriter, keys []string) bool {
+	if len(keys) <= store.MaxKeys {
+		return true
+	}
+	wire.Refuse(w, code.Newf(code.TooManyItems, "more than %d keys", store.MaxKeys))
+	return false
+}
--- /dev/null
+++ b/standin/store/store.go
@@ -0,0 +1,280 @@
+// Package store is a small stand-in for a store VM: two tiers of limited
+// size behind a limited link.
+package store
+
+import (
+	"container/list"
+	"strconv"
+	"sync"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/store"
+	"tanagerspread/standin/link"
+)
+
+// Options sets the size and speed of a store VM.
+type Options struct {
+	// MemoryBytes and DiskBytes limit the tiers.
+	MemoryBytes int64
+	DiskBytes   int64
+	// LinkRate and DiskRate are in bytes per second; 0 means no limit.
+	LinkRate float64
+	DiskRate float64
+}
+
+// block is one whole block.
+type block struct {
+	meta    store.Meta
+	content []byte
+	onDisk  bool
+	pins    int
+	// element is the block's place in the list of recent use.
+	element *list.Element
+}
+
+// pin keeps blocks until its timer fires.
+type pin struct {
+	blocks []*block
+	timer  *time.Timer
+}
+
+// Store is a store VM. The mutex guards the fields below it.
+type Store struct {
+	options Options
+	network *link.Link
+	disk    *link.Link
+
+	mu     sync.Mutex
+	blocks map[string]*block
+	// recent orders the blocks from the most to the least recently used.
+	recent     *list.List
+	manifests  map[string]store.Manifest
+	pins       map[string]*pin
+	nextPin    int
+	memoryUsed int64
+	diskUsed   int64
+	full       bool
+	delay      time.Duration
+	// death is closed when the VM dies and replaced when it is started again.
+	death chan struct{}
+	dead  bool
+}
+
+// New returns an empty store VM.
+func New(options Options) *Store {
+	s := &Store{
+		options: options,
+		network: link.New(options.LinkRate),
+		disk:    link.New(options.DiskRate),
+		death:   make(chan struct{}),
+	}
+	s.clear()
+	return s
+}
+
+// clear drops all content.
+func (s *Store) clear() {
+	for _, p := range s.pins {
+		p.timer.Stop()
+	}
+	s.blocks = make(map[string]*block)
+	s.recent = list.New()
+	s.manifests = make(map[string]store.Manifest)
+	s.pins = make(map[string]*pin)
+	s.memoryUsed = 0
+	s.diskUsed = 0
+}
+
+// putBlock keeps a block that has arrived whole.
+func (s *Store) putBlock(meta store.Meta, content []byte) *code.Error {
+	if err := meta.Verify(content); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.blocks[meta.Key]; old != nil {
+		if old.pins > 0 {
+			return s.keepPinned(old, meta)
+		}
+		s.free(old)
+	}
+	if s.full || !s.makeRoom(int64(meta.Length)) {
+		return code.New(code.StoreFull, "the store VM has no room")
+	}
+	b := &block{meta: meta, content: content}
+	b.element = s.recent.PushFront(b)
+	s.blocks[meta.Key] = b
+	s.memoryUsed += int64(meta.Length)
+	s.demote()
+	return nil
+}
+
+// keepPinned accepts a write of a pinned block only when it changes nothing.
+func (s *Store) keepPinned(old *block, meta store.Meta) *code.Error {
+	if old.meta == meta {
+		return nil
+	}
+	return code.New(code.StoreFull, "the block is pinned")
+}
+
+// makeRoom frees the least recently used blocks that are not pinned until n
+// more bytes fit into the tiers.
+func (s *Store) makeRoom(n int64) bool {
+	limit := s.options.MemoryBytes + s.options.DiskBytes
+	element := s.recent.Back()
+	for element != nil && s.memoryUsed+s.diskUsed+n > limit {
+		previous := element.Prev()
+		if b := blockOf(element); b.pins == 0 {
+			s.free(b)
+		}
+		element = previous
+	}
+	return s.memoryUsed+s.diskUsed+n <= limit
+}
+
+// demote moves the least recently used blocks from memory to disk.
+func (s *Store) demote() {
+	for element := s.recent.Back(); element != nil && s.memoryUsed > s.options.MemoryBytes; element = element.Prev() {
+		if b := blockOf(element); !b.onDisk {
+			b.onDisk = true
+			s.memoryUsed -= int64(b.meta.Length)
+			s.diskUsed += int64(b.meta.Length)
+		}
+	}
+}
+
+// use marks a block as most recently used and brings it into memory.
+func (s *Store) use(b *block) {
+	s.recent.MoveToFront(b.element)
+	if b.onDisk {
+		b.onDisk = false
+		s.diskUsed -= int64(b.meta.Length)
+		s.memoryUsed += int64(b.meta.Length)
+		s.demote()
+	}
+}
+
+// free drops a block and every manifest that lists it.
+func (s *Store) free(b *block) {
+	s.drop(b)
+	for key, manifest := range s.manifests {
+		if lists(manifest, b.meta.Key) {
+			delete(s.manifests, key)
+		}
+	}
+}
+
+// drop drops a block and leaves the manifests.
+func (s *Store) drop(b *block) {
+	s.recent.Remove(b.element)
+	delete(s.blocks, b.meta.Key)
+	if b.onDisk {
+		s.diskUsed -= int64(b.meta.Length)
+		return
+	}
+	s.memoryUsed -= int64(b.meta.Length)
+}
+
+func blockOf(element *list.Element) *block {
+	return element.Value.(*block)
+}
+
+func lists(manifest store.Manifest, key string) bool {
+	for _, meta := range manifest.Blocks {
+		if meta.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// getBlock returns a block and whether it was read from disk.
+func (s *Store) getBlock(key string) (store.Meta, []byte, bool, *code.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.blocks[key]
+	if b == nil {
+		return store.Meta{}, nil, false, code.New(code.BlockMissing, "the store VM does not hold the block")
+	}
+	onDisk := b.onDisk
+	s.use(b)
+	return b.meta, b.content, onDisk, nil
+}
+
+// putManifest keeps a manifest whose blocks are all here.
+func (s *Store) putManifest(manifest store.Manifest) *code.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, meta := range manifest.Blocks {
+		if b := s.blocks[meta.Key]; b == nil || b.meta != meta {
+			return code.New(code.BlockMissing, "the store VM does not hold each block of the manifest")
+		}
+	}
+	s.manifests[manifest.Key] = manifest
+	return nil
+}
+
+// find returns the manifest of the longest exported prefix.
+func (s *Store) find(keys []string) (store.Manifest, *code.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(keys) - 1; i >= 0; i-- {
+		if manifest, ok := s.manifests[keys[i]]; ok {
+			return manifest, nil
+		}
+	}
+	return store.Manifest{}, code.New(code.BlockMissing, "no prefix was exported")
+}
+
+// addPin pins blocks that are all here.
+func (s *Store) addPin(keys []string, ttl time.Duration) (string, *code.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &pin{}
+	for _, key := range keys {
+		b := s.blocks[key]
+		if b == nil {
+			return "", code.New(code.BlockMissing, "the store VM does not hold each block")
+		}
+		p.blocks = append(p.blocks, b)
+	}
+	for _, b := range p.blocks {
+		b.pins++
+	}
+	s.nextPin++
+	id := "pin-" + strconv.Itoa(s.nextPin)
+	s.pins[id] = p
+	p.timer = time.AfterFunc(ttl, func() { s.unpin(id) })
+	return id, nil
+}
+
+// unpin ends a pin; an unknown pin is no error.
+func (s *Store) unpin(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pins[id]
+	if p == nil {
+		return
+	}
+	p.timer.Stop()
+	delete(s.pins, id)
+	for _, b := range p.blocks {
+		b.pins--
+	}
+}
+
+// Stats returns how full the store is.
+func (s *Store) Stats() store.Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return store.Stats{
+		MemoryUsed:  s.memoryUsed,
+		MemoryLimit: s.options.MemoryBytes,
+		DiskUsed:    s.diskUsed,
+		DiskLimit:   s.options.DiskBytes,
+		Blocks:      len(s.blocks),
+		Manifests:   len(s.manifests),
+		LinkBytes:   s.network.Bytes(),
+	}
+}
