--- /dev/null
+++ b/standin/weights/weights_test.go
@@ -0,0 +1,42 @@
+package weights_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/platform/weights"
+	standin "tanagerspread/standin/weights"
+)
+
+// TestSharedRate guards against a weight store on which many loads at once
+// cost nothing, because rollouts must then not be limited.
+func TestSharedRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Options{LoadTime: time.Second, FullSpeedLoads: 3})
+		duration := func(loads int) time.Duration {
+			began := time.Now()
+			var wg sync.WaitGroup
+			for range loads {
+				wg.Go(func() {
+					if err := s.Load(context.Background(), weights.Name{Model: "m", Version: 2}); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			wg.Wait()
+			return time.Since(began)
+		}
+		if took := duration(1); took != time.Second {
+			t.Errorf("one load took %v, want 1s", took)
+		}
+		if took := duration(6); took < 1900*time.Millisecond {
+			t.Errorf("six loads at once took %v, want about 2s", took)
+		}
+		if began, atOnce := s.Loads(); began != 7 || atOnce != 6 {
+			t.Errorf("loads: %d began, %d at once", began, atOnce)
+		}
+	})
+}
