platform, standin: model engine with batching, orders and transfers

Cause: placement, resume, rollouts and block transfers need an engine that behaves like one. Change: continuous batch with a shared prefill rate and a decode interval that grows, prefix cache that frees the tail of the least recently used prompt first, priorities, resume, cancel, lagging load, cache events, orders with fencing numbers, export and import of blocks, and fault switches. Result: in virtual time a prefill of one block takes 2 s alone and 4 s beside another one; two more tokens take 0.2 s alone and 0.25 s in the batch. Conclusion: a cache that frees the head of a chain first makes the rest of the chain useless; releasing blocks from tail to head avoids that.

--- /dev/null
+++ b/standin/engine/completion.go
@@ -0,0 +1,194 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/engine"
+	"tanagerspread/platform/wire"
+)
+
+// maxTokens bounds the response to one request.
+const maxTokens = 1 << 16
+
+// foreignRequest is the request identifier of a crossed response when the
+// engine runs no other request.
+const foreignRequest = "foreign-request"
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var request engine.CompletionRequest
+	w.Header().Set(engine.HeaderExecution, engine.ExecutionNotRun)
+	if !wire.Decode(w, r, &request) {
+		return
+	}
+	w.Header().Del(engine.HeaderExecution)
+	var accepted *run
+	var refused *code.Error
+	e.do(func(s *state) { accepted, refused = s.accept(request, time.Now()) })
+	if refused != nil {
+		e.refuse(w, refused)
+		return
+	}
+	if accepted == nil {
+		return
+	}
+	defer e.do(func(s *state) { s.batch.remove(time.Now(), accepted) })
+	e.stream(r.Context(), w, accepted)
+}
+
+// accept takes a request into the batch or refuses it as not run.
+func (s *state) accept(request engine.CompletionRequest, now time.Time) (*run, *code.Error) {
+	if s.dead {
+		return nil, nil
+	}
+	if refused := s.check(request); refused != nil {
+		return nil, refused
+	}
+	s.arrived++
+	r := newRun(request, s.arrived)
+	if len(s.faults) > 0 {
+		r.fault = s.faults[0]
+		s.faults = s.faults[1:]
+	}
+	s.batch.add(now, r)
+	return r, nil
+}
+
+func (s *state) check(request engine.CompletionRequest) *code.Error {
+	if s.leaving {
+		return code.New(code.Draining, "the engine is leaving")
+	}
+	if request.MaxTokens < 0 || request.MaxTokens > maxTokens {
+		return code.Newf(code.MalformedBody, "max_tokens is not between 0 and %d", maxTokens)
+	}
+	if s.current.Model != "" && !serves(s.current, request) {
+		return code.New(code.UnknownModel, "the engine has another model, adapter or weight version")
+	}
+	if s.batch.count(waiting) >= s.options.MaxWaiting {
+		return code.New(code.QueueFull, "the engine has too many waiting requests")
+	}
+	return s.checkResume(request)
+}
+
+func serves(current engine.Desired, request engine.CompletionRequest) bool {
+	return current.Model == request.Model && current.Adapter == request.Adapter && current.Weights == request.Weights
+}
+
+func (s *state) checkResume(request engine.CompletionRequest) *code.Error {
+	if request.Resume == nil {
+		return nil
+	}
+	from := request.Resume.From
+	if from < 0 || from > request.MaxTokens || request.Resume.Text != Text(request.Prompt, from) {
+		s.resumeMismatches++
+		return code.New(code.MalformedBody, "the resumed text is not the beginning of the response")
+	}
+	return nil
+}
+
+// refuse writes a refusal of a request that did not run.
+func (e *Engine) refuse(w http.ResponseWriter, refused *code.Error) {
+	writeLoad(w.Header(), e.reported())
+	if refused.Code == code.Draining {
+		w.Header().Set(engine.HeaderLeaving, "true")
+	}
+	w.Header().Set(engine.HeaderExecution, engine.ExecutionNotRun)
+	wire.Refuse(w, refused)
+}
+
+// stream writes the events of a run until it ends or the caller leaves.
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, r *run) {
+	out := &writer{w: w, run: r}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case sequence, more := <-r.tokens:
+			if !out.begun {
+				out.begin(e.reported())
+			}
+			if !more {
+				e.finish(out)
+				return
+			}
+			if out.cutOff(sequence) || !e.send(out, sequence) {
+				return
+			}
+		}
+	}
+}
+
+func (e *Engine) finish(out *writer) {
+	r := out.run
+	if out.cutOff(r.request.MaxTokens) {
+		return
+	}
+	usage := r.usage()
+	out.write(engine.CompletionEvent{
+		RequestID: e.requestID(r, r.request.MaxTokens), Sequence: r.request.MaxTokens,
+		Done: true, FinishReason: "length", Usage: &usage,
+	})
+}
+
+// send writes one token, spoiled by the fault of the run.
+func (e *Engine) send(out *writer, sequence int) bool {
+	r := out.run
+	event := engine.CompletionEvent{
+		RequestID: e.requestID(r, sequence),
+		Sequence:  sequence,
+		Text:      Token(r.request.Prompt, sequence),
+	}
+	if r.fault.kind == faultDuplicate && sequence == r.fault.after && !out.write(event) {
+		return false
+	}
+	return out.write(event)
+}
+
+// requestID returns the identifier for an event, which is another one when
+// the response is crossed.
+func (e *Engine) requestID(r *run, sequence int) string {
+	if r.fault.kind != faultCross || sequence < r.fault.after {
+		return r.request.RequestID
+	}
+	id := foreignRequest
+	e.do(func(s *state) {
+		for _, other := range s.batch.runs {
+			if other != r {
+				id = other.request.RequestID
+			}
+		}
+	})
+	return id
+}
+
+// writer writes the server-sent events of one run.
+type writer struct {
+	w     http.ResponseWriter
+	run   *run
+	begun bool
+}
+
+func (o *writer) begin(load engine.Load) {
+	o.begun = true
+	o.w.Header().Set("Content-Type", "text/event-stream")
+	writeLoad(o.w.Header(), load)
+	o.w.WriteHeader(http.StatusOK)
+}
+
+func (o *writer) cutOff(sequence int) bool {
+	return o.run.fault.kind == faultTruncate && sequence >= o.run.fault.after
+}
+
+func (o *writer) write(event engine.CompletionEvent) bool {
+	data, err := json.Marshal(event)
+	if err != nil {
+		return false
+	}
+	if _, err := o.w.Write([]byte("data: " + string(data) + "\n\n")); err != nil {
+		return false
+	}
+	return http.NewResponseController(o.w).Flush() == nil
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,365 @@
+package engine_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/code"
+	"tanagerspread/platform/engine"
+	"tanagerspread/platform/wire"
+	standin "tanagerspread/standin/engine"
+	"tanagerspread/standin/pipe"
+	"tanagerspread/standin/store"
+)
+
+const (
+	engineAddress = "engine:80"
+	storeAddress  = "store:80"
+)
+
+// site is one engine on a network in memory.
+type site struct {
+	t       *testing.T
+	network *pipe.Network
+	engine  *standin.Engine
+	client  *engine.Client
+	http    http.Client
+}
+
+func newSite(t *testing.T, options standin.Options) *site {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &site{t: t, network: pipe.NewNetwork()}
+	options.Dial = s.network.Dial
+	s.engine = standin.New(ctx, options)
+	s.client = engine.NewClient(wire.Options{Address: engineAddress, Dial: s.network.Dial})
+	s.http.Transport = &http.Transport{DialContext: s.network.Dial, DisableKeepAlives: true}
+	s.serve(engineAddress, s.engine.Handler())
+	t.Cleanup(func() {
+		s.client.Close()
+		cancel()
+	})
+	return s
+}
+
+func (s *site) serve(address string, handler http.Handler) {
+	server := &http.Server{Handler: handler}
+	listener := s.network.Listen(address)
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+}
+
+// answer is what a caller received.
+type answer struct {
+	status int
+	header http.Header
+	events []engine.CompletionEvent
+	first  time.Duration
+	total  time.Duration
+	err    error
+}
+
+func (a answer) text() string {
+	var text strings.Builder
+	for _, e := range a.events {
+		text.WriteString(e.Text)
+	}
+	return text.String()
+}
+
+func (a answer) done() engine.CompletionEvent {
+	if len(a.events) == 0 {
+		return engine.CompletionEvent{}
+	}
+	return a.events[len(a.events)-1]
+}
+
+func (s *site) complete(ctx context.Context, request engine.CompletionRequest) answer {
+	began := time.Now()
+	body, _ := json.Marshal(request)
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+engineAddress+engine.PathCompletions, bytes.NewReader(body))
+	response, err := s.http.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	a := answer{status: response.StatusCode, header: response.Header, first: time.Since(began)}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		var event engine.CompletionEvent
+		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok && json.Unmarshal([]byte(data), &event) == nil {
+			a.events = append(a.events, event)
+		}
+	}
+	a.err = lines.Err()
+	a.total = time.Since(began)
+	return a
+}
+
+// prompt returns a request whose prompt has a number of whole blocks and
+// whose keys name them.
+func prompt(id, text string, blocks, tokens int) engine.CompletionRequest {
+	content := strings.Repeat(text, blocks*cachekey.BlockBytes/len(text))
+	request := engine.CompletionRequest{RequestID: id, CacheNamespace: "ns", Prompt: content, MaxTokens: tokens}
+	for i := range blocks {
+		request.PrefixKeys = append(request.PrefixKeys, text+"/"+string(rune('a'+i)))
+	}
+	return request
+}
+
+// together runs requests at once and returns their answers in order.
+func (s *site) together(requests ...engine.CompletionRequest) []answer {
+	answers := make([]answer, len(requests))
+	var wg sync.WaitGroup
+	for i, request := range requests {
+		wg.Go(func() { answers[i] = s.complete(s.t.Context(), request) })
+		synctest.Wait()
+	}
+	wg.Wait()
+	return answers
+}
+
+// speed makes the prefill of one block take two seconds.
+func speed() standin.Options {
+	return standin.Options{
+		PrefillRate: cachekey.BlockTokens / 2, TokenInterval: 100 * time.Millisecond,
+		IntervalPerRun: 50 * time.Millisecond, CacheBlocks: 4, Slots: 2,
+	}
+}
+
+// TestContinuousBatching guards against an engine on which runs do not slow
+// each other down, and against a queue without priorities.
+func TestContinuousBatching(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, speed())
+		alone := s.complete(t.Context(), prompt("1", "alone", 1, 3))
+		if alone.first != 2*time.Second || alone.total != 2200*time.Millisecond {
+			t.Errorf("alone: first token after %v, end after %v", alone.first, alone.total)
+		}
+		later := prompt("4", "late", 1, 1)
+		later.Priority = 2
+		urgent := prompt("5", "soon", 1, 1)
+		urgent.Priority = 1
+		answers := s.together(prompt("2", "pair", 1, 3), prompt("3", "twin", 1, 30), later, urgent)
+		if answers[0].first != 4*time.Second || answers[0].total != 4250*time.Millisecond {
+			t.Errorf("in a batch of two: first token after %v, end after %v", answers[0].first, answers[0].total)
+		}
+		if answers[3].first >= answers[2].first {
+			t.Errorf("first token of the urgent run after %v, of the other one after %v", answers[3].first, answers[2].first)
+		}
+	})
+}
+
+// TestCacheEviction guards against an engine that forgets or keeps the wrong
+// blocks, ignores the namespace, or reports events early.
+func TestCacheEviction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		options := speed()
+		options.EventDelay = time.Hour
+		options.DropEvery = 3
+		s := newSite(t, options)
+		cached := func(request engine.CompletionRequest) int {
+			usage := s.complete(t.Context(), request).done().Usage
+			if usage == nil {
+				t.Fatal("no usage in the last event")
+			}
+			return usage.CachedTokens
+		}
+		long, short := prompt("1", "long", 2, 1), prompt("2", "else", 2, 1)
+		cached(long)
+		cached(short)
+		if got := cached(long); got != 2*cachekey.BlockTokens {
+			t.Errorf("repeated prompt: %d cached tokens", got)
+		}
+		foreign := prompt("3", "long", 1, 1)
+		foreign.CacheNamespace = "other"
+		if got := cached(foreign); got != 0 {
+			t.Errorf("prompt of another namespace: %d cached tokens", got)
+		}
+		if got := cached(short); got != cachekey.BlockTokens {
+			t.Errorf("least recently used prompt without its last block: %d cached tokens", got)
+		}
+		if got := cached(long); got != cachekey.BlockTokens {
+			t.Errorf("prompt whose last block was freed later: %d cached tokens", got)
+		}
+		if reply, err := s.client.Events(t.Context(), 0); err != nil || len(reply.Events) != 0 {
+			t.Errorf("events before their delay: %d, error %v", len(reply.Events), err)
+		}
+		time.Sleep(time.Hour)
+		reply, err := s.client.Events(t.Context(), 0)
+		if err != nil || len(reply.Events) < 3 || reply.Events[2].Sequence != 4 {
+			t.Errorf("events: %+v, error %v", reply, err)
+		}
+	})
+}
+
+// TestResumeAndCancel guards against a resumed stream that differs from the
+// first one, and against a run that continues after its caller left.
+func TestResumeAndCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, speed())
+		request := prompt("1", "text", 1, 50)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if broken := s.complete(ctx, request); broken.err == nil {
+			t.Error("the caller's timeout did not end the stream")
+		}
+		synctest.Wait()
+		if load, err := s.client.Load(t.Context()); err != nil || load.Running != 0 {
+			t.Errorf("after the caller left: %d running, error %v", load.Running, err)
+		}
+		request.Resume = &engine.Resume{From: 10, Text: standin.Text(request.Prompt, 10)}
+		resumed := s.complete(t.Context(), request)
+		if request.Resume.Text+resumed.text() != standin.Text(request.Prompt, 50) {
+			t.Error("the resumed stream does not continue the first one")
+		}
+		request.Resume.Text = "other"
+		refused := s.complete(t.Context(), request)
+		if refused.header.Get(engine.HeaderExecution) != engine.ExecutionNotRun {
+			t.Errorf("resume with another text: status %d", refused.status)
+		}
+		if counters := s.engine.Counters(); counters.Runs["1"] != 2 || counters.ResumeMismatches != 1 {
+			t.Errorf("counters: %+v", counters)
+		}
+	})
+}
+
+// TestOrders guards against a swap that touches a run in progress, an order
+// with an old fencing number, and an order that outlives its deadline.
+func TestOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		options := speed()
+		options.Initial = engine.Desired{Model: "m", Weights: 1}
+		s := newSite(t, options)
+		old := prompt("1", "text", 1, 50)
+		old.Model, old.Weights = "m", 1
+		order := engine.Order{ID: "o1", Fencing: 7, DeadlineMS: 5000, Desired: engine.Desired{Model: "m", Weights: 2}}
+		var run answer
+		var wg sync.WaitGroup
+		wg.Go(func() { run = s.complete(t.Context(), old) })
+		time.Sleep(3 * time.Second)
+		if status, err := s.client.Order(t.Context(), order); err != nil || status.OrderState != engine.OrderLoading {
+			t.Errorf("order: %+v, error %v", status, err)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if status, err := s.client.Status(t.Context()); err != nil || status.Current.Weights != 2 || status.OrderState != engine.OrderDone {
+			t.Errorf("after the load: %+v, error %v", status, err)
+		}
+		if late := s.complete(t.Context(), old); late.header.Get(engine.HeaderExecution) != engine.ExecutionNotRun {
+			t.Errorf("request for the old weights: status %d", late.status)
+		}
+		wg.Wait()
+		if run.text() != standin.Text(old.Prompt, 50) {
+			t.Error("the swap broke the run in progress")
+		}
+		order.ID, order.Fencing = "o2", 6
+		if _, err := s.client.Order(t.Context(), order); err == nil || err.Code != code.OrderRefused {
+			t.Errorf("old fencing number: got %v, want order-refused", err)
+		}
+		order = engine.Order{ID: "o3", Fencing: 8, DeadlineMS: 500, Desired: engine.Desired{Model: "m", Weights: 3}}
+		_, _ = s.client.Order(t.Context(), order)
+		time.Sleep(2 * time.Second)
+		if status, _ := s.client.Status(t.Context()); status.OrderState != engine.OrderFailed || status.Current.Weights != 2 {
+			t.Errorf("after the deadline: %+v", status)
+		}
+	})
+}
+
+// TestFaults guards against fault switches that do not do what tests of the
+// nodes rely on.
+func TestFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		options := speed()
+		options.CrashMarker = "poison"
+		options.RestartAfter = time.Minute
+		options.LoadLag = time.Second
+		s := newSite(t, options)
+		s.engine.TruncateNext(2)
+		if a := s.complete(t.Context(), prompt("1", "text", 1, 5)); len(a.events) != 2 || a.err != nil || a.done().Done {
+			t.Errorf("truncated: %d events, error %v", len(a.events), a.err)
+		}
+		s.engine.CrossNext(2)
+		if a := s.complete(t.Context(), prompt("2", "text", 1, 5)); a.events[1].RequestID != "2" || a.events[2].RequestID == "2" {
+			t.Errorf("crossed: %+v", a.events)
+		}
+		s.engine.DuplicateNext(2)
+		if a := s.complete(t.Context(), prompt("3", "text", 1, 5)); len(a.events) != 7 || a.events[2].Sequence != a.events[3].Sequence {
+			t.Errorf("duplicated: %+v", a.events)
+		}
+		s.engine.SetLeaving(true)
+		if load, _ := s.client.Load(t.Context()); load.Leaving {
+			t.Error("the load report does not lag")
+		}
+		a := s.complete(t.Context(), prompt("4", "text", 1, 5))
+		if a.status != http.StatusServiceUnavailable || a.header.Get(engine.HeaderLeaving) != "true" || a.header.Get(engine.HeaderExecution) != engine.ExecutionNotRun {
+			t.Errorf("leaving: status %d, headers %v", a.status, a.header)
+		}
+		s.engine.SetLeaving(false)
+		answers := s.together(prompt("5", "text", 1, 100), prompt("6", "poison", 1, 5))
+		if answers[0].err == nil || answers[1].err == nil {
+			t.Errorf("crash: errors %v and %v", answers[0].err, answers[1].err)
+		}
+		if counters := s.engine.Counters(); counters.Runs["6"] != 1 || counters.Runs["4"] != 0 {
+			t.Errorf("runs: %v", counters.Runs)
+		}
+		time.Sleep(time.Minute)
+		s.engine.SetHang(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		if a := s.complete(ctx, prompt("7", "text", 1, 1)); a.err == nil {
+			t.Error("a hanging engine responded")
+		}
+		s.engine.SetHang(false)
+		if a := s.complete(t.Context(), prompt("8", "text", 1, 1)); a.err != nil || !a.done().Done {
+			t.Errorf("after crash and hang: %+v", a)
+		}
+	})
+}
+
+// TestTransfer guards against an import of blocks that are damaged, cut off
+// or freed, and against an export that sends blocks twice.
+func TestTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, speed())
+		vm := store.New(store.Options{MemoryBytes: 1 << 20, LinkRate: 1 << 20})
+		s.serve(storeAddress, vm.Handler())
+		request := prompt("1", "text", 3, 1)
+		s.complete(t.Context(), request)
+		transfer := engine.TransferRequest{Store: storeAddress, Namespace: "ns", Keys: request.PrefixKeys, Generation: 1}
+		for i, moved := range []int{3, 0} {
+			if reply, err := s.client.Export(t.Context(), transfer); err != nil || reply.Blocks != 3 || reply.Moved != moved {
+				t.Errorf("export %d: %+v, error %v", i, reply, err)
+			}
+		}
+		s.engine.ClearCache()
+		vm.Cut(request.PrefixKeys[2], 100)
+		reply, err := s.client.Import(t.Context(), transfer)
+		if err != nil || reply.Blocks != 2 || code.Code(reply.Code) != code.BlockInvalid {
+			t.Errorf("import of a cut block: %+v, error %v", reply, err)
+		}
+		if usage := s.complete(t.Context(), request).done().Usage; usage.CachedTokens != 2*cachekey.BlockTokens {
+			t.Errorf("after the import: %d cached tokens", usage.CachedTokens)
+		}
+		s.engine.ClearCache()
+		vm.Free(request.PrefixKeys[0])
+		if reply, _ := s.client.Import(t.Context(), transfer); reply.Blocks != 0 || code.Code(reply.Code) != code.BlockMissing {
+			t.Errorf("import of a freed block: %+v", reply)
+		}
+		vm.Die()
+		if reply, _ := s.client.Import(t.Context(), transfer); code.Code(reply.Code) != code.StoreAway {
+			t.Errorf("import from a dead store: %+v", reply)
+		}
+		if counters := s.engine.Counters(); counters.InvalidBlocksUsed != 0 {
+			t.Errorf("%d invalid blocks used", counters.InvalidBlocksUsed)
+		}
+	})
+}
--- /dev/null
+++ b/standin/engine/events.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"time"
+
+	"tanagerspread/platform/engine"
+)
+
+// maxEvents bounds the cache events that an engine keeps.
+const maxEvents = 10_000
+
+// timedEvent is a cache event that becomes visible later.
+type timedEvent struct {
+	event   engine.CacheEvent
+	visible time.Time
+}
+
+// feed is the list of cache events.
+type feed struct {
+	events []timedEvent
+	last   uint64
+	// delay is how late an event becomes visible.
+	delay time.Duration
+	// dropEvery loses every n-th event; 0 loses none.
+	dropEvery uint64
+}
+
+func (f *feed) add(now time.Time, kind string, id blockID) {
+	f.last++
+	if f.dropEvery > 0 && f.last%f.dropEvery == 0 {
+		return
+	}
+	e := engine.CacheEvent{Sequence: f.last, Kind: kind, Namespace: id.namespace, Key: id.key}
+	f.events = append(f.events, timedEvent{event: e, visible: now.Add(f.delay)})
+	if len(f.events) > maxEvents {
+		f.events = f.events[len(f.events)-maxEvents:]
+	}
+}
+
+// after returns the visible events after a sequence number.
+func (f *feed) after(now time.Time, after uint64) engine.EventsReply {
+	reply := engine.EventsReply{Last: after}
+	for _, timed := range f.events {
+		if timed.visible.After(now) {
+			break
+		}
+		if timed.event.Sequence > after {
+			reply.Events = append(reply.Events, timed.event)
+			reply.Last = timed.event.Sequence
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/standin/engine/faults.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"time"
+)
+
+// faultKind is what is wrong with a response.
+type faultKind int
+
+const (
+	faultNone faultKind = iota
+	faultTruncate
+	faultCross
+	faultDuplicate
+)
+
+// responseFault spoils one response after a number of tokens.
+type responseFault struct {
+	kind  faultKind
+	after int
+}
+
+// TruncateNext ends the next response after a number of tokens, as if it were
+// whole.
+func (e *Engine) TruncateNext(after int) {
+	e.spoilNext(responseFault{kind: faultTruncate, after: after})
+}
+
+// CrossNext continues the next response after a number of tokens with events
+// of another request.
+func (e *Engine) CrossNext(after int) {
+	e.spoilNext(responseFault{kind: faultCross, after: after})
+}
+
+// DuplicateNext sends the event after a number of tokens of the next response
+// twice.
+func (e *Engine) DuplicateNext(after int) {
+	e.spoilNext(responseFault{kind: faultDuplicate, after: after})
+}
+
+func (e *Engine) spoilNext(fault responseFault) {
+	e.do(func(s *state) { s.faults = append(s.faults, fault) })
+}
+
+// Die breaks all connections and loses the batch and the cache until Revive.
+func (e *Engine) Die() {
+	e.do(func(s *state) { s.die() })
+}
+
+// Revive starts a dead engine again, with an empty cache and Options.Initial.
+func (e *Engine) Revive() {
+	e.do(func(s *state) {
+		if s.dead {
+			s.restart(time.Now())
+		}
+	})
+}
+
+// SetHang stops or continues all progress and responses.
+func (e *Engine) SetHang(hang bool) {
+	e.do(func(s *state) { s.setHang(hang, time.Now()) })
+}
+
+// SetLeaving makes the engine refuse new completions as not run. Runs in
+// progress go on.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.do(func(s *state) { s.leaving = leaving })
+}
+
+// SetLoadLag changes how far load reports are behind.
+func (e *Engine) SetLoadLag(lag time.Duration) {
+	e.do(func(s *state) { s.loadLag = lag })
+}
+
+// ClearCache frees all cache blocks that no run uses.
+func (e *Engine) ClearCache() {
+	e.do(func(s *state) { s.cache.clear() })
+}
+
+// Counters tells what has happened in an engine. It survives a crash.
+type Counters struct {
+	// Runs counts the runs of each request by its identifier.
+	Runs map[string]int
+	// ResumeMismatches counts resumed texts that the engine did not generate.
+	ResumeMismatches int
+	// InvalidBlocksUsed counts runs on cache blocks with wrong content.
+	InvalidBlocksUsed int
+	// CachedBlocks is the number of blocks in memory.
+	CachedBlocks int
+}
+
+// Counters returns what has happened.
+func (e *Engine) Counters() Counters {
+	counters := Counters{Runs: make(map[string]int)}
+	e.do(func(s *state) {
+		for id, n := range s.started {
+			counters.Runs[id] = n
+		}
+		counters.ResumeMismatches = s.resumeMismatches
+		counters.InvalidBlocksUsed = s.invalidUsed
+		counters.CachedBlocks = len(s.cache.blocks)
+	})
+	return counters
+}
--- /dev/null
+++ b/standin/engine/handler.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/engine"
+	"tanagerspread/platform/wire"
+)
+
+// Handler returns the routes of the engine.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engine.PathCompletions, e.complete)
+	mux.HandleFunc("GET "+engine.PathLoad, e.handleLoad)
+	mux.HandleFunc("POST "+engine.PathOrders, e.handleOrder)
+	mux.HandleFunc("GET "+engine.PathOrders, e.handleStatus)
+	mux.HandleFunc("POST "+engine.PathExport, e.handleExport)
+	mux.HandleFunc("POST "+engine.PathImport, e.handleImport)
+	mux.HandleFunc("GET "+engine.PathEvents, e.handleEvents)
+	return e.alive(mux)
+}
+
+// alive breaks the calls of a dead engine and holds those of a hanging one.
+func (e *Engine) alive(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var death, hang chan struct{}
+		if !e.do(func(s *state) { death, hang = s.death, s.hang }) {
+			panic(http.ErrAbortHandler) // net/http closes the connection.
+		}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		go breakOn(ctx, death, cancel, http.NewResponseController(w))
+		if hang != nil {
+			select {
+			case <-hang:
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() == nil && !isClosed(death) {
+			next.ServeHTTP(w, r.WithContext(ctx))
+		}
+		if isClosed(death) {
+			panic(http.ErrAbortHandler) // net/http closes the connection.
+		}
+	})
+}
+
+// breakOn ends a call when the engine dies, even while it writes.
+func breakOn(ctx context.Context, death <-chan struct{}, cancel context.CancelFunc, controller *http.ResponseController) {
+	select {
+	case <-death:
+		cancel()
+		_ = controller.SetWriteDeadline(time.Now())
+	case <-ctx.Done():
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	wire.Reply(w, e.reported())
+}
+
+func (e *Engine) reported() engine.Load {
+	var load engine.Load
+	e.do(func(s *state) { load = s.reported(time.Now()) })
+	return load
+}
+
+func (e *Engine) handleEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get(engine.QueryAfter), 10, 64)
+	if err != nil {
+		wire.Refuse(w, code.New(code.MalformedBody, "after is not a sequence number"))
+		return
+	}
+	var reply engine.EventsReply
+	e.do(func(s *state) { reply = s.feed.after(time.Now(), after) })
+	wire.Reply(w, reply)
+}
+
+// writeLoad sets the headers that report load.
+func writeLoad(header http.Header, load engine.Load) {
+	header.Set(engine.HeaderRunning, strconv.Itoa(load.Running))
+	header.Set(engine.HeaderWaiting, strconv.Itoa(load.Waiting))
+	header.Set(engine.HeaderPrefillTokens, strconv.Itoa(load.PrefillTokens))
+	if load.Leaving {
+		header.Set(engine.HeaderLeaving, "true")
+	}
+}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,120 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/engine"
+	"tanagerspread/platform/weights"
+	"tanagerspread/platform/wire"
+)
+
+// orderState is the newest order of an engine.
+type orderState struct {
+	order  engine.Order
+	state  string
+	detail string
+	cancel context.CancelFunc
+}
+
+// stop gives up a load in progress.
+func (o *orderState) stop() {
+	if o.cancel != nil {
+		o.cancel()
+	}
+}
+
+func (e *Engine) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	var status engine.Status
+	e.do(func(s *state) { status = s.status() })
+	wire.Reply(w, status)
+}
+
+func (s *state) status() engine.Status {
+	return engine.Status{
+		Current:    s.current,
+		OrderID:    s.order.order.ID,
+		OrderState: s.order.state,
+		Detail:     s.order.detail,
+		Fencing:    s.fencing,
+	}
+}
+
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if !wire.Decode(w, r, &order) {
+		return
+	}
+	var status engine.Status
+	var refused *code.Error
+	e.do(func(s *state) {
+		refused = e.accept(s, order)
+		status = s.status()
+	})
+	wire.ReplyOr(w, status, refused)
+}
+
+// accept takes an order unless its fencing number is old. A repeated order
+// changes nothing; another order replaces a load in progress.
+func (e *Engine) accept(s *state, order engine.Order) *code.Error {
+	if order.Fencing < s.fencing && !e.options.IgnoreFencing {
+		return code.Newf(code.OrderRefused, "the fencing number %d is older than %d", order.Fencing, s.fencing)
+	}
+	s.fencing = max(s.fencing, order.Fencing)
+	if order.ID == s.order.order.ID {
+		return nil
+	}
+	s.order.stop()
+	s.order = orderState{order: order, state: engine.OrderLoading}
+	if sameWeights(s.current, order.Desired) {
+		s.current = order.Desired
+		s.order.state = engine.OrderDone
+		return nil
+	}
+	deadline := time.Duration(order.DeadlineMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(e.ctx, deadline)
+	s.order.cancel = cancel
+	go e.load(ctx, cancel, s.death, order)
+	return nil
+}
+
+func sameWeights(a, b engine.Desired) bool {
+	return a.Model == b.Model && a.Adapter == b.Adapter && a.Weights == b.Weights
+}
+
+// load fetches weights and then swaps to them, unless the engine died or got
+// another order meanwhile.
+func (e *Engine) load(ctx context.Context, cancel context.CancelFunc, death chan struct{}, order engine.Order) {
+	defer cancel()
+	desired := order.Desired
+	failed := e.fetch(ctx, weights.Name{Model: desired.Model, Adapter: desired.Adapter, Version: desired.Weights})
+	e.do(func(s *state) {
+		if s.death != death || s.dead || s.order.order.ID != order.ID {
+			return
+		}
+		if failed != nil {
+			s.order.state = engine.OrderFailed
+			s.order.detail = failed.Error()
+			return
+		}
+		s.order.state = engine.OrderDone
+		s.current = desired
+		s.cache.clear()
+	})
+}
+
+func (e *Engine) fetch(ctx context.Context, name weights.Name) *code.Error {
+	if e.options.Loader != nil {
+		return e.options.Loader.Load(ctx, name)
+	}
+	timer := time.NewTimer(defaultLoadTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return code.Wrap(code.EngineAway, "the load was given up", ctx.Err())
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/engine/tokens.go
@@ -0,0 +1,58 @@
+package engine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerspread/core/cachekey"
+)
+
+// Token returns the token with a sequence number of the response to a prompt.
+// It depends on nothing else, so that a resumed stream can be checked.
+func Token(prompt string, sequence int) string {
+	return tokenOf(xxhash.Sum64String(prompt), sequence)
+}
+
+// Text returns the first n tokens of the response to a prompt.
+func Text(prompt string, n int) string {
+	sum := xxhash.Sum64String(prompt)
+	var text strings.Builder
+	for sequence := range n {
+		text.WriteString(tokenOf(sum, sequence))
+	}
+	return text.String()
+}
+
+func tokenOf(sum uint64, sequence int) string {
+	return "t" + strconv.Itoa(sequence) + "-" + strconv.FormatUint(sum&0xffff, 16) + " "
+}
+
+// promptTokens returns the number of tokens of a prompt.
+func promptTokens(prompt string) int {
+	return len(prompt) / cachekey.BytesPerToken
+}
+
+// prefixKeys returns the block keys of a prompt whose caller sent none. They
+// match only prompts without keys.
+func prefixKeys(prompt string) []string {
+	var keys []string
+	for end := cachekey.BlockBytes; end <= len(prompt); end += cachekey.BlockBytes {
+		sum := sha256.Sum256([]byte(prompt[:end]))
+		keys = append(keys, "prompt-"+hex.EncodeToString(sum[:]))
+	}
+	return keys
+}
+
+// blockContent returns the content of a cache block, which depends on its
+// identity alone, so that a wrong import can be told.
+func blockContent(id blockID, size int) []byte {
+	source := rand.NewChaCha8(sha256.Sum256([]byte(id.namespace + "/" + id.key)))
+	content := make([]byte, size)
+	_, _ = source.Read(content)
+	return content
+}
