--- /dev/null
+++ b/standin/service/service_test.go
@@ -0,0 +1,80 @@
+package service_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/platform/service"
+	"tanagerspread/standin/pipe"
+	standin "tanagerspread/standin/service"
+)
+
+func call(ctx context.Context, client *http.Client, url, digest string) (string, error) {
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("{}"))
+	r.Header.Set(service.HeaderRequestID, "request-"+digest)
+	r.Header.Set(service.HeaderKeyDigest, digest)
+	response, err := client.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.Header.Get(service.HeaderRequestID), nil
+}
+
+// TestRunCounts guards against counts that miss an effect whose response was
+// lost, or count a call that had none: tests of at-most-once rely on them.
+func TestRunCounts(t *testing.T) {
+	ctx := context.Background()
+	s := standin.New(standin.Options{Name: "lodgement"})
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	cases := []struct {
+		digest string
+		fault  standin.Fault
+		runs   int
+	}{
+		{"before", standin.CrashBefore, 0}, {"after", standin.CrashAfter, 1}, {"lost", standin.LoseResponse, 1},
+	}
+	for _, c := range cases {
+		s.SpoilNext(c.fault)
+		if _, err := call(ctx, client, server.URL, c.digest); err == nil {
+			t.Errorf("%s: the connection did not break", c.digest)
+		}
+		s.Revive()
+		if runs := s.Runs()[c.digest]; runs != c.runs {
+			t.Errorf("%s: %d runs, want %d", c.digest, runs, c.runs)
+		}
+	}
+	if id, err := call(ctx, client, server.URL, "good"); err != nil || id != "request-good" || s.Runs()["good"] != 1 {
+		t.Errorf("good call: echoed %q, error %v", id, err)
+	}
+	s.SpoilNext(standin.Cross)
+	if id, err := call(ctx, client, server.URL, "good"); err != nil || id == "request-good" {
+		t.Errorf("crossed call: echoed %q, error %v", id, err)
+	}
+}
+
+// TestHang guards against a hang that ends by itself or has an effect.
+func TestHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.New(standin.Options{RunTime: time.Second})
+		network := pipe.NewNetwork()
+		listener := network.Listen("service:80")
+		server := &http.Server{Handler: s.Handler()}
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+		client := &http.Client{Transport: &http.Transport{DialContext: network.Dial, DisableKeepAlives: true}}
+		s.SpoilNext(standin.Hang)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		if _, err := call(ctx, client, "http://service:80/tide", "d"); err == nil || s.Runs()["d"] != 0 {
+			t.Errorf("hanging call: error %v, %d runs", err, s.Runs()["d"])
+		}
+	})
+}
