standin/fault: listener whose connections fail

Cause: a dead VM and a silent connection look different from a handler's error. Change: a listener that breaks its connections, refuses new ones, or makes the open ones silent while new ones work. Result: TestListener passes under -race; it fails without the silence, without the refusal and without the break.

--- /dev/null
+++ b/standin/fault/listener.go
@@ -0,0 +1,139 @@
+// Package fault provides a listener whose connections can fail as those of a
+// dying or cut-off VM do.
+package fault
+
+import (
+	"net"
+	"sync"
+)
+
+// Listener passes on the connections of another listener. The mutex guards
+// the fields below it.
+type Listener struct {
+	net.Listener
+
+	mu   sync.Mutex
+	open map[*conn]struct{}
+	dead bool
+}
+
+// Wrap returns a listener without faults.
+func Wrap(listener net.Listener) *Listener {
+	return &Listener{Listener: listener, open: make(map[*conn]struct{})}
+}
+
+// Accept returns the next connection. A dead listener closes each new
+// connection at once.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.register(accepted); c != nil {
+			return c, nil
+		}
+		_ = accepted.Close()
+	}
+}
+
+// Die breaks all connections and every new one until Revive.
+func (l *Listener) Die() {
+	l.mu.Lock()
+	l.dead = true
+	l.mu.Unlock()
+	l.Break()
+}
+
+// Revive lets new connections work again.
+func (l *Listener) Revive() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dead = false
+}
+
+// Break closes the open connections.
+func (l *Listener) Break() {
+	for _, c := range l.connections() {
+		_ = c.Close()
+	}
+}
+
+// Silence makes the open connections silent for good: nothing arrives on
+// either side and no error is seen. New connections work.
+func (l *Listener) Silence() {
+	for _, c := range l.connections() {
+		c.silenceOnce.Do(func() { close(c.silent) })
+	}
+}
+
+func (l *Listener) register(accepted net.Conn) net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead {
+		return nil
+	}
+	c := &conn{Conn: accepted, listener: l, silent: make(chan struct{}), closed: make(chan struct{})}
+	l.open[c] = struct{}{}
+	return c
+}
+
+func (l *Listener) connections() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	open := make([]*conn, 0, len(l.open))
+	for c := range l.open {
+		open = append(open, c)
+	}
+	return open
+}
+
+func (l *Listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// conn is one accepted connection.
+type conn struct {
+	net.Conn
+	listener    *Listener
+	silent      chan struct{}
+	silenceOnce sync.Once
+	closed      chan struct{}
+	closeOnce   sync.Once
+}
+
+// Read blocks on a silent connection until it is closed.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.isSilent() && err == nil {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write drops the bytes on a silent connection.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	c.listener.forget(c)
+	return c.Conn.Close()
+}
+
+func (c *conn) isSilent() bool {
+	select {
+	case <-c.silent:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/standin/fault/listener_test.go
@@ -0,0 +1,81 @@
+package fault_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/standin/fault"
+	"tanagerspread/standin/pipe"
+)
+
+const address = "echo:80"
+
+// echo sends back what each connection receives.
+func echo(listener net.Listener) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			_, _ = io.Copy(c, c)
+			_ = c.Close()
+		}()
+	}
+}
+
+// ask sends one byte and waits up to a minute for it to come back.
+func ask(c net.Conn) error {
+	_ = c.SetDeadline(time.Now().Add(time.Minute))
+	if _, err := c.Write([]byte{1}); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+// TestListener guards against silent connections that show an error, and
+// against faults that hit the wrong connections.
+func TestListener(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := pipe.NewNetwork()
+		listener := fault.Wrap(network.Listen(address))
+		go echo(listener)
+		defer func() { _ = listener.Close() }()
+		dial := func() net.Conn {
+			c, err := network.Dial(context.Background(), "tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			return c
+		}
+		first := dial()
+		if err := ask(first); err != nil {
+			t.Fatal(err)
+		}
+		listener.Silence()
+		began := time.Now()
+		if err := ask(first); err == nil || time.Since(began) != time.Minute {
+			t.Errorf("silent connection: error %v after %v", err, time.Since(began))
+		}
+		second := dial()
+		if err := ask(second); err != nil {
+			t.Errorf("new connection: %v", err)
+		}
+		listener.Die()
+		began = time.Now()
+		if ask(second) == nil || ask(dial()) == nil || time.Since(began) != 0 {
+			t.Errorf("a dead listener responded or was silent for %v", time.Since(began))
+		}
+		listener.Revive()
+		if err := ask(dial()); err != nil {
+			t.Errorf("after the restart: %v", err)
+		}
+		listener.Break()
+	})
+}
