--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -17,6 +17,7 @@
 	defaultTokenInterval = 20 * time.Millisecond
 	defaultSlots         = 16
 	defaultMaxWaiting    = 64
+	defaultCacheBlocks   = 64
 	defaultBytesPerToken = 16
 	defaultLoadTime      = time.Second
 )
@@ -44,6 +45,9 @@
 	Initial engine.Desired
 	// Loader fetches weights; nil takes one second.
 	Loader weights.Loader
+	// Swapped is called after an order has changed what the engine serves; nil
+	// means nobody asks.
+	Swapped func(engine.Desired)
 	// Dial opens connections to store VMs; nil means TCP.
 	Dial wire.Dialer
 	// IgnoreFencing makes the engine accept orders with an old fencing number.
@@ -66,6 +70,7 @@
 	o.TokenInterval = orDefault(o.TokenInterval, defaultTokenInterval)
 	o.Slots = orDefault(o.Slots, defaultSlots)
 	o.MaxWaiting = orDefault(o.MaxWaiting, defaultMaxWaiting)
+	o.CacheBlocks = orDefault(o.CacheBlocks, defaultCacheBlocks)
 	o.BytesPerToken = orDefault(o.BytesPerToken, defaultBytesPerToken)
 	return o
 }
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -89,6 +89,7 @@
 func (e *Engine) load(ctx context.Context, cancel context.CancelFunc, death chan struct{}, order engine.Order) {
 	defer cancel()
 	desired := order.Desired
+	swapped := false
 	failed := e.fetch(ctx, weights.Name{Model: desired.Model, Adapter: desired.Adapter, Version: desired.Weights})
 	e.do(func(s *state) {
 		if s.death != death || s.dead || s.order.order.ID != order.ID {
@@ -102,7 +103,11 @@
 		s.order.state = engine.OrderDone
 		s.current = desired
 		s.cache.clear()
+		swapped = true
 	})
+	if swapped && e.options.Swapped != nil {
+		e.options.Swapped(desired)
+	}
 }
 
 func (e *Engine) fetch(ctx context.Context, name weights.Name) *code.Error {
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,236 @@
+// Package site starts the stand-ins of a whole site in one process.
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"tanagerspread/platform/vmlist"
+	"tanagerspread/platform/weights"
+	"tanagerspread/platform/wire"
+	"tanagerspread/standin/engine"
+	"tanagerspread/standin/fault"
+	"tanagerspread/standin/kv"
+	"tanagerspread/standin/service"
+	"tanagerspread/standin/store"
+	standinvmlist "tanagerspread/standin/vmlist"
+	standinweights "tanagerspread/standin/weights"
+)
+
+const (
+	// firstWeights is the weight version that engines start with.
+	firstWeights = 1
+	// The weight store serves three loads at once at full speed, one second
+	// each.
+	weightLoadTime       = time.Second
+	weightFullSpeedLoads = 3
+)
+
+// defaultStore is the size and speed of a store VM unless the options say
+// otherwise.
+var defaultStore = store.Options{
+	MemoryBytes: 16 << 20,
+	DiskBytes:   64 << 20,
+	LinkRate:    20 << 20,
+	DiskRate:    10 << 20,
+}
+
+// Options configures a site.
+type Options struct {
+	Shape Shape
+	// Engine, Store and Service are the options of each VM of the kind. Start
+	// sets what differs between VMs, and a default size of the stores when
+	// Store is empty.
+	Engine  engine.Options
+	Store   store.Options
+	Service service.Options
+	KV      kv.Options
+	// ListLag is how far the VM list is behind.
+	ListLag time.Duration
+	// Listen opens the listener of a VM; nil means a free TCP port on
+	// loopback.
+	Listen func(id string) (net.Listener, error)
+	// Dial opens connections between VMs; nil means TCP.
+	Dial wire.Dialer
+}
+
+// EngineVM is one running engine.
+type EngineVM struct {
+	vmlist.VM
+	Engine      *engine.Engine
+	Connections *fault.Listener
+}
+
+// StoreVM is one running store VM.
+type StoreVM struct {
+	vmlist.VM
+	Store       *store.Store
+	Connections *fault.Listener
+}
+
+// ServiceVM is one running plain service.
+type ServiceVM struct {
+	vmlist.VM
+	Service     *service.Service
+	Connections *fault.Listener
+}
+
+// Site is a running site with its fault switches.
+type Site struct {
+	KV             *kv.Store
+	KVAddress      string
+	VMs            *standinvmlist.List
+	VMListAddress  string
+	Weights        *standinweights.Store
+	WeightsAddress string
+	Engines        []EngineVM
+	Stores         []StoreVM
+	Services       []ServiceVM
+
+	options Options
+	cancel  context.CancelFunc
+	servers []*http.Server
+	started int
+}
+
+// Start starts the site. It returns the error of the listener that could not
+// be opened. Close stops it.
+func Start(ctx context.Context, options Options) (*Site, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	if options.Listen == nil {
+		options.Listen = listenLoopback
+	}
+	if options.Store == (store.Options{}) {
+		options.Store = defaultStore
+	}
+	s := &Site{options: options, cancel: cancel}
+	if err := s.start(ctx); err != nil {
+		return nil, errors.Join(err, s.Close())
+	}
+	return s, nil
+}
+
+func listenLoopback(string) (net.Listener, error) {
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
+// Close stops all stand-ins and breaks their connections.
+func (s *Site) Close() error {
+	s.cancel()
+	var errs []error
+	for _, server := range s.servers {
+		errs = append(errs, server.Close())
+	}
+	return errors.Join(errs...)
+}
+
+func (s *Site) start(ctx context.Context) error {
+	s.KV = kv.NewStore(s.options.KV)
+	s.VMs = standinvmlist.New(0)
+	s.Weights = standinweights.New(standinweights.Options{LoadTime: weightLoadTime, FullSpeedLoads: weightFullSpeedLoads})
+	steps := []func(context.Context) error{s.startPlatform, s.startEngines, s.startStores, s.startServices}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	s.VMs.SetLag(s.options.ListLag)
+	return nil
+}
+
+func (s *Site) startPlatform(context.Context) error {
+	var err error
+	if s.KVAddress, _, err = s.serve("kv", s.KV.Handler()); err != nil {
+		return err
+	}
+	if s.VMListAddress, _, err = s.serve("vmlist", s.VMs.Handler()); err != nil {
+		return err
+	}
+	s.WeightsAddress, _, err = s.serve("weights", s.Weights.Handler())
+	return err
+}
+
+func (s *Site) startEngines(ctx context.Context) error {
+	for i := range s.options.Shape.Engines {
+		vm := s.newVM("engine", i, s.options.Shape.Model)
+		vm.Weights = firstWeights
+		options := s.options.Engine
+		options.Initial.Model = vm.Serves
+		options.Initial.Weights = vm.Weights
+		options.Dial = s.options.Dial
+		client := weights.NewClient(wire.Options{Address: s.WeightsAddress, Dial: s.options.Dial})
+		context.AfterFunc(ctx, client.Close)
+		options.Loader = client
+		started := EngineVM{Engine: engine.New(ctx, s.listSwaps(options, vm.ID))}
+		var err error
+		if vm.Address, started.Connections, err = s.serve(vm.ID, started.Engine.Handler()); err != nil {
+			return err
+		}
+		started.VM = vm
+		s.Engines = append(s.Engines, started)
+		s.VMs.Set(vm)
+	}
+	return nil
+}
+
+func (s *Site) startStores(context.Context) error {
+	for i := range s.options.Shape.Stores {
+		vm := s.newVM("store", i, "")
+		started := StoreVM{Store: store.New(s.options.Store)}
+		var err error
+		if vm.Address, started.Connections, err = s.serve(vm.ID, started.Store.Handler()); err != nil {
+			return err
+		}
+		started.VM = vm
+		s.Stores = append(s.Stores, started)
+		s.VMs.Set(vm)
+	}
+	return nil
+}
+
+func (s *Site) startServices(context.Context) error {
+	for i, name := range s.options.Shape.Services {
+		vm := s.newVM("service", i, name)
+		options := s.options.Service
+		options.Name = name
+		started := ServiceVM{Service: service.New(options)}
+		var err error
+		if vm.Address, started.Connections, err = s.serve(vm.ID, started.Service.Handler()); err != nil {
+			return err
+		}
+		started.VM = vm
+		s.Services = append(s.Services, started)
+		s.VMs.Set(vm)
+	}
+	return nil
+}
+
+// newVM returns the list entry of a VM, without its address.
+func (s *Site) newVM(role string, number int, serves string) vmlist.VM {
+	domain := s.options.Shape.Domains[s.started%len(s.options.Shape.Domains)]
+	s.started++
+	return vmlist.VM{
+		ID:     fmt.Sprintf("%s-%02d", role, number+1),
+		Domain: domain,
+		Role:   role,
+		Serves: serves,
+		State:  vmlist.StateLive,
+	}
+}
+
+// serve starts one server and returns its address.
+func (s *Site) serve(id string, handler http.Handler) (string, *fault.Listener, error) {
+	listener, err := s.options.Listen(id)
+	if err != nil {
+		return "", nil, err
+	}
+	faulty := fault.Wrap(listener)
+	server := &http.Server{Handler: handler}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(faulty) }()
+	return listener.Addr().String(), faulty, nil
+}
--- /dev/null
+++ b/standin/site/site_test.go
@@ -0,0 +1,71 @@
+package site_test
+
+import (
+	"net"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/engine"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/vmlist"
+	"tanagerspread/platform/wire"
+	"tanagerspread/standin/pipe"
+	"tanagerspread/standin/site"
+)
+
+// TestSite guards against a site whose list, addresses and VMs disagree, that
+// leaves out a failure domain, or whose list misses a weight swap.
+func TestSite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		shape, refused := site.ShapeOf("derwent", 4)
+		if refused != nil {
+			t.Fatal(refused)
+		}
+		network := pipe.NewNetwork()
+		listen := func(id string) (net.Listener, error) { return network.Listen(id + ":80"), nil }
+		s, err := site.Start(ctx, site.Options{Shape: shape, Listen: listen, Dial: network.Dial})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = s.Close() }()
+		at := func(address string) wire.Options { return wire.Options{Address: address, Dial: network.Dial} }
+		vms, refused := vmlist.NewClient(at(s.VMListAddress)).List(ctx)
+		if refused != nil || len(vms) != 5+2+2 {
+			t.Fatalf("list: %d VMs, error %v", len(vms), refused)
+		}
+		domains := make(map[string]bool)
+		for _, vm := range vms {
+			domains[vm.Domain] = true
+		}
+		if len(domains) != len(shape.Domains) {
+			t.Errorf("VMs in %d domains, want %d", len(domains), len(shape.Domains))
+		}
+		if _, err := kv.NewClient(at(s.KVAddress)).Get(ctx, "config/current"); err == nil || err.Code != code.KeyMissing {
+			t.Errorf("key-value service: %v", err)
+		}
+		order := engine.Order{ID: "o1", Fencing: 1, DeadlineMS: 5000, Desired: engine.Desired{Model: shape.Model, Weights: 2}}
+		if _, err := engine.NewClient(at(s.Engines[0].Address)).Order(ctx, order); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(3 * time.Second)
+		for _, vm := range s.Engines {
+			status, err := engine.NewClient(at(vm.Address)).Status(ctx)
+			listed, _ := s.VMs.List(ctx)
+			shown := slices.IndexFunc(listed, func(other vmlist.VM) bool { return other.ID == vm.ID })
+			if err != nil || listed[shown].Weights != status.Current.Weights || listed[shown].Serves != status.Current.Model {
+				t.Errorf("%s: listed %+v, status %+v, error %v", vm.ID, listed[shown], status, err)
+			}
+		}
+		if began, _ := s.Weights.Loads(); began != 1 {
+			t.Errorf("%d weight loads, want 1", began)
+		}
+		s.Engines[0].Connections.Die()
+		if _, err := engine.NewClient(at(s.Engines[0].Address)).Status(ctx); err == nil {
+			t.Error("a dead engine responded")
+		}
+	})
+}
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -62,6 +62,17 @@
 	})
 }
 
+// SetServes changes what a VM in the list serves.
+func (l *List) SetServes(id, serves string, weights int) {
+	l.change(func(vms map[string]vmlist.VM) {
+		if vm, ok := vms[id]; ok {
+			vm.Serves = serves
+			vm.Weights = weights
+			vms[id] = vm
+		}
+	})
+}
+
 // SetLag changes how long the list is behind.
 func (l *List) SetLag(lag time.Duration) {
 	l.mu.Lock()
