standin/cmd/standin: serve stand-ins as a process

Cause: measurements need the platform outside the process of the nodes. Change: one command with a subcommand for each stand-in and for a site, on loopback addresses only.

--- /dev/null
+++ b/standin/cmd/standin/main_test.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"context"
+	"testing"
+)
+
+// TestArguments guards against a stand-in that listens beyond loopback or
+// starts with unknown arguments.
+func TestArguments(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, arguments := range [][]string{
+		{"kv", "--listen", "0.0.0.0:0"},
+		{"kv", "--listen", "localhost:0"},
+		{"kv", "--unknown"},
+		{"site", "--site", "unknown"},
+	} {
+		if run(ctx, arguments) == nil {
+			t.Errorf("%v was accepted", arguments)
+		}
+	}
+	for _, arguments := range [][]string{{"kv"}, {"engine"}, {"store"}, {"service"}, {"weights"}, {"site", "--site", "ulan", "--scale-down", "5"}} {
+		if err := run(ctx, arguments); err != nil {
+			t.Errorf("%v: %v", arguments, err)
+		}
+	}
+}
