standin: tests of silent connections and of engines that ignore fencing

Cause: after a silence the client must not use its other idle connections, and a new issuer must wait only because some engines ignore the number. Result: the first fails when a failed call leaves idle connections open, the second when the engine checks the number.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -274,6 +274,23 @@
 	})
 }
 
+// TestIgnoreFencing guards against an engine that checks the issuer although
+// it must not: the wait of a new issuer is tested with it.
+func TestIgnoreFencing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		options := speed()
+		options.IgnoreFencing = true
+		s := newSite(t, options)
+		for i, fencing := range []uint64{9, 1} {
+			order := engine.Order{ID: string(rune('a' + i)), Fencing: fencing, DeadlineMS: 5000, Desired: engine.Desired{Role: "decode"}}
+			status, err := s.client.Order(t.Context(), order)
+			if err != nil || status.OrderState != engine.OrderDone || status.OrderID != order.ID || status.Current.Role != "decode" {
+				t.Errorf("order with number %d: %+v, error %v", fencing, status, err)
+			}
+		}
+	})
+}
+
 // TestFaults guards against fault switches that do not do what tests of the
 // nodes rely on.
 func TestFaults(t *testing.T) {
--- a/standin/kv/store_test.go
+++ b/standin/kv/store_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +13,9 @@
 	"tanagerspread/core/code"
 	"tanagerspread/platform/kv"
 	"tanagerspread/platform/wire"
+	"tanagerspread/standin/fault"
 	standin "tanagerspread/standin/kv"
+	"tanagerspread/standin/pipe"
 )
 
 func codeOf(err *code.Error) code.Code {
@@ -131,3 +135,33 @@
 		}
 	})
 }
+
+// TestSilentConnections guards against a client that goes on using idle
+// connections after one of them went silent.
+func TestSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := pipe.NewNetwork()
+		listener := fault.Wrap(network.Listen("kv:80"))
+		s := standin.NewStore(standin.Options{})
+		server := &http.Server{Handler: s.Handler()}
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+		client := kv.NewClient(wire.Options{Address: "kv:80", Dial: network.Dial})
+		defer client.Close()
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() { _, _, _ = client.Watch(t.Context(), "", 0) })
+		}
+		synctest.Wait()
+		put(t, s, "a", kv.Absent, "")
+		wg.Wait()
+		listener.Silence()
+		began := time.Now()
+		if _, err := client.Get(t.Context(), "a"); codeOf(err) != code.KeyValueAway || time.Since(began) != wire.DefaultTimeout {
+			t.Errorf("silent connection: got %v after %v", err, time.Since(began))
+		}
+		if _, err := client.Get(t.Context(), "a"); err != nil {
+			t.Errorf("next call: %v", err)
+		}
+	})
+}
