standin: tests of slowness, lapse and load headers

Cause: these fault switches and headers had no test of their own. Change: TestSlowness, and a check of the load headers in TestContinuousBatching.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -153,6 +153,9 @@
 		if answers[0].first != 4*time.Second || answers[0].total != 4250*time.Millisecond {
 			t.Errorf("in a batch of two: first token after %v, end after %v", answers[0].first, answers[0].total)
 		}
+		if running, waiting := answers[0].header.Get(engine.HeaderRunning), answers[0].header.Get(engine.HeaderWaiting); running != "2" || waiting != "2" {
+			t.Errorf("load in the response: %s running, %s waiting", running, waiting)
+		}
 		if answers[3].first >= answers[2].first {
 			t.Errorf("first token of the urgent run after %v, of the other one after %v", answers[3].first, answers[2].first)
 		}
--- a/standin/kv/store_test.go
+++ b/standin/kv/store_test.go
@@ -136,6 +136,34 @@
 	})
 }
 
+// TestSlowness guards against fault switches that tests of leases and of
+// read-back rely on: delay, every n-th response lost, and a lapse now.
+func TestSlowness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		s := standin.NewStore(standin.Options{})
+		lease, err := s.Grant(ctx, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		put(t, s, "held", kv.Absent, lease)
+		s.Lapse(lease)
+		if _, err := s.Get(ctx, "held"); codeOf(err) != code.KeyMissing {
+			t.Errorf("key of a lapsed lease: got %v, want key-missing", err)
+		}
+		s.LoseEvery(2)
+		put(t, s, "a", kv.Absent, "")
+		if _, err := s.Put(ctx, kv.Write{Key: "b"}); codeOf(err) != code.KeyValueAway {
+			t.Errorf("second write: got %v, want key-value-away", err)
+		}
+		s.SetDelay(3 * time.Second)
+		began := time.Now()
+		if _, err := s.Get(ctx, "b"); err != nil || time.Since(began) != 3*time.Second {
+			t.Errorf("slow service: error %v after %v", err, time.Since(began))
+		}
+	})
+}
+
 // TestSilentConnections guards against a client that goes on using idle
 // connections after one of them went silent.
 func TestSilentConnections(t *testing.T) {
