standin: tests of the full and slow store and of a late hang

Cause: these switches had no test of their own. Change: checks in TestPartialWrite, TestLink and TestHang.

--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -76,5 +76,11 @@
 		if _, err := call(ctx, client, "http://service:80/tide", "d"); err == nil || s.Runs()["d"] != 0 {
 			t.Errorf("hanging call: error %v, %d runs", err, s.Runs()["d"])
 		}
+		s.SpoilNext(standin.HangAfter)
+		ctx, cancel = context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		if _, err := call(ctx, client, "http://service:80/tide", "d"); err == nil || s.Runs()["d"] != 1 {
+			t.Errorf("call that hangs after its effect: error %v, %d runs", err, s.Runs()["d"])
+		}
 	})
 }
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -103,6 +103,10 @@
 			t.Errorf("damaged block: got %v, want block-invalid", err)
 		}
 	}
+	s.SetFull(true)
+	if err := put(client, "b"); codeOf(err) != code.StoreFull {
+		t.Errorf("full store: got %v, want store-full", err)
+	}
 	s.Die()
 	if err := put(client, "a"); codeOf(err) != code.StoreAway {
 		t.Errorf("dead store: got %v, want store-away", err)
@@ -150,12 +154,13 @@
 			t.Errorf("1000 bytes at 1000 bytes/s took %v", took)
 		}
 		s.SetLinkRate(100)
+		s.SetDelay(5 * time.Second)
 		began = time.Now()
 		if _, _, err := client.GetBlock(context.Background(), "a"); err != nil {
 			t.Fatal(err)
 		}
-		if took := time.Since(began); took < 9*time.Second {
-			t.Errorf("1000 bytes at 100 bytes/s took %v", took)
+		if took := time.Since(began); took < 14*time.Second {
+			t.Errorf("1000 bytes at 100 bytes/s after a delay of 5s took %v", took)
 		}
 	})
 }
