--- /dev/null
+++ b/core/kvcache/verify.go
@@ -0,0 +1,41 @@
+// Package kvcache decides which cache blocks are exported to a store VM and
+// which found blocks may be imported into an engine.
+package kvcache
+
+import "tanagerspread/core/cachekey"
+
+// checksumLength is the length of a hexadecimal SHA-256 sum.
+const checksumLength = 64
+
+// Block describes one cache block at a store VM.
+type Block struct {
+	Key cachekey.Key
+	// Length is in bytes.
+	Length int
+	// Checksum is the hexadecimal SHA-256 sum of the content.
+	Checksum string
+	// Generation numbers the writes of the block.
+	Generation uint64
+}
+
+// Usable returns the leading blocks that may be imported for the wanted keys.
+// It stops at the first block that has another key, since a later block is
+// useless without the ones before it, or that lacks a length, checksum or
+// generation.
+func Usable(wanted []cachekey.Key, found []Block) []Block {
+	for i, block := range found {
+		if i >= len(wanted) || block.Key != wanted[i] || !complete(block) {
+			return found[:i]
+		}
+	}
+	return found
+}
+
+// Whole reports whether the written blocks are exactly the wanted ones.
+func Whole(wanted []cachekey.Key, written []Block) bool {
+	return len(written) == len(wanted) && len(Usable(wanted, written)) == len(wanted)
+}
+
+func complete(block Block) bool {
+	return block.Length > 0 && len(block.Checksum) == checksumLength && block.Generation > 0
+}
