fleet: groups, circuit, stores and load estimates

Cause: placement scanned all servers for each request, an old load report counted like a new one, and a server that came back received a herd. Conclusion: no decision changes yet.

--- /dev/null
+++ b/core/fleet/group.go
@@ -0,0 +1,81 @@
+package fleet
+
+import "time"
+
+// GroupKey names the servers that can serve the same requests.
+type GroupKey struct {
+	Role   Role
+	Serves string
+	// Weights is the weight version; 0 for plain services.
+	Weights int
+}
+
+// Group is the list of servers of one key, by identifier.
+type Group struct {
+	Servers []*Server
+	// Hold is the smoothed time for which an attempt occupies a slot.
+	Hold time.Duration
+}
+
+// holdWeight is the inverse weight of a new attempt in the smoothed hold time.
+const holdWeight = 8
+
+// NoteHold adds the duration of an attempt to the smoothed hold time.
+func (g *Group) NoteHold(took time.Duration) {
+	if g.Hold == 0 {
+		g.Hold = took
+		return
+	}
+	g.Hold += (took - g.Hold) / holdWeight
+}
+
+// Wait predicts how long a request waits for a slot behind ahead requests,
+// when this node uses the given number of slots on each server.
+func (g *Group) Wait(ahead, slots int) time.Duration {
+	total := len(g.Servers) * slots
+	if total == 0 {
+		return 0
+	}
+	return time.Duration(int64(g.Hold) * int64(ahead+1) / int64(total))
+}
+
+// Index finds servers by what they serve.
+type Index struct {
+	groups map[GroupKey]*Group
+}
+
+// Rebuild indexes the servers, which must be ordered by identifier. Groups
+// that still have servers keep their hold time.
+func (x *Index) Rebuild(servers []*Server) {
+	old := x.groups
+	x.groups = map[GroupKey]*Group{}
+	for _, server := range servers {
+		key := KeyOf(server)
+		group := x.groups[key]
+		if group == nil {
+			group = &Group{}
+			if before := old[key]; before != nil {
+				group.Hold = before.Hold
+			}
+			x.groups[key] = group
+		}
+		group.Servers = append(group.Servers, server)
+	}
+}
+
+// Group returns the servers of a key, or an empty group.
+func (x *Index) Group(key GroupKey) *Group {
+	if group := x.groups[key]; group != nil {
+		return group
+	}
+	return &Group{}
+}
+
+// KeyOf returns the key under which a server is indexed.
+func KeyOf(server *Server) GroupKey {
+	key := GroupKey{Role: server.Role, Serves: server.Serves}
+	if server.Role == RoleEngine {
+		key.Weights = server.Weights
+	}
+	return key
+}
--- /dev/null
+++ b/core/fleet/load.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// PrefillRate is the assumed speed of prompt work in tokens per second.
+	PrefillRate = 20000
+	// loadHalfLife is the age at which half of a reported load still counts.
+	// Other nodes keep sending work, so a report is not simply worked off.
+	loadHalfLife = 2 * time.Second
+)
+
+// ReportLoad stores a load that was reported at the given time, when own
+// prompt tokens of this node were in progress. It reports false and keeps the
+// stored load when that one is newer.
+func (s *Server) ReportLoad(load Load, at time.Time, own int) bool {
+	if at.Before(s.Load.ReportedAt) {
+		return false
+	}
+	s.Load = load
+	s.Load.ReportedAt = at
+	s.OwnAtReport = own
+	return true
+}
+
+// QueueTime estimates how long the server works before it starts a new
+// prompt: this node's prompt work, and the reported work of other nodes
+// discounted by the age of the report.
+func (s *Server) QueueTime(now time.Time) time.Duration {
+	others := max(s.Load.PrefillTokens-s.OwnAtReport, 0)
+	tokens := float64(s.PrefillTokens) + float64(others)*freshness(now.Sub(s.Load.ReportedAt))
+	return PrefillTime(tokens)
+}
+
+// Requests estimates the number of requests that the server has.
+func (s *Server) Requests(now time.Time) float64 {
+	reported := float64(s.Load.Running + s.Load.Waiting)
+	return float64(s.InFlight) + reported*freshness(now.Sub(s.Load.ReportedAt))
+}
+
+// PrefillTime returns the time that the prompt work of the tokens takes.
+func PrefillTime(tokens float64) time.Duration {
+	return time.Duration(tokens / PrefillRate * float64(time.Second))
+}
+
+func freshness(age time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(loadHalfLife))
+}
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -45,8 +45,21 @@
 	Load    Load
 	// InFlight counts this node's own attempts on the server.
 	InFlight int
+	// PrefillTokens counts the uncached prompt tokens of this node's attempts
+	// that have not produced a first token.
+	PrefillTokens int
+	// OwnAtReport is the value of PrefillTokens when Load was reported.
+	OwnAtReport int
+	// Suspects counts this node's attempts whose fingerprint is suspect.
+	Suspects int
 	// Failures counts failed attempts since the last good one.
 	Failures int
+	// LastFailure is when the last attempt failed.
+	LastFailure time.Time
+	// Evidence is when the attempt began whose success is being reported.
+	Evidence time.Time
+	// Slots bounds the attempts in flight while the server recovers.
+	Slots int
 	// ListedLeaving is true while the VM list says that the VM is leaving.
 	ListedLeaving bool
 	Chart         chart.Instance
--- /dev/null
+++ b/core/fleet/store.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"time"
+
+	"tanagerspread/chart"
+)
+
+const (
+	// defaultLinkRate is the assumed speed of a store's link in bytes per
+	// second before any transfer was measured.
+	defaultLinkRate = 1 << 30
+	// defaultBlockBytes is the assumed size of a cache block in bytes before
+	// any transfer was measured.
+	defaultBlockBytes = 64 << 20
+	// defaultHitShare is the assumed share of the planned blocks that a store
+	// has before any transfer was measured.
+	defaultHitShare = 0.5
+	// smoothing is the weight of a new measurement.
+	smoothing = 0.2
+	// minHitShare keeps a store that missed often in use for imports, so that
+	// its share can be measured again.
+	minHitShare = 0.05
+)
+
+// Store is one KV cache store as this node sees it.
+type Store struct {
+	ID      ServerID
+	Address string
+	Domain  Domain
+	// LinkRate is the estimated speed of the store's link in bytes per second.
+	LinkRate float64
+	// PendingBytes counts the planned transfers that are not finished.
+	PendingBytes int64
+	// BlockBytes is the estimated size of a cache block in bytes.
+	BlockBytes float64
+	// HitShare is the estimated share of planned blocks that the store has.
+	HitShare float64
+	// ListedLeaving is true while the VM list says that the VM is leaving.
+	ListedLeaving bool
+	Chart         chart.Instance
+}
+
+// Transfer is the measured result of an import.
+type Transfer struct {
+	Planned int
+	Found   int
+	Bytes   int64
+	Took    time.Duration
+}
+
+// NewStore returns a store without measurements.
+func NewStore(id ServerID) *Store {
+	return &Store{ID: id, LinkRate: defaultLinkRate, BlockBytes: defaultBlockBytes, HitShare: defaultHitShare}
+}
+
+// Note adds a measured transfer to the estimates.
+func (s *Store) Note(t Transfer) {
+	if t.Planned > 0 {
+		s.HitShare = max(smooth(s.HitShare, float64(t.Found)/float64(t.Planned)), minHitShare)
+	}
+	if t.Found > 0 && t.Bytes > 0 {
+		s.BlockBytes = smooth(s.BlockBytes, float64(t.Bytes)/float64(t.Found))
+	}
+	if t.Bytes > 0 && t.Took > 0 {
+		s.LinkRate = smooth(s.LinkRate, float64(t.Bytes)/t.Took.Seconds())
+	}
+}
+
+// TransferTime estimates the time to transfer the bytes behind the transfers
+// that are already planned.
+func (s *Store) TransferTime(bytes float64) time.Duration {
+	return time.Duration((float64(s.PendingBytes) + bytes) / s.LinkRate * float64(time.Second))
+}
+
+// Readable reports whether blocks may be imported from the store.
+func (s *Store) Readable() bool {
+	return s.Chart.State == "available" || s.Chart.State == "full"
+}
+
+// Writable reports whether blocks may be exported to the store.
+func (s *Store) Writable() bool {
+	return s.Chart.State == "available"
+}
+
+func smooth(old, measured float64) float64 {
+	return old + (measured-old)*smoothing
+}
