--- a/core/code/table.go
+++ b/core/code/table.go
@@ -30,6 +30,7 @@
 	RetriesExhausted       Code = 1309
 	RetriesExhaustedNotRun Code = 1310
 	AnswerTooLarge         Code = 1311
+	QuarantinedRan         Code = 1312
 	OrganisationLimit      Code = 1401
 	DeadlineTooShort       Code = 1402
 	DeadlinePassedNotRun   Code = 1403
@@ -100,6 +101,7 @@
 	{RetriesExhausted, "retries-exhausted", 503, Unknown, RetryLater, "the retry budget is used up after a failed attempt"},
 	{RetriesExhaustedNotRun, "retries-exhausted-not-run", 503, NotRun, RetryLater, "the retry budget is used up and no attempt reached a backend server"},
 	{AnswerTooLarge, "answer-too-large", 502, Unknown, RetryNever, "the answer is larger than the limit"},
+	{QuarantinedRan, "quarantined-ran", 502, Unknown, RetryNever, "the request crashed backend servers while it ran and is quarantined"},
 	{OrganisationLimit, "organisation-limit", 429, NotRun, RetryLater, "the organisation has reached its rate limit"},
 	{DeadlineTooShort, "deadline-too-short", 504, NotRun, RetryNever, "the predicted wait is longer than the caller's deadline"},
 	{DeadlinePassedNotRun, "deadline-passed-not-run", 504, NotRun, RetryLater, "the deadline passed before the request was dispatched"},
--- a/core/config/rules.go
+++ b/core/config/rules.go
@@ -30,6 +30,11 @@
 	Rate float64
 	// Burst is the number of requests allowed at once.
 	Burst int
+	// TokenRate is the allowed number of prompt tokens per second; 0 means no
+	// limit.
+	TokenRate float64
+	// TokenBurst is the number of prompt tokens allowed at once.
+	TokenBurst int
 	// Models lists the models and services that it may use; empty means all.
 	Models []string
 }
--- a/core/control/active.go
+++ b/core/control/active.go
@@ -8,6 +8,8 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
 )
 
@@ -18,6 +20,7 @@
 	machine      *chart.Machine[*active]
 	organisation request.Organisation
 	class        request.Class
+	fingerprint  quarantine.Fingerprint
 	rank         config.Class
 	scope        cachekey.Scope
 	prefix       []cachekey.Key
@@ -27,6 +30,8 @@
 	attempts   request.AttemptID
 	attempt    *attempt
 	avoid      []fleet.ServerID
+	// backoff is the delay before the next attempt.
+	backoff time.Duration
 	// ending is the refusal that is reported once the claim is released.
 	ending *code.Error
 }
@@ -37,6 +42,22 @@
 	server   *fleet.Server
 	position chart.Instance
 	began    time.Time
+	choice   placement.Choice
+	// store is the source of the planned import, or nil.
+	store *fleet.Store
+	// prefill is the part of the server's PrefillTokens that is due to the
+	// attempt; it is 0 after the first token.
+	prefill int
+	// firstAt is when the first token arrived, or zero.
+	firstAt time.Time
+	// ownAtFirst is the server's PrefillTokens when the first token arrived.
+	ownAtFirst int
+	// suspect is true when the attempt counts as a suspect on its server.
+	suspect bool
+	// denied is true when the node refused to send on the open connection.
+	denied bool
+	// deathNoted is true when the death of its server has been recorded.
+	deathNoted bool
 }
 
 // once reports whether the request must not be repeated.
--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -5,6 +5,8 @@
 
 	"tanagerspread/core/cachekey"
 	"tanagerspread/core/code"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
 )
 
@@ -46,10 +48,21 @@
 	if !a.Deadline.IsZero() && !a.Deadline.After(now) {
 		return code.New(code.DeadlinePassedNotRun, "the deadline passed before the request arrived")
 	}
+	a.fingerprint = quarantine.Of(a.organisation, a.Route, a.BodyDigest)
+	if s.quarantine.Quarantined(a.fingerprint) {
+		return code.New(code.Quarantined, "the request crashed backend servers and is quarantined")
+	}
+	return s.checkRates(now, a)
+}
+
+func (s *State) checkRates(now time.Time, a *active) *code.Error {
 	limit := s.rules.Organisations[a.organisation]
-	if !s.rates.Allow(a.organisation, limit.Rate, limit.Burst, now) {
+	if !s.rates.Allow(a.organisation, 1, limit.Rate, limit.Burst, now) {
 		return code.New(code.OrganisationLimit, "the organisation has reached its request rate")
 	}
+	if !s.tokenRates.Allow(a.organisation, a.PromptTokens, limit.TokenRate, limit.TokenBurst, now) {
+		return code.New(code.OrganisationLimit, "the organisation has reached its prompt token rate")
+	}
 	return nil
 }
 
@@ -158,7 +171,18 @@
 	}
 	s.version = m.Version
 	s.rules = m.Rules
+	s.policy = policyOf(m.Rules.Policy.Placement)
 	s.applyServerRules(now)
 	s.fireNode("configure", now)
 	s.assignQueued(now)
 }
+
+// policyOf returns the named policy. A name that no policy has is refused when
+// the rules are checked, so that here the default stands in for it.
+func policyOf(name string) placement.Policy {
+	policy, known := placement.ByName(name)
+	if !known {
+		return placement.Estimate{}
+	}
+	return policy
+}
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -3,30 +3,36 @@
 import (
 	"time"
 
+	"tanagerspread/chart"
 	"tanagerspread/core/code"
-	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/retry"
 )
 
 // maxAttempts bounds the attempts of one request.
 const maxAttempts = 4
 
 // beginAttemptAt prepares the attempt that the chart's action then begins.
-func (s *State) beginAttemptAt(now time.Time, a *active, server *fleet.Server) {
-	a.attempt = &attempt{id: a.attempts + 1, server: server, began: now}
+func (s *State) beginAttemptAt(now time.Time, a *active, choice placement.Choice) {
+	a.attempt = &attempt{id: a.attempts + 1, server: choice.Server, began: now, choice: choice}
+	if choice.Plan != nil {
+		a.attempt.store = s.stores[choice.Plan.Store]
+	}
 }
 
 func (s *State) beginAttempt(a *active, now time.Time) {
 	a.attempts++
 	a.attempt.position = s.charts.attempt.Start(now)
-	a.attempt.server.InFlight++
+	s.holdServer(a)
 }
 
-func (s *State) endAttempt(a *active, _ time.Time) {
+func (s *State) endAttempt(a *active, now time.Time) {
 	if a.attempt == nil {
 		return
 	}
-	a.attempt.server.InFlight--
+	s.group(a).NoteHold(now.Sub(a.attempt.began))
+	s.releaseServer(a)
 	a.attempt = nil
 }
 
@@ -55,8 +61,10 @@
 		s.refuse(m.Request, code.DeadlinePassedNotRun, "the deadline passed while the connection was opened")
 		return
 	}
-	if a.attempt.server.Chart.State == "leaving" {
-		s.dialFailed(now, a)
+	if a.attempt.server.Chart.State == "leaving" || s.quarantine.Quarantined(a.fingerprint) {
+		// The asker closes the connection and reports a failed dial.
+		a.attempt.denied = true
+		s.refuse(m.Request, code.DialRefused, "the request may no longer be sent to the backend server")
 		return
 	}
 	if !s.fireRequest(a, "connect", now) {
@@ -70,6 +78,9 @@
 func (s *State) firstToken(now time.Time, m FirstToken) {
 	if a, ok := s.current(messageAttempt{m.Request, m.Attempt}); ok {
 		s.fireAttempt(a, "receive", now)
+		s.releasePrefill(a.attempt)
+		a.attempt.firstAt = now
+		a.attempt.ownAtFirst = a.attempt.server.PrefillTokens
 	}
 }
 
@@ -80,12 +91,15 @@
 		s.refuseLate(m)
 		return
 	}
-	s.noteServer(now, a.attempt.server, m)
+	s.noteServer(now, a.attempt, m)
+	if m.Died {
+		s.serverDied(now, a.attempt)
+	}
 	switch m.Outcome {
 	case Succeeded:
 		s.answered(now, a)
 	case DialFailed:
-		s.fireAttempt(a, "fail", now)
+		s.fireAttempt(a, a.attempt.dialEvent(), now)
 		s.dialFailed(now, a)
 	case Rejected:
 		s.fireAttempt(a, "drop", now)
@@ -115,14 +129,24 @@
 		s.end(now, a, "expire", code.New(code.Internal, "the response arrived in an unexpected state"))
 		return
 	}
-	s.budget.Credit()
+	s.budget.Credit(a.organisation)
+	s.clearSuspicion(a)
 	s.reply(a.ID, Deliver{Record: a.once()})
 	s.forgetFinal(a)
 }
 
+// dialEvent blames the server for a failed dial unless the node itself denied
+// the use of the connection.
+func (at *attempt) dialEvent() chart.Event {
+	if at.denied {
+		return "drop"
+	}
+	return "fail"
+}
+
 // dialFailed repeats an attempt that never reached the backend server.
 func (s *State) dialFailed(now time.Time, a *active) {
-	a.avoid = append(a.avoid, a.attempt.server.ID)
+	s.prepareRetry(a)
 	s.fireRequest(a, "dial_failed", now)
 	s.follow(now, a, code.New(code.DialRefused, "no connection to a backend server could be opened"))
 }
@@ -130,14 +154,23 @@
 // attemptFailed repeats an attempt that failed after it was sent, when the
 // request's chart allows it.
 func (s *State) attemptFailed(now time.Time, a *active, event string, cause *code.Error) {
-	a.avoid = append(a.avoid, a.attempt.server.ID)
+	s.prepareRetry(a)
 	s.fireRequest(a, eventOf(event), now)
+	if s.quarantine.Quarantined(a.fingerprint) {
+		cause = code.New(code.QuarantinedRan, "the request crashed backend servers and is quarantined")
+	}
 	if cause == nil {
 		cause = code.New(code.BackendLost, "the backend server failed during the request")
 	}
 	s.follow(now, a, cause)
 }
 
+// prepareRetry sets what the next attempt avoids and when it may begin.
+func (s *State) prepareRetry(a *active) {
+	a.avoid = append(a.avoid, a.attempt.server.ID)
+	a.backoff = retry.Backoff(s.random, int(a.attempts))
+}
+
 // follow continues a request after a failed attempt according to the state
 // that its chart entered.
 func (s *State) follow(now time.Time, a *active, cause *code.Error) {
@@ -163,29 +196,38 @@
 	if int(a.attempts) >= maxAttempts {
 		return false
 	}
-	if !a.Deadline.IsZero() && !a.Deadline.After(now) {
+	if s.quarantine.Quarantined(a.fingerprint) {
 		return false
 	}
-	return s.budget.Left() >= 1
+	return retry.FitsDeadline(now, a.backoff, a.Deadline) && s.budget.Allows(a.organisation)
+}
+
+// spendRetry is the action of every further attempt.
+func (s *State) spendRetry(a *active, _ time.Time) {
+	s.options.Checker.Check(s.budget.Take(a.organisation), invariant.BudgetNotNegative, "request %s", a.ID)
 }
 
-// noteServer stores what a response said about its backend server.
-func (s *State) noteServer(now time.Time, server *fleet.Server, m AttemptDone) {
+// noteServer stores what a response said about its backend server. The load
+// is in the headers of the response, so it is as old as the first token.
+func (s *State) noteServer(now time.Time, at *attempt, m AttemptDone) {
 	if m.Load != nil {
-		server.Load = *m.Load
-		server.Load.ReportedAt = now
+		reported, own := now, at.server.PrefillTokens
+		if !at.firstAt.IsZero() {
+			reported, own = at.firstAt, at.ownAtFirst
+		}
+		at.server.ReportLoad(*m.Load, reported, own)
 	}
 	if m.Leaving {
-		s.fireServer(server, "leave", now)
+		s.fireServer(at.server, "leave", now)
 	}
 }
 
 func (s *State) creditServer(a *active, now time.Time) {
-	a.attempt.server.Failures = 0
+	a.attempt.server.Succeed(a.attempt.began)
 	s.fireServer(a.attempt.server, "succeed", now)
 }
 
 func (s *State) blameServer(a *active, now time.Time) {
-	a.attempt.server.Failures++
+	a.attempt.server.Fail(now)
 	s.fireServer(a.attempt.server, "fail", now)
 }
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -10,16 +10,13 @@
 	"tanagerspread/core/invariant"
 )
 
-// failureLimit is the number of failed attempts in a row that opens the
-// circuit of a backend server.
-const failureLimit = 3
-
 // machines holds the compiled chart of each kind of object.
 type machines struct {
 	request *chart.Machine[*active]
 	once    *chart.Machine[*active]
 	attempt *chart.Machine[*active]
 	server  *chart.Machine[*fleet.Server]
+	store   *chart.Machine[*fleet.Store]
 	node    *chart.Machine[*State]
 }
 
@@ -34,7 +31,10 @@
 	if s.charts.attempt, err = load(files, "attempt", s.attemptBindings()); err != nil {
 		return err
 	}
-	if s.charts.server, err = load(files, "server", serverBindings()); err != nil {
+	if s.charts.server, err = load(files, "server", s.serverBindings()); err != nil {
+		return err
+	}
+	if s.charts.store, err = load(files, "store", chart.Bindings[*fleet.Store]{}); err != nil {
 		return err
 	}
 	s.charts.node, err = load(files, "node", nodeBindings())
@@ -62,7 +62,7 @@
 			"begin_attempt":   s.beginAttempt,
 			"end_attempt":     s.endAttempt,
 			"mark_dispatched": s.markDispatched,
-			"spend_retry":     func(*active, time.Time) { s.budget.Take() },
+			"spend_retry":     s.spendRetry,
 			"mark_claimed":    func(a *active, _ time.Time) { a.claimed = true },
 		},
 	}
@@ -77,12 +77,16 @@
 	}
 }
 
-func serverBindings() chart.Bindings[*fleet.Server] {
+func (s *State) serverBindings() chart.Bindings[*fleet.Server] {
 	return chart.Bindings[*fleet.Server]{
 		Guards: map[string]func(*fleet.Server, time.Time) bool{
-			"failures_reached_limit": func(server *fleet.Server, _ time.Time) bool {
-				return server.Failures >= failureLimit
-			},
+			"failures_reached_limit": func(server *fleet.Server, _ time.Time) bool { return server.FailuresReachedLimit() },
+			"evidence_is_newer":      func(server *fleet.Server, _ time.Time) bool { return server.EvidenceIsNewer() },
+			"slots_restored":         func(server *fleet.Server, _ time.Time) bool { return server.Slots >= s.options.ServerSlots },
+		},
+		Actions: map[string]func(*fleet.Server, time.Time){
+			"start_recovery": func(server *fleet.Server, _ time.Time) { server.StartRecovery() },
+			"grow_slots":     func(server *fleet.Server, _ time.Time) { server.GrowSlots() },
 		},
 	}
 }
--- /dev/null
+++ b/core/control/circuit_test.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/request"
+)
+
+// open lets the circuit of the only server open and returns the time.
+func open(t *testing.T, s *State, now time.Time) time.Time {
+	for i := range fleet.FailureLimit {
+		now = now.Add(time.Millisecond)
+		r := completion(fmt.Sprintf("f%d", i), i, now.Add(time.Second))
+		d, ok := begin(t, s, now, r).(Dispatch)
+		if !ok {
+			t.Fatalf("request %s was not dispatched", r.ID)
+		}
+		connect(t, s, now, r.ID, d)
+		s.Handle(now, AttemptDone{Request: r.ID, Attempt: d.Attempt, Outcome: Lost})
+		s.Handle(now, Abandon{Request: r.ID})
+	}
+	if state := s.ordered[0].Chart.State; state != "open" {
+		t.Fatalf("server is %s after %d failures", state, fleet.FailureLimit)
+	}
+	return now
+}
+
+// TestOldSuccessKeepsCircuitOpen guards against an attempt that began before
+// the last failure closing the circuit.
+func TestOldSuccessKeepsCircuitOpen(t *testing.T) {
+	s := newState(t, 1, vms(1, 0, 0), rulesFor(4, ""))
+	old := completion("old", 0, time.Time{})
+	d := begin(t, s, testStart, old).(Dispatch)
+	connect(t, s, testStart, old.ID, d)
+	now := open(t, s, testStart)
+	now = now.Add(5 * time.Second)
+	s.Handle(now, Tick{})
+	if state := s.ordered[0].Chart.State; state != "probing" {
+		t.Fatalf("server is %s", state)
+	}
+	s.Handle(now, AttemptDone{Request: old.ID, Attempt: d.Attempt, Outcome: Succeeded})
+	if server := s.ordered[0]; server.Chart.State != "probing" || server.Failures == 0 {
+		t.Errorf("server is %s with %d failures after an old success", server.Chart.State, server.Failures)
+	}
+}
+
+// TestRecoveryIsGradual guards against a herd of requests at a server that has
+// just come back.
+func TestRecoveryIsGradual(t *testing.T) {
+	rules := rulesFor(4, "")
+	rules.Classes["urgent"] = config.Class{Queue: 100}
+	s := newState(t, 1, vms(1, 0, 0), rules)
+	now := open(t, s, testStart).Add(5 * time.Second)
+	sent := map[request.ID]Dispatch{}
+	collect := func(out Output) {
+		for _, reply := range out.Replies {
+			if d, ok := reply.Decision.(Dispatch); ok {
+				sent[reply.To] = d
+			}
+		}
+	}
+	collect(s.Handle(now, Tick{}))
+	for i := range 30 {
+		r := completion(fmt.Sprintf("w%d", i), 3, time.Time{})
+		s.Handle(now, Admit{Request: r})
+		collect(s.Handle(now, Place{Request: r.ID, PromptTokens: 10}))
+	}
+	for round, want := range []int{1, 2, 4, 4} {
+		if len(sent) != want {
+			t.Fatalf("round %d: %d attempts in flight, want %d", round, len(sent), want)
+		}
+		now = now.Add(time.Millisecond)
+		for id, d := range sent {
+			connect(t, s, now, id, d)
+			delete(sent, id)
+			collect(s.Handle(now, AttemptDone{Request: id, Attempt: d.Attempt, Outcome: Succeeded}))
+			break
+		}
+	}
+}
+
+// TestPredictedWait guards against a request that waits in the queue although
+// its deadline passes before a slot is free.
+func TestPredictedWait(t *testing.T) {
+	s := newState(t, 1, vms(1, 0, 0), rulesFor(4, ""))
+	s.group(&active{Request: completion("", 0, time.Time{}), scope: cachekey.Scope{Weights: 1}}).Hold = 8 * time.Second
+	for i := range testSlots {
+		begin(t, s, testStart, completion(fmt.Sprintf("b%d", i), 0, time.Time{}))
+	}
+	if d := begin(t, s, testStart, completion("long", 0, testStart.Add(time.Minute))); d != nil {
+		t.Fatalf("request with a long deadline: %+v", d)
+	}
+	refusal, ok := begin(t, s, testStart, completion("short", 1, testStart.Add(time.Second))).(Refusal)
+	if !ok || refusal.Err.Code != code.DeadlineTooShort {
+		t.Errorf("request with a short deadline: %+v", refusal)
+	}
+}
+
+// TestDeniedConnection guards against a request that is sent to a server that
+// began to leave, and against the loss of the next attempt: the question
+// about the connection is refused and the request is placed again later.
+func TestDeniedConnection(t *testing.T) {
+	list := vms(2, 0, 0)
+	s := newState(t, 1, list, rulesFor(4, ""))
+	r := completion("r", 0, time.Time{})
+	d := begin(t, s, testStart, r).(Dispatch)
+	for i := range list {
+		list[i].Leaving = list[i].ID == string(d.Server)
+	}
+	s.Handle(testStart, VMList{VMs: list})
+	refusal, ok := answer(t, s.Handle(testStart, Connected{Request: r.ID, Attempt: d.Attempt}), r.ID).(Refusal)
+	if !ok || refusal.Err.Code != code.DialRefused {
+		t.Fatalf("connected to a leaving server: %+v", refusal)
+	}
+	s.Handle(testStart, AttemptDone{Request: r.ID, Attempt: d.Attempt, Outcome: DialFailed})
+	next, ok := answer(t, s.Handle(testStart.Add(time.Second), Tick{}), r.ID).(Dispatch)
+	if !ok || next.Server == d.Server {
+		t.Errorf("second attempt: %+v", next)
+	}
+}
--- a/core/control/decision.go
+++ b/core/control/decision.go
@@ -6,6 +6,8 @@
 	"tanagerspread/core/cachekey"
 	"tanagerspread/core/code"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
 )
 
@@ -36,6 +38,10 @@
 	Server   fleet.ServerID
 	Address  string
 	Priority int
+	// Source tells where the cache blocks of the prompt are expected.
+	Source placement.Source
+	// Import is the plan of the source Import, or nil.
+	Import *placement.ImportPlan
 	// DialTimeout, HeaderTimeout and GapTimeout bound the waits for the
 	// connection, the response headers, and between two parts.
 	DialTimeout   time.Duration
@@ -86,7 +92,14 @@
 	Ready bool
 }
 
-func (NodeState) command() {}
+// PublishQuarantine stores quarantined fingerprints in the key-value service
+// and sends suspect ones to peers.
+type PublishQuarantine struct {
+	Entries []quarantine.Entry
+}
+
+func (NodeState) command()         {}
+func (PublishQuarantine) command() {}
 
 // Output is what one message led to.
 type Output struct {
--- a/core/control/dump.go
+++ b/core/control/dump.go
@@ -11,16 +11,19 @@
 
 // Dump is a copy of the control state. It holds no prompt, response or token.
 type Dump struct {
-	Node      string
-	Domain    fleet.Domain
-	State     string
-	At        time.Time
-	Version   config.Version
-	Requests  []RequestDump
-	Servers   []ServerDump
-	Waiting   int
-	Budget    float64
-	Decisions []Record
+	Node     string
+	Domain   fleet.Domain
+	State    string
+	At       time.Time
+	Version  config.Version
+	Requests []RequestDump
+	Servers  []ServerDump
+	Waiting  int
+	Budget   float64
+	// Suspects and Quarantined count fingerprints.
+	Suspects    int
+	Quarantined int
+	Decisions   []Record
 }
 
 // RequestDump describes one request in progress.
@@ -62,6 +65,7 @@
 		Budget:    s.budget.Left(),
 		Decisions: s.journal.list(),
 	}
+	d.Suspects, d.Quarantined = s.quarantine.Counts()
 	for _, a := range s.requests {
 		d.Requests = append(d.Requests, dumpRequest(a))
 	}
--- a/core/control/ending.go
+++ b/core/control/ending.go
@@ -28,6 +28,7 @@
 // conclude answers the open question of a request that ends without a
 // response. A claimed request is kept until its claim is released.
 func (s *State) conclude(a *active, err *code.Error) {
+	s.queue.Remove(a.ID)
 	err = s.checkTruth(a, err)
 	s.journal.add(a.position.Entered, a, "refuse", err.Detail)
 	if a.position.State == "releasing" {
--- /dev/null
+++ b/core/control/holding.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"tanagerspread/core/invariant"
+)
+
+// holdServer counts an attempt on its server and on the link of its store.
+func (s *State) holdServer(a *active) {
+	at := a.attempt
+	at.server.InFlight++
+	at.prefill = at.choice.Prefill
+	at.server.PrefillTokens += at.prefill
+	if at.store != nil {
+		at.store.PendingBytes += at.choice.Plan.ExpectedBytes
+	}
+	if s.quarantine.Suspect(a.fingerprint) {
+		s.holdSuspect(a)
+	}
+}
+
+// releaseServer undoes holdServer.
+func (s *State) releaseServer(a *active) {
+	at := a.attempt
+	at.server.InFlight--
+	s.releasePrefill(at)
+	if at.suspect {
+		at.server.Suspects--
+		s.suspectRuns[a.fingerprint]--
+		if s.suspectRuns[a.fingerprint] == 0 {
+			delete(s.suspectRuns, a.fingerprint)
+		}
+	}
+	notNegative := at.server.InFlight >= 0 && at.server.PrefillTokens >= 0 && at.server.Suspects >= 0
+	s.options.Checker.Check(notNegative, invariant.CountsNotNegative, "server %s", at.server.ID)
+}
+
+// releasePrefill ends the prompt work of an attempt and its use of a link.
+func (s *State) releasePrefill(at *attempt) {
+	at.server.PrefillTokens -= at.prefill
+	at.prefill = 0
+	if at.store != nil {
+		at.store.PendingBytes -= at.choice.Plan.ExpectedBytes
+		s.options.Checker.Check(at.store.PendingBytes >= 0, invariant.CountsNotNegative, "store %s", at.store.ID)
+		at.store = nil
+	}
+}
+
+// holdSuspect counts a running attempt as a suspect.
+func (s *State) holdSuspect(a *active) {
+	a.attempt.suspect = true
+	a.attempt.server.Suspects++
+	s.suspectRuns[a.fingerprint]++
+}
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -7,6 +7,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
 )
 
@@ -130,6 +131,21 @@
 	VMs []VM
 }
 
+// StoreReport reports the end of a transfer with a store.
+type StoreReport struct {
+	Store    fleet.ServerID
+	Transfer fleet.Transfer
+	// Failed is true when the store did not answer.
+	Failed bool
+	// Full is true when the store has no room.
+	Full bool
+}
+
+// QuarantineSeen reports fingerprints that other nodes published.
+type QuarantineSeen struct {
+	Entries []quarantine.Entry
+}
+
 // Drain starts the planned stop of the node.
 type Drain struct{}
 
@@ -162,16 +178,18 @@
 // Subject returns the identifier that the asker chose.
 func (m DumpState) Subject() request.ID { return m.ID }
 
-func (Admit) message()       {}
-func (ClaimResult) message() {}
-func (Place) message()       {}
-func (Connected) message()   {}
-func (FirstToken) message()  {}
-func (AttemptDone) message() {}
-func (Recorded) message()    {}
-func (Abandon) message()     {}
-func (Configure) message()   {}
-func (VMList) message()      {}
-func (Drain) message()       {}
-func (Tick) message()        {}
-func (DumpState) message()   {}
+func (Admit) message()          {}
+func (ClaimResult) message()    {}
+func (Place) message()          {}
+func (Connected) message()      {}
+func (FirstToken) message()     {}
+func (AttemptDone) message()    {}
+func (Recorded) message()       {}
+func (Abandon) message()        {}
+func (Configure) message()      {}
+func (VMList) message()         {}
+func (StoreReport) message()    {}
+func (QuarantineSeen) message() {}
+func (Drain) message()          {}
+func (Tick) message()           {}
+func (DumpState) message()      {}
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"tanagerspread/core/code"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
+	"tanagerspread/core/limits"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/request"
 )
@@ -29,18 +31,68 @@
 // enqueue assigns the request or lets it wait in the bounded queue of its
 // class.
 func (s *State) enqueue(now time.Time, a *active) {
-	if s.queue.Len() == 0 && s.assign(now, a) {
-		return
-	}
 	if !s.canServe(a) {
 		s.end(now, a, "refuse", s.noServer(a))
 		return
 	}
-	if !s.queue.Push(a.ID, string(a.class), a.rank.Priority, a.rank.Queue) {
+	ticket := s.ticket(now, a)
+	delayed := ticket.NotBefore.After(now)
+	ahead := s.queue.Ahead(ticket)
+	if !delayed && ahead == 0 && s.assign(now, a) == limits.Taken {
+		return
+	}
+	if s.waitsTooLong(now, a, ahead) {
+		s.end(now, a, "refuse", s.deadlineTooShort(a))
+		return
+	}
+	if !s.queue.Push(ticket, now) {
 		s.end(now, a, "refuse", s.queueFull(a))
 		return
 	}
-	s.assignQueued(now)
+	waiting := s.queue.Count(a.class)
+	s.options.Checker.Check(waiting <= a.rank.Queue, invariant.QueueBounded, "class %s: %d waiting", a.class, waiting)
+	if !delayed {
+		s.assignQueued(now)
+	}
+}
+
+func (s *State) ticket(now time.Time, a *active) limits.Ticket {
+	t := limits.Ticket{
+		ID:           a.ID,
+		Organisation: a.organisation,
+		Class:        a.class,
+		Priority:     a.rank.Priority,
+		Bound:        a.rank.Queue,
+		Lane:         a.lane(),
+		Tokens:       a.PromptTokens,
+	}
+	if a.backoff > 0 {
+		t.NotBefore = now.Add(a.backoff)
+	}
+	return t
+}
+
+// waitsTooLong predicts whether the deadline passes before a slot is free.
+func (s *State) waitsTooLong(now time.Time, a *active, ahead int) bool {
+	if a.Deadline.IsZero() {
+		return false
+	}
+	wait := s.group(a).Wait(ahead, s.options.ServerSlots)
+	return !now.Add(wait).Before(a.Deadline)
+}
+
+func (s *State) deadlineTooShort(a *active) *code.Error {
+	if a.mayHaveRun() {
+		return code.New(code.RetriesExhausted, "the predicted wait after a failed attempt is longer than the deadline")
+	}
+	return code.New(code.DeadlineTooShort, "the predicted wait is longer than the deadline")
+}
+
+func (s *State) quarantined(a *active) *code.Error {
+	if a.mayHaveRun() {
+		return code.New(code.QuarantinedRan, "the request crashed backend servers and is quarantined")
+	}
+	return code.New(code.Quarantined, "the request crashed backend servers and is quarantined")
 }
 
 func (s *State) noServer(a *active) *code.Error {
@@ -59,33 +111,51 @@
 
 // assignQueued assigns waiting requests in queue order until none fits.
 func (s *State) assignQueued(now time.Time) {
-	s.queue.Each(func(id request.ID) bool {
-		a, ok := s.requests[id]
-		if !ok {
-			return true
-		}
-		return s.assign(now, a)
+	if s.queue.Len() == 0 {
+		return
+	}
+	s.queue.Each(now, func(id request.ID) limits.Verdict {
+		return s.assign(now, s.requests[id])
 	})
 }
 
-// assign sends a queued request to a backend server. It reports false when
-// no server has room.
-func (s *State) assign(now time.Time, a *active) bool {
-	server := s.policy.Pick(now, s.query(a), s.eligible(a))
-	if server == nil {
-		return false
+// assign sends a queued request to a backend server or ends it when it is
+// quarantined.
+func (s *State) assign(now time.Time, a *active) limits.Verdict {
+	if s.quarantine.Quarantined(a.fingerprint) {
+		s.end(now, a, "refuse", s.quarantined(a))
+		return limits.Taken
 	}
-	if !s.options.Checker.Check(receivesWork(server), invariant.NoNewWork, "server %s", server.ID) {
-		return false
+	suspect := s.quarantine.Suspect(a.fingerprint)
+	if suspect && s.suspectRuns[a.fingerprint] > 0 {
+		return limits.Skipped
+	}
+	choice := s.policy.Pick(now, s.query(a), s.view(now, a, suspect))
+	if choice.Server == nil {
+		return verdictOnNone(a, suspect)
 	}
-	s.beginAttemptAt(now, a, server)
+	if !s.options.Checker.Check(choice.Server.ReceivesWork(), invariant.NoNewWork, "server %s", choice.Server.ID) {
+		return limits.Blocked
+	}
+	s.beginAttemptAt(now, a, choice)
 	if !s.fireRequest(a, "assign", now) {
 		a.attempt = nil
-		return false
+		return limits.Skipped
 	}
-	s.journal.add(now, a, "assign", string(server.ID))
+	s.placements++
+	s.recent.Note(now, a.prefix, choice.Server.ID)
+	s.journal.add(now, a, "assign", string(choice.Server.ID))
 	s.reply(a.ID, s.dispatch(a))
-	return true
+	return limits.Taken
+}
+
+// verdictOnNone tells whether other requests of the same lane may still find
+// a server.
+func verdictOnNone(a *active, suspect bool) limits.Verdict {
+	if suspect || len(a.avoid) > 0 {
+		return limits.Skipped
+	}
+	return limits.Blocked
 }
 
 func (s *State) dispatch(a *active) Dispatch {
@@ -94,6 +164,8 @@
 		Server:        a.attempt.server.ID,
 		Address:       a.attempt.server.Address,
 		Priority:      a.rank.Priority,
+		Source:        a.attempt.choice.Source,
+		Import:        a.attempt.choice.Plan,
 		DialTimeout:   s.charts.attempt.Timeout("dialing"),
 		HeaderTimeout: s.charts.attempt.Timeout("sent"),
 		GapTimeout:    s.charts.attempt.Timeout("receiving"),
@@ -101,54 +173,65 @@
 }
 
 func (s *State) query(a *active) placement.Query {
-	return placement.Query{
-		Serves:       a.Route.Name,
-		Weights:      a.scope.Weights,
-		PromptTokens: a.PromptTokens,
-		Prefix:       a.prefix,
-		Avoid:        a.avoid,
+	return placement.Query{PromptTokens: a.PromptTokens, Prefix: a.prefix, Avoid: a.avoid}
+}
+
+func (s *State) view(now time.Time, a *active, suspect bool) placement.View {
+	return placement.View{
+		Servers:   s.eligible(now, a, suspect),
+		Stores:    s.storeList,
+		Recent:    s.recent,
+		Turn:      s.placements,
+		LinkPrice: s.rules.Policy.LinkPrice,
 	}
 }
 
-// eligible lists the servers that may receive the request now.
-func (s *State) eligible(a *active) []*fleet.Server {
-	var out []*fleet.Server
-	for _, server := range s.ordered {
-		if serves(server, a) && receivesWork(server) && s.hasRoom(server) {
-			out = append(out, server)
+// eligible lists the servers that may receive the request now. The list is
+// valid until the next call. A suspect runs alone with respect to other
+// suspects of this node, so that a second death names one request.
+func (s *State) eligible(now time.Time, a *active, suspect bool) []*fleet.Server {
+	s.scratch = s.scratch[:0]
+	for _, server := range s.group(a).Servers {
+		if suspect && server.Suspects > 0 {
+			continue
+		}
+		if server.ReceivesWork() && server.HasRoom(s.options.ServerSlots) {
+			s.scratch = append(s.scratch, server)
 		}
 	}
-	return out
+	if suspect {
+		return s.isolate(now, a)
+	}
+	return s.scratch
 }
 
 // canServe reports whether any server could take the request once it has
-// room.
+// room. When only servers are left that failed an attempt of the request, it
+// may go to them again.
 func (s *State) canServe(a *active) bool {
-	for _, server := range s.ordered {
-		if serves(server, a) && server.Chart.State != "leaving" {
+	live := false
+	for _, server := range s.group(a).Servers {
+		if server.Chart.State == "leaving" {
+			continue
+		}
+		if !slices.Contains(a.avoid, server.ID) {
 			return true
 		}
+		live = true
 	}
-	return false
+	a.avoid = nil
+	return live
 }
 
-func (s *State) hasRoom(server *fleet.Server) bool {
-	if server.Chart.State == "probing" {
-		return server.InFlight == 0
-	}
-	return server.InFlight < s.options.ServerSlots
-}
-
-func receivesWork(server *fleet.Server) bool {
-	return server.Chart.State == "available" || server.Chart.State == "probing"
+// group returns the servers that can take the request.
+func (s *State) group(a *active) *fleet.Group {
+	return s.index.Group(a.lane())
 }
 
-func serves(server *fleet.Server, a *active) bool {
-	if server.Serves != a.Route.Name {
-		return false
-	}
+// lane names the servers that can take the request.
+func (a *active) lane() fleet.GroupKey {
 	if a.Route.Kind == request.Service {
-		return server.Role == fleet.RoleService
+		return fleet.GroupKey{Role: fleet.RoleService, Serves: a.Route.Name}
 	}
-	return server.Role == fleet.RoleEngine && server.Weights == a.scope.Weights
+	return fleet.GroupKey{Role: fleet.RoleEngine, Serves: a.Route.Name, Weights: a.scope.Weights}
 }
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -12,6 +12,7 @@
 // that said itself that it leaves stays out until it is listed as leaving and
 // then live again.
 func (s *State) vmList(now time.Time, m VMList) {
+	s.listStores(now, m)
 	listed := map[fleet.ServerID]bool{}
 	for _, vm := range m.VMs {
 		if vm.Role != fleet.RoleEngine && vm.Role != fleet.RoleService {
@@ -24,6 +25,7 @@
 		if !listed[id] {
 			s.fireServer(server, "remove", now)
 			delete(s.servers, id)
+			s.recent.Forget(id)
 		}
 	}
 	s.orderServers()
@@ -59,6 +61,7 @@
 		s.ordered = append(s.ordered, server)
 	}
 	sort.Slice(s.ordered, func(i, j int) bool { return s.ordered[i].ID < s.ordered[j].ID })
+	s.index.Rebuild(s.ordered)
 }
 
 func (s *State) applyServerRules(now time.Time) {
@@ -76,6 +79,16 @@
 	// An event that the chart refuses changes nothing, for example a second
 	// "leave" of a leaving server.
 	_ = s.charts.server.Fire(&server.Chart, server, event, now)
+	if server.Chart.State == "open" && server.Chart.Entered.Equal(now) {
+		s.spreadProbe(server)
+	}
+}
+
+// spreadProbe delays the probe by a random time, so that the nodes that saw
+// the same failure do not all probe at once.
+func (s *State) spreadProbe(server *fleet.Server) {
+	timeout := s.charts.server.Timeout("open")
+	server.Chart.Deadline = server.Chart.Entered.Add(timeout + time.Duration(s.random.Int64N(int64(timeout))))
 }
 
 func (s *State) fireAttempt(a *active, event chart.Event, now time.Time) {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -15,6 +15,7 @@
 	"tanagerspread/core/invariant"
 	"tanagerspread/core/limits"
 	"tanagerspread/core/placement"
+	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
 	"tanagerspread/core/retry"
 )
@@ -45,27 +46,45 @@
 	servers  map[fleet.ServerID]*fleet.Server
 	// ordered lists the servers by identifier.
 	ordered []*fleet.Server
-	queue   *limits.Queue
-	rates   *limits.Rates
-	budget  *retry.Budget
-	policy  placement.Policy
-	journal journal
-	out     Output
+	index   fleet.Index
+	// scratch holds the eligible servers during one placement.
+	scratch []*fleet.Server
+	stores  map[fleet.ServerID]*fleet.Store
+	// storeList lists the stores by identifier.
+	storeList  []*fleet.Store
+	recent     *placement.Recent
+	placements uint64
+	queue      *limits.Queue
+	rates      *limits.Rates
+	tokenRates *limits.Rates
+	budget     *retry.Budgets
+	quarantine *quarantine.List
+	// suspectRuns counts the running attempts of each suspect fingerprint.
+	suspectRuns map[quarantine.Fingerprint]int
+	policy      placement.Policy
+	journal     journal
+	out         Output
 }
 
 // New returns the state of a node that starts at now. It returns an error
 // when a chart cannot be loaded.
 func New(options Options, now time.Time) (*State, error) {
 	s := &State{
-		options:  options,
-		random:   rand.New(rand.NewPCG(options.Seed, options.Seed)),
-		requests: map[request.ID]*active{},
-		servers:  map[fleet.ServerID]*fleet.Server{},
-		queue:    limits.NewQueue(),
-		rates:    limits.NewRates(),
-		budget:   retry.NewBudget(),
-		policy:   placement.LeastLoad{},
+		options:     options,
+		random:      rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		requests:    map[request.ID]*active{},
+		servers:     map[fleet.ServerID]*fleet.Server{},
+		stores:      map[fleet.ServerID]*fleet.Store{},
+		recent:      placement.NewRecent(),
+		queue:       limits.NewQueue(),
+		rates:       limits.NewRates(),
+		tokenRates:  limits.NewRates(),
+		budget:      retry.NewBudgets(),
+		quarantine:  quarantine.NewList(),
+		suspectRuns: map[quarantine.Fingerprint]int{},
+		policy:      placement.Estimate{},
 	}
+	s.placements = s.random.Uint64()
 	if err := s.loadCharts(options.Charts); err != nil {
 		return nil, fmt.Errorf("load charts: %w", err)
 	}
@@ -104,6 +123,10 @@
 		s.configure(now, m)
 	case VMList:
 		s.vmList(now, m)
+	case StoreReport:
+		s.storeReport(now, m)
+	case QuarantineSeen:
+		s.quarantineSeen(now, m)
 	case Drain:
 		s.fireNode("drain", now)
 	case Tick:
@@ -130,6 +153,8 @@
 func (s *State) tick(now time.Time) {
 	s.expireNode(now)
 	s.expireServers(now)
+	s.expireStores(now)
+	s.quarantine.Expire(now)
 	s.expireRequests(now)
 	s.assignQueued(now)
 }
--- /dev/null
+++ b/core/control/stores.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/fleet"
+)
+
+// listStores takes over the stores of the VM list.
+func (s *State) listStores(now time.Time, m VMList) {
+	listed := map[fleet.ServerID]bool{}
+	for _, vm := range m.VMs {
+		if vm.Role == fleet.RoleStore {
+			listed[fleet.ServerID(vm.ID)] = true
+			s.noteStore(now, vm)
+		}
+	}
+	s.storeList = s.storeList[:0]
+	for id, store := range s.stores {
+		if !listed[id] {
+			s.fireStore(store, "remove", now)
+			delete(s.stores, id)
+			continue
+		}
+		s.storeList = append(s.storeList, store)
+	}
+	sort.Slice(s.storeList, func(i, j int) bool { return s.storeList[i].ID < s.storeList[j].ID })
+}
+
+func (s *State) noteStore(now time.Time, vm VM) {
+	id := fleet.ServerID(vm.ID)
+	store, known := s.stores[id]
+	if !known || store.Address != vm.Address {
+		store = fleet.NewStore(id)
+		store.Chart = s.charts.store.Start(now)
+		s.stores[id] = store
+	}
+	store.Address = vm.Address
+	store.Domain = vm.Domain
+	if vm.Leaving != store.ListedLeaving {
+		store.ListedLeaving = vm.Leaving
+		if vm.Leaving {
+			s.fireStore(store, "leave", now)
+		} else {
+			s.fireStore(store, "return", now)
+		}
+	}
+}
+
+// storeReport corrects the estimates of a store by a finished transfer.
+func (s *State) storeReport(now time.Time, m StoreReport) {
+	store, known := s.stores[m.Store]
+	if !known {
+		return
+	}
+	if m.Failed {
+		s.fireStore(store, "fail", now)
+		return
+	}
+	store.Note(m.Transfer)
+	if m.Full {
+		s.fireStore(store, "fill", now)
+	}
+}
+
+func (s *State) fireStore(store *fleet.Store, event chart.Event, now time.Time) {
+	// An event that the chart refuses changes nothing, for example a failed
+	// transfer of a leaving store.
+	_ = s.charts.store.Fire(&store.Chart, store, event, now)
+}
+
+func (s *State) expireStores(now time.Time) {
+	for _, store := range s.storeList {
+		_, _ = s.charts.store.Expire(&store.Chart, store, now)
+	}
+}
--- /dev/null
+++ b/core/control/suspects.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/quarantine"
+)
+
+// isolationWait is the longest time for which a suspect waits for a server
+// that no suspect of another node may use.
+const isolationWait = 3 * time.Second
+
+// serverDied records the death of a server once for all requests that this
+// node had in progress there.
+func (s *State) serverDied(now time.Time, at *attempt) {
+	if at.deathNoted {
+		return
+	}
+	s.recent.Forget(at.server.ID)
+	var runs []quarantine.Run
+	for _, a := range s.victims(at) {
+		a.attempt.deathNoted = true
+		runs = append(runs, quarantine.Run{Fingerprint: a.fingerprint, Began: a.attempt.began})
+	}
+	changed := s.quarantine.Died(now, at.server.ID, runs)
+	if len(changed) == 0 {
+		return
+	}
+	s.command(PublishQuarantine{Entries: changed})
+	s.holdNewSuspects()
+}
+
+// victims lists the requests that were sent to the server of the attempt, by
+// identifier.
+func (s *State) victims(at *attempt) []*active {
+	var out []*active
+	for _, a := range s.requests {
+		if a.attempt != nil && a.attempt.server == at.server && sent(a.attempt) {
+			out = append(out, a)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+func sent(at *attempt) bool {
+	return at.position.State == "sent" || at.position.State == "receiving"
+}
+
+// holdNewSuspects counts running attempts whose fingerprint has become
+// suspect.
+func (s *State) holdNewSuspects() {
+	for _, a := range s.requests {
+		if a.attempt != nil && !a.attempt.suspect && s.quarantine.Suspect(a.fingerprint) {
+			s.holdSuspect(a)
+		}
+	}
+}
+
+// quarantineSeen adds the entries of another node.
+func (s *State) quarantineSeen(now time.Time, m QuarantineSeen) {
+	changed := false
+	for _, e := range m.Entries[:min(len(m.Entries), quarantine.MaxShared)] {
+		if s.quarantine.Seen(now, e) {
+			changed = true
+		}
+	}
+	if changed {
+		s.holdNewSuspects()
+		s.assignQueued(now)
+	}
+}
+
+// clearSuspicion ends the suspicion against a request that ran to its end.
+func (s *State) clearSuspicion(a *active) {
+	if s.quarantine.Clear(a.fingerprint) {
+		s.command(PublishQuarantine{Entries: []quarantine.Entry{{Fingerprint: a.fingerprint, Kind: quarantine.Cleared}}})
+	}
+}
+
+// isolate keeps one of the eligible servers for a suspect, so that suspects of
+// different nodes do not meet on a server: only the suspect with the highest
+// rendezvous weight may use a server. A suspect without such a server waits,
+// but not longer than isolationWait.
+func (s *State) isolate(now time.Time, a *active) []*fleet.Server {
+	suspects, _ := s.quarantine.Counts()
+	strict := suspects <= len(s.group(a).Servers) && now.Sub(a.position.Entered) < isolationWait
+	var best *fleet.Server
+	var highest uint64
+	for _, server := range s.scratch {
+		weight := func(f quarantine.Fingerprint) uint64 { return suspectWeight(f, server.ID) }
+		if slices.Contains(a.avoid, server.ID) || strict && !s.quarantine.First(a.fingerprint, weight) {
+			continue
+		}
+		if own := weight(a.fingerprint); best == nil || own > highest {
+			best = server
+			highest = own
+		}
+	}
+	s.scratch = s.scratch[:0]
+	if best != nil {
+		s.scratch = append(s.scratch, best)
+	}
+	return s.scratch
+}
+
+func suspectWeight(f quarantine.Fingerprint, server fleet.ServerID) uint64 {
+	var key cachekey.Key
+	copy(key[:], f[:])
+	return placement.Weight(key, server)
+}
--- a/core/invariant/invariant.go
+++ b/core/invariant/invariant.go
@@ -18,6 +18,9 @@
 	NotRunIsTrue       Name = "request reported as not run was not dispatched"
 	ChartAllows        Name = "chart allows the event"
 	DrainCutsNothing   Name = "node stops only when no request is in progress"
+	CountsNotNegative  Name = "counts of work in progress are never negative"
+	BudgetNotNegative  Name = "retry budget is never negative"
+	QueueBounded       Name = "queue of a class stays within its bound"
 	VerifiedBlocksOnly Name = "imported block passed verification"
 )
 
--- /dev/null
+++ b/core/limits/queue_test.go
@@ -0,0 +1,134 @@
+package limits
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/request"
+)
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func ticket(id, organisation string, tokens int) Ticket {
+	return Ticket{ID: request.ID(id), Organisation: request.Organisation(organisation), Class: "c", Bound: 2000, Tokens: tokens}
+}
+
+func takeAll(q *Queue, at time.Time) []request.ID {
+	var out []request.ID
+	q.Each(at, func(id request.ID) Verdict {
+		out = append(out, id)
+		return Taken
+	})
+	return out
+}
+
+// TestFairness guards against a large organisation that delays a small one.
+func TestFairness(t *testing.T) {
+	q := NewQueue()
+	for i := range 100 {
+		q.Push(ticket(fmt.Sprintf("large%d", i), "large", 1000), now)
+	}
+	for i := range 3 {
+		q.Push(ticket(fmt.Sprintf("small%d", i), "small", 1000), now)
+	}
+	if ahead := q.Ahead(ticket("x", "other", 1)); ahead != 2 {
+		t.Errorf("ahead of another organisation: %d, want the first of each", ahead)
+	}
+	for i, id := range takeAll(q, now)[:6] {
+		if want := []string{"large0", "small0", "large1", "small1", "large2", "small2"}[i]; string(id) != want {
+			t.Errorf("position %d: %s, want %s", i, id, want)
+		}
+	}
+}
+
+// TestOrder guards against a class that overtakes a more urgent one, and
+// against blocked servers that hold up requests for others.
+func TestOrder(t *testing.T) {
+	q := NewQueue()
+	slow := ticket("slow", "a", 1)
+	slow.Priority = 1
+	q.Push(slow, now)
+	q.Push(ticket("urgent", "a", 1), now)
+	other := ticket("other", "a", 1)
+	other.Priority = 2
+	other.Lane = fleet.GroupKey{Serves: "m2"}
+	q.Push(other, now)
+	var seen []request.ID
+	q.Each(now, func(id request.ID) Verdict {
+		seen = append(seen, id)
+		if id == "other" {
+			return Taken
+		}
+		return Blocked
+	})
+	if fmt.Sprint(seen) != "[urgent other]" || q.Len() != 2 {
+		t.Errorf("offered %v, %d left", seen, q.Len())
+	}
+	if got := fmt.Sprint(takeAll(q, now)); got != "[urgent slow]" {
+		t.Errorf("order %s", got)
+	}
+}
+
+// TestLongQueue guards against a pass that visits each of 1,000 waiting
+// requests although the servers are full, and against an overfull class.
+func TestLongQueue(t *testing.T) {
+	q := NewQueue()
+	for i := range 1000 {
+		item := ticket(fmt.Sprint(i), fmt.Sprint(i%7), 10)
+		item.Bound = 1000
+		q.Push(item, now)
+	}
+	full := ticket("x", "a", 1)
+	full.Bound = 1000
+	if q.Push(full, now) {
+		t.Error("a full class took a request")
+	}
+	offered := 0
+	q.Each(now, func(request.ID) Verdict {
+		offered++
+		return Blocked
+	})
+	if offered != 1 {
+		t.Errorf("%d requests offered", offered)
+	}
+	for i := range 1000 {
+		if !q.Remove(request.ID(fmt.Sprint(i))) {
+			t.Fatalf("request %d was lost", i)
+		}
+	}
+	if q.Len() != 0 || q.Count("c") != 0 || q.Remove("0") {
+		t.Error("the queue is not empty")
+	}
+}
+
+// TestBackoff guards against a retry before its backoff has ended.
+func TestBackoff(t *testing.T) {
+	q := NewQueue()
+	late := ticket("late", "a", 1)
+	late.NotBefore = now.Add(time.Second)
+	q.Push(late, now)
+	q.Push(ticket("early", "a", 1), now)
+	if got := fmt.Sprint(takeAll(q, now)); got != "[early]" {
+		t.Errorf("before the end: %s", got)
+	}
+	if got := fmt.Sprint(takeAll(q, now.Add(time.Second))); got != "[late]" {
+		t.Errorf("after the end: %s", got)
+	}
+}
+
+// TestTokenRate guards against an organisation above its token rate, and
+// against a prompt longer than the burst that is never admitted.
+func TestTokenRate(t *testing.T) {
+	r := NewRates()
+	if !r.Allow("a", 5000, 1000, 1000, now) {
+		t.Error("a long prompt was refused with a full bucket")
+	}
+	if r.Allow("a", 500, 1000, 1000, now.Add(400*time.Millisecond)) {
+		t.Error("500 tokens were allowed after 0.4 s at 1,000 tokens/s")
+	}
+	if !r.Allow("a", 500, 1000, 1000, now.Add(600*time.Millisecond)) || !r.Allow("b", 500, 1000, 1000, now) {
+		t.Error("tokens within the rate were refused")
+	}
+}
--- a/core/limits/rates.go
+++ b/core/limits/rates.go
@@ -8,7 +8,7 @@
 	"tanagerspread/core/request"
 )
 
-// Rates bounds the request rate of each organisation.
+// Rates bounds a rate of each organisation.
 type Rates struct {
 	limiters map[request.Organisation]*rate.Limiter
 }
@@ -18,9 +18,10 @@
 	return &Rates{limiters: map[request.Organisation]*rate.Limiter{}}
 }
 
-// Allow reports whether the organisation may start a request now. The rate is
-// in requests per second; a rate of 0 means no limit.
-func (r *Rates) Allow(organisation request.Organisation, perSecond float64, burst int, now time.Time) bool {
+// Allow reports whether the organisation may use count units now, and uses
+// them. The rate is in units per second; a rate of 0 means no limit. A count
+// above the burst needs a full bucket.
+func (r *Rates) Allow(organisation request.Organisation, count int, perSecond float64, burst int, now time.Time) bool {
 	if perSecond <= 0 {
 		return true
 	}
@@ -33,5 +34,5 @@
 		limiter.SetLimitAt(now, rate.Limit(perSecond))
 		limiter.SetBurstAt(now, burst)
 	}
-	return limiter.AllowN(now, 1)
+	return limiter.AllowN(now, min(count, burst))
 }
--- /dev/null
+++ b/core/placement/estimate.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"time"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/fleet"
+)
+
+// preferredShares are the shares of a prefix that its preferred servers are
+// expected to hold when this node has not sent the prefix lately: other nodes
+// send it to the same servers, and to the first one most often.
+var preferredShares = [preferredServers]float64{0.3, 0.2, 0.1}
+
+// mebibyte is the unit of the link price in bytes.
+const mebibyte = 1 << 20
+
+// Estimate picks the server with the lowest estimated time to first token
+// plus the price of the link bytes.
+type Estimate struct{}
+
+// option is one way to serve a request, with its score.
+type option struct {
+	Choice
+	score time.Duration
+}
+
+// Pick compares warm cache, import and recomputation on each server.
+func (Estimate) Pick(now time.Time, query Query, view View) Choice {
+	var preferred [preferredServers]*fleet.Server
+	var store *fleet.Store
+	if len(query.Prefix) > 0 {
+		preferred = Preferred(query, view.Servers)
+		store = ImportStore(query.Prefix[0], view.Stores)
+	}
+	var best option
+	fewest := 0.0
+	for i := range view.Servers {
+		server := view.at(i)
+		if avoided(query, server) {
+			continue
+		}
+		next := local(now, query, view, server, preferred)
+		if store != nil {
+			next = cheaper(next, imported(now, query, view, server, store))
+		}
+		requests := server.Requests(now)
+		if best.Server == nil || next.score < best.score || next.score == best.score && requests < fewest {
+			best = next
+			fewest = requests
+		}
+	}
+	if best.Source == Import {
+		best.Plan = plan(now, query, view, best.Server, store)
+	}
+	return best.Choice
+}
+
+func cheaper(a, b option) option {
+	if b.Server != nil && b.score < a.score {
+		return b
+	}
+	return a
+}
+
+// local scores a server with what its own cache is expected to hold.
+func local(now time.Time, query Query, view View, server *fleet.Server, preferred [preferredServers]*fleet.Server) option {
+	cached := float64(view.Recent.Blocks(now, query.Prefix, server.ID) * cachekey.BlockTokens)
+	source := Recompute
+	if cached > 0 {
+		source = Warm
+	}
+	for rank := range preferred {
+		if preferred[rank] == server {
+			cached = max(cached, preferredShares[rank]*float64(len(query.Prefix)*cachekey.BlockTokens))
+		}
+	}
+	prefill := max(float64(query.PromptTokens)-cached, 0)
+	total := server.QueueTime(now) + fleet.PrefillTime(prefill)
+	return option{Choice{Server: server, Source: source, Prefill: int(prefill), FirstToken: total}, total}
+}
+
+// imported scores a server that fetches the blocks it lacks from a store. The
+// transfer runs while the request waits for the prompt work before it.
+func imported(now time.Time, query Query, view View, server *fleet.Server, store *fleet.Store) option {
+	held := view.Recent.Blocks(now, query.Prefix, server.ID)
+	missing := len(query.Prefix) - held
+	if missing == 0 {
+		return option{}
+	}
+	found := float64(missing) * store.HitShare
+	bytes := found * store.BlockBytes
+	prefill := max(float64(query.PromptTokens)-(float64(held)+found)*cachekey.BlockTokens, 0)
+	first := max(server.QueueTime(now), store.TransferTime(bytes)) + fleet.PrefillTime(prefill)
+	price := time.Duration(bytes / mebibyte * float64(view.LinkPrice))
+	return option{Choice{Server: server, Source: Import, Prefill: int(prefill), FirstToken: first}, first + price}
+}
+
+func plan(now time.Time, query Query, view View, server *fleet.Server, store *fleet.Store) *ImportPlan {
+	held := view.Recent.Blocks(now, query.Prefix, server.ID)
+	keys := query.Prefix[held:]
+	return &ImportPlan{
+		Store:         store.ID,
+		Address:       store.Address,
+		Keys:          keys,
+		ExpectedBytes: int64(float64(len(keys)) * store.BlockBytes),
+	}
+}
--- a/core/placement/leastload.go
+++ b/core/placement/leastload.go
@@ -10,29 +10,21 @@
 type LeastLoad struct{}
 
 // Pick returns the server with the fewest running, waiting and in-flight
-// requests; the first one wins a tie.
-func (LeastLoad) Pick(_ time.Time, query Query, servers []*fleet.Server) *fleet.Server {
+// requests. The turn decides a tie, so that nodes do not all pick the same
+// idle server.
+func (LeastLoad) Pick(now time.Time, query Query, view View) Choice {
 	var best *fleet.Server
-	for _, server := range servers {
+	fewest := 0.0
+	for i := range view.Servers {
+		server := view.at(i)
 		if avoided(query, server) {
 			continue
 		}
-		if best == nil || requests(server) < requests(best) {
+		requests := server.Requests(now)
+		if best == nil || requests < fewest {
 			best = server
+			fewest = requests
 		}
 	}
-	return best
-}
-
-func avoided(query Query, server *fleet.Server) bool {
-	for _, id := range query.Avoid {
-		if id == server.ID {
-			return true
-		}
-	}
-	return false
-}
-
-func requests(server *fleet.Server) int {
-	return server.InFlight + server.Load.Running + server.Load.Waiting
+	return recompute(best, query)
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -11,22 +11,107 @@
 
 // Query is the request to be placed.
 type Query struct {
-	Kind         string
-	Serves       string
-	Weights      int
 	PromptTokens int
 	Prefix       []cachekey.Key
 	// Avoid lists servers that already failed an attempt of the request.
 	Avoid []fleet.ServerID
 }
 
-// Candidate is a backend server that passed the filters.
-type Candidate struct {
+// View is what a policy may look at. A policy changes none of it.
+type View struct {
+	// Servers lists the servers that may receive the request, by identifier.
+	Servers []*fleet.Server
+	// Stores lists all stores, by identifier.
+	Stores []*fleet.Store
+	Recent *Recent
+	// Turn counts the placements of this node from a random start.
+	Turn uint64
+	// LinkPrice is the time that a transferred mebibyte is worth.
+	LinkPrice time.Duration
+}
+
+// at returns the server at a position behind the turn.
+func (v View) at(i int) *fleet.Server {
+	count := uint64(len(v.Servers))
+	return v.Servers[(v.Turn%count+uint64(i))%count]
+}
+
+// Source tells where the cache blocks of a prompt are expected to come from.
+type Source int
+
+// The sources of cache blocks.
+const (
+	// Recompute means that the whole prompt is computed.
+	Recompute Source = iota + 1
+	// Warm means that the server holds a part of the prompt in its cache.
+	Warm
+	// Import means that blocks are fetched from a store.
+	Import
+)
+
+// ImportPlan tells a server which blocks to fetch from a store.
+type ImportPlan struct {
+	Store   fleet.ServerID
+	Address string
+	Keys    []cachekey.Key
+	// ExpectedBytes is the estimated size of all listed blocks.
+	ExpectedBytes int64
+}
+
+// Choice is the result of a policy. Its Server is nil when none is fit.
+type Choice struct {
 	Server *fleet.Server
-	Score  time.Duration
+	Source Source
+	// Plan is set when the source is Import.
+	Plan *ImportPlan
+	// Prefill is the expected number of prompt tokens to compute.
+	Prefill int
+	// FirstToken is the estimated time to the first token.
+	FirstToken time.Duration
 }
 
-// Policy picks a server, or nil when none is fit.
+// Policy picks a server.
 type Policy interface {
-	Pick(now time.Time, query Query, servers []*fleet.Server) *fleet.Server
+	Pick(now time.Time, query Query, view View) Choice
+}
+
+// The names of the policies in the rules.
+const (
+	NameEstimate   = "estimate"
+	NameRoundRobin = "round-robin"
+	NameLeastLoad  = "least-load"
+	NameSticky     = "sticky"
+)
+
+// ByName returns the policy that the rules name; the empty name selects
+// estimate. It reports false when no policy has the name.
+func ByName(name string) (Policy, bool) {
+	switch name {
+	case "", NameEstimate:
+		return Estimate{}, true
+	case NameRoundRobin:
+		return RoundRobin{}, true
+	case NameLeastLoad:
+		return LeastLoad{}, true
+	case NameSticky:
+		return Sticky{}, true
+	}
+	return nil, false
+}
+
+func avoided(query Query, server *fleet.Server) bool {
+	for _, id := range query.Avoid {
+		if id == server.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// recompute is the choice of a policy that does not look at caches.
+func recompute(server *fleet.Server, query Query) Choice {
+	if server == nil {
+		return Choice{}
+	}
+	return Choice{Server: server, Source: Recompute, Prefill: query.PromptTokens}
 }
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,171 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/fleet"
+)
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func servers(n int) []*fleet.Server {
+	var out []*fleet.Server
+	for i := range n {
+		out = append(out, &fleet.Server{ID: fleet.ServerID(fmt.Sprintf("s%02d", i))})
+	}
+	return out
+}
+
+func store(id string, state chart.State) *fleet.Store {
+	s := fleet.NewStore(fleet.ServerID(id))
+	s.Chart.State = state
+	return s
+}
+
+func keys(root byte, n int) []cachekey.Key {
+	var out []cachekey.Key
+	for i := range n {
+		out = append(out, cachekey.Key{root, byte(i)})
+	}
+	return out
+}
+
+// TestEstimate guards against a wrong choice between warm cache, import and
+// recomputation.
+func TestEstimate(t *testing.T) {
+	prefix := keys(1, 10)
+	query := Query{PromptTokens: 20500, Prefix: prefix}
+	cases := map[string]struct {
+		sent    bool
+		busy    int
+		age     time.Duration
+		rate    float64
+		price   time.Duration
+		want    Source
+		sameOne bool
+	}{
+		"warm server":                     {sent: true, want: Warm, sameOne: true},
+		"busy warm server":                {sent: true, busy: 100000, want: Recompute},
+		"busy warm server and fast link":  {sent: true, busy: 100000, rate: 8 << 30, want: Import},
+		"warm server with an old report":  {sent: true, busy: 100000, age: time.Minute, want: Warm, sameOne: true},
+		"fast link":                       {rate: 8 << 30, want: Import},
+		"slow link":                       {rate: 1 << 20, want: Recompute},
+		"fast link with a price on bytes": {rate: 8 << 30, price: 100 * time.Millisecond, want: Recompute},
+	}
+	for name, c := range cases {
+		view := View{Servers: servers(10), Recent: NewRecent(), LinkPrice: c.price}
+		if c.rate > 0 {
+			view.Stores = []*fleet.Store{store("k0", "available")}
+			view.Stores[0].LinkRate = c.rate
+			view.Stores[0].HitShare = 0.9
+		}
+		if c.sent {
+			view.Recent.Note(now, prefix, "s05")
+		}
+		view.Servers[5].ReportLoad(fleet.Load{PrefillTokens: c.busy}, now.Add(-c.age), 0)
+		got := Estimate{}.Pick(now, query, view)
+		if got.Source != c.want || c.sent && (got.Server.ID == "s05") != c.sameOne {
+			t.Errorf("%s: source %d on %s after %v", name, got.Source, got.Server.ID, got.FirstToken)
+		}
+		if (got.Plan != nil) != (c.want == Import) || got.Plan != nil && len(got.Plan.Keys) != 10 {
+			t.Errorf("%s: plan %+v", name, got.Plan)
+		}
+	}
+}
+
+// TestEstimateSpreads guards against all prefixes, or a busy prefix, on one
+// server.
+func TestEstimateSpreads(t *testing.T) {
+	view := View{Servers: servers(10), Recent: NewRecent()}
+	used := map[fleet.ServerID]int{}
+	for i := range 100 {
+		prefix := keys(byte(i), 5)
+		got := Estimate{}.Pick(now, Query{PromptTokens: 10000, Prefix: prefix}, view)
+		if again := (Estimate{}).Pick(now, Query{PromptTokens: 10000, Prefix: prefix}, view); again.Server != got.Server {
+			t.Fatalf("prefix %d: %s and then %s", i, got.Server.ID, again.Server.ID)
+		}
+		used[got.Server.ID]++
+	}
+	if len(used) != 10 {
+		t.Errorf("servers used by 100 prefixes: %v", used)
+	}
+	first := Preferred(Query{Prefix: keys(1, 1)}, view.Servers)[0]
+	first.PrefillTokens = 100000
+	if got := (Estimate{}).Pick(now, Query{PromptTokens: 10000, Prefix: keys(1, 5)}, view); got.Server == first {
+		t.Error("a busy preferred server was picked")
+	}
+}
+
+// TestPreferredIsStable guards against a prefix that loses its servers when
+// another server leaves.
+func TestPreferredIsStable(t *testing.T) {
+	all := servers(10)
+	query := Query{Prefix: keys(9, 1)}
+	before := Preferred(query, all)
+	for i, server := range all {
+		if slices.Contains(before[:], server) {
+			continue
+		}
+		rest := append(append([]*fleet.Server{}, all[:i]...), all[i+1:]...)
+		if after := Preferred(query, rest); after != before {
+			t.Errorf("without %s: %v instead of %v", server.ID, after, before)
+		}
+	}
+	query.Avoid = []fleet.ServerID{before[0].ID}
+	if after := Preferred(query, all); after[0] != before[1] {
+		t.Errorf("next server is %s, want %s", after[0].ID, before[1].ID)
+	}
+}
+
+// TestStoreChoice guards against transfers with stores that are down or full.
+func TestStoreChoice(t *testing.T) {
+	stores := []*fleet.Store{store("k0", "available"), store("k1", "available")}
+	root := cachekey.Key{3}
+	first := ExportStore(root, stores)
+	first.Chart.State = "full"
+	if ExportStore(root, stores) == first || ImportStore(root, stores) != first {
+		t.Error("a full store must serve imports only")
+	}
+	first.Chart.State = "down"
+	if ImportStore(root, stores) == first {
+		t.Error("import from a store that is down")
+	}
+}
+
+// TestBaselines guards against a policy name that selects another policy.
+func TestBaselines(t *testing.T) {
+	view := View{Servers: servers(3), Turn: 4}
+	view.Servers[0].InFlight = 2
+	view.Servers[1].InFlight = 1
+	query := Query{Prefix: keys(1, 1), Avoid: []fleet.ServerID{"s02"}}
+	sticky := Preferred(query, view.Servers)[0].ID
+	for name, want := range map[string]fleet.ServerID{NameRoundRobin: "s01", NameLeastLoad: "s01", NameSticky: sticky} {
+		policy, known := ByName(name)
+		if !known || policy.Pick(now, query, view).Server.ID != want {
+			t.Errorf("%s: known %v, want %s", name, known, want)
+		}
+	}
+	if _, known := ByName("other"); known {
+		t.Error("unknown name accepted")
+	}
+}
+
+// TestRecentIsBounded guards against a memory that grows with the prompts.
+func TestRecentIsBounded(t *testing.T) {
+	r := NewRecent()
+	for i := range 3 * recentPrefixes {
+		r.Note(now, []cachekey.Key{{byte(i), byte(i >> 8)}}, "s")
+	}
+	if len(r.places) != recentPrefixes || len(r.ring) != recentPrefixes {
+		t.Errorf("%d prefixes, %d in the ring", len(r.places), len(r.ring))
+	}
+	last := []cachekey.Key{{255, byte((3*recentPrefixes - 1) >> 8)}}
+	if r.Blocks(now, last, "s") != 1 || r.Blocks(now.Add(2*recentAge), last, "s") != 0 {
+		t.Error("the youngest prefix is unknown or never ages")
+	}
+}
--- /dev/null
+++ b/core/placement/rendezvous.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/fleet"
+)
+
+// preferredServers is the number of preferred servers of a prefix. More than
+// one lets a popular prefix use several servers.
+const preferredServers = 3
+
+// hashInputBytes is the capacity for a key and an identifier on the stack.
+const hashInputBytes = 128
+
+// Preferred returns the preferred servers of the query's prefix, best first.
+// The result has nil entries when there are fewer servers. The prefix must
+// not be empty.
+func Preferred(query Query, servers []*fleet.Server) [preferredServers]*fleet.Server {
+	var best [preferredServers]*fleet.Server
+	var weights [preferredServers]uint64
+	for _, server := range servers {
+		if avoided(query, server) {
+			continue
+		}
+		candidate, weight := server, Weight(query.Prefix[0], server.ID)
+		for i := range best {
+			if best[i] == nil || weight > weights[i] {
+				best[i], candidate = candidate, best[i]
+				weights[i], weight = weight, weights[i]
+			}
+			if candidate == nil {
+				break
+			}
+		}
+	}
+	return best
+}
+
+// ImportStore returns the store from which the blocks of a prefix are
+// imported, or nil when all stores are down.
+func ImportStore(root cachekey.Key, stores []*fleet.Store) *fleet.Store {
+	return firstStore(root, stores, (*fleet.Store).Readable)
+}
+
+// ExportStore returns the store to which the blocks of a prefix are exported,
+// or nil when all stores are down or full.
+func ExportStore(root cachekey.Key, stores []*fleet.Store) *fleet.Store {
+	return firstStore(root, stores, (*fleet.Store).Writable)
+}
+
+func firstStore(root cachekey.Key, stores []*fleet.Store, usable func(*fleet.Store) bool) *fleet.Store {
+	var best *fleet.Store
+	var highest uint64
+	for _, store := range stores {
+		if !usable(store) {
+			continue
+		}
+		weight := Weight(root, store.ID)
+		if best == nil || weight > highest {
+			best = store
+			highest = weight
+		}
+	}
+	return best
+}
+
+// Weight is the rendezvous hash of a prefix and a server or store.
+func Weight(root cachekey.Key, id fleet.ServerID) uint64 {
+	var space [hashInputBytes]byte
+	input := append(space[:0], root[:]...)
+	input = append(input, id...)
+	return xxhash.Sum64(input)
+}
--- /dev/null
+++ b/core/placement/roundrobin.go
@@ -0,0 +1,17 @@
+package placement
+
+import "time"
+
+// RoundRobin picks the servers in turn.
+type RoundRobin struct{}
+
+// Pick returns the first server at or behind the position of the turn.
+func (RoundRobin) Pick(_ time.Time, query Query, view View) Choice {
+	for i := range view.Servers {
+		server := view.at(i)
+		if !avoided(query, server) {
+			return recompute(server, query)
+		}
+	}
+	return Choice{}
+}
--- /dev/null
+++ b/core/placement/sticky.go
@@ -0,0 +1,15 @@
+package placement
+
+import "time"
+
+// Sticky picks the first preferred server of a prefix and uses no stores.
+type Sticky struct{}
+
+// Pick returns the preferred server of the prefix that has room. A request
+// without a prefix goes to the server with the least load.
+func (Sticky) Pick(now time.Time, query Query, view View) Choice {
+	if len(query.Prefix) == 0 {
+		return LeastLoad{}.Pick(now, query, view)
+	}
+	return recompute(Preferred(query, view.Servers)[0], query)
+}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -1,42 +1,73 @@
-// Package retry bounds how much work retries may add.
+// Package retry bounds how much work retries may add and spreads them over
+// time.
 package retry
 
+import "tanagerspread/core/request"
+
 const (
 	// creditPerSuccess is the share of a retry that a success earns, so that
 	// retries stay under a tenth of the requests.
 	creditPerSuccess = 0.1
 	// initialBudget is the number of retries that a new node may make.
 	initialBudget = 10
-	// maxBudget bounds the retries that can be saved up.
+	// maxBudget bounds the retries that a node can save up.
 	maxBudget = 100
+	// organisationBudget is the number of retries that an organisation starts
+	// with and the most that it can save up, so that one organisation cannot
+	// use the budget of the node alone.
+	organisationBudget = 5
 )
 
-// Budget is the number of retries that may still be made. Successes earn a
-// fraction of a retry.
-type Budget struct {
-	left float64
+// Budgets counts the retries that may still be made by the node and by each
+// organisation. Successes earn a fraction of a retry.
+type Budgets struct {
+	node float64
+	// used is what organisations have taken from their full budgets. An
+	// organisation with a full budget has no entry.
+	used map[request.Organisation]float64
 }
 
-// NewBudget returns the budget of a node that starts.
-func NewBudget() *Budget {
-	return &Budget{left: initialBudget}
+// NewBudgets returns the budgets of a node that starts.
+func NewBudgets() *Budgets {
+	return &Budgets{node: initialBudget, used: map[request.Organisation]float64{}}
 }
 
-// Credit adds what one success earns.
-func (b *Budget) Credit() {
-	b.left = min(b.left+creditPerSuccess, maxBudget)
+// Credit adds what one success of the organisation earns.
+func (b *Budgets) Credit(organisation request.Organisation) {
+	b.node = min(b.node+creditPerSuccess, maxBudget)
+	used, known := b.used[organisation]
+	if !known {
+		return
+	}
+	if used <= creditPerSuccess {
+		delete(b.used, organisation)
+		return
+	}
+	b.used[organisation] = used - creditPerSuccess
 }
 
-// Take uses one retry and reports whether one was left.
-func (b *Budget) Take() bool {
-	if b.left < 1 {
+// Allows reports whether the organisation may make a retry now.
+func (b *Budgets) Allows(organisation request.Organisation) bool {
+	return b.node >= 1 && b.LeftOf(organisation) >= 1
+}
+
+// Take uses one retry of the node and of the organisation and reports whether
+// both had one left.
+func (b *Budgets) Take(organisation request.Organisation) bool {
+	if !b.Allows(organisation) {
 		return false
 	}
-	b.left--
+	b.node--
+	b.used[organisation]++
 	return true
 }
 
-// Left returns the number of retries left.
-func (b *Budget) Left() float64 {
-	return b.left
+// Left returns the number of retries that the node has left.
+func (b *Budgets) Left() float64 {
+	return b.node
+}
+
+// LeftOf returns the number of retries that the organisation has left.
+func (b *Budgets) LeftOf(organisation request.Organisation) float64 {
+	return organisationBudget - b.used[organisation]
 }
