control: import and export cache blocks for returning prompts

Cause: a prompt that returns after its blocks left engine memory was computed again. Change: the control thread plans an import from the prefix's store, verifies the manifest's blocks before an engine may read them, and commands an export after a delivered completion within a share of the link; the manifest is written last. A server that is expected to hold a prefix is checked against the store after 10 s, since the engine fetches only what it lacks.

--- a/core/config/rules.go
+++ b/core/config/rules.go
@@ -78,4 +78,7 @@
 	Placement string
 	// LinkPrice is the time that a transferred mebibyte is worth.
 	LinkPrice time.Duration
+	// ExportMinBlocks is the least number of blocks of a prompt that is
+	// exported; 0 means 1.
+	ExportMinBlocks int
 }
--- a/core/control/active.go
+++ b/core/control/active.go
@@ -56,6 +56,8 @@
 	suspect bool
 	// denied is true when the node refused to send on the open connection.
 	denied bool
+	// importing is the import before the attempt, or nil.
+	importing *transfer
 	// deathNoted is true when the death of its server has been recorded.
 	deathNoted bool
 }
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -25,6 +25,7 @@
 	a.attempts++
 	a.attempt.position = s.charts.attempt.Start(now)
 	s.holdServer(a)
+	s.beginImport(a, now)
 }
 
 func (s *State) endAttempt(a *active, now time.Time) {
@@ -124,6 +125,7 @@
 }
 
 func (s *State) answered(now time.Time, a *active) {
+	server := a.attempt.server
 	s.fireAttempt(a, "succeed", now)
 	if !s.fireRequest(a, "answered", now) {
 		s.end(now, a, "expire", code.New(code.Internal, "the response arrived in an unexpected state"))
@@ -131,6 +133,7 @@
 	}
 	s.budget.Credit(a.organisation)
 	s.clearSuspicion(a)
+	s.considerExport(now, a, server)
 	s.reply(a.ID, Deliver{Record: a.once()})
 	s.forgetFinal(a)
 }
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -12,12 +12,14 @@
 
 // machines holds the compiled chart of each kind of object.
 type machines struct {
-	request *chart.Machine[*active]
-	once    *chart.Machine[*active]
-	attempt *chart.Machine[*active]
-	server  *chart.Machine[*fleet.Server]
-	store   *chart.Machine[*fleet.Store]
-	node    *chart.Machine[*State]
+	request     *chart.Machine[*active]
+	once        *chart.Machine[*active]
+	attempt     *chart.Machine[*active]
+	server      *chart.Machine[*fleet.Server]
+	store       *chart.Machine[*fleet.Store]
+	node        *chart.Machine[*State]
+	blockImport *chart.Machine[*transfer]
+	blockExport *chart.Machine[*transfer]
 }
 
 func (s *State) loadCharts(files fs.FS) error {
@@ -37,8 +39,10 @@
 	if s.charts.store, err = load(files, "store", chart.Bindings[*fleet.Store]{}); err != nil {
 		return err
 	}
-	s.charts.node, err = load(files, "node", nodeBindings())
-	return err
+	if s.charts.node, err = load(files, "node", nodeBindings()); err != nil {
+		return err
+	}
+	return s.loadTransferCharts()
 }
 
 func load[T any](files fs.FS, name string, bindings chart.Bindings[T]) (*chart.Machine[T], error) {
--- a/core/control/decision.go
+++ b/core/control/decision.go
@@ -6,6 +6,7 @@
 	"tanagerspread/core/cachekey"
 	"tanagerspread/core/code"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/kvcache"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
@@ -42,6 +43,8 @@
 	Source placement.Source
 	// Import is the plan of the source Import, or nil.
 	Import *placement.ImportPlan
+	// ImportTimeout bounds the import.
+	ImportTimeout time.Duration
 	// DialTimeout, HeaderTimeout and GapTimeout bound the waits for the
 	// connection, the response headers, and between two parts.
 	DialTimeout   time.Duration
@@ -49,6 +52,11 @@
 	GapTimeout    time.Duration
 }
 
+// ImportBlocks names the blocks that an engine may read from a store.
+type ImportBlocks struct {
+	Blocks []kvcache.Block
+}
+
 // Deliver ends a request whose response is whole.
 type Deliver struct {
 	// Record is true when the at-most-once record must be completed and
@@ -66,13 +74,14 @@
 	Release bool
 }
 
-func (Admitted) decision() {}
-func (Proceed) decision()  {}
-func (Replay) decision()   {}
-func (Dispatch) decision() {}
-func (Deliver) decision()  {}
-func (Refusal) decision()  {}
-func (Dump) decision()     {}
+func (Admitted) decision()     {}
+func (Proceed) decision()      {}
+func (Replay) decision()       {}
+func (Dispatch) decision()     {}
+func (ImportBlocks) decision() {}
+func (Deliver) decision()      {}
+func (Refusal) decision()      {}
+func (Dump) decision()         {}
 
 // Reply addresses a decision to the open question of a request.
 type Reply struct {
@@ -98,6 +107,20 @@
 	Entries []quarantine.Entry
 }
 
+// ExportBlocks orders an engine to write cache blocks to a store. It is
+// followed by ExportWritten and ExportDone.
+type ExportBlocks struct {
+	ID request.ID
+	// EngineAddress and StoreAddress are IP numbers with ports.
+	EngineAddress string
+	StoreAddress  string
+	Namespace     cachekey.Key
+	Keys          []cachekey.Key
+	// Generation numbers the written blocks.
+	Generation uint64
+}
+
+func (ExportBlocks) command()      {}
 func (NodeState) command()         {}
 func (PublishQuarantine) command() {}
 
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -7,6 +7,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/kvcache"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
 )
@@ -131,6 +132,50 @@
 	VMs []VM
 }
 
+// ImportFound reports the blocks that a store's manifest lists for the prompt
+// of an attempt. It is answered by ImportBlocks or Refusal.
+type ImportFound struct {
+	Request request.ID
+	Attempt request.AttemptID
+	Blocks  []kvcache.Block
+}
+
+// ImportDone reports the end of the import of an attempt.
+type ImportDone struct {
+	Request request.ID
+	Attempt request.AttemptID
+	// Moved counts the blocks that crossed the link, Bytes their size.
+	Moved int
+	Bytes int64
+	Took  time.Duration
+	// Failed is true when not all usable blocks are in the engine.
+	Failed bool
+	// StoreFailed is true when the store did not answer.
+	StoreFailed bool
+}
+
+// ExportWritten reports the blocks of an export that are at the store. It is
+// answered by Proceed, after which the manifest may be written, or Refusal.
+type ExportWritten struct {
+	ID     request.ID
+	Blocks []kvcache.Block
+}
+
+// ExportDone reports the end of an export.
+type ExportDone struct {
+	ID request.ID
+	// Sealed is true when the manifest was written.
+	Sealed bool
+	// Moved counts the blocks that crossed the link, Bytes their size.
+	Moved int
+	Bytes int64
+	Took  time.Duration
+	// StoreFailed is true when the store did not answer, StoreFull when it
+	// has no room.
+	StoreFailed bool
+	StoreFull   bool
+}
+
 // StoreReport reports the end of a transfer with a store.
 type StoreReport struct {
 	Store    fleet.ServerID
@@ -175,6 +220,12 @@
 // Subject returns the request that the question is about.
 func (m Recorded) Subject() request.ID { return m.Request }
 
+// Subject returns the request that the question is about.
+func (m ImportFound) Subject() request.ID { return m.Request }
+
+// Subject returns the export that the question is about.
+func (m ExportWritten) Subject() request.ID { return m.ID }
+
 // Subject returns the identifier that the asker chose.
 func (m DumpState) Subject() request.ID { return m.ID }
 
@@ -190,6 +241,10 @@
 func (VMList) message()         {}
 func (StoreReport) message()    {}
 func (QuarantineSeen) message() {}
+func (ImportFound) message()    {}
+func (ImportDone) message()     {}
+func (ExportWritten) message()  {}
+func (ExportDone) message()     {}
 func (Drain) message()          {}
 func (Tick) message()           {}
 func (DumpState) message()      {}
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -166,6 +166,7 @@
 		Priority:      a.rank.Priority,
 		Source:        a.attempt.choice.Source,
 		Import:        a.attempt.choice.Plan,
+		ImportTimeout: importTime(a.PromptTokens),
 		DialTimeout:   s.charts.attempt.Timeout("dialing"),
 		HeaderTimeout: s.charts.attempt.Timeout("sent"),
 		GapTimeout:    s.charts.attempt.Timeout("receiving"),
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -13,6 +13,7 @@
 	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
+	"tanagerspread/core/kvcache"
 	"tanagerspread/core/limits"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/quarantine"
@@ -59,6 +60,10 @@
 	tokenRates *limits.Rates
 	budget     *retry.Budgets
 	quarantine *quarantine.List
+	exports    *kvcache.Exports
+	// transfers holds the exports in progress.
+	transfers   map[request.ID]*transfer
+	exportCount uint64
 	// suspectRuns counts the running attempts of each suspect fingerprint.
 	suspectRuns map[quarantine.Fingerprint]int
 	policy      placement.Policy
@@ -81,6 +86,8 @@
 		tokenRates:  limits.NewRates(),
 		budget:      retry.NewBudgets(),
 		quarantine:  quarantine.NewList(),
+		exports:     kvcache.NewExports(),
+		transfers:   map[request.ID]*transfer{},
 		suspectRuns: map[quarantine.Fingerprint]int{},
 		policy:      placement.Estimate{},
 	}
@@ -123,6 +130,14 @@
 		s.configure(now, m)
 	case VMList:
 		s.vmList(now, m)
+	case ImportFound:
+		s.importFound(now, m)
+	case ImportDone:
+		s.importDone(now, m)
+	case ExportWritten:
+		s.exportWritten(now, m)
+	case ExportDone:
+		s.exportDone(now, m)
 	case StoreReport:
 		s.storeReport(now, m)
 	case QuarantineSeen:
@@ -154,6 +169,7 @@
 	s.expireNode(now)
 	s.expireServers(now)
 	s.expireStores(now)
+	s.expireTransfers(now)
 	s.quarantine.Expire(now)
 	s.expireRequests(now)
 	s.assignQueued(now)
--- a/core/fleet/store.go
+++ b/core/fleet/store.go
@@ -36,17 +36,23 @@
 	BlockBytes float64
 	// HitShare is the estimated share of planned blocks that the store has.
 	HitShare float64
+	// measured is true after the first transfer.
+	measured bool
 	// ListedLeaving is true while the VM list says that the VM is leaving.
 	ListedLeaving bool
 	Chart         chart.Instance
 }
 
-// Transfer is the measured result of an import.
+// Transfer is the measured result of an import or export.
 type Transfer struct {
+	// Planned and Found count the blocks that were asked for and that the
+	// store has; Planned is 0 for an export.
 	Planned int
 	Found   int
-	Bytes   int64
-	Took    time.Duration
+	// Moved counts the blocks that crossed the link, Bytes their size.
+	Moved int
+	Bytes int64
+	Took  time.Duration
 }
 
 // NewStore returns a store without measurements.
@@ -59,12 +65,21 @@
 	if t.Planned > 0 {
 		s.HitShare = max(smooth(s.HitShare, float64(t.Found)/float64(t.Planned)), minHitShare)
 	}
-	if t.Found > 0 && t.Bytes > 0 {
-		s.BlockBytes = smooth(s.BlockBytes, float64(t.Bytes)/float64(t.Found))
+	if t.Moved > 0 && t.Bytes > 0 && t.Took > 0 {
+		s.noteLink(float64(t.Bytes)/float64(t.Moved), float64(t.Bytes)/t.Took.Seconds())
 	}
-	if t.Bytes > 0 && t.Took > 0 {
-		s.LinkRate = smooth(s.LinkRate, float64(t.Bytes)/t.Took.Seconds())
+}
+
+// noteLink replaces the assumed size and speed by the first measurement.
+func (s *Store) noteLink(blockBytes, linkRate float64) {
+	if !s.measured {
+		s.measured = true
+		s.BlockBytes = blockBytes
+		s.LinkRate = linkRate
+		return
 	}
+	s.BlockBytes = smooth(s.BlockBytes, blockBytes)
+	s.LinkRate = smooth(s.LinkRate, linkRate)
 }
 
 // TransferTime estimates the time to transfer the bytes behind the transfers
--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -19,6 +19,10 @@
 // plus the price of the link bytes.
 type Estimate struct{}
 
+// trustAge is how long a server is trusted to hold what it computed lately.
+// A search at the store costs a few milliseconds, a lost block its prompt work.
+const trustAge = 10 * time.Second
+
 // option is one way to serve a request, with its score.
 type option struct {
 	Choice
@@ -50,12 +54,23 @@
 			fewest = requests
 		}
 	}
-	if best.Source == Import {
+	if best.Source == Import || isDoubtful(now, query, view, best, store) {
+		best.Source = Import
 		best.Plan = plan(now, query, view, best.Server, store)
 	}
 	return best.Choice
 }
 
+// isDoubtful reports whether a server may have dropped the blocks that it is
+// expected to hold. The import then fetches only what the server lacks, which
+// is nothing when it still holds all of them.
+func isDoubtful(now time.Time, query Query, view View, best option, store *fleet.Store) bool {
+	if best.Source != Warm || store == nil {
+		return false
+	}
+	return view.Recent.Age(now, query.Prefix, best.Server.ID) > trustAge
+}
+
 func cheaper(a, b option) option {
 	if b.Server != nil && b.score < a.score {
 		return b
@@ -97,12 +112,11 @@
 }
 
 func plan(now time.Time, query Query, view View, server *fleet.Server, store *fleet.Store) *ImportPlan {
-	held := view.Recent.Blocks(now, query.Prefix, server.ID)
-	keys := query.Prefix[held:]
+	missing := len(query.Prefix) - view.Recent.Blocks(now, query.Prefix, server.ID)
 	return &ImportPlan{
 		Store:         store.ID,
 		Address:       store.Address,
-		Keys:          keys,
-		ExpectedBytes: int64(float64(len(keys)) * store.BlockBytes),
+		Keys:          query.Prefix,
+		ExpectedBytes: int64(float64(missing) * store.BlockBytes),
 	}
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -53,8 +53,10 @@
 type ImportPlan struct {
 	Store   fleet.ServerID
 	Address string
-	Keys    []cachekey.Key
-	// ExpectedBytes is the estimated size of all listed blocks.
+	// Keys are the block keys of the whole prompt; the server fetches those
+	// that it lacks.
+	Keys []cachekey.Key
+	// ExpectedBytes is the estimated size of the blocks to fetch.
 	ExpectedBytes int64
 }
 
--- a/core/placement/recent.go
+++ b/core/placement/recent.go
@@ -106,3 +106,18 @@
 	}
 	return 0
 }
+
+// Age returns how long ago the prefix was sent to the server, or recentAge
+// when it is not remembered.
+func (r *Recent) Age(now time.Time, prefix []cachekey.Key, server fleet.ServerID) time.Duration {
+	places, known := r.places[prefix[0]]
+	if !known {
+		return recentAge
+	}
+	for i := range places {
+		if places[i].server == server {
+			return now.Sub(places[i].at)
+		}
+	}
+	return recentAge
+}
--- a/node/blocks/blocks.go
+++ b/node/blocks/blocks.go
@@ -37,11 +37,16 @@
 	return engine.NewClient(wire.Options{Address: address, Dial: c.dial})
 }
 
+// EncodeKey writes a key as hexadecimal text.
+func EncodeKey(key cachekey.Key) string {
+	return hex.EncodeToString(key[:])
+}
+
 // EncodeKeys writes keys as hexadecimal text.
 func EncodeKeys(keys []cachekey.Key) []string {
 	out := make([]string, 0, len(keys))
 	for _, key := range keys {
-		out = append(out, hex.EncodeToString(key[:]))
+		out = append(out, EncodeKey(key))
 	}
 	return out
 }
@@ -64,7 +69,7 @@
 	out := make([]store.Meta, 0, len(blocks))
 	for _, block := range blocks {
 		out = append(out, store.Meta{
-			Key:        hex.EncodeToString(block.Key[:]),
+			Key:        EncodeKey(block.Key),
 			Length:     block.Length,
 			Checksum:   block.Checksum,
 			Generation: block.Generation,
--- a/node/blocks/exporter.go
+++ b/node/blocks/exporter.go
@@ -67,11 +67,12 @@
 	client := e.connections.store(order.StoreAddress)
 	defer client.Close()
 	done := control.ExportDone{ID: order.ID}
-	manifest, bytes, err := e.write(ctx, client, order)
+	manifest, reply, err := e.write(ctx, client, order)
 	if err == nil {
 		err = e.seal(ctx, client, order, manifest)
 	}
-	done.Bytes = bytes
+	done.Moved = reply.Moved
+	done.Bytes = reply.Bytes
 	done.Sealed = err == nil
 	done.StoreFull = err != nil && err.Code == code.StoreFull
 	done.StoreFailed = err != nil && err.Code == code.StoreAway
@@ -79,30 +80,30 @@
 	e.control.Tell(done)
 }
 
-func (e *Exporter) write(ctx context.Context, client *store.Client, order control.ExportBlocks) (store.Manifest, int64, *code.Error) {
+func (e *Exporter) write(ctx context.Context, client *store.Client, order control.ExportBlocks) (store.Manifest, engine.TransferReply, *code.Error) {
 	keys := EncodeKeys(order.Keys)
 	manifest, err := client.Find(ctx, keys)
 	if err != nil && err.Code != code.BlockMissing {
-		return manifest, 0, err
+		return manifest, engine.TransferReply{}, err
 	}
 	source := e.connections.engine(order.EngineAddress)
 	defer source.Close()
 	reply, err := source.Export(ctx, engine.TransferRequest{
 		Store:      order.StoreAddress,
-		Namespace:  order.Namespace,
+		Namespace:  EncodeKey(order.Namespace),
 		Keys:       keys,
 		Skip:       len(manifest.Blocks),
 		Generation: order.Generation,
 	})
 	if err != nil {
-		return manifest, 0, err
+		return manifest, reply, err
 	}
 	if reply.Code != 0 {
-		return manifest, reply.Bytes, code.New(code.Code(reply.Code), reply.Detail)
+		return manifest, reply, code.New(code.Code(reply.Code), reply.Detail)
 	}
 	manifest.Key = keys[len(keys)-1]
 	manifest.Blocks = append(manifest.Blocks, reply.Written...)
-	return manifest, reply.Bytes, nil
+	return manifest, reply, nil
 }
 
 // seal asks the control thread whether the written blocks are the wanted ones
--- a/node/blocks/importer.go
+++ b/node/blocks/importer.go
@@ -6,6 +6,7 @@
 
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
+	"tanagerspread/core/placement"
 	"tanagerspread/core/request"
 	"tanagerspread/platform/engine"
 	"tanagerspread/platform/store"
@@ -34,7 +35,7 @@
 	Namespace string
 	// Engine and Store are IP numbers with ports.
 	Engine string
-	Plan   control.ImportPlan
+	Plan   placement.ImportPlan
 }
 
 // Import runs the import of an attempt. It returns when the blocks are in the
@@ -47,8 +48,9 @@
 	done := control.ImportDone{Request: order.Request, Attempt: order.Attempt}
 	manifest, err := client.Find(ctx, EncodeKeys(order.Plan.Keys))
 	if err == nil {
-		done.Found, done.Bytes, err = i.transfer(ctx, client, order, manifest)
+		done.Moved, done.Bytes, err = i.transfer(ctx, client, order, manifest)
 	}
+	done.Failed = err != nil
 	done.StoreFailed = err != nil && err.Code == code.StoreAway
 	done.Took = time.Since(began)
 	i.control.Tell(done)
@@ -77,7 +79,10 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	return reply.Moved, reply.Bytes, nil
+	if reply.Code != 0 {
+		err = code.New(code.Code(reply.Code), reply.Detail)
+	}
+	return reply.Moved, reply.Bytes, err
 }
 
 // verify asks the control thread which of the found blocks may be imported.
--- a/node/ingress/completion.go
+++ b/node/ingress/completion.go
@@ -11,6 +11,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/core/request"
+	"tanagerspread/node/blocks"
 	"tanagerspread/node/egress"
 	"tanagerspread/platform/engine"
 )
@@ -68,8 +69,9 @@
 		return
 	}
 	sink := newSink(w, x.request.ID, call)
+	x.prefix = cachekey.Chain(x.admitted.Scope, []byte(call.Prompt))
 	run := f.completionRunner(x, call, sink)
-	refused := x.run(ctx, cachekey.Chain(x.admitted.Scope, []byte(call.Prompt)), run)
+	refused := x.run(ctx, x.prefix, run)
 	if refused != nil {
 		f.refuseSink(w, x, sink, refused)
 		return
@@ -102,6 +104,7 @@
 // after a broken stream resumes behind the tokens already received.
 func (f *Front) completionRunner(x *exchange, call completionCall, sink *sink) runner {
 	return func(ctx context.Context, dispatch control.Dispatch, gate egress.Gate) egress.Result {
+		x.importBlocks(ctx, dispatch)
 		body := x.engineRequest(call, dispatch, sink)
 		timeouts := timeoutsOf(dispatch)
 		began := time.Now()
@@ -114,17 +117,34 @@
 	}
 }
 
+// importBlocks runs the import that the placement plans. Whatever becomes of
+// it, the engine computes what it lacks.
+func (x *exchange) importBlocks(ctx context.Context, dispatch control.Dispatch) {
+	if dispatch.Import == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, dispatch.ImportTimeout)
+	defer cancel()
+	x.front.options.Importer.Import(ctx, blocks.Order{
+		Request:   x.request.ID,
+		Attempt:   dispatch.Attempt,
+		Namespace: blocks.EncodeKey(cachekey.Root(x.admitted.Scope)),
+		Engine:    dispatch.Address,
+		Plan:      *dispatch.Import,
+	})
+}
+
 func timeoutsOf(dispatch control.Dispatch) egress.Timeouts {
 	return egress.Timeouts{Dial: dispatch.DialTimeout, Header: dispatch.HeaderTimeout, Gap: dispatch.GapTimeout}
 }
 
 func (x *exchange) engineRequest(call completionCall, dispatch control.Dispatch, sink *sink) engine.CompletionRequest {
-	namespace := cachekey.Root(x.admitted.Scope)
 	body := engine.CompletionRequest{
 		RequestID:      string(x.request.ID),
 		Model:          call.Model,
 		Weights:        x.admitted.Scope.Weights,
-		CacheNamespace: hex.EncodeToString(namespace[:]),
+		CacheNamespace: blocks.EncodeKey(cachekey.Root(x.admitted.Scope)),
+		PrefixKeys:     blocks.EncodeKeys(x.prefix),
 		Prompt:         call.Prompt,
 		MaxTokens:      call.MaxTokens,
 		Priority:       dispatch.Priority,
--- a/node/ingress/exchange.go
+++ b/node/ingress/exchange.go
@@ -19,6 +19,8 @@
 	request  request.Request
 	admitted control.Admitted
 	claim    Claim
+	// prefix holds the keys of the whole blocks of a prompt.
+	prefix []cachekey.Key
 }
 
 // refused is how an exchange ends without a response.
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/request"
+	"tanagerspread/node/blocks"
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
 )
@@ -56,6 +57,8 @@
 	Control  Asker
 	Egress   *egress.Client
 	Recorder Recorder
+	// Importer brings cache blocks into engines.
+	Importer *blocks.Importer
 	Logger   logr.Logger
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
--- /dev/null
+++ b/node/runtime/returning_test.go
@@ -0,0 +1,255 @@
+package runtime_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
+	"tanagerspread/node/blocks"
+	"tanagerspread/node/ingress"
+	"tanagerspread/node/runtime"
+	"tanagerspread/platform/engine"
+	platformstore "tanagerspread/platform/store"
+	"tanagerspread/platform/wire"
+	standinengine "tanagerspread/standin/engine"
+	"tanagerspread/standin/pipe"
+	"tanagerspread/standin/site"
+	"tanagerspread/standin/store"
+)
+
+const callerAddress = "node:80"
+
+// returningSite is one node before a small site in virtual time.
+type returningSite struct {
+	*site.Site
+	t      *testing.T
+	client *http.Client
+	dial   wire.Dialer
+}
+
+func startReturning(t *testing.T) *returningSite {
+	t.Helper()
+	network := pipe.NewNetwork()
+	ctx, cancel := context.WithCancel(t.Context())
+	s, err := site.Start(ctx, site.Options{
+		Shape:  site.Shape{Domains: []string{"hobart-a"}, Model: testModel, Engines: 2, Stores: 2},
+		Store:  store.Options{MemoryBytes: 4 << 20, LinkRate: 1 << 20},
+		Listen: func(id string) (net.Listener, error) { return network.Listen(id + ":80"), nil },
+		Dial:   network.Dial,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	node, err := runtime.New(runtime.Options{
+		Control:      control.Options{Node: "n1", Domain: "hobart-a", Charts: chart.Embedded(), ServerSlots: 8},
+		Listener:     network.Listen(callerAddress),
+		Dial:         network.Dial,
+		Recorder:     ingress.NoRecorder(),
+		Logger:       logr.Discard(),
+		MaxBodyBytes: 1 << 20,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = node.Run(ctx) }()
+	node.Control().Tell(control.Configure{Version: 1, Rules: testRules()})
+	node.Control().Tell(control.VMList{VMs: listOf(s)})
+	transport := &http.Transport{DialContext: network.Dial, DisableKeepAlives: true}
+	t.Cleanup(func() {
+		cancel()
+		_ = s.Close()
+		transport.CloseIdleConnections()
+	})
+	return &returningSite{Site: s, t: t, client: &http.Client{Transport: transport}, dial: network.Dial}
+}
+
+func listOf(s *site.Site) []control.VM {
+	var vms []control.VM
+	for _, e := range s.Engines {
+		vms = append(vms, control.VM{ID: e.ID, Address: e.Address, Role: fleet.RoleEngine, Serves: e.Serves, Weights: e.Weights})
+	}
+	for _, v := range s.Stores {
+		vms = append(vms, control.VM{ID: v.ID, Address: v.Address, Role: fleet.RoleStore})
+	}
+	return vms
+}
+
+// send returns the cached tokens of one completion and verifies its text.
+func (s *returningSite) send(prompt string) int {
+	s.t.Helper()
+	body, _ := json.Marshal(map[string]any{"model": testModel, "prompt": prompt, "max_tokens": 2})
+	r, _ := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+callerAddress+"/v1/completions", strings.NewReader(string(body)))
+	r.Header.Set("Authorization", "Bearer secret")
+	response, err := s.client.Do(r)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Choices []struct{ Text string }
+		Usage   engine.Usage
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || response.StatusCode != http.StatusOK {
+		s.t.Fatalf("status %d, error %v", response.StatusCode, err)
+	}
+	if answer.Choices[0].Text != standinengine.Text(prompt, 2) {
+		s.t.Errorf("text %q", answer.Choices[0].Text)
+	}
+	return answer.Usage.CachedTokens
+}
+
+// forget empties the memory of all engines.
+func (s *returningSite) forget() {
+	for _, e := range s.Engines {
+		e.Engine.ClearCache()
+	}
+}
+
+func (s *returningSite) checkBlocks() {
+	s.t.Helper()
+	for _, e := range s.Engines {
+		if n := e.Engine.Counters().InvalidBlocksUsed; n != 0 {
+			s.t.Errorf("engine %s used %d invalid blocks", e.ID, n)
+		}
+	}
+}
+
+// promptOf returns a prompt of whole blocks with the keys that the node
+// derives for it.
+func promptOf(blockCount int) (string, []string) {
+	prompt := strings.Repeat("tide and sand, ", blockCount*cachekey.BlockBytes/15+1)[:blockCount*cachekey.BlockBytes]
+	keys := cachekey.Chain(cachekey.Scope{Organisation: "castlereagh", Model: testModel, Weights: 1}, []byte(prompt))
+	return prompt, blocks.EncodeKeys(keys)
+}
+
+// TestReturningPrompt guards against a returning prompt that is computed
+// again although a store holds its blocks, and against any use of blocks that
+// were freed, damaged or only partly written.
+func TestReturningPrompt(t *testing.T) {
+	const blockCount = 4
+	for name, test := range map[string]struct {
+		fault func(s *returningSite, keys []string)
+		// cached is the expected number of imported blocks.
+		cached int
+	}{
+		"stores whole": {func(*returningSite, []string) {}, blockCount},
+		"block freed": {func(s *returningSite, keys []string) {
+			for _, v := range s.Stores {
+				v.Store.Free(keys[2])
+			}
+		}, 0},
+		"block partly written": {func(s *returningSite, keys []string) {
+			for _, v := range s.Stores {
+				v.Store.Cut(keys[2], 100)
+			}
+		}, 2},
+		"block damaged": {func(s *returningSite, keys []string) {
+			for _, v := range s.Stores {
+				v.Store.Damage(keys[0])
+			}
+		}, 0},
+		"stores dead": {func(s *returningSite, _ []string) {
+			for _, v := range s.Stores {
+				v.Store.Die()
+			}
+		}, 0},
+		"links slow": {func(s *returningSite, _ []string) {
+			for _, v := range s.Stores {
+				v.Store.SetLinkRate(1)
+			}
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startReturning(t)
+				prompt, keys := promptOf(blockCount)
+				if cached := s.send(prompt); cached != 0 {
+					t.Errorf("first run: %d cached tokens", cached)
+				}
+				time.Sleep(time.Minute)
+				s.forget()
+				test.fault(s, keys)
+				if cached := s.send(prompt); cached != test.cached*cachekey.BlockTokens {
+					t.Errorf("second run: %d cached tokens, want %d blocks", cached, test.cached)
+				}
+				s.checkBlocks()
+			})
+		})
+	}
+}
+
+// TestExportCutOff guards against a manifest that lists blocks which a killed
+// engine or a full store never wrote.
+func TestExportCutOff(t *testing.T) {
+	for name, fault := range map[string]func(s *returningSite){
+		"engine killed while it writes": func(s *returningSite) {
+			for _, e := range s.Engines {
+				e.Engine.Die()
+				e.Engine.Revive()
+			}
+		},
+		"store killed while it is written": func(s *returningSite) {
+			for _, v := range s.Stores {
+				v.Store.Die()
+				v.Store.Revive()
+			}
+		},
+		"store full": func(s *returningSite) {
+			for _, v := range s.Stores {
+				v.Store.SetFull(true)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startReturning(t)
+				for _, v := range s.Stores {
+					v.Store.SetLinkRate(64 << 10) // one of four blocks in 0.5 s
+				}
+				prompt, _ := promptOf(4)
+				s.send(prompt)
+				time.Sleep(700 * time.Millisecond)
+				fault(s)
+				time.Sleep(time.Minute)
+				s.forget()
+				if cached := s.send(prompt); cached != 0 {
+					t.Errorf("second run: %d cached tokens although no export was whole", cached)
+				}
+				s.checkBlocks()
+			})
+		})
+	}
+}
+
+// TestOrganisationsApart guards against one organisation's blocks in another
+// one's response, with the same prompt and a shared store.
+func TestOrganisationsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startReturning(t)
+		prompt, keys := promptOf(2)
+		s.send(prompt)
+		time.Sleep(time.Minute)
+		foreign := cachekey.Chain(cachekey.Scope{Organisation: "ulan", Model: testModel, Weights: 1}, []byte(prompt))
+		for _, v := range s.Stores {
+			client := platformstore.NewClient(wire.Options{Address: v.Address, Dial: s.dial})
+			if _, err := client.Find(t.Context(), blocks.EncodeKeys(foreign)); err == nil {
+				t.Error("a store found blocks for another organisation")
+			}
+			client.Close()
+		}
+		if keys[0] == blocks.EncodeKey(foreign[0]) {
+			t.Error("two organisations share a block key")
+		}
+	})
+}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -15,10 +15,12 @@
 	corecontrol "tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/invariant"
+	"tanagerspread/node/blocks"
 	"tanagerspread/node/control"
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/ingress"
+	"tanagerspread/platform/wire"
 )
 
 const (
@@ -43,10 +45,11 @@
 
 // Node is one running node.
 type Node struct {
-	options Options
-	loop    *control.Loop
-	front   *ingress.Front
-	stopped chan struct{}
+	options  Options
+	loop     *control.Loop
+	front    *ingress.Front
+	exporter *blocks.Exporter
+	stopped  chan struct{}
 }
 
 // New returns a node that does not run yet. It returns an error when a chart
@@ -59,7 +62,9 @@
 		return nil, fmt.Errorf("new node: %w", err)
 	}
 	n.loop = control.NewLoop(state, n.command)
+	n.exporter = blocks.NewExporter(n.loop, wire.Dialer(options.Dial))
 	n.front = ingress.NewFront(ingress.Options{
+		Importer:     blocks.NewImporter(n.loop, wire.Dialer(options.Dial)),
 		Control:      n.loop,
 		Egress:       egress.NewClient(options.Dial),
 		Recorder:     options.Recorder,
@@ -85,6 +90,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go n.loop.Run(ctx)
+	go n.exporter.Run(ctx)
 	server := &http.Server{
 		Handler:           n.front.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -109,8 +115,13 @@
 
 // command carries out a command of the control thread without blocking it.
 func (n *Node) command(command corecontrol.Command) {
-	if c, ok := command.(corecontrol.NodeState); ok {
+	switch c := command.(type) {
+	case corecontrol.NodeState:
 		n.nodeState(c)
+	case corecontrol.ExportBlocks:
+		if !n.exporter.Offer(c) {
+			n.loop.Tell(corecontrol.ExportDone{ID: c.ID})
+		}
 	}
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -93,6 +93,8 @@
 
 	options Options
 	cancel  context.CancelFunc
+	// base gives the handlers a context that ends with the site.
+	base    func(net.Listener) context.Context
 	servers []*http.Server
 	started int
 }
@@ -107,7 +109,7 @@
 	if options.Store == (store.Options{}) {
 		options.Store = defaultStore
 	}
-	s := &Site{options: options, cancel: cancel}
+	s := &Site{options: options, cancel: cancel, base: func(net.Listener) context.Context { return ctx }}
 	if err := s.start(ctx); err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
@@ -229,7 +231,7 @@
 		return "", nil, err
 	}
 	faulty := fault.Wrap(listener)
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler, BaseContext: s.base}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(faulty) }()
 	return listener.Addr().String(), faulty, nil
