--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -29,6 +29,15 @@
 	score time.Duration
 }
 
+// side is what both ways of a server have in common.
+type side struct {
+	server *fleet.Server
+	// queue is the time until the server starts a new prompt.
+	queue time.Duration
+	// held is the number of leading blocks that the server is expected to hold.
+	held int
+}
+
 // Pick compares warm cache, import and recomputation on each server.
 func (Estimate) Pick(now time.Time, query Query, view View) Choice {
 	var preferred [preferredServers]*fleet.Server
@@ -44,9 +53,10 @@
 		if avoided(query, server) {
 			continue
 		}
-		next := local(now, query, view, server, preferred)
+		side := side{server: server, queue: server.QueueTime(now), held: view.Recent.Blocks(now, query.Prefix, server.ID)}
+		next := local(query, side, preferred)
 		if store != nil {
-			next = cheaper(next, imported(now, query, view, server, store))
+			next = cheaper(next, imported(query, side, store, view.LinkPrice))
 		}
 		requests := server.Requests(now)
 		if best.Server == nil || next.score < best.score || next.score == best.score && requests < fewest {
@@ -79,36 +89,35 @@
 }
 
 // local scores a server with what its own cache is expected to hold.
-func local(now time.Time, query Query, view View, server *fleet.Server, preferred [preferredServers]*fleet.Server) option {
-	cached := float64(view.Recent.Blocks(now, query.Prefix, server.ID) * cachekey.BlockTokens)
+func local(query Query, on side, preferred [preferredServers]*fleet.Server) option {
+	cached := float64(on.held * cachekey.BlockTokens)
 	source := Recompute
 	if cached > 0 {
 		source = Warm
 	}
 	for rank := range preferred {
-		if preferred[rank] == server {
+		if preferred[rank] == on.server {
 			cached = max(cached, preferredShares[rank]*float64(len(query.Prefix)*cachekey.BlockTokens))
 		}
 	}
 	prefill := max(float64(query.PromptTokens)-cached, 0)
-	total := server.QueueTime(now) + fleet.PrefillTime(prefill)
-	return option{Choice{Server: server, Source: source, Prefill: int(prefill), FirstToken: total}, total}
+	total := on.queue + fleet.PrefillTime(prefill)
+	return option{Choice{Server: on.server, Source: source, Prefill: int(prefill), FirstToken: total}, total}
 }
 
 // imported scores a server that fetches the blocks it lacks from a store. The
 // transfer runs while the request waits for the prompt work before it.
-func imported(now time.Time, query Query, view View, server *fleet.Server, store *fleet.Store) option {
-	held := view.Recent.Blocks(now, query.Prefix, server.ID)
-	missing := len(query.Prefix) - held
+func imported(query Query, on side, store *fleet.Store, linkPrice time.Duration) option {
+	missing := len(query.Prefix) - on.held
 	if missing == 0 {
 		return option{}
 	}
 	found := float64(missing) * store.HitShare
 	bytes := found * store.BlockBytes
-	prefill := max(float64(query.PromptTokens)-(float64(held)+found)*cachekey.BlockTokens, 0)
-	first := max(server.QueueTime(now), store.TransferTime(bytes)) + fleet.PrefillTime(prefill)
-	price := time.Duration(bytes / mebibyte * float64(view.LinkPrice))
-	return option{Choice{Server: server, Source: Import, Prefill: int(prefill), FirstToken: first}, first + price}
+	prefill := max(float64(query.PromptTokens)-(float64(on.held)+found)*cachekey.BlockTokens, 0)
+	first := max(on.queue, store.TransferTime(bytes)) + fleet.PrefillTime(prefill)
+	price := time.Duration(bytes / mebibyte * float64(linkPrice))
+	return option{Choice{Server: on.server, Source: Import, Prefill: int(prefill), FirstToken: first}, first + price}
 }
 
 func plan(now time.Time, query Query, view View, server *fleet.Server, store *fleet.Store) *ImportPlan {
