control: tests of load reports, rules, probes and gossip bounds

Cause: local mutations of the age of a load report, the token rate, the choice of policy, the spread of probes and the bound of a gossip message had no test, and the test of suspects on separate servers depended on the hash: with four servers a suspect can be without a server, so it now has 20. Change: one test each.

--- a/core/control/circuit_test.go
+++ b/core/control/circuit_test.go
@@ -9,6 +9,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/placement"
 	"tanagerspread/core/request"
 )
 
@@ -124,3 +125,53 @@
 		t.Errorf("second attempt: %+v", next)
 	}
 }
+
+// TestLoadReports guards against an older load report replacing a newer one,
+// and against a report that counts as younger than its response.
+func TestLoadReports(t *testing.T) {
+	s := newState(t, 1, vms(1, 0, 0), rulesFor(4, ""))
+	r := completion("r", 0, time.Time{})
+	d := begin(t, s, testStart, r).(Dispatch)
+	connect(t, s, testStart, r.ID, d)
+	s.Handle(testStart.Add(time.Second), FirstToken{Request: r.ID, Attempt: d.Attempt})
+	s.Handle(testStart.Add(time.Minute), AttemptDone{Request: r.ID, Attempt: d.Attempt, Outcome: Succeeded, Load: &fleet.Load{Running: 3}})
+	server := s.ordered[0]
+	if age := server.Load.ReportedAt.Sub(testStart); age != time.Second || server.Load.Running != 3 {
+		t.Errorf("load %+v", server.Load)
+	}
+	if server.ReportLoad(fleet.Load{Running: 9}, testStart, 0) || server.Load.Running != 3 {
+		t.Error("an older report replaced a newer one")
+	}
+}
+
+// TestRulesReachDecisions guards against a token rate or a placement policy in
+// the rules that has no effect.
+func TestRulesReachDecisions(t *testing.T) {
+	rules := rulesFor(1, "round-robin")
+	rules.Organisations[organisation(0)] = config.Organisation{TokenRate: 1, TokenBurst: 4000}
+	s := newState(t, 1, vms(2, 0, 0), rules)
+	if _, ok := begin(t, s, testStart, completion("a", 0, time.Time{})).(Dispatch); !ok {
+		t.Error("a request within the token rate was not dispatched")
+	}
+	refusal, ok := begin(t, s, testStart, completion("b", 0, time.Time{})).(Refusal)
+	if !ok || refusal.Err.Code != code.OrganisationLimit {
+		t.Errorf("a request above the token rate: %+v", refusal)
+	}
+	if _, ok := s.policy.(placement.RoundRobin); !ok {
+		t.Errorf("policy %T", s.policy)
+	}
+}
+
+// TestProbesSpread guards against nodes that probe a server at the same time
+// after the same failure.
+func TestProbesSpread(t *testing.T) {
+	deadlines := map[time.Time]bool{}
+	for seed := range uint64(5) {
+		s := newState(t, seed, vms(1, 0, 0), rulesFor(4, ""))
+		open(t, s, testStart)
+		deadlines[s.ordered[0].Chart.Deadline] = true
+	}
+	if len(deadlines) != 5 {
+		t.Errorf("%d different times of 5", len(deadlines))
+	}
+}
--- a/core/control/suspects_test.go
+++ b/core/control/suspects_test.go
@@ -189,7 +189,7 @@
 // TestSuspectsRunApart guards against two suspects on one server, whose death
 // would name neither.
 func TestSuspectsRunApart(t *testing.T) {
-	s := newState(t, 1, vms(4, 0, 0), rulesFor(1, ""))
+	s := newState(t, 1, vms(20, 0, 0), rulesFor(1, ""))
 	var entries []quarantine.Entry
 	for i := range 3 {
 		r := completion(fmt.Sprint(i), 0, time.Time{})
@@ -253,3 +253,16 @@
 func fingerprintOf(body string) quarantine.Fingerprint {
 	return quarantine.Of(organisation(0), completion("", 0, time.Time{}).Route, body)
 }
+
+// TestSeenIsBounded guards against a peer that fills the list with one message.
+func TestSeenIsBounded(t *testing.T) {
+	s := newState(t, 1, nil, rulesFor(1, ""))
+	var entries []quarantine.Entry
+	for i := range 2 * quarantine.MaxShared {
+		entries = append(entries, quarantine.Entry{Fingerprint: quarantine.Fingerprint{byte(i)}, Kind: quarantine.Suspected, Until: testStart.Add(time.Minute)})
+	}
+	s.Handle(testStart, QuarantineSeen{Entries: entries})
+	if suspects, _ := s.quarantine.Counts(); suspects != quarantine.MaxShared {
+		t.Errorf("%d suspects from one message", suspects)
+	}
+}
