node: read the INI settings and report every fault

Start-up needs the settings as a whole, with all faults at once. ini.v1 keeps the last value of a repeated key and drops line numbers, so inifile passes it one line at a time. A table drives parsing, defaults and docs/settings.md.

--- /dev/null
+++ b/node/inifile/inifile.go
@@ -0,0 +1,121 @@
+// Package inifile reads INI text line by line with ini.v1 and keeps what the
+// library drops: line numbers, and keys that are given twice.
+package inifile
+
+import (
+	"fmt"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"tanagerspread/core/code"
+)
+
+// Entry is one key of the text with its value.
+type Entry struct {
+	Line    int
+	Section string
+	Key     string
+	Value   string
+	// Comment is the trailing comment of the line without its marker.
+	Comment string
+}
+
+// Fault is one fault of the text. Line is 0 when the fault has no line.
+type Fault struct {
+	Line    int       `json:"line,omitempty"`
+	Section string    `json:"section,omitempty"`
+	Key     string    `json:"key,omitempty"`
+	Code    code.Code `json:"code"`
+	Reason  string    `json:"reason"`
+}
+
+// Error formats the place, the code and the reason of the fault.
+func (f Fault) Error() string {
+	var b strings.Builder
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", f.Line)
+	}
+	if f.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", f.Section)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, "%s: ", f.Key)
+	}
+	fmt.Fprintf(&b, "%d %s: %s", f.Code, code.Lookup(f.Code).Name, f.Reason)
+	return b.String()
+}
+
+// Codes are the codes of the faults that Parse finds.
+type Codes struct {
+	// Malformed is the code of a line that cannot be parsed.
+	Malformed code.Code
+	// Repeated is the code of a key that is given twice.
+	Repeated code.Code
+}
+
+// lineOptions make ini.v1 read one line without continuation or nesting.
+var lineOptions = ini.LoadOptions{
+	IgnoreContinuation:       true,
+	SpaceBeforeInlineComment: true,
+	KeyValueDelimiters:       "=",
+}
+
+// Parse returns the entries of the text in order, and the faults of lines
+// that cannot be parsed and of keys that are given twice. A repeated key is
+// left out of the entries.
+func Parse(text string, codes Codes) ([]Entry, []Fault) {
+	p := parser{codes: codes, seen: map[[2]string]int{}}
+	for i, line := range strings.Split(text, "\n") {
+		p.line(i+1, strings.TrimSpace(line))
+	}
+	return p.entries, p.faults
+}
+
+type parser struct {
+	codes   Codes
+	section string
+	seen    map[[2]string]int
+	entries []Entry
+	faults  []Fault
+}
+
+func (p *parser) line(number int, line string) {
+	if line == "" || line[0] == ';' || line[0] == '#' {
+		return
+	}
+	file, err := ini.LoadSources(lineOptions, []byte(line))
+	if err != nil {
+		p.fault(Fault{Line: number, Section: p.section, Code: p.codes.Malformed, Reason: "the line is neither a section nor a key with a value"})
+		return
+	}
+	if names := file.SectionStrings(); line[0] == '[' {
+		p.section = names[len(names)-1]
+		return
+	}
+	for _, key := range file.Section("").Keys() {
+		p.entry(Entry{Line: number, Section: p.section, Key: key.Name(), Value: key.Value(), Comment: commentText(key.Comment)})
+	}
+}
+
+func (p *parser) entry(e Entry) {
+	if e.Section == "" {
+		p.fault(Fault{Line: e.Line, Key: e.Key, Code: p.codes.Malformed, Reason: "the key stands before the first section"})
+		return
+	}
+	place := [2]string{e.Section, e.Key}
+	if first, repeated := p.seen[place]; repeated {
+		p.fault(Fault{Line: e.Line, Section: e.Section, Key: e.Key, Code: p.codes.Repeated, Reason: fmt.Sprintf("the key is already given in line %d", first)})
+		return
+	}
+	p.seen[place] = e.Line
+	p.entries = append(p.entries, e)
+}
+
+func (p *parser) fault(f Fault) {
+	p.faults = append(p.faults, f)
+}
+
+func commentText(comment string) string {
+	return strings.TrimSpace(strings.TrimLeft(comment, ";# "))
+}
--- /dev/null
+++ b/node/settings/settings.go
@@ -0,0 +1,127 @@
+// Package settings reads the INI settings of a node and checks them as a
+// whole.
+package settings
+
+import (
+	"cmp"
+	"io/fs"
+	"os"
+	"slices"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/node/inifile"
+)
+
+// maxBytes bounds a settings file.
+const maxBytes = 64 << 10
+
+// Settings are the checked settings of a node.
+type Settings struct {
+	Node        string
+	Domain      string
+	Listen      string
+	AdminListen string
+	// DrainDelay is the time in which a stopping node still accepts requests.
+	DrainDelay time.Duration
+	// MaxBodyBytes bounds a caller's request body.
+	MaxBodyBytes int64
+	// ServerSlots is the number of attempts at one backend server at a time.
+	ServerSlots int
+	// ChartsDir holds chart files that replace embedded ones, or is empty.
+	ChartsDir string
+	LogLevel  string
+	CallerTLS TLS
+	AdminTLS  TLS
+}
+
+// Read reads and checks a settings file. It returns every fault; the settings
+// are nil when there is one.
+func Read(path string) (*Settings, []inifile.Fault) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, []inifile.Fault{{Code: code.SettingsUnreadable, Reason: err.Error()}}
+	}
+	if info.Size() > maxBytes {
+		return nil, []inifile.Fault{{Code: code.SettingsUnreadable, Reason: "the file is larger than 64 KiB"}}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []inifile.Fault{{Code: code.SettingsUnreadable, Reason: err.Error()}}
+	}
+	return Parse(string(text))
+}
+
+// Parse checks the text of a settings file. It returns every fault, ordered
+// by line; the settings are nil when there is one.
+func Parse(text string) (*Settings, []inifile.Fault) {
+	entries, faults := inifile.Parse(text, inifile.Codes{Malformed: code.SettingInvalid, Repeated: code.SettingRepeated})
+	s := &Settings{}
+	given := map[[2]string]bool{}
+	for _, e := range entries {
+		given[[2]string{e.Section, e.Key}] = true
+		faults = append(faults, s.set(e)...)
+	}
+	faults = append(faults, s.complete(given)...)
+	faults = append(faults, s.checkTLS()...)
+	faults = append(faults, s.checkCharts()...)
+	slices.SortStableFunc(faults, func(a, b inifile.Fault) int { return cmp.Compare(a.Line, b.Line) })
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+// set stores one entry and returns its faults.
+func (s *Settings) set(e inifile.Entry) []inifile.Fault {
+	setting, reason := find(e.Section, e.Key)
+	if setting == nil {
+		return []inifile.Fault{{Line: e.Line, Section: e.Section, Key: e.Key, Code: code.SettingUnknown, Reason: reason}}
+	}
+	if err := setting.set(s, e.Value); err != nil {
+		return []inifile.Fault{{Line: e.Line, Section: e.Section, Key: e.Key, Code: err.Code, Reason: err.Detail}}
+	}
+	return nil
+}
+
+// complete stores the defaults of absent settings and returns a fault for
+// each required one.
+func (s *Settings) complete(given map[[2]string]bool) []inifile.Fault {
+	var faults []inifile.Fault
+	for i := range table {
+		row := &table[i]
+		switch {
+		case given[[2]string{row.Section, row.Key}]:
+		case row.Required:
+			faults = append(faults, inifile.Fault{Section: row.Section, Key: row.Key, Code: code.SettingMissing, Reason: "the setting is required"})
+		case row.Default != "":
+			if err := row.set(s, row.Default); err != nil {
+				faults = append(faults, inifile.Fault{Section: row.Section, Key: row.Key, Code: err.Code, Reason: err.Detail})
+			}
+		}
+	}
+	return faults
+}
+
+// checkCharts loads every chart as the node would.
+func (s *Settings) checkCharts() []inifile.Fault {
+	if s.ChartsDir == "" {
+		return nil
+	}
+	_, err := control.New(control.Options{Charts: s.Charts()}, time.Time{})
+	if err == nil {
+		return nil
+	}
+	return []inifile.Fault{{Section: "charts", Key: "directory", Code: code.ChartInvalid, Reason: err.Error()}}
+}
+
+// Charts returns the chart files of the node: the files of ChartsDir, and
+// the embedded ones for the rest.
+func (s *Settings) Charts() fs.FS {
+	if s.ChartsDir == "" {
+		return chart.Embedded()
+	}
+	return chart.Overlay(os.DirFS(s.ChartsDir), chart.Embedded())
+}
--- /dev/null
+++ b/node/settings/settings_test.go
@@ -0,0 +1,110 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"tanagerspread/core/code"
+	"tanagerspread/node/settings"
+)
+
+const minimal = "[node]\nid = n1\ndomain = hobart-a\nlisten = 127.0.0.1:8080\nadmin-listen = [::1]:8081\n"
+
+// TestExample guards against an example file that the node refuses, and
+// against defaults that are not applied.
+func TestExample(t *testing.T) {
+	s, faults := settings.Read("../../examples/node.ini")
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	byDefault, faults := settings.Parse(strings.Replace(minimal, "[::1]", "127.0.0.1", 1))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	byDefault.Node = s.Node
+	if !reflect.DeepEqual(s, byDefault) {
+		t.Errorf("example %+v differs from the defaults %+v", s, byDefault)
+	}
+}
+
+// TestFaults guards against a fault that is missed, has another code, or
+// hides the faults after it.
+func TestFaults(t *testing.T) {
+	badCharts := t.TempDir()
+	if err := os.WriteFile(filepath.Join(badCharts, "node.toml"), []byte(`name = "node"`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Join([]string{
+		"stray = 1",
+		"[node]",
+		"id = n1",
+		"id = n1",
+		"listen = hobart.example:8080",
+		"admin-listen = 127.0.0.1:99999",
+		"drain-delay = 5",
+		"colour = red",
+		"[limits]",
+		"max-body-bytes = 0",
+		"server-slots = many",
+		"[weather]",
+		"rain = yes",
+		"[log]",
+		"level = loud",
+		"nonsense",
+		"[tls]",
+		"caller-cert = absent.pem",
+		"[charts]",
+		"directory = " + badCharts,
+	}, "\n")
+	want := []string{
+		"0 node.domain 1802", "0 tls.caller-key 1802", "0 charts.directory 1807",
+		"1 .stray 1803", "4 node.id 1804", "5 node.listen 1805", "6 node.admin-listen 1803", "7 node.drain-delay 1803",
+		"8 node.colour 1801", "10 limits.max-body-bytes 1803", "11 limits.server-slots 1803", "13 weather.rain 1801",
+		"15 log.level 1803", "16 log. 1803",
+	}
+	_, faults := settings.Parse(text)
+	var got []string
+	for _, f := range faults {
+		got = append(got, strings.Join([]string{strconv.Itoa(f.Line), f.Section + "." + f.Key, strconv.Itoa(int(f.Code))}, " "))
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got  %q\nwant %q", got, want)
+	}
+}
+
+// TestUnreadable guards against a crash on an absent or oversized file.
+func TestUnreadable(t *testing.T) {
+	large := filepath.Join(t.TempDir(), "large.ini")
+	if err := os.WriteFile(large, []byte(strings.Repeat("#\n", 64<<10)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{"absent.ini", large, t.TempDir()} {
+		_, faults := settings.Read(path)
+		if len(faults) != 1 || faults[0].Code != code.SettingsUnreadable {
+			t.Errorf("%s: got %v", path, faults)
+		}
+	}
+}
+
+// TestPage guards against a settings page that differs from the table; run
+// with -update to write the page.
+func TestPage(t *testing.T) {
+	goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md")).Assert(t, "settings", []byte(settings.Page()))
+}
+
+// FuzzParse guards against a text that crashes the parser.
+func FuzzParse(f *testing.F) {
+	f.Add(minimal)
+	f.Add("[node]\nid = \"\"\"\n[log\n= \n\\")
+	f.Fuzz(func(t *testing.T, text string) {
+		if s, faults := settings.Parse(text); (s == nil) != (len(faults) > 0) {
+			t.Errorf("settings %+v with faults %v", s, faults)
+		}
+	})
+}
--- /dev/null
+++ b/node/settings/table.go
@@ -0,0 +1,161 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"tanagerspread/core/code"
+)
+
+// Setting describes one key of the settings file.
+type Setting struct {
+	Section  string
+	Key      string
+	Form     string
+	Required bool
+	Default  string
+	Meaning  string
+	set      func(*Settings, string) *code.Error
+}
+
+const (
+	// maxBodyLimit bounds the setting max-body-bytes.
+	maxBodyLimit = 64 << 20
+	// maxSlots bounds the setting server-slots.
+	maxSlots = 1024
+	// maxDrainDelay bounds the setting drain-delay.
+	maxDrainDelay = 10 * time.Minute
+)
+
+// The forms of values, as the page names them.
+const (
+	formName     = "name of letters, digits, dots, hyphens and underscores"
+	formAddress  = "IP number and port"
+	formDuration = "duration with unit"
+	formInteger  = "integer"
+	formFile     = "path of a PEM file"
+)
+
+// table lists every setting in the order of the page.
+var table = []Setting{
+	{"node", "id", formName, true, "", "name of the node, unique in the fleet", text(func(s *Settings) *string { return &s.Node }, checkName)},
+	{"node", "domain", formName, true, "", "failure domain of the node", text(func(s *Settings) *string { return &s.Domain }, checkName)},
+	{"node", "listen", formAddress, true, "", "address for callers", text(func(s *Settings) *string { return &s.Listen }, checkAddress)},
+	{"node", "admin-listen", formAddress, true, "", "address for operators and the metrics scraper", text(func(s *Settings) *string { return &s.AdminListen }, checkAddress)},
+	{"node", "drain-delay", formDuration + ", 100ms to 10m", false, "5s", "time in which a stopping node still accepts requests while its readiness check fails", drainDelay},
+	{"limits", "max-body-bytes", formInteger + ", 1 to 67108864", false, "8388608", "largest request body in bytes", maxBodyBytes},
+	{"limits", "server-slots", formInteger + ", 1 to 1024", false, "64", "attempts that the node sends to one backend server at a time", serverSlots},
+	{"tls", "caller-cert", formFile, false, "", "certificate for callers; without it callers use plain HTTP", text(func(s *Settings) *string { return &s.CallerTLS.Cert }, nil)},
+	{"tls", "caller-key", formFile, false, "", "private key of caller-cert", text(func(s *Settings) *string { return &s.CallerTLS.Key }, nil)},
+	{"tls", "admin-cert", formFile, false, "", "certificate for operators; without it operators use plain HTTP", text(func(s *Settings) *string { return &s.AdminTLS.Cert }, nil)},
+	{"tls", "admin-key", formFile, false, "", "private key of admin-cert", text(func(s *Settings) *string { return &s.AdminTLS.Key }, nil)},
+	{"tls", "admin-ca", formFile, false, "", "certificate authority that operators' certificates must be signed by", text(func(s *Settings) *string { return &s.AdminTLS.CA }, nil)},
+	{"charts", "directory", "path of a directory", false, "", "chart files that replace embedded ones of the same name", text(func(s *Settings) *string { return &s.ChartsDir }, checkDirectory)},
+	{"log", "level", "error, info or debug", false, "info", "least severe level that is logged", text(func(s *Settings) *string { return &s.LogLevel }, checkLevel)},
+}
+
+// Table returns every setting in the order of the page.
+func Table() []Setting {
+	return slices.Clone(table)
+}
+
+// find returns the setting, or nil and the reason why there is none.
+func find(section, key string) (*Setting, string) {
+	reason := "the section is unknown"
+	for i := range table {
+		if table[i].Section != section {
+			continue
+		}
+		if table[i].Key == key {
+			return &table[i], ""
+		}
+		reason = "the key is unknown"
+	}
+	return nil, reason
+}
+
+// text stores a value that passes the check.
+func text(field func(*Settings) *string, check func(string) *code.Error) func(*Settings, string) *code.Error {
+	return func(s *Settings, value string) *code.Error {
+		if value == "" {
+			return code.New(code.SettingInvalid, "the value is empty")
+		}
+		if check != nil {
+			if err := check(value); err != nil {
+				return err
+			}
+		}
+		*field(s) = value
+		return nil
+	}
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+func checkName(value string) *code.Error {
+	if !namePattern.MatchString(value) {
+		return code.New(code.SettingInvalid, "the value is not a "+formName)
+	}
+	return nil
+}
+
+func checkAddress(value string) *code.Error {
+	if _, err := netip.ParseAddrPort(value); err == nil {
+		return nil
+	}
+	at := strings.LastIndex(value, ":")
+	if at < 0 {
+		return code.New(code.SettingInvalid, "the address has no port")
+	}
+	if _, err := netip.ParseAddr(strings.Trim(value[:at], "[]")); err != nil {
+		return code.New(code.SettingHostName, "the address is not an IP number with a port")
+	}
+	return code.New(code.SettingInvalid, "the port is not a number up to 65535")
+}
+
+func checkDirectory(value string) *code.Error {
+	info, err := os.Stat(value)
+	if err != nil || !info.IsDir() {
+		return code.New(code.SettingInvalid, "the directory cannot be read")
+	}
+	return nil
+}
+
+func checkLevel(value string) *code.Error {
+	if !slices.Contains([]string{"error", "info", "debug"}, value) {
+		return code.New(code.SettingInvalid, "the level is not error, info or debug")
+	}
+	return nil
+}
+
+func drainDelay(s *Settings, value string) *code.Error {
+	delay, err := time.ParseDuration(value)
+	if err != nil || delay < 100*time.Millisecond || delay > maxDrainDelay {
+		return code.New(code.SettingInvalid, "the value is not a duration with unit between 100ms and 10m")
+	}
+	s.DrainDelay = delay
+	return nil
+}
+
+func maxBodyBytes(s *Settings, value string) *code.Error {
+	bytes, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || bytes < 1 || bytes > maxBodyLimit {
+		return code.Newf(code.SettingInvalid, "the value is not an integer between 1 and %d", maxBodyLimit)
+	}
+	s.MaxBodyBytes = bytes
+	return nil
+}
+
+func serverSlots(s *Settings, value string) *code.Error {
+	slots, err := strconv.Atoi(value)
+	if err != nil || slots < 1 || slots > maxSlots {
+		return code.Newf(code.SettingInvalid, "the value is not an integer between 1 and %d", maxSlots)
+	}
+	s.ServerSlots = slots
+	return nil
+}
--- /dev/null
+++ b/node/settings/tls.go
@@ -0,0 +1,84 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+
+	"tanagerspread/core/code"
+	"tanagerspread/node/inifile"
+)
+
+// TLS names the PEM files of one listener. All are empty when the listener
+// uses no TLS.
+type TLS struct {
+	Cert string
+	Key  string
+	// CA is set when the other side must present a certificate signed by it.
+	CA string
+}
+
+// Config loads the files. It returns nil when the listener uses no TLS, and
+// an error when a file is missing or the certificate and key do not match.
+func (t TLS) Config() (*tls.Config, error) {
+	if t == (TLS{}) {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate and key: %w", err)
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}}
+	if t.CA == "" {
+		return config, nil
+	}
+	config.ClientCAs, err = LoadPool(t.CA)
+	if err != nil {
+		return nil, err
+	}
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config, nil
+}
+
+// LoadPool reads the certificates of a PEM file. It returns an error when the
+// file holds none.
+func LoadPool(path string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.New("load certificate authority: the file holds no certificate")
+	}
+	return pool, nil
+}
+
+// checkTLS returns a fault for each listener whose files are incomplete or
+// cannot be used.
+func (s *Settings) checkTLS() []inifile.Fault {
+	faults := checkPair("caller", s.CallerTLS)
+	return append(faults, checkPair("admin", s.AdminTLS)...)
+}
+
+func checkPair(listener string, t TLS) []inifile.Fault {
+	if t == (TLS{}) {
+		return nil
+	}
+	var faults []inifile.Fault
+	if t.Cert == "" {
+		faults = append(faults, inifile.Fault{Section: "tls", Key: listener + "-cert", Code: code.SettingMissing, Reason: "the other TLS settings of the listener need it"})
+	}
+	if t.Key == "" {
+		faults = append(faults, inifile.Fault{Section: "tls", Key: listener + "-key", Code: code.SettingMissing, Reason: "the other TLS settings of the listener need it"})
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	if _, err := t.Config(); err != nil {
+		return []inifile.Fault{{Section: "tls", Key: listener + "-cert", Code: code.SettingInvalid, Reason: err.Error()}}
+	}
+	return nil
+}
