--- a/core/config/rules.go
+++ b/core/config/rules.go
@@ -82,3 +82,8 @@
 	// exported; 0 means 1.
 	ExportMinBlocks int
 }
+
+// RuleName is the key of a rule in Comments.
+func RuleName(section, key string) string {
+	return section + "/" + key
+}
--- /dev/null
+++ b/node/rules/check.go
@@ -0,0 +1,80 @@
+package rules
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/request"
+	"tanagerspread/node/inifile"
+)
+
+// checkReferences returns a fault for each rule that names something that no
+// rule defines, or that contradicts another rule.
+func checkReferences(rules *config.Rules, entries []inifile.Entry) []inifile.Fault {
+	var faults []inifile.Fault
+	for _, e := range entries {
+		for _, reason := range conflicts(rules, e) {
+			faults = append(faults, inifile.Fault{Line: e.Line, Section: e.Section, Key: e.Key, Code: code.RuleConflict, Reason: reason})
+		}
+	}
+	return faults
+}
+
+// conflicts returns the reasons why one rule does not fit the others. A
+// reference that could not be parsed is empty and has its own fault.
+func conflicts(rules *config.Rules, e inifile.Entry) []string {
+	switch e.Section {
+	case "tokens":
+		return tokenConflicts(rules, e.Key)
+	case "models":
+		return append(unknownClass(rules, rules.Models[e.Key].Class), sharedName(rules, e.Key)...)
+	case "services":
+		return unknownClass(rules, rules.Services[e.Key].Class)
+	case "organisations":
+		return organisationConflicts(rules, rules.Organisations[request.Organisation(e.Key)])
+	}
+	return nil
+}
+
+func tokenConflicts(rules *config.Rules, key string) []string {
+	var digest request.Digest
+	if _, err := hex.Decode(digest[:], []byte(key[:min(len(key), 2*len(digest))])); err != nil {
+		return nil
+	}
+	name := rules.Tokens[digest].Organisation
+	if _, known := rules.Organisations[name]; known || name == "" {
+		return nil
+	}
+	return []string{fmt.Sprintf("no rule defines the organisation %s", name)}
+}
+
+func unknownClass(rules *config.Rules, class request.Class) []string {
+	if _, known := rules.Classes[class]; known || class == "" {
+		return nil
+	}
+	return []string{fmt.Sprintf("no rule defines the class %s", class)}
+}
+
+func sharedName(rules *config.Rules, name string) []string {
+	if _, shared := rules.Services[name]; !shared {
+		return nil
+	}
+	return []string{"a service has the same name, so an organisation's list of allowed names is ambiguous"}
+}
+
+func organisationConflicts(rules *config.Rules, o config.Organisation) []string {
+	var reasons []string
+	if (o.Rate > 0) != (o.Burst > 0) {
+		reasons = append(reasons, "rate and burst need each other")
+	}
+	for _, name := range o.Models {
+		_, isModel := rules.Models[name]
+		_, isService := rules.Services[name]
+		if !isModel && !isService {
+			reasons = append(reasons, fmt.Sprintf("no rule defines the model or service %s", name))
+		}
+	}
+	return reasons
+}
--- /dev/null
+++ b/node/rules/diff.go
@@ -0,0 +1,69 @@
+package rules
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/node/inifile"
+)
+
+// Kind tells how a rule differs between two texts.
+type Kind string
+
+// The kinds of changes.
+const (
+	Added   Kind = "added"
+	Removed Kind = "removed"
+	Changed Kind = "changed"
+)
+
+// Change is one rule that differs between two texts.
+type Change struct {
+	Kind    Kind   `json:"kind"`
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Old     string `json:"old,omitempty"`
+	New     string `json:"new,omitempty"`
+	// OldAskedBy and NewAskedBy say who asked for each side of the rule.
+	OldAskedBy string `json:"old_asked_by,omitempty"`
+	NewAskedBy string `json:"new_asked_by,omitempty"`
+}
+
+// Diff compares two texts rule by rule, ordered by section and key. Lines
+// that cannot be parsed are left out; Parse reports them.
+func Diff(before, after string) []Change {
+	older := index(before)
+	newer := index(after)
+	var changes []Change
+	for name, e := range older {
+		if _, kept := newer[name]; !kept {
+			changes = append(changes, Change{Kind: Removed, Section: e.Section, Key: e.Key, Old: e.Value, OldAskedBy: e.Comment})
+		}
+	}
+	for name, e := range newer {
+		old, known := older[name]
+		switch {
+		case !known:
+			changes = append(changes, Change{Kind: Added, Section: e.Section, Key: e.Key, New: e.Value, NewAskedBy: e.Comment})
+		case old.Value != e.Value || old.Comment != e.Comment:
+			changes = append(changes, Change{Changed, e.Section, e.Key, old.Value, e.Value, old.Comment, e.Comment})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Section, b.Section), cmp.Compare(a.Key, b.Key))
+	})
+	return changes
+}
+
+func index(text string) map[string]inifile.Entry {
+	entries, _ := inifile.Parse(text, inifile.Codes{Malformed: code.RuleMalformed, Repeated: code.RuleConflict})
+	out := make(map[string]inifile.Entry, len(entries))
+	for _, e := range entries {
+		e.Value = strings.Join(strings.Fields(e.Value), " ")
+		out[config.RuleName(e.Section, e.Key)] = e
+	}
+	return out
+}
--- /dev/null
+++ b/node/rules/sections.go
@@ -0,0 +1,162 @@
+package rules
+
+import (
+	"cmp"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"tanagerspread/core/config"
+	"tanagerspread/core/request"
+)
+
+// section describes one section of the file.
+type section struct {
+	name  string
+	add   func(rules *config.Rules, key, value string) []error
+	lines func(rules *config.Rules) []ruleLine
+}
+
+type ruleLine struct {
+	key   string
+	value string
+}
+
+// sections lists the sections in the order in which Write writes them.
+var sections = []section{
+	{"classes", addNamed(classOptions, classes), linesNamed(classOptions, classes)},
+	{"organisations", addNamed(organisationOptions, organisations), linesNamed(organisationOptions, organisations)},
+	{"tokens", addToken, tokenLines},
+	{"models", addNamed(modelOptions, models), linesNamed(modelOptions, models)},
+	{"services", addNamed(serviceOptions, services), linesNamed(serviceOptions, services)},
+	{"servers", addNamed(serverOptions, servers), linesNamed(serverOptions, servers)},
+	{"policy", addPolicy, policyLines},
+}
+
+var classOptions = []option[config.Class]{
+	numberOption("priority", true, 0, func(c *config.Class) *int { return &c.Priority }),
+	numberOption("queue", true, 0, func(c *config.Class) *int { return &c.Queue }),
+	durationOption("first-token", "", func(c *config.Class) *time.Duration { return &c.FirstToken }),
+}
+
+var organisationOptions = []option[config.Organisation]{
+	rateOption("rate", func(o *config.Organisation) *float64 { return &o.Rate }),
+	numberOption("burst", false, 1, func(o *config.Organisation) *int { return &o.Burst }),
+	namesOption("allow", func(o *config.Organisation) *[]string { return &o.Models }),
+}
+
+var tokenOptions = []option[config.Token]{
+	nameOption("organisation", true, func(t *config.Token) *string { return (*string)(&t.Organisation) }),
+}
+
+var modelOptions = []option[config.Model]{
+	numberOption("weights", true, 1, func(m *config.Model) *int { return &m.Weights }),
+	nameOption("class", true, func(m *config.Model) *string { return (*string)(&m.Class) }),
+}
+
+var serviceOptions = []option[config.Service]{
+	nameOption("class", true, func(s *config.Service) *string { return (*string)(&s.Class) }),
+	flagOption("non-idempotent", true, func(s *config.Service) *bool { return &s.NonIdempotent }),
+}
+
+var serverOptions = []option[config.ServerRule]{
+	flagOption("leaving", true, func(s *config.ServerRule) *bool { return &s.Leaving }),
+}
+
+var policyOptions = []option[config.Policy]{
+	choiceOption("placement", config.Placements(), func(p *config.Policy) *string { return &p.Placement }),
+	durationOption("link-price", "/MiB", func(p *config.Policy) *time.Duration { return &p.LinkPrice }),
+}
+
+func classes(r *config.Rules) map[request.Class]config.Class { return r.Classes }
+func organisations(r *config.Rules) map[request.Organisation]config.Organisation {
+	return r.Organisations
+}
+func models(r *config.Rules) map[string]config.Model       { return r.Models }
+func services(r *config.Rules) map[string]config.Service   { return r.Services }
+func servers(r *config.Rules) map[string]config.ServerRule { return r.Servers }
+
+func findSection(name string) *section {
+	for i := range sections {
+		if sections[i].name == name {
+			return &sections[i]
+		}
+	}
+	return nil
+}
+
+// addNamed returns the function that stores one rule of a section whose keys
+// are names.
+func addNamed[K ~string, T any](table []option[T], field func(*config.Rules) map[K]T) func(*config.Rules, string, string) []error {
+	return func(rules *config.Rules, key, value string) []error {
+		parsed, faults := parseOptions(table, value)
+		if err := checkName(key); err != nil {
+			faults = append(faults, err)
+		}
+		field(rules)[K(key)] = parsed
+		return faults
+	}
+}
+
+func linesNamed[K ~string, T any](table []option[T], field func(*config.Rules) map[K]T) func(*config.Rules) []ruleLine {
+	return func(rules *config.Rules) []ruleLine {
+		var lines []ruleLine
+		for key, value := range field(rules) {
+			lines = append(lines, ruleLine{string(key), formatOptions(table, value)})
+		}
+		return sorted(lines)
+	}
+}
+
+func sorted(lines []ruleLine) []ruleLine {
+	slices.SortFunc(lines, func(a, b ruleLine) int { return cmp.Compare(a.key, b.key) })
+	return lines
+}
+
+// addToken stores a token rule, whose key is the hexadecimal SHA-256 digest
+// of the bearer token in lower case.
+func addToken(rules *config.Rules, key, value string) []error {
+	parsed, faults := parseOptions(tokenOptions, value)
+	var digest request.Digest
+	data, err := hex.DecodeString(key)
+	if err != nil || len(data) != len(digest) || hex.EncodeToString(data) != key {
+		return append(faults, errors.New("the key is not a SHA-256 digest of 64 hexadecimal digits in lower case"))
+	}
+	copy(digest[:], data)
+	rules.Tokens[digest] = parsed
+	return faults
+}
+
+func tokenLines(rules *config.Rules) []ruleLine {
+	var lines []ruleLine
+	for digest, token := range rules.Tokens {
+		lines = append(lines, ruleLine{hex.EncodeToString(digest[:]), formatOptions(tokenOptions, token)})
+	}
+	return sorted(lines)
+}
+
+// addPolicy stores a policy rule, whose key is an option of the policy.
+func addPolicy(rules *config.Rules, key, value string) []error {
+	for _, o := range policyOptions {
+		if o.name != key {
+			continue
+		}
+		if err := o.parse(&rules.Policy, value); err != nil {
+			return []error{err}
+		}
+		return nil
+	}
+	return []error{fmt.Errorf("policy %q is unknown", key)}
+}
+
+func policyLines(rules *config.Rules) []ruleLine {
+	var lines []ruleLine
+	for _, o := range policyOptions {
+		if text := o.format(rules.Policy); text != "" {
+			lines = append(lines, ruleLine{o.name, text})
+		}
+	}
+	return sorted(lines)
+}
