core: name the rule behind each decision and summarise a node

An operator who asks why a request was refused needs the rule and who asked for it. Token digests are compared in constant time.

--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"crypto/subtle"
 	"time"
 
 	"tanagerspread/core/cachekey"
@@ -14,7 +15,7 @@
 func (s *State) admit(now time.Time, m Admit) {
 	a := &active{Request: m.Request}
 	if err := s.checkAdmission(now, a); err != nil {
-		s.journal.add(now, a, "refuse", err.Detail)
+		s.journal.refuse(now, a, err)
 		s.reply(m.Request.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code)})
 		return
 	}
@@ -79,14 +80,20 @@
 	return nil
 }
 
-// identify finds the organisation of the bearer token. The rules hold only
-// digests, so the lookup reveals nothing about a token by its timing.
+// identify finds the organisation of the bearer token. It compares all
+// digests in constant time, so that the time of a refusal tells nothing about
+// the digests in the rules.
 func (s *State) identify(a *active) *code.Error {
-	token, known := s.rules.Tokens[a.TokenDigest]
+	known := false
+	for digest, token := range s.rules.Tokens {
+		if subtle.ConstantTimeCompare(digest[:], a.TokenDigest[:]) == 1 {
+			known = true
+			a.organisation = token.Organisation
+		}
+	}
 	if !known {
 		return code.New(code.UnknownToken, "no rule knows the bearer token")
 	}
-	a.organisation = token.Organisation
 	return nil
 }
 
@@ -172,6 +179,8 @@
 	s.version = m.Version
 	s.rules = m.Rules
 	s.policy = policyOf(m.Rules.Policy.Placement)
+	s.journal.rules = m.Rules
+	s.journal.version = m.Version
 	s.applyServerRules(now)
 	s.fireNode("configure", now)
 	s.assignQueued(now)
--- a/core/control/ending.go
+++ b/core/control/ending.go
@@ -30,7 +30,7 @@
 func (s *State) conclude(a *active, err *code.Error) {
 	s.queue.Remove(a.ID)
 	err = s.checkTruth(a, err)
-	s.journal.add(a.position.Entered, a, "refuse", err.Detail)
+	s.journal.refuse(a.position.Entered, a, err)
 	if a.position.State == "releasing" {
 		a.ending = err
 		s.reply(a.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code), Release: true})
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -33,6 +33,9 @@
 	// ServerSlots is the number of attempts that the node sends to one
 	// backend server at a time.
 	ServerSlots int
+	// DrainDelay replaces the timeout of the chart's state unready when it is
+	// positive.
+	DrainDelay time.Duration
 }
 
 // State is the control state of one node.
@@ -148,6 +151,10 @@
 		s.tick(now)
 	case DumpState:
 		s.reply(m.ID, s.dump(now))
+	case AskStatus:
+		s.reply(m.ID, s.status(now))
+	case Explain:
+		s.reply(m.ID, s.explain(m.Request))
 	}
 }
 
