ingress: bound names and writes, keep escaped service paths

Model, class and service names were kept with remembered decisions at any length up to the body limit, so 256 refused requests could hold 2 GB at the default limit. A caller that stopped reading its stream kept its server slot until its deadline and held up the planned stop. An escaped question mark in a service path became the start of the query at the plain service.

Names are at most 128 bytes, each write to a caller at most 60 s, and the path is passed on in its escaped form.

--- /dev/null
+++ b/node/ingress/badinput_test.go
@@ -0,0 +1,298 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/request"
+	"tanagerspread/node/ingress"
+	"tanagerspread/node/runtime"
+)
+
+// pipes is a network inside the test: each dialled connection is accepted by
+// the listener at its other end.
+type pipes struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipes() *pipes {
+	return &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case conn := <-p.conns:
+		return conn, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { close(p.closed); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p.conns <- far
+	return near, nil
+}
+
+// bed is a node with one backend server in virtual time.
+type bed struct {
+	t       *testing.T
+	callers *pipes
+	node    *runtime.Node
+}
+
+func newBed(t *testing.T, backend http.HandlerFunc) bed {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := bed{t: t, callers: newPipes()}
+	backends := newPipes()
+	server := &http.Server{Handler: backend}
+	go func() { _ = server.Serve(backends) }()
+	node, err := runtime.New(runtime.Options{
+		Control:      control.Options{Charts: chart.Embedded(), ServerSlots: 1},
+		Listener:     b.callers,
+		Dial:         backends.dial,
+		Recorder:     ingress.NoRecorder(),
+		Logger:       logr.Discard(),
+		MaxBodyBytes: 1000,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.node = node
+	done := make(chan struct{})
+	go func() {
+		_ = node.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		_ = server.Close()
+		// net/http closes a refused connection half a second later.
+		time.Sleep(time.Second)
+	})
+	b.configure()
+	return b
+}
+
+func (b bed) configure() {
+	b.node.Control().Tell(control.Configure{Version: 1, Rules: &config.Rules{
+		Organisations: map[request.Organisation]config.Organisation{"guild": {}, "narrow": {Models: []string{"other"}}},
+		Tokens: map[request.Digest]config.Token{
+			sha256.Sum256([]byte("secret")): {Organisation: "guild"},
+			sha256.Sum256([]byte("narrow")): {Organisation: "narrow"},
+		},
+		Classes:  map[request.Class]config.Class{"check": {Queue: 10}},
+		Models:   map[string]config.Model{"m": {Weights: 1, Class: "check"}},
+		Services: map[string]config.Service{"lodge": {Class: "check", NonIdempotent: true}, "tide": {Class: "check"}},
+	}})
+	b.node.Control().Tell(control.VMList{VMs: []control.VM{
+		{ID: "e1", Address: "127.0.0.1:1", Role: fleet.RoleEngine, Serves: "m", Weights: 1},
+		{ID: "s1", Address: "127.0.0.1:2", Role: fleet.RoleService, Serves: "tide"},
+	}})
+	synctest.Wait()
+}
+
+// send writes a raw request and returns the response with its body.
+func (b bed) send(raw string) (*http.Response, string) {
+	b.t.Helper()
+	conn, _ := b.callers.dial(b.t.Context(), "", "")
+	defer func() { _ = conn.Close() }()
+	go func() { _, _ = io.WriteString(conn, raw) }()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		b.t.Fatalf("no response to %.80q: %v", raw, err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return response, string(body)
+}
+
+func (b bed) inProgress() int {
+	decision, err := b.node.Control().Ask(b.t.Context(), control.AskStatus{ID: "test"})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return decision.(control.Status).Requests
+}
+
+func post(path, headers, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: node\r\nContent-Length: %d\r\n%s\r\n%s", path, len(body), headers, body)
+}
+
+const (
+	bearer = "Authorization: Bearer secret\r\n"
+	good   = `{"model":"m","prompt":"p","max_tokens":1}`
+)
+
+// TestBadInput guards against a malformed request that crashes the node,
+// reaches a backend server, or gets a refusal without its number.
+func TestBadInput(t *testing.T) {
+	completions := "/v1/completions"
+	cases := map[string]struct {
+		raw  string
+		want code.Code
+	}{
+		"oversized body":     {post(completions, bearer, `{"prompt":"`+strings.Repeat("p", 1000)), code.BodyTooLarge},
+		"broken JSON":        {post(completions, bearer, `{"model":`), code.MalformedBody},
+		"wrong JSON type":    {post(completions, bearer, `{"model":"m","prompt":7}`), code.MalformedBody},
+		"trailing JSON":      {post(completions, bearer, good+good), code.MalformedBody},
+		"empty body":         {post(completions, bearer, ""), code.MalformedBody},
+		"long model name":    {post(completions, bearer, `{"prompt":"p","model":"`+strings.Repeat("m", 129)+`"}`), code.MalformedBody},
+		"negative tokens":    {post(completions, bearer, `{"model":"m","prompt":"p","max_tokens":-1}`), code.MalformedBody},
+		"unknown model":      {post(completions, bearer, `{"model":"x","prompt":"p"}`), code.UnknownModel},
+		"model not allowed":  {post(completions, "Authorization: Bearer narrow\r\n", good), code.ModelNotAllowed},
+		"no token":           {post(completions, "", good), code.MissingToken},
+		"wrong token":        {post(completions, "Authorization: Bearer wrong\r\n", good), code.UnknownToken},
+		"wrong scheme":       {post(completions, "Authorization: Basic secret\r\n", good), code.MissingToken},
+		"repeated token":     {post(completions, bearer+bearer, good), code.MalformedHeader},
+		"repeated deadline":  {post(completions, bearer+"Tanagerspread-Deadline-Ms: 5\r\ntanagerspread-deadline-ms: 9\r\n", good), code.MalformedHeader},
+		"negative deadline":  {post(completions, bearer+"Tanagerspread-Deadline-Ms: -5\r\n", good), code.MalformedHeader},
+		"unknown class":      {post(completions, bearer+"Tanagerspread-Class: x\r\n", good), code.MalformedHeader},
+		"long class":         {post(completions, bearer+"Tanagerspread-Class: "+strings.Repeat("c", 129)+"\r\n", good), code.MalformedHeader},
+		"long key":           {post("/services/tide/", bearer+"Idempotency-Key: "+strings.Repeat("k", 256)+"\r\n", ""), code.MalformedHeader},
+		"missing key":        {post("/services/lodge/entry", bearer, "{}"), code.MissingIdempotencyKey},
+		"unknown service":    {post("/services/none/x", bearer, "{}"), code.UnknownService},
+		"long service name":  {post("/services/"+strings.Repeat("s", 129)+"/x", bearer, "{}"), code.UnknownService},
+		"unknown route":      {post("/v2/completions", bearer, good), code.UnknownRoute},
+		"wrong method":       {"DELETE /v1/completions HTTP/1.1\r\nHost: node\r\n\r\n", code.UnknownRoute},
+		"key without record": {post("/services/lodge/entry", bearer+"Idempotency-Key: k\r\n", "{}"), code.ClaimUnavailable},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached a backend server") })
+		for name, c := range cases {
+			response, body := b.send(c.raw)
+			var refusal struct {
+				Error struct {
+					Code      code.Code
+					Execution string
+				}
+			}
+			if err := json.Unmarshal([]byte(body), &refusal); err != nil {
+				t.Errorf("%s: %v in %q", name, err, body)
+			}
+			if refusal.Error.Code != c.want || refusal.Error.Execution != "not-run" || response.StatusCode != code.Lookup(c.want).HTTPStatus {
+				t.Errorf("%s: got status %d and %s, want code %d", name, response.StatusCode, body, c.want)
+			}
+		}
+		if left := b.inProgress(); left != 0 {
+			t.Errorf("%d refused requests are still in progress", left)
+		}
+	})
+}
+
+// TestMalformedHTTP guards against requests that two hops could read in
+// different ways. net/http refuses them before the node sees them, so the
+// refusal has no number.
+func TestMalformedHTTP(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached a backend server") })
+		for name, headers := range map[string]string{
+			"two lengths":        "Content-Length: 5\r\nContent-Length: 6\r\n",
+			"unknown encoding":   "Transfer-Encoding: gzip\r\n",
+			"two encodings":      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+			"space before colon": "Authorization : Bearer secret\r\n",
+			"control character":  "Tanagerspread-Class: a\x00b\r\n",
+			"oversized headers":  "X-Filler: " + strings.Repeat("f", 64<<10) + "\r\n",
+		} {
+			response, body := b.send("POST /v1/completions HTTP/1.1\r\nHost: node\r\n" + headers + "\r\n")
+			if response.StatusCode < 400 || response.StatusCode == http.StatusUnauthorized {
+				t.Errorf("%s: got status %d and %s", name, response.StatusCode, body)
+			}
+		}
+	})
+}
+
+// TestServiceHeaders guards against headers and paths of a caller that change
+// what a plain service is told about the call.
+func TestServiceHeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got *http.Request
+		b := newBed(t, func(_ http.ResponseWriter, r *http.Request) { got = r })
+		response, body := b.send(post("/services/tide/a%3Fadmin=1%2Fb?q=1", bearer+"Tanagerspread-Organisation: other\r\nTanagerspread-Request-Id: forged\r\nConnection: close, Authorization\r\n", ""))
+		if response.StatusCode != http.StatusOK {
+			t.Fatalf("got status %d and %s", response.StatusCode, body)
+		}
+		if organisation := got.Header.Get("Tanagerspread-Organisation"); organisation != "guild" {
+			t.Errorf("organisation: got %q", organisation)
+		}
+		if id := got.Header.Get("Tanagerspread-Request-Id"); id == "forged" || got.Header.Get("Authorization") != "" {
+			t.Errorf("a header of the caller was passed on: %v", got.Header)
+		}
+		if got.RequestURI != "/a%3Fadmin=1%2Fb?q=1" {
+			t.Errorf("path: got %q", got.RequestURI)
+		}
+	})
+}
+
+// TestSlowCaller guards against a caller that sends no end of its body and
+// holds its connection for ever.
+func TestSlowCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached a backend server") })
+		began := time.Now()
+		response, body := b.send("POST /v1/completions HTTP/1.1\r\nHost: node\r\nContent-Length: 900\r\n" + bearer + "\r\n{")
+		if response.Header.Get("Tanagerspread-Code") != "1007" {
+			t.Errorf("got status %d and %s", response.StatusCode, body)
+		}
+		if waited := time.Since(began); waited != 60*time.Second {
+			t.Errorf("waited %s", waited)
+		}
+	})
+}
+
+// TestCallerStopsReading guards against a caller that takes no more of its
+// stream and keeps the backend server's slot.
+func TestCallerStopsReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ended error
+		b := newBed(t, func(w http.ResponseWriter, r *http.Request) {
+			var call struct {
+				RequestID string `json:"request_id"`
+			}
+			ended = json.NewDecoder(r.Body).Decode(&call)
+			for i := 0; ended == nil; i++ {
+				_, _ = fmt.Fprintf(w, "data: {\"request_id\":%q,\"seq\":%d,\"text\":\"t\"}\n\n", call.RequestID, i)
+				ended = http.NewResponseController(w).Flush()
+				ended = errors.Join(ended, context.Cause(r.Context()))
+				time.Sleep(time.Second)
+			}
+		})
+		conn, _ := b.callers.dial(t.Context(), "", "")
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, post("/v1/completions", bearer, `{"model":"m","prompt":"p","stream":true}`))
+		synctest.Wait()
+		if got := b.inProgress(); got != 1 {
+			t.Fatalf("%d requests in progress", got)
+		}
+		time.Sleep(65 * time.Second)
+		synctest.Wait()
+		if got := b.inProgress(); got != 0 || ended == nil {
+			t.Errorf("%d requests in progress, engine ended with %v", got, ended)
+		}
+	})
+}
--- a/node/ingress/header.go
+++ b/node/ingress/header.go
@@ -46,6 +46,9 @@
 		return fields, err
 	}
 	fields.tokenDigest = sha256.Sum256([]byte(token))
+	if len(header.Get(headerClass)) > maxNameBytes {
+		return fields, code.Newf(code.MalformedHeader, "%s is longer than %d bytes", headerClass, maxNameBytes)
+	}
 	fields.class = request.Class(header.Get(headerClass))
 	if fields.keyDigest, err = keyDigest(header); err != nil {
 		return fields, err
--- a/node/ingress/refusal.go
+++ b/node/ingress/refusal.go
@@ -58,6 +58,7 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	}
+	boundWrite(w)
 	w.WriteHeader(info.HTTPStatus)
 	// A failed write means that the caller has left; nothing is left to do.
 	_ = json.NewEncoder(w).Encode(newRefusal(id, err, retryAfter))
--- a/node/ingress/service.go
+++ b/node/ingress/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"tanagerspread/core/code"
@@ -11,6 +12,9 @@
 	"tanagerspread/node/egress"
 )
 
+// servicePathParts is the number of parts of "/services/name/rest".
+const servicePathParts = 4
+
 // service serves a call of a plain service.
 func (f *Front) service(w http.ResponseWriter, r *http.Request) {
 	id := newID()
@@ -19,6 +23,10 @@
 		f.refuse(w, id, err, 0)
 		return
 	}
+	if len(r.PathValue("name")) > maxNameBytes {
+		f.refuse(w, id, code.Newf(code.UnknownService, "the service name is longer than %d bytes", maxNameBytes), 0)
+		return
+	}
 	body, err := readBody(w, r, f.options.MaxBodyBytes)
 	if err != nil {
 		f.refuse(w, id, err, 0)
@@ -42,8 +50,11 @@
 	})
 }
 
+// servicePath returns path and query behind the service's name in their
+// escaped form, so that an escaped "?" or "/" stays part of the path.
 func servicePath(r *http.Request) string {
-	path := "/" + r.PathValue("rest")
+	parts := strings.SplitN(r.URL.EscapedPath(), "/", servicePathParts)
+	path := "/" + parts[len(parts)-1]
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
--- a/node/ingress/sink.go
+++ b/node/ingress/sink.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"tanagerspread/core/code"
 	"tanagerspread/core/request"
@@ -14,6 +15,16 @@
 // maxAnswerBytes bounds the text of one response.
 const maxAnswerBytes = 8 << 20
 
+// writeTimeout bounds each write to a caller. A caller that stops reading
+// would otherwise hold its server slot and the planned stop of the node.
+const writeTimeout = 60 * time.Second
+
+// boundWrite sets the deadline of the next write to the caller.
+func boundWrite(w http.ResponseWriter) {
+	// A writer without deadlines is one of a test; its writes do not block.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // sink receives the verified events of a completion and writes them to the
 // caller, as a stream or as one response.
 type sink struct {
@@ -59,6 +70,7 @@
 	if err != nil {
 		return err
 	}
+	boundWrite(s.w)
 	if _, err := s.w.Write([]byte("data: " + string(data) + "\n\n")); err != nil {
 		return err
 	}
@@ -114,6 +126,7 @@
 	header.Set("Content-Length", strconv.Itoa(len(kept.Body)))
 	header.Set(headerRequestID, string(id))
 	header.Set(headerExecution, string(code.Ran))
+	boundWrite(w)
 	w.WriteHeader(kept.Status)
 	_, _ = w.Write(kept.Body)
 }
--- a/node/ingress/wire.go
+++ b/node/ingress/wire.go
@@ -14,6 +14,9 @@
 const (
 	// maxMessages bounds the messages of one chat.
 	maxMessages = 1024
+	// maxNameBytes bounds the name of a model, service or class. Names are kept
+	// with remembered decisions, so an unbounded one would use up memory.
+	maxNameBytes = 128
 	// defaultMaxTokens is used when the caller names no bound.
 	defaultMaxTokens = 256
 	// maxMaxTokens bounds the generated tokens of one request.
@@ -61,6 +64,9 @@
 	if wire.Model == "" {
 		return call, code.New(code.MalformedBody, "the body names no model")
 	}
+	if len(wire.Model) > maxNameBytes {
+		return call, code.Newf(code.MalformedBody, "the model name is longer than %d bytes", maxNameBytes)
+	}
 	if len(wire.Messages) > maxMessages {
 		return call, code.Newf(code.TooManyItems, "the body has more than %d messages", maxMessages)
 	}
