node: write JSON log lines and count with tally

Refusals within a stream were not logged, and event 2002 was never written. Both are now written where the outcome is counted. An observer around the control thread counts attempts, decisions and times to the first token, so the control thread itself does no counting.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -3,7 +3,7 @@
 // The events of requests.
 var (
 	RequestRefused   = add(2001, LevelInfo, "request refused", "request", "code", "execution")
-	RequestDelivered = add(2002, LevelDebug, "request delivered", "request", "attempts")
+	RequestDelivered = add(2002, LevelDebug, "request delivered", "request")
 	AttemptFailed    = add(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
 )
 
@@ -19,6 +19,7 @@
 	NodeStateChanged = add(2502, LevelInfo, "node changed its state", "state")
 	NodeStopped      = add(2503, LevelInfo, "node stopped")
 	QueueFull        = add(2504, LevelError, "control queue is full; message refused", "message")
+	AdminStopped     = add(2505, LevelError, "admin listener stopped")
 )
 
 // The events of invariants.
--- /dev/null
+++ b/node/eventlog/sink.go
@@ -0,0 +1,25 @@
+package eventlog
+
+import (
+	"io"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zerologr"
+	"github.com/rs/zerolog"
+
+	"tanagerspread/core/event"
+)
+
+// New returns a logger that writes one JSON object a line to out. Events less
+// severe than the level are dropped.
+func New(out io.Writer, level event.Level) logr.Logger {
+	threshold := zerolog.InfoLevel
+	switch level {
+	case event.LevelError:
+		threshold = zerolog.ErrorLevel
+	case event.LevelDebug:
+		threshold = zerolog.DebugLevel
+	}
+	sink := zerolog.New(zerolog.SyncWriter(out)).Level(threshold).With().Timestamp().Logger()
+	return zerologr.New(&sink)
+}
--- a/node/ingress/completion.go
+++ b/node/ingress/completion.go
@@ -80,6 +80,7 @@
 	if x.admitted.Claim {
 		x.record(ctx, kept)
 	}
+	f.noteDelivered(x.request.ID)
 	sink.send(kept)
 }
 
@@ -97,6 +98,7 @@
 		f.refuse(w, x.request.ID, end.refused.err, end.refused.retryAfter)
 		return
 	}
+	f.noteDelivered(x.request.ID)
 	writeKept(w, x.request.ID, *end.kept)
 }
 
@@ -164,6 +166,7 @@
 		if err.Info().Execution == code.NotRun {
 			err = code.Wrap(code.BackendLost, "the backend server failed during the request", err)
 		}
+		f.noteRefused(x.request.ID, err)
 		sink.fail(newRefusal(x.request.ID, err, refused.retryAfter))
 		return
 	}
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -52,6 +52,13 @@
 	Release(ctx context.Context, claim Claim) *code.Error
 }
 
+// Observer counts finished requests.
+type Observer interface {
+	// Outcome takes the error of a refused request, or nil when the whole
+	// response was delivered.
+	Outcome(err *code.Error)
+}
+
 // Options configures a front.
 type Options struct {
 	Control  Asker
@@ -60,6 +67,7 @@
 	// Importer brings cache blocks into engines.
 	Importer *blocks.Importer
 	Logger   logr.Logger
+	Observer Observer
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
 }
@@ -106,9 +114,19 @@
 
 // refuse logs a refusal and responds with it.
 func (f *Front) refuse(w http.ResponseWriter, id request.ID, err *code.Error, retryAfter time.Duration) {
+	f.noteRefused(id, err)
+	writeRefusal(w, id, err, retryAfter)
+}
+
+func (f *Front) noteRefused(id request.ID, err *code.Error) {
+	f.options.Observer.Outcome(err)
 	eventlog.Write(f.options.Logger, event.RequestRefused, err.Cause,
 		"request", id, "code", int(err.Code), "execution", string(err.Info().Execution))
-	writeRefusal(w, id, err, retryAfter)
+}
+
+func (f *Front) noteDelivered(id request.ID) {
+	f.options.Observer.Outcome(nil)
+	eventlog.Write(f.options.Logger, event.RequestDelivered, nil, "request", id)
 }
 
 func newID() request.ID {
--- a/node/ingress/service.go
+++ b/node/ingress/service.go
@@ -85,6 +85,7 @@
 	if x.admitted.Claim {
 		x.record(ctx, kept)
 	}
+	f.noteDelivered(x.request.ID)
 	writeKept(w, x.request.ID, kept)
 }
 
--- /dev/null
+++ b/node/metrics/metrics.go
@@ -0,0 +1,102 @@
+// Package metrics counts what a node does, with tally and its Prometheus
+// reporter. It only observes the questions that traffic goroutines ask the
+// control thread and the decisions that they get.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+)
+
+const (
+	// prefix starts the name of every metric.
+	prefix = "tanagerspread"
+	// reportInterval is the time between two reports to the scrape endpoint.
+	reportInterval = time.Second
+)
+
+// outcomeDelivered is the outcome tag of a request with a whole response.
+const outcomeDelivered = "delivered"
+
+// The bounds of the histogram of times to the first token.
+var firstTokenBuckets = tally.DurationBuckets{
+	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
+	800 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 6 * time.Second, 12 * time.Second, 30 * time.Second,
+}
+
+// Metrics holds the metrics of one node. It may be used by any goroutine.
+// The methods of a nil Metrics do nothing.
+type Metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	scraped http.Handler
+}
+
+// New returns the metrics of one node. They report until Close.
+func New() *Metrics {
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: prometheus.NewRegistry()})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{scope: scope, closer: closer, scraped: reporter.HTTPHandler()}
+}
+
+// Handler returns the scrape endpoint.
+func (m *Metrics) Handler() http.Handler {
+	return m.scraped
+}
+
+// Close reports once more and stops reporting.
+func (m *Metrics) Close() error {
+	return m.closer.Close()
+}
+
+// Outcome counts one finished request by its code; nil means that the whole
+// response was delivered.
+func (m *Metrics) Outcome(err *code.Error) {
+	if m == nil {
+		return
+	}
+	outcome := outcomeDelivered
+	if err != nil {
+		outcome = strconv.Itoa(int(err.Code))
+	}
+	m.count("requests", "outcome", outcome)
+}
+
+// Violated counts one failed invariant.
+func (m *Metrics) Violated() {
+	if m != nil {
+		m.scope.Counter("invariant_failures").Inc(1)
+	}
+}
+
+// Status sets the gauges of the node's state.
+func (m *Metrics) Status(s control.Status) {
+	if m == nil {
+		return
+	}
+	m.scope.Gauge("queue_length").Update(float64(s.Waiting))
+	m.scope.Gauge("requests_in_progress").Update(float64(s.Requests))
+	m.scope.Gauge("servers_known").Update(float64(s.Servers))
+	m.scope.Gauge("servers_available").Update(float64(s.Available))
+	m.scope.Gauge("retry_budget").Update(s.Budget)
+	m.scope.Gauge("configuration_version").Update(float64(s.Version))
+}
+
+func (m *Metrics) count(name, tag, value string) {
+	m.scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(1)
+}
--- /dev/null
+++ b/node/metrics/metrics_test.go
@@ -0,0 +1,56 @@
+package metrics_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/node/metrics"
+)
+
+// fixed answers every question with one decision.
+type fixed struct {
+	decision control.Decision
+}
+
+func (f fixed) Ask(context.Context, control.Question) (control.Decision, *code.Error) {
+	return f.decision, nil
+}
+func (fixed) Tell(control.Message) bool { return true }
+
+// TestScrape guards against metrics that are not counted or have another
+// name or tag.
+func TestScrape(t *testing.T) {
+	m := metrics.New()
+	asker := m.Observe(fixed{decision: control.Deliver{}})
+	m.Outcome(nil)
+	m.Outcome(code.New(code.QueueFull, ""))
+	m.Violated()
+	m.Status(control.Status{Waiting: 4, Version: 9})
+	_, _ = asker.Ask(t.Context(), control.AttemptDone{Outcome: control.Lost})
+	asker.Tell(control.FirstToken{After: 60 * time.Millisecond})
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`tanagerspread_requests{outcome="delivered"} 1`,
+		`tanagerspread_requests{outcome="1405"} 1`,
+		`tanagerspread_invariant_failures 1`,
+		`tanagerspread_queue_length 4`,
+		`tanagerspread_configuration_version 9`,
+		`tanagerspread_attempts{outcome="lost"} 1`,
+		`tanagerspread_decisions{decision="deliver"} 1`,
+		`tanagerspread_attempt_first_token_seconds_bucket{le="0.05"} 0`,
+		`tanagerspread_attempt_first_token_seconds_bucket{le="0.1"} 1`,
+	} {
+		if !strings.Contains(recorder.Body.String(), want+"\n") {
+			t.Errorf("missing %s in\n%s", want, recorder.Body.String())
+		}
+	}
+}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -20,6 +20,7 @@
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/ingress"
+	"tanagerspread/node/metrics"
 	"tanagerspread/platform/wire"
 )
 
@@ -39,6 +40,8 @@
 	Dial     egress.Dialer
 	Recorder ingress.Recorder
 	Logger   logr.Logger
+	// Metrics counts what the node does, or is nil.
+	Metrics *metrics.Metrics
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64
 }
@@ -65,10 +68,11 @@
 	n.exporter = blocks.NewExporter(n.loop, wire.Dialer(options.Dial))
 	n.front = ingress.NewFront(ingress.Options{
 		Importer:     blocks.NewImporter(n.loop, wire.Dialer(options.Dial)),
-		Control:      n.loop,
+		Control:      options.Metrics.Observe(n.loop),
 		Egress:       egress.NewClient(options.Dial),
 		Recorder:     options.Recorder,
 		Logger:       options.Logger,
+		Observer:     options.Metrics,
 		MaxBodyBytes: options.MaxBodyBytes,
 	})
 	return n, nil
@@ -134,5 +138,6 @@
 }
 
 func (n *Node) violated(v *invariant.Violation) {
+	n.options.Metrics.Violated()
 	eventlog.Write(n.options.Logger, event.InvariantFailed, v, "invariant", string(v.Invariant), "detail", v.Detail)
 }
