node: run as a process with admin listener, TLS and signals

The admin listener serves copies of the control state, the decisions about a request, the planned stop and the metrics. The first signal starts the planned stop and the second ends the process.

--- a/cmd/tanagerspread/main.go
+++ b/cmd/tanagerspread/main.go
@@ -1,4 +1,117 @@
 // Command tanagerspread is the process that runs on an entry VM.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"tanagerspread/node/inifile"
+	"tanagerspread/node/process"
+	"tanagerspread/node/settings"
+)
+
+// The exit codes.
+const (
+	exitStopped     = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitFaults      = 3
+	exitInterrupted = 4
+)
+
+// arguments are the command-line options.
+type arguments struct {
+	Settings      string `long:"settings" value-name:"FILE" description:"run a node with the settings of FILE"`
+	CheckSettings string `long:"check-settings" value-name:"FILE" description:"print every fault of FILE and exit"`
+	Version       bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run carries out the arguments and returns the exit code.
+func run(args []string, out, errOut io.Writer) int {
+	var given arguments
+	parser := flags.NewNamedParser("tanagerspread", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &given); err != nil {
+		return fail(errOut, err)
+	}
+	rest, err := parser.ParseArgs(args)
+	var helped *flags.Error
+	switch {
+	case errors.As(err, &helped) && helped.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(out, err)
+		return exitStopped
+	case err != nil || len(rest) > 0:
+		_, _ = fmt.Fprintln(errOut, "usage:", err, rest)
+		return exitUsage
+	case given.Version:
+		_, _ = fmt.Fprintln(out, "tanagerspread", version())
+		return exitStopped
+	case given.CheckSettings != "":
+		_, faults := settings.Read(given.CheckSettings)
+		return report(out, faults)
+	case given.Settings != "":
+		return serve(given.Settings, out, errOut)
+	}
+	_, _ = fmt.Fprintln(errOut, "usage: --settings, --check-settings or --version is required")
+	return exitUsage
+}
+
+// serve runs a node until its planned stop or a second signal.
+func serve(path string, out, errOut io.Writer) int {
+	checked, faults := settings.Read(path)
+	if len(faults) > 0 {
+		return report(errOut, faults)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	err := process.Run(context.Background(), process.Options{
+		Settings: checked,
+		Log:      out,
+		Signals:  signals,
+		Listen:   net.Listen,
+	})
+	switch {
+	case err == nil:
+		return exitStopped
+	case errors.Is(err, process.ErrInterrupted):
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitInterrupted
+	}
+	return fail(errOut, err)
+}
+
+func report(out io.Writer, faults []inifile.Fault) int {
+	for _, fault := range faults {
+		_, _ = fmt.Fprintln(out, fault)
+	}
+	if len(faults) > 0 {
+		return exitFaults
+	}
+	return exitStopped
+}
+
+func fail(errOut io.Writer, err error) int {
+	_, _ = fmt.Fprintln(errOut, err)
+	return exitFailed
+}
+
+// version is the module version that the build recorded.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/node/admin/admin.go
@@ -0,0 +1,137 @@
+// Package admin serves operators over HTTP: copies of the control state, the
+// decisions about a request, the planned stop, and the metrics.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/request"
+	"tanagerspread/node/metrics"
+)
+
+// The paths of the admin listener.
+const (
+	PathDump    = "/dump"
+	PathStatus  = "/status"
+	PathExplain = "/explain"
+	PathDrain   = "/drain"
+	PathMetrics = "/metrics"
+)
+
+// ParamRequest is the query parameter of PathExplain.
+const ParamRequest = "request"
+
+const (
+	// askTimeout bounds the wait for the control thread.
+	askTimeout = 2 * time.Second
+	// maxIDBytes bounds a request identifier.
+	maxIDBytes = 64
+)
+
+// Error is the JSON form of a failed call.
+type Error struct {
+	Code    code.Code `json:"code"`
+	Name    string    `json:"name"`
+	Message string    `json:"message"`
+}
+
+// Drained is the JSON form of an accepted order to stop.
+type Drained struct {
+	Accepted bool `json:"accepted"`
+}
+
+// Options configures the handler.
+type Options struct {
+	Control metrics.Asker
+	Metrics *metrics.Metrics
+}
+
+// Handler returns the routes of the admin listener.
+func Handler(options Options) http.Handler {
+	h := handler{options: options}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathDump, func(w http.ResponseWriter, r *http.Request) {
+		h.copyState(w, r, control.DumpState{ID: newID()})
+	})
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, r *http.Request) {
+		h.copyState(w, r, control.AskStatus{ID: newID()})
+	})
+	mux.HandleFunc("GET "+PathExplain, h.explain)
+	mux.HandleFunc("POST "+PathDrain, h.drain)
+	mux.HandleFunc("GET "+PathMetrics, h.metrics)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		writeError(w, code.New(code.UnknownRoute, "the path or method is not served"))
+	})
+	return mux
+}
+
+type handler struct {
+	options Options
+}
+
+func (h handler) ask(ctx context.Context, question control.Question) (control.Decision, *code.Error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return h.options.Control.Ask(ctx, question)
+}
+
+func (h handler) copyState(w http.ResponseWriter, r *http.Request, question control.Question) {
+	decision, err := h.ask(r.Context(), question)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	write(w, http.StatusOK, decision)
+}
+
+func (h handler) explain(w http.ResponseWriter, r *http.Request) {
+	id := r.URL.Query().Get(ParamRequest)
+	if id == "" || len(id) > maxIDBytes {
+		writeError(w, code.Newf(code.MalformedHeader, "the parameter %s is empty or longer than %d bytes", ParamRequest, maxIDBytes))
+		return
+	}
+	h.copyState(w, r, control.Explain{ID: newID(), Request: request.ID(id)})
+}
+
+func (h handler) drain(w http.ResponseWriter, _ *http.Request) {
+	if !h.options.Control.Tell(control.Drain{}) {
+		writeError(w, code.New(code.Overloaded, "the control queue of the node is full"))
+		return
+	}
+	write(w, http.StatusAccepted, Drained{Accepted: true})
+}
+
+// metrics takes the gauges from the control thread, so that they belong to
+// the time of the scrape. The scrape itself does not depend on the control
+// thread.
+func (h handler) metrics(w http.ResponseWriter, r *http.Request) {
+	if decision, err := h.ask(r.Context(), control.AskStatus{ID: newID()}); err == nil {
+		if status, ok := decision.(control.Status); ok {
+			h.options.Metrics.Status(status)
+		}
+	}
+	h.options.Metrics.Handler().ServeHTTP(w, r)
+}
+
+func newID() request.ID {
+	return request.ID("admin-" + uuid.NewString())
+}
+
+func writeError(w http.ResponseWriter, err *code.Error) {
+	info := err.Info()
+	write(w, info.HTTPStatus, Error{Code: err.Code, Name: info.Name, Message: err.Detail})
+}
+
+func write(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the operator has left; nothing is left to do.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/node/process/process.go
@@ -0,0 +1,153 @@
+// Package process runs one node as a process: listeners, log, metrics, admin
+// endpoints and signals around node/runtime.
+package process
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/core/control"
+	"tanagerspread/core/event"
+	"tanagerspread/core/fleet"
+	"tanagerspread/node/admin"
+	"tanagerspread/node/eventlog"
+	"tanagerspread/node/ingress"
+	"tanagerspread/node/metrics"
+	"tanagerspread/node/runtime"
+	"tanagerspread/node/settings"
+)
+
+const (
+	// adminHeaderTimeout bounds the wait for an operator's request headers.
+	adminHeaderTimeout = 5 * time.Second
+	// adminTimeout bounds an operator's whole request and its response.
+	adminTimeout = 30 * time.Second
+	// adminMaxHeaderBytes bounds the headers of an operator's request.
+	adminMaxHeaderBytes = 16 << 10
+)
+
+// ErrInterrupted is returned when a second signal ends the process before its
+// planned stop is complete.
+var ErrInterrupted = errors.New("interrupted by a second signal")
+
+// Options configures a process.
+type Options struct {
+	Settings *settings.Settings
+	// Log receives one JSON object a line.
+	Log io.Writer
+	// Signals delivers the first signal, which starts the planned stop, and a
+	// second one, which ends the process at once.
+	Signals <-chan os.Signal
+	// Listen opens a listener; tests replace it.
+	Listen func(network, address string) (net.Listener, error)
+	// Started is called with the running node before the first request, so
+	// that agents can be attached. It may be nil.
+	Started func(ctx context.Context, node *runtime.Node)
+}
+
+// Run serves until the planned stop is complete. It returns ErrInterrupted
+// after a second signal, and an error when a listener or the node cannot
+// start.
+func Run(ctx context.Context, options Options) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	counters := metrics.New()
+	defer func() { _ = counters.Close() }()
+	logger := eventlog.New(options.Log, event.Level(options.Settings.LogLevel))
+	callers, err := listen(options, options.Settings.Listen, options.Settings.CallerTLS)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	operators, err := listen(options, options.Settings.AdminListen, options.Settings.AdminTLS)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for operators: %w", err), callers.Close())
+	}
+	node, err := runtime.New(nodeOptions(options.Settings, callers, logger, counters))
+	if err != nil {
+		return errors.Join(err, callers.Close(), operators.Close())
+	}
+	server := adminServer(node, counters)
+	defer func() { _ = server.Close() }()
+	go serveAdmin(server, operators, logger)
+	go watchSignals(ctx, cancel, options.Signals, node)
+	if options.Started != nil {
+		options.Started(ctx, node)
+	}
+	err = node.Run(ctx)
+	if errors.Is(context.Cause(ctx), ErrInterrupted) {
+		return ErrInterrupted
+	}
+	return err
+}
+
+func listen(options Options, address string, files settings.TLS) (net.Listener, error) {
+	config, err := files.Config()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := options.Listen("tcp", address)
+	if err != nil || config == nil {
+		return listener, err
+	}
+	return tls.NewListener(listener, config), nil
+}
+
+func nodeOptions(s *settings.Settings, listener net.Listener, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
+	return runtime.Options{
+		Control: control.Options{
+			Node:        s.Node,
+			Domain:      fleet.Domain(s.Domain),
+			Charts:      s.Charts(),
+			Seed:        uint64(time.Now().UnixNano()),
+			ServerSlots: s.ServerSlots,
+			DrainDelay:  s.DrainDelay,
+		},
+		Listener:     listener,
+		Dial:         (&net.Dialer{}).DialContext,
+		Recorder:     ingress.NoRecorder(),
+		Logger:       logger,
+		Metrics:      counters,
+		MaxBodyBytes: s.MaxBodyBytes,
+	}
+}
+
+func adminServer(node *runtime.Node, counters *metrics.Metrics) *http.Server {
+	return &http.Server{
+		Handler:           admin.Handler(admin.Options{Control: node.Control(), Metrics: counters}),
+		ReadHeaderTimeout: adminHeaderTimeout,
+		ReadTimeout:       adminTimeout,
+		WriteTimeout:      adminTimeout,
+		MaxHeaderBytes:    adminMaxHeaderBytes,
+	}
+}
+
+func serveAdmin(server *http.Server, listener net.Listener, logger logr.Logger) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		eventlog.Write(logger, event.AdminStopped, err)
+	}
+}
+
+// watchSignals starts the planned stop on the first signal and ends the
+// process on the second.
+func watchSignals(ctx context.Context, cancel context.CancelCauseFunc, signals <-chan os.Signal, node *runtime.Node) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-signals:
+		node.Drain()
+	}
+	select {
+	case <-ctx.Done():
+	case <-signals:
+		cancel(ErrInterrupted)
+	}
+}
