ctl: commands on rules files, nodes and catalogues

tanagerctl checks and compares rules files, talks to the admin listeners of nodes, and prints the catalogues; each command has text and JSON output. The pages of codes, events and charts are generated from the code by a test.

--- /dev/null
+++ b/ctl/app.go
@@ -0,0 +1,134 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"tanagerspread/platform/vmlist"
+)
+
+// The exit codes of the operators' tool.
+const (
+	// ExitDone means that the command did what it says.
+	ExitDone = 0
+	// ExitFailed means that a file, node or service could not be used.
+	ExitFailed = 1
+	// ExitUsage means that the command line is wrong.
+	ExitUsage = 2
+	// ExitFaults means that the checked rules have faults.
+	ExitFaults = 3
+)
+
+// Clients makes the clients of platform services.
+type Clients struct {
+	// VMList returns the VM list at an IP number and port. It is nil when the
+	// build has no client.
+	VMList func(address string) vmlist.Lister
+}
+
+// options are the options of every command.
+type options struct {
+	Output string   `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
+	Nodes  []string `long:"nodes" value-name:"IP:PORT" description:"admin address of a node; may be repeated"`
+	VMList string   `long:"vm-list" value-name:"IP:PORT" description:"address of the VM list, which names the nodes"`
+	CA     string   `long:"ca" value-name:"FILE" description:"certificate authority of the nodes; turns on TLS"`
+	Cert   string   `long:"cert" value-name:"FILE" description:"certificate of the operator"`
+	Key    string   `long:"key" value-name:"FILE" description:"private key of the operator"`
+}
+
+// app is one run of the tool.
+type app struct {
+	options options
+	clients Clients
+	out     io.Writer
+}
+
+// errFaults ends a command whose faults are already printed.
+var errFaults = errors.New("faults found")
+
+// errUsage marks an error of the command line.
+type errUsage struct {
+	reason string
+}
+
+// Error returns what is wrong with the command line.
+func (e *errUsage) Error() string { return e.reason }
+
+// Run carries out one command line and returns its exit code.
+func Run(args []string, out, errOut io.Writer, clients Clients) int {
+	a := &app{clients: clients, out: out}
+	parser := flags.NewNamedParser("tanagerctl", flags.HelpFlag|flags.PassDoubleDash)
+	if err := a.register(parser); err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return ExitFailed
+	}
+	_, err := parser.ParseArgs(args)
+	var parse *flags.Error
+	var usage *errUsage
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.Is(err, errFaults):
+		return ExitFaults
+	case errors.As(err, &parse) && parse.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(out, err)
+		return ExitDone
+	case errors.As(err, &parse), errors.As(err, &usage):
+		_, _ = fmt.Fprintln(errOut, "usage:", err)
+		return ExitUsage
+	}
+	_, _ = fmt.Fprintln(errOut, err)
+	return ExitFailed
+}
+
+// register adds every command. Each file of the package adds its own.
+func (a *app) register(parser *flags.Parser) error {
+	if _, err := parser.AddGroup("Options", "", &a.options); err != nil {
+		return err
+	}
+	return errors.Join(
+		a.registerRules(parser),
+		a.registerNodes(parser),
+		a.registerReference(parser),
+	)
+}
+
+// action is a command without options of its own.
+type action struct {
+	run func(args []string) error
+}
+
+// Execute carries out the command.
+func (c *action) Execute(args []string) error { return c.run(args) }
+
+// adder is a parser or a command that takes subcommands.
+type adder interface {
+	AddCommand(name, short, long string, data any) (*flags.Command, error)
+}
+
+// add registers a command that takes exactly the named arguments.
+func add(to adder, name, short string, arguments []string, run func(args []string) error) error {
+	checked := func(args []string) error {
+		if len(args) != len(arguments) {
+			return &errUsage{reason: fmt.Sprintf("%s takes %d arguments: %v", name, len(arguments), arguments)}
+		}
+		return run(args)
+	}
+	_, err := to.AddCommand(name, short, short, &action{run: checked})
+	return err
+}
+
+// print writes the value as JSON, or the text.
+func (a *app) print(value any, text string) error {
+	if a.options.Output == "json" {
+		encoder := json.NewEncoder(a.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	_, err := io.WriteString(a.out, text)
+	return err
+}
--- /dev/null
+++ b/ctl/client.go
@@ -0,0 +1,124 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
+	"tanagerspread/node/admin"
+	"tanagerspread/node/settings"
+)
+
+const (
+	// nodeTimeout bounds one call of a node or of the VM list.
+	nodeTimeout = 5 * time.Second
+	// maxAnswerBytes bounds the answer of a node.
+	maxAnswerBytes = 64 << 20
+)
+
+// addresses returns the admin addresses of the nodes that the command line
+// names, or that the VM list names.
+func (a *app) addresses(ctx context.Context) ([]string, error) {
+	for _, address := range a.options.Nodes {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return nil, &errUsage{reason: fmt.Sprintf("--nodes %s is not an IP number with a port", address)}
+		}
+	}
+	switch {
+	case len(a.options.Nodes) > 0:
+		return a.options.Nodes, nil
+	case a.options.VMList == "":
+		return nil, &errUsage{reason: "--nodes or --vm-list is required"}
+	case a.clients.VMList == nil:
+		return nil, &errUsage{reason: "this build has no client of the VM list; use --nodes"}
+	}
+	vms, err := a.clients.VMList(a.options.VMList).List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, vm := range vms {
+		if vm.Role == string(fleet.RoleEntry) && vm.AdminAddress != "" {
+			out = append(out, vm.AdminAddress)
+		}
+	}
+	return out, nil
+}
+
+// find returns the admin address of a node that is named by address or by
+// identifier.
+func (a *app) find(ctx context.Context, node string) (string, error) {
+	if _, err := netip.ParseAddrPort(node); err == nil {
+		return node, nil
+	}
+	addresses, err := a.addresses(ctx)
+	if err != nil {
+		return "", err
+	}
+	for _, address := range addresses {
+		var status control.Status
+		if err := a.call(ctx, http.MethodGet, address, admin.PathStatus, &status); err == nil && status.Node == node {
+			return address, nil
+		}
+	}
+	return "", fmt.Errorf("no node that answers is named %s", node)
+}
+
+// call sends one request to a node and decodes its answer.
+func (a *app) call(ctx context.Context, method, address, path string, into any) error {
+	client, scheme, err := a.client()
+	if err != nil {
+		return err
+	}
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, scheme+"://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return fmt.Errorf("node %s: %w", address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("node %s: %w", address, err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		var refused admin.Error
+		_ = json.Unmarshal(body, &refused)
+		return fmt.Errorf("node %s: %d %s: %s", address, refused.Code, refused.Name, refused.Message)
+	}
+	return json.NewDecoder(bytes.NewReader(body)).Decode(into)
+}
+
+// client returns an HTTP client and the URL scheme. TLS is used when the
+// command line names a certificate authority.
+func (a *app) client() (*http.Client, string, error) {
+	if a.options.CA == "" {
+		return &http.Client{Transport: &http.Transport{}}, "http", nil
+	}
+	pool, err := settings.LoadPool(a.options.CA)
+	if err != nil {
+		return nil, "", err
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	if a.options.Cert != "" {
+		pair, err := tls.LoadX509KeyPair(a.options.Cert, a.options.Key)
+		if err != nil {
+			return nil, "", err
+		}
+		config.Certificates = []tls.Certificate{pair}
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}, "https", nil
+}
--- /dev/null
+++ b/ctl/ctl_test.go
@@ -0,0 +1,120 @@
+package ctl_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/request"
+	"tanagerspread/ctl"
+	"tanagerspread/node/admin"
+	"tanagerspread/platform/vmlist"
+)
+
+// node is a control thread that answers for one node.
+type node struct {
+	name    string
+	drained chan struct{}
+}
+
+func (n node) Ask(_ context.Context, question control.Question) (control.Decision, *code.Error) {
+	switch q := question.(type) {
+	case control.AskStatus:
+		return control.Status{Node: n.name, State: "ready", Version: 4}, nil
+	case control.Explain:
+		e := control.Explanation{Node: n.name, Request: q.Request}
+		if q.Request == request.ID("known-"+n.name) {
+			e.Decisions = []control.Record{{Action: "refuse", Code: code.QueueFull, Rule: "classes/check", AskedBy: "R. Okafor"}}
+		}
+		return e, nil
+	case control.DumpState:
+		return control.Dump{Node: n.name, Version: 4}, nil
+	}
+	return nil, code.New(code.Internal, "")
+}
+
+func (n node) Tell(control.Message) bool {
+	close(n.drained)
+	return true
+}
+
+func serve(t *testing.T, name string) (string, node) {
+	n := node{name: name, drained: make(chan struct{})}
+	server := httptest.NewServer(admin.Handler(admin.Options{Control: n}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), n
+}
+
+func run(clients ctl.Clients, args ...string) (int, string) {
+	var out, errOut strings.Builder
+	exit := ctl.Run(args, &out, &errOut, clients)
+	return exit, out.String()
+}
+
+type list []vmlist.VM
+
+func (l list) List(context.Context) ([]vmlist.VM, *code.Error) { return l, nil }
+
+// TestNodes guards against a command that talks to another node than the
+// named one, and against an unreachable node that goes unnoticed.
+func TestNodes(t *testing.T) {
+	one, _ := serve(t, "n1")
+	two, second := serve(t, "n2")
+	clients := ctl.Clients{VMList: func(string) vmlist.Lister {
+		return list{{Role: "entry", AdminAddress: one}, {Role: "engine", AdminAddress: "127.0.0.1:1"}, {Role: "entry", AdminAddress: two}}
+	}}
+	for _, c := range []struct {
+		args string
+		exit int
+		want string
+	}{
+		{"status --vm-list 127.0.0.1:9", ctl.ExitDone, "n2  ready version 4"},
+		{"status --nodes " + one + " --nodes 127.0.0.1:1", ctl.ExitFailed, "127.0.0.1:1 unreachable"},
+		{"status --nodes host:1", ctl.ExitUsage, ""},
+		{"status", ctl.ExitUsage, ""},
+		{"dump n2 --vm-list 127.0.0.1:9", ctl.ExitDone, `"Node": "n2"`},
+		{"dump n3 --vm-list 127.0.0.1:9", ctl.ExitFailed, ""},
+		{"dump", ctl.ExitUsage, ""},
+		{"explain known-n2 --vm-list 127.0.0.1:9", ctl.ExitDone, "rule classes/check, asked for by: R. Okafor"},
+		{"explain absent --vm-list 127.0.0.1:9", ctl.ExitFailed, ""},
+		{"drain n2 --vm-list 127.0.0.1:9", ctl.ExitDone, two},
+	} {
+		exit, out := run(clients, strings.Fields(c.args)...)
+		if exit != c.exit || !strings.Contains(out, c.want) {
+			t.Errorf("%s: got exit code %d and %q", c.args, exit, out)
+		}
+	}
+	<-second.drained
+}
+
+// TestOutputJSON guards against a command whose JSON output is not JSON.
+func TestOutputJSON(t *testing.T) {
+	one, _ := serve(t, "n1")
+	bad := filepath.Join(t.TempDir(), "bad.rules")
+	if err := os.WriteFile(bad, []byte("[classes]\na = priority=0 queue=1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for args, want := range map[string]int{
+		"rules check " + bad:                                          ctl.ExitFaults,
+		"rules check ../examples/derwent.rules":                       ctl.ExitDone,
+		"rules diff ../examples/derwent.rules ../examples/ulan.rules": ctl.ExitDone,
+		"rules diff ../examples/derwent.rules absent.rules":           ctl.ExitFailed,
+		"charts node": ctl.ExitDone, "charts absent": ctl.ExitUsage, "codes": ctl.ExitDone, "events": ctl.ExitDone,
+		"status --nodes " + one: ctl.ExitDone, "dump " + one: ctl.ExitDone, "drain " + one: ctl.ExitDone,
+		"explain known-n1 --nodes " + one: ctl.ExitDone,
+	} {
+		exit, out := run(ctl.Clients{}, strings.Fields(args+" --output json")...)
+		if exit != want {
+			t.Errorf("%s: got exit code %d", args, exit)
+		}
+		if (want == ctl.ExitDone || want == ctl.ExitFaults) && !json.Valid([]byte(out)) {
+			t.Errorf("%s: got %q", args, out)
+		}
+	}
+}
--- /dev/null
+++ b/ctl/reference/reference_test.go
@@ -0,0 +1,42 @@
+package reference_test
+
+import (
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/event"
+	"tanagerspread/ctl/reference"
+)
+
+// TestPages guards against pages that differ from the code; run with -update
+// to write them.
+func TestPages(t *testing.T) {
+	charts, err := reference.Charts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages := goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md"))
+	for name, page := range map[string]string{"codes": reference.Codes(), "events": reference.Events(), "charts": charts} {
+		pages.Assert(t, name, []byte(page))
+	}
+}
+
+// TestNumbers guards against a code or event number that is used twice.
+func TestNumbers(t *testing.T) {
+	codes := map[code.Code]string{}
+	for _, c := range code.All() {
+		if other, used := codes[c.Code]; used {
+			t.Errorf("code %d is both %s and %s", c.Code, other, c.Name)
+		}
+		codes[c.Code] = c.Name
+	}
+	events := map[event.Number]string{}
+	for _, e := range event.All() {
+		if other, used := events[e.Number]; used {
+			t.Errorf("event %d is both %q and %q", e.Number, other, e.Text)
+		}
+		events[e.Number] = e.Text
+	}
+}
