--- a/cmd/tanagerctl/main.go
+++ b/cmd/tanagerctl/main.go
@@ -1,4 +1,18 @@
 // Command tanagerctl is the operators' tool.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"tanagerspread/ctl"
+	"tanagerspread/platform/vmlist"
+	"tanagerspread/platform/wire"
+)
+
+func main() {
+	os.Exit(ctl.Run(os.Args[1:], os.Stdout, os.Stderr, ctl.Clients{VMList: vmList}))
+}
+
+func vmList(address string) vmlist.Lister {
+	return vmlist.NewClient(wire.Options{Address: address})
+}
--- a/core/control/inspect.go
+++ b/core/control/inspect.go
@@ -60,6 +60,18 @@
 func (Status) decision()      {}
 func (Explanation) decision() {}
 
+// inspect answers the questions of operators, which change nothing.
+func (s *State) inspect(now time.Time, message Message) {
+	switch m := message.(type) {
+	case DumpState:
+		s.reply(m.ID, s.dump(now))
+	case AskStatus:
+		s.reply(m.ID, s.status(now))
+	case Explain:
+		s.reply(m.ID, s.explain(m.Request))
+	}
+}
+
 func (s *State) status(now time.Time) Status {
 	status := Status{
 		Node:     s.options.Node,
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -149,12 +149,8 @@
 		s.fireNode("drain", now)
 	case Tick:
 		s.tick(now)
-	case DumpState:
-		s.reply(m.ID, s.dump(now))
-	case AskStatus:
-		s.reply(m.ID, s.status(now))
-	case Explain:
-		s.reply(m.ID, s.explain(m.Request))
+	default:
+		s.inspect(now, message)
 	}
 }
 
--- a/node/rules/check.go
+++ b/node/rules/check.go
@@ -69,6 +69,9 @@
 	if (o.Rate > 0) != (o.Burst > 0) {
 		reasons = append(reasons, "rate and burst need each other")
 	}
+	if (o.TokenRate > 0) != (o.TokenBurst > 0) {
+		reasons = append(reasons, "token-rate and token-burst need each other")
+	}
 	for _, name := range o.Models {
 		_, isModel := rules.Models[name]
 		_, isService := rules.Services[name]
--- a/node/rules/options.go
+++ b/node/rules/options.go
@@ -12,7 +12,7 @@
 
 const (
 	// maxNumber bounds every count in a rule.
-	maxNumber = 1_000_000
+	maxNumber = 100_000_000
 	// maxDuration bounds every duration in a rule.
 	maxDuration = time.Hour
 	// maxNames bounds a list of names in a rule.
--- a/node/rules/sections.go
+++ b/node/rules/sections.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tanagerspread/core/config"
+	"tanagerspread/core/placement"
 	"tanagerspread/core/request"
 )
 
@@ -44,6 +45,8 @@
 var organisationOptions = []option[config.Organisation]{
 	rateOption("rate", func(o *config.Organisation) *float64 { return &o.Rate }),
 	numberOption("burst", false, 1, func(o *config.Organisation) *int { return &o.Burst }),
+	rateOption("token-rate", func(o *config.Organisation) *float64 { return &o.TokenRate }),
+	numberOption("token-burst", false, 1, func(o *config.Organisation) *int { return &o.TokenBurst }),
 	namesOption("allow", func(o *config.Organisation) *[]string { return &o.Models }),
 }
 
@@ -65,9 +68,13 @@
 	flagOption("leaving", true, func(s *config.ServerRule) *bool { return &s.Leaving }),
 }
 
+// placements are the names that placement.ByName knows.
+var placements = []string{placement.NameEstimate, placement.NameRoundRobin, placement.NameLeastLoad, placement.NameSticky}
+
 var policyOptions = []option[config.Policy]{
-	choiceOption("placement", config.Placements(), func(p *config.Policy) *string { return &p.Placement }),
+	choiceOption("placement", placements, func(p *config.Policy) *string { return &p.Placement }),
 	durationOption("link-price", "/MiB", func(p *config.Policy) *time.Duration { return &p.LinkPrice }),
+	numberOption("export-min-blocks", false, 1, func(p *config.Policy) *int { return &p.ExportMinBlocks }),
 }
 
 func classes(r *config.Rules) map[request.Class]config.Class { return r.Classes }
