metrics: gauges show the state at the scrape

Gauges were set on the tally scope, which reports once a second after the scrape was answered: the first scrape of a node showed zeros and later ones the state at the scrape before. They are now set at the reporter.

TestSession asks for the configuration version at the first scrape. It failed before the change and passes with it.

--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -27,6 +27,18 @@
 // outcomeDelivered is the outcome tag of a request with a whole response.
 const outcomeDelivered = "delivered"
 
+// The names of the gauges.
+const (
+	gaugeQueue     = "queue_length"
+	gaugeRequests  = "requests_in_progress"
+	gaugeServers   = "servers_known"
+	gaugeAvailable = "servers_available"
+	gaugeBudget    = "retry_budget"
+	gaugeVersion   = "configuration_version"
+)
+
+var gaugeNames = []string{gaugeQueue, gaugeRequests, gaugeServers, gaugeAvailable, gaugeBudget, gaugeVersion}
+
 // The bounds of the histogram of times to the first token.
 var firstTokenBuckets = tally.DurationBuckets{
 	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
@@ -37,6 +49,7 @@
 // The methods of a nil Metrics do nothing.
 type Metrics struct {
 	scope   tally.Scope
+	gauges  map[string]tally.CachedGauge
 	closer  io.Closer
 	scraped http.Handler
 }
@@ -51,7 +64,11 @@
 		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Metrics{scope: scope, closer: closer, scraped: reporter.HTTPHandler()}
+	m := &Metrics{scope: scope, gauges: map[string]tally.CachedGauge{}, closer: closer, scraped: reporter.HTTPHandler()}
+	for _, name := range gaugeNames {
+		m.gauges[name] = reporter.AllocateGauge(prefix+tallyprom.DefaultSeparator+name, nil)
+	}
+	return m
 }
 
 // Handler returns the scrape endpoint.
@@ -84,17 +101,19 @@
 	}
 }
 
-// Status sets the gauges of the node's state.
+// Status sets the gauges of the node's state. It sets them at the reporter,
+// because a gauge of the scope would reach the scrape endpoint only with the
+// next report.
 func (m *Metrics) Status(s control.Status) {
 	if m == nil {
 		return
 	}
-	m.scope.Gauge("queue_length").Update(float64(s.Waiting))
-	m.scope.Gauge("requests_in_progress").Update(float64(s.Requests))
-	m.scope.Gauge("servers_known").Update(float64(s.Servers))
-	m.scope.Gauge("servers_available").Update(float64(s.Available))
-	m.scope.Gauge("retry_budget").Update(s.Budget)
-	m.scope.Gauge("configuration_version").Update(float64(s.Version))
+	m.gauges[gaugeQueue].ReportGauge(float64(s.Waiting))
+	m.gauges[gaugeRequests].ReportGauge(float64(s.Requests))
+	m.gauges[gaugeServers].ReportGauge(float64(s.Servers))
+	m.gauges[gaugeAvailable].ReportGauge(float64(s.Available))
+	m.gauges[gaugeBudget].ReportGauge(s.Budget)
+	m.gauges[gaugeVersion].ReportGauge(float64(s.Version))
 }
 
 func (m *Metrics) count(name, tag, value string) {
--- a/node/process/process_test.go
+++ b/node/process/process_test.go
@@ -101,7 +101,7 @@
 		r.Header.Set("Idempotency-Key", key)
 	}
 	if strings.Contains(body, "broken") || strings.Contains(body, "refused") {
-		// The request waits for another server until its deadline.
+		// A failing request may be repeated until its deadline.
 		r.Header.Set("Tanagerspread-Deadline-Ms", "300")
 	}
 	answer, err := http.DefaultClient.Do(r)
@@ -163,7 +163,7 @@
 		}
 		seen.WriteString(text)
 	}
-	for _, want := range []string{`"Version":3`, `"AskedBy":"M. Tasker"`, "tanagerspread_queue_length 0"} {
+	for _, want := range []string{`"Version":3`, `"AskedBy":"M. Tasker"`, "tanagerspread_configuration_version 3"} {
 		if !strings.Contains(seen.String(), want) {
 			t.Errorf("admin endpoints do not show %s", want)
 		}
