--- a/cmd/tanagerspread/main_test.go
+++ b/cmd/tanagerspread/main_test.go
@@ -15,7 +15,7 @@
 		t.Fatal(err)
 	}
 	for args, want := range map[string]int{
-		"--check-settings ../../examples/node.ini": exitStopped,
+		"--check-settings ../../ctl/example/node.ini": exitStopped,
 		"--check-settings " + bad:                  exitFaults,
 		"--settings " + bad:                        exitFaults,
 		"--version":                                exitStopped,
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -102,9 +102,9 @@
 	}
 	for args, want := range map[string]int{
 		"rules check " + bad:                                          ctl.ExitFaults,
-		"rules check ../examples/derwent.rules":                       ctl.ExitDone,
-		"rules diff ../examples/derwent.rules ../examples/ulan.rules": ctl.ExitDone,
-		"rules diff ../examples/derwent.rules absent.rules":           ctl.ExitFailed,
+		"rules check example/derwent.rules":                       ctl.ExitDone,
+		"rules diff example/derwent.rules example/ulan.rules": ctl.ExitDone,
+		"rules diff example/derwent.rules absent.rules":           ctl.ExitFailed,
 		"charts node": ctl.ExitDone, "charts absent": ctl.ExitUsage, "codes": ctl.ExitDone, "events": ctl.ExitDone,
 		"status --nodes " + one: ctl.ExitDone, "dump " + one: ctl.ExitDone, "drain " + one: ctl.ExitDone,
 		"explain known-n1 --nodes " + one: ctl.ExitDone,
--- a/node/rules/rules_test.go
+++ b/node/rules/rules_test.go
@@ -12,7 +12,7 @@
 
 func example(t testing.TB, name string) string {
 	t.Helper()
-	text, err := os.ReadFile("../../examples/" + name + ".rules")
+	text, err := os.ReadFile("../../ctl/example/" + name + ".rules")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -19,7 +19,7 @@
 // TestExample guards against an example file that the node refuses, and
 // against defaults that are not applied.
 func TestExample(t *testing.T) {
-	s, faults := settings.Read("../../examples/node.ini")
+	s, faults := settings.Read("../../ctl/example/node.ini")
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
