core: configuration, membership, session and planned stop

The node had no confirmation of its configuration, no peers and no session. The node chart confirms before it becomes ready and deletes the session entry before it leaves.

--- /dev/null
+++ b/core/config/acceptance.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"sort"
+	"time"
+)
+
+// FenceTime is the age of the last confirmation at which a node fences
+// itself.
+const FenceTime = 10 * time.Second
+
+// Majority returns the smallest number of members that is more than half.
+func Majority(members int) int {
+	return members/2 + 1
+}
+
+// Verdict is what may be said about a committed version.
+type Verdict struct {
+	// Accepted is true when no member can serve with an older version.
+	Accepted bool
+	// Missing lists the members that have not acknowledged, sorted.
+	Missing []string
+}
+
+// Acceptance collects acknowledgements of one version.
+type Acceptance struct {
+	version      Version
+	acknowledged map[string]bool
+	majorityAt   time.Time
+}
+
+// NewAcceptance returns the acceptance of a version that was committed.
+func NewAcceptance(version Version) *Acceptance {
+	return &Acceptance{version: version, acknowledged: map[string]bool{}}
+}
+
+// Acknowledge notes the version that a node has in force.
+func (a *Acceptance) Acknowledge(node string, inForce Version) {
+	if inForce >= a.version {
+		a.acknowledged[node] = true
+	}
+}
+
+// Decide returns the verdict for the member list.
+//
+// The fence time is counted from the moment at which the acknowledgements
+// became a majority. Until then a node may have seen an acknowledging member
+// shortly before that member took the version over, and such a sighting keeps
+// the node from fencing itself for one fence time.
+func (a *Acceptance) Decide(members []string, now time.Time) Verdict {
+	verdict := Verdict{}
+	for _, member := range members {
+		if !a.acknowledged[member] {
+			verdict.Missing = append(verdict.Missing, member)
+		}
+	}
+	sort.Strings(verdict.Missing)
+	if len(members)-len(verdict.Missing) < Majority(len(members)) {
+		a.majorityAt = time.Time{}
+		return verdict
+	}
+	if a.majorityAt.IsZero() {
+		a.majorityAt = now
+	}
+	verdict.Accepted = len(verdict.Missing) == 0 || now.Sub(a.majorityAt) > FenceTime
+	return verdict
+}
--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -171,21 +171,6 @@
 	}
 }
 
-// configure puts a newer configuration into force and ignores any other.
-func (s *State) configure(now time.Time, m Configure) {
-	if m.Version <= s.version {
-		return
-	}
-	s.version = m.Version
-	s.rules = m.Rules
-	s.policy = policyOf(m.Rules.Policy.Placement)
-	s.journal.rules = m.Rules
-	s.journal.version = m.Version
-	s.applyServerRules(now)
-	s.fireNode("configure", now)
-	s.assignQueued(now)
-}
-
 // policyOf returns the named policy. A name that no policy has is refused when
 // the rules are checked, so that here the default stands in for it.
 func policyOf(name string) placement.Policy {
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -221,7 +221,7 @@
 		at.server.ReportLoad(*m.Load, reported, own)
 	}
 	if m.Leaving {
-		s.fireServer(at.server, "leave", now)
+		s.serverSaid(at.server, now, now)
 	}
 }
 
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -8,6 +8,7 @@
 	"tanagerspread/chart"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
+	"tanagerspread/core/membership"
 )
 
 // machines holds the compiled chart of each kind of object.
@@ -20,6 +21,10 @@
 	node        *chart.Machine[*State]
 	blockImport *chart.Machine[*transfer]
 	blockExport *chart.Machine[*transfer]
+	peer        *chart.Machine[*membership.Peer]
+	// configuration and session belong to the node itself.
+	configuration *chart.Machine[*State]
+	session       *chart.Machine[*State]
 }
 
 func (s *State) loadCharts(files fs.FS) error {
@@ -42,7 +47,10 @@
 	if s.charts.node, err = load(files, "node", nodeBindings()); err != nil {
 		return err
 	}
-	return s.loadTransferCharts()
+	if err = s.loadTransferCharts(); err != nil {
+		return err
+	}
+	return s.loadFleetCharts(files)
 }
 
 func load[T any](files fs.FS, name string, bindings chart.Bindings[T]) (*chart.Machine[T], error) {
@@ -87,6 +95,7 @@
 			"failures_reached_limit": func(server *fleet.Server, _ time.Time) bool { return server.FailuresReachedLimit() },
 			"evidence_is_newer":      func(server *fleet.Server, _ time.Time) bool { return server.EvidenceIsNewer() },
 			"slots_restored":         func(server *fleet.Server, _ time.Time) bool { return server.Slots >= s.options.ServerSlots },
+			"named_leaving":          func(server *fleet.Server, _ time.Time) bool { return server.ListedLeaving || server.RuledLeaving },
 		},
 		Actions: map[string]func(*fleet.Server, time.Time){
 			"start_recovery": func(server *fleet.Server, _ time.Time) { server.StartRecovery() },
@@ -99,8 +108,10 @@
 	return chart.Bindings[*State]{
 		Guards: map[string]func(*State, time.Time) bool{
 			"nothing_in_progress": func(s *State, _ time.Time) bool { return len(s.requests) == 0 },
+			"has_rules":           func(s *State, _ time.Time) bool { return s.rules != nil },
 		},
 		Actions: map[string]func(*State, time.Time){
+			"close_session": (*State).closeSession,
 			"announce_stopped": func(s *State, _ time.Time) {
 				s.options.Checker.Check(len(s.requests) == 0, invariant.DrainCutsNothing, "%d requests in progress", len(s.requests))
 			},
--- /dev/null
+++ b/core/control/leaving.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/membership"
+)
+
+// serverSaid stops new work to a server that said at the given time that it
+// is leaving, to this node or to a peer. A word from before the VM list
+// showed the server live again is out of date.
+func (s *State) serverSaid(server *fleet.Server, at, now time.Time) {
+	if !at.After(server.ReturnedAt) || !at.After(server.SaidAt) {
+		return
+	}
+	server.SaidAt = at
+	s.fireServer(server, "leave", now)
+	if server.Chart.State == "leaving" && !server.ListedLeaving && !server.RuledLeaving {
+		server.Chart.Deadline = at.Add(s.charts.server.Timeout("leaving"))
+	}
+}
+
+// peerWords takes over what a peer heard from leaving servers.
+func (s *State) peerWords(now, asked time.Time, words []membership.Leaving) {
+	for _, word := range words {
+		server, known := s.servers[fleet.ServerID(word.Server)]
+		if !known || server.Address != word.Address || word.Age < 0 || word.Age >= s.charts.server.Timeout("leaving") {
+			continue
+		}
+		s.serverSaid(server, asked.Add(-word.Age), now)
+	}
+}
+
+// leavingWords lists the latest words of leaving servers. A word keeps its
+// age when it is passed on, so that peers do not renew it among themselves.
+func (s *State) leavingWords(now time.Time) []membership.Leaving {
+	var said []*fleet.Server
+	for _, server := range s.ordered {
+		if !server.SaidAt.IsZero() && now.Sub(server.SaidAt) < s.charts.server.Timeout("leaving") {
+			said = append(said, server)
+		}
+	}
+	sort.SliceStable(said, func(i, j int) bool { return said[i].SaidAt.After(said[j].SaidAt) })
+	said = said[:min(len(said), membership.MaxItems)]
+	var out []membership.Leaving
+	for _, server := range said {
+		out = append(out, membership.Leaving{Server: string(server.ID), Address: server.Address, Age: now.Sub(server.SaidAt)})
+	}
+	return out
+}
--- a/core/control/life.go
+++ b/core/control/life.go
@@ -9,11 +9,11 @@
 // fireNode moves the life of the node and announces a new state.
 func (s *State) fireNode(event chart.Event, now time.Time) {
 	before := s.life
-	if err := s.charts.node.Fire(&s.life, s, event, now); err != nil {
-		return
-	}
+	// An event that the chart refuses changes nothing, for example "confirm"
+	// of a ready node.
+	_ = s.charts.node.Fire(&s.life, s, event, now)
 	s.limitUnready(before, now)
-	s.announce(before.State)
+	s.announce()
 }
 
 // limitUnready applies the drain delay of the settings. A further event of an
@@ -29,16 +29,16 @@
 }
 
 func (s *State) expireNode(now time.Time) {
-	before := s.life.State
-	expired, err := s.charts.node.Expire(&s.life, s, now)
-	if expired && err == nil {
-		s.announce(before)
-	}
+	_, _ = s.charts.node.Expire(&s.life, s, now)
+	s.announce()
 }
 
-func (s *State) announce(before chart.State) {
-	if s.life.State == before {
+// announce reports a new state of the node once, also when an action of a
+// transition fires the next event.
+func (s *State) announce() {
+	if s.life.State == s.announced {
 		return
 	}
+	s.announced = s.life.State
 	s.command(NodeState{State: string(s.life.State), Ready: s.life.State == "ready"})
 }
--- /dev/null
+++ b/core/control/members.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/membership"
+)
+
+const (
+	// digestInterval is the time between two rounds of digests.
+	digestInterval = time.Second
+	// digestPeers is the number of peers asked in each round.
+	digestPeers = 2
+	// startingPeers is the number of peers that a starting node asks.
+	startingPeers = 8
+	// deadRounds is the number of rounds after which dead peers are asked
+	// too, so that a repaired link is noticed.
+	deadRounds = 5
+)
+
+// rounds counts the rounds of digests.
+type rounds struct {
+	next  time.Time
+	count int
+}
+
+func peerBindings() chart.Bindings[*membership.Peer] {
+	return chart.Bindings[*membership.Peer]{}
+}
+
+// noteMembers takes the member list from the VM list: the entry VMs,
+// including those that leave, since they still serve.
+func (s *State) noteMembers(now time.Time, m VMList) {
+	addresses := map[string]string{}
+	for _, vm := range m.VMs {
+		if vm.Role == fleet.RoleEntry {
+			addresses[vm.ID] = vm.PeerAddress
+		}
+	}
+	s.members.SetMembers(addresses, func() chart.Instance { return s.charts.peer.Start(now) })
+}
+
+// digest describes the node to a peer. The ages of sightings are left out of
+// digests that are sent unasked, where they would be unusable.
+func (s *State) digest(now time.Time, asked bool) membership.Digest {
+	c := &s.configuration
+	d := membership.Digest{
+		Node:        s.options.Node,
+		Incarnation: s.options.Incarnation,
+		State:       string(s.life.State),
+		Newest:      c.newest,
+		Away:        now.Sub(c.contact) > config.FenceTime,
+		Confirmed:   membership.UnknownConfirmation,
+		Leaving:     s.leavingWords(now),
+	}
+	if s.takesPart() {
+		d.Version = s.version
+	}
+	if !asked {
+		return d
+	}
+	d.List, d.Ages = s.members.Ages(now, s.takesPart())
+	if !c.confirmed.IsZero() {
+		d.Confirmed = now.Sub(c.confirmed)
+	}
+	return d
+}
+
+// peerDigest takes over what a peer told. The versions come first, because a
+// sighting confirms nothing once a newer version is known.
+func (s *State) peerDigest(now time.Time, m PeerDigest) {
+	d := m.Digest
+	s.noteNewest(d.Newest, "")
+	s.noteNewest(d.Version, d.Node)
+	if peer := s.members.Peer(d.Node); peer != nil {
+		s.notePeer(now, peer, m)
+	}
+	asked := m.Asked
+	if asked.IsZero() {
+		asked = now
+	}
+	s.peerWords(now, asked, d.Leaving)
+	if m.Asked.IsZero() {
+		return
+	}
+	s.members.Relay(d.List, d.Ages, m.Asked)
+	if d.Version == s.version && d.Confirmed >= 0 {
+		s.confirm(now, m.Asked.Add(-d.Confirmed))
+	}
+	s.confirmByPeers(now)
+}
+
+func (s *State) notePeer(now time.Time, peer *membership.Peer, m PeerDigest) {
+	d := m.Digest
+	if d.Incarnation < peer.Incarnation {
+		return
+	}
+	event := chart.Event("hear")
+	switch {
+	case d.Incarnation > peer.Incarnation:
+		event = "restart"
+	case d.State == "leaving" || d.State == "stopped":
+		event = "leave"
+	}
+	// An event that the chart refuses changes nothing, for example a late
+	// digest of a peer that has left.
+	_ = s.charts.peer.Fire(&peer.Chart, peer, event, now)
+	peer.Incarnation = d.Incarnation
+	peer.Version = d.Version
+	peer.Away = d.Away
+	if d.Version > 0 && m.Asked.After(peer.Seen) {
+		peer.Seen = m.Asked
+	}
+}
+
+func (s *State) expirePeers(now time.Time) {
+	for _, peer := range s.members.Peers() {
+		_, _ = s.charts.peer.Expire(&peer.Chart, peer, now)
+	}
+}
+
+// tickDigests starts a round of digests with random peers.
+func (s *State) tickDigests(now time.Time) {
+	if now.Before(s.rounds.next) {
+		return
+	}
+	s.rounds.next = now.Add(digestInterval)
+	s.rounds.count++
+	var targets []PeerTarget
+	for _, peer := range s.samplePeers() {
+		targets = append(targets, PeerTarget{Node: peer.ID, Address: peer.Address})
+	}
+	if len(targets) > 0 {
+		s.command(SendDigest{Targets: targets, Digest: s.digest(now, false)})
+	}
+}
+
+func (s *State) samplePeers() []*membership.Peer {
+	count := digestPeers
+	if s.life.State == "starting" {
+		count = startingPeers
+	}
+	present := func(p *membership.Peer) bool { return p.Chart.State == "alive" || p.Chart.State == "suspect" }
+	dead := func(p *membership.Peer) bool { return p.Chart.State == "dead" }
+	sample := s.members.Sample(s.random, count, present)
+	if len(sample) < count || s.rounds.count%deadRounds == 0 {
+		sample = append(sample, s.members.Sample(s.random, 1, dead)...)
+	}
+	return sample
+}
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -125,6 +125,8 @@
 	Serves  string
 	Weights int
 	Leaving bool
+	// PeerAddress is the address for the nodes' own protocol; entry VMs only.
+	PeerAddress string
 }
 
 // VMList reports the platform's list of VMs.
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -21,6 +21,7 @@
 		listed[fleet.ServerID(vm.ID)] = true
 		s.noteVM(now, vm)
 	}
+	s.noteMembers(now, m)
 	for id, server := range s.servers {
 		if !listed[id] {
 			s.fireServer(server, "remove", now)
@@ -49,6 +50,8 @@
 		s.fireServer(server, "leave", now)
 	} else if server.ListedLeaving {
 		server.ListedLeaving = false
+		server.SaidAt = time.Time{}
+		server.ReturnedAt = now
 		s.fireServer(server, "return", now)
 	}
 }
@@ -68,8 +71,9 @@
 	if s.rules == nil {
 		return
 	}
-	for id, rule := range s.rules.Servers {
-		if server, known := s.servers[fleet.ServerID(id)]; known && rule.Leaving {
+	for _, server := range s.ordered {
+		server.RuledLeaving = s.rules.Servers[string(server.ID)].Leaving
+		if server.RuledLeaving {
 			s.fireServer(server, "leave", now)
 		}
 	}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -15,6 +15,7 @@
 	"tanagerspread/core/invariant"
 	"tanagerspread/core/kvcache"
 	"tanagerspread/core/limits"
+	"tanagerspread/core/membership"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
@@ -30,6 +31,12 @@
 	Seed uint64
 	// Checker receives violations of invariants.
 	Checker invariant.Checker
+	// Incarnation grows with each start of the node's process.
+	Incarnation uint64
+	// Agents is true when agents connect the node to the key-value service
+	// and to its peers. Without them a configuration counts as confirmed for
+	// good, and the node keeps no session.
+	Agents bool
 	// ServerSlots is the number of attempts that the node sends to one
 	// backend server at a time.
 	ServerSlots int
@@ -40,14 +47,16 @@
 
 // State is the control state of one node.
 type State struct {
-	options  Options
-	charts   machines
-	random   *rand.Rand
-	life     chart.Instance
-	version  config.Version
-	rules    *config.Rules
-	requests map[request.ID]*active
-	servers  map[fleet.ServerID]*fleet.Server
+	options Options
+	charts  machines
+	random  *rand.Rand
+	life    chart.Instance
+	// announced is the state of the node that was reported last.
+	announced chart.State
+	version   config.Version
+	rules     *config.Rules
+	requests  map[request.ID]*active
+	servers   map[fleet.ServerID]*fleet.Server
 	// ordered lists the servers by identifier.
 	ordered []*fleet.Server
 	index   fleet.Index
@@ -72,6 +81,12 @@
 	policy      placement.Policy
 	journal     journal
 	out         Output
+	members     *membership.Table
+	// configuration, session and rounds belong to the fleet's side of the
+	// node: config.go, session.go and members.go.
+	configuration configuration
+	session       session
+	rounds        rounds
 }
 
 // New returns the state of a node that starts at now. It returns an error
@@ -93,12 +108,16 @@
 		transfers:   map[request.ID]*transfer{},
 		suspectRuns: map[quarantine.Fingerprint]int{},
 		policy:      placement.Estimate{},
+		members:     membership.NewTable(options.Node),
 	}
 	s.placements = s.random.Uint64()
 	if err := s.loadCharts(options.Charts); err != nil {
 		return nil, fmt.Errorf("load charts: %w", err)
 	}
 	s.life = s.charts.node.Start(now)
+	s.announced = s.life.State
+	s.configuration.position = s.charts.configuration.Start(now)
+	s.session.position = s.charts.session.Start(now)
 	return s, nil
 }
 
@@ -150,7 +169,7 @@
 	case Tick:
 		s.tick(now)
 	default:
-		s.inspect(now, message)
+		s.decideFleet(now, message)
 	}
 }
 
@@ -170,6 +189,7 @@
 // tick fires the timeouts of all charts.
 func (s *State) tick(now time.Time) {
 	s.expireNode(now)
+	s.tickFleet(now)
 	s.expireServers(now)
 	s.expireStores(now)
 	s.expireTransfers(now)
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -62,5 +62,12 @@
 	Slots int
 	// ListedLeaving is true while the VM list says that the VM is leaving.
 	ListedLeaving bool
-	Chart         chart.Instance
+	// RuledLeaving is true while an operator's rule says that it is leaving.
+	RuledLeaving bool
+	// SaidAt is when the server last said that it is leaving, to this node or
+	// to a peer.
+	SaidAt time.Time
+	// ReturnedAt is when the VM list last showed the server live again.
+	ReturnedAt time.Time
+	Chart      chart.Instance
 }
--- /dev/null
+++ b/core/membership/digest.go
@@ -0,0 +1,77 @@
+// Package membership keeps what one node knows about the other entry VMs.
+package membership
+
+import (
+	"hash/fnv"
+	"time"
+
+	"tanagerspread/core/config"
+)
+
+const (
+	// UnknownAge is the age of a member that was not seen within MaxAge.
+	UnknownAge uint8 = 15
+	// MaxAge is the oldest sighting that a digest carries, in seconds.
+	MaxAge = 14
+	// MaxItems bounds each list of strings in a digest.
+	MaxItems = 8
+	// UnknownConfirmation is the confirmation age of a node that knows of no
+	// confirmation.
+	UnknownConfirmation = time.Duration(-1)
+)
+
+// Digest is what a node tells a peer about itself and the fleet.
+type Digest struct {
+	Node        string
+	Incarnation uint64
+	// State is the state of the node's own chart.
+	State string
+	// Version is the configuration in force; 0 means none.
+	Version config.Version
+	// Newest is the newest version that the node knows of.
+	Newest config.Version
+	// Away is true when the node does not reach the key-value service.
+	Away bool
+	// Confirmed is the age of the last confirmation of Version, or
+	// UnknownConfirmation.
+	Confirmed time.Duration
+	// List identifies the member list that Ages refers to.
+	List uint32
+	// Ages holds the age of the last sighting of each member in whole
+	// seconds, rounded up, in the order of the member list.
+	Ages []uint8
+	// Quarantine lists fingerprints of quarantined requests.
+	Quarantine []string
+	// Leaving lists backend servers that said that they are leaving.
+	Leaving []Leaving
+}
+
+// Leaving is the word of a backend server that is leaving.
+type Leaving struct {
+	Server  string
+	Address string
+	// Age is the time since the server said so.
+	Age time.Duration
+}
+
+// ListID identifies a sorted list of members.
+func ListID(members []string) uint32 {
+	hash := fnv.New32a()
+	for _, member := range members {
+		_, _ = hash.Write([]byte(member))
+		_, _ = hash.Write([]byte{0})
+	}
+	return hash.Sum32()
+}
+
+// ageOf rounds up, so that a relayed sighting never looks newer than it is.
+func ageOf(now, seen time.Time) uint8 {
+	if seen.IsZero() {
+		return UnknownAge
+	}
+	seconds := (now.Sub(seen) + time.Second - 1) / time.Second
+	if seconds > MaxAge {
+		return UnknownAge
+	}
+	return uint8(max(seconds, 0))
+}
