node: agents, peer protocol and acceptance of configurations

A node learned its configuration only from a message of its test. Agents now watch the key-value service, keep the session entry, poll the VM list and exchange digests with peers over jsonrpc2. Acceptance counts the acknowledgements that exist when it is decided, and the fence time from the moment they became a majority: a node that saw a member shortly before it acknowledged counts that sighting for one fence time. A node that starts waits for 40 s before it relies on peers, because an acknowledgement of its earlier process may count until then.

--- a/core/config/acceptance.go
+++ b/core/config/acceptance.go
@@ -9,6 +9,14 @@
 // itself.
 const FenceTime = 10 * time.Second
 
+// LeaseTime is the lifetime of a session entry that is not renewed.
+const LeaseTime = 30 * time.Second
+
+// RestartWait is the time after which no acknowledgement of a process that
+// was replaced by a newer one is counted: the session entry that carries it
+// lapses within the lease time, and a peer relays it for one fence time.
+const RestartWait = LeaseTime + FenceTime
+
 // Majority returns the smallest number of members that is more than half.
 func Majority(members int) int {
 	return members/2 + 1
@@ -34,6 +42,13 @@
 	return &Acceptance{version: version, acknowledged: map[string]bool{}}
 }
 
+// Forget drops all acknowledgements before they are read again. An
+// acknowledgement counts while its session entry exists, since a node that
+// was restarted may hold an older version than before.
+func (a *Acceptance) Forget() {
+	clear(a.acknowledged)
+}
+
 // Acknowledge notes the version that a node has in force.
 func (a *Acceptance) Acknowledge(node string, inForce Version) {
 	if inForce >= a.version {
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -33,7 +33,9 @@
 	// holder is the peer that has the newest version in force, or empty.
 	holder string
 	// contact is when the node last reached the key-value service.
-	contact   time.Time
+	contact time.Time
+	// started is when the process started.
+	started   time.Time
 	nextRead  time.Time
 	nextFetch time.Time
 }
@@ -137,7 +139,7 @@
 // time also bounds the wait for the newer one.
 func (s *State) confirm(now, at time.Time) {
 	c := &s.configuration
-	if s.version == 0 || c.newest > s.version || !at.After(c.confirmed) {
+	if s.version == 0 || c.newest > s.version || !at.After(c.confirmed) || at.Before(c.started) {
 		return
 	}
 	c.confirmed = at
@@ -156,10 +158,21 @@
 // version that the member had at that time.
 func (s *State) confirmByPeers(now time.Time) {
 	if seen := s.members.MajoritySeen(now, s.takesPart()); !seen.IsZero() {
-		s.confirm(now, seen)
+		s.confirmFromPeers(now, seen)
 	}
 }
 
+// confirmFromPeers notes a confirmation that rests on the word of peers. A
+// node that starts may be part of the majority that acknowledged a newer
+// version before its restart, so it waits until that acknowledgement no
+// longer counts.
+func (s *State) confirmFromPeers(now, at time.Time) {
+	if !s.takesPart() && at.Before(s.configuration.started.Add(config.RestartWait)) {
+		return
+	}
+	s.confirm(now, at)
+}
+
 // takesPart reports whether the node counts as a member that has a
 // configuration in force. A node that starts does not: it may have
 // acknowledged a newer version before it was restarted.
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -88,7 +88,7 @@
 	}
 	s.members.Relay(d.List, d.Ages, m.Asked)
 	if d.Version == s.version && d.Confirmed >= 0 {
-		s.confirm(now, m.Asked.Add(-d.Confirmed))
+		s.confirmFromPeers(now, m.Asked.Add(-d.Confirmed))
 	}
 	s.confirmByPeers(now)
 }
@@ -110,6 +110,7 @@
 	_ = s.charts.peer.Fire(&peer.Chart, peer, event, now)
 	peer.Incarnation = d.Incarnation
 	peer.Version = d.Version
+	peer.Heard = now
 	peer.Away = d.Away
 	if d.Version > 0 && m.Asked.After(peer.Seen) {
 		peer.Seen = m.Asked
--- a/core/control/session.go
+++ b/core/control/session.go
@@ -23,7 +23,7 @@
 func sessionBindings() chart.Bindings[*State] {
 	return chart.Bindings[*State]{
 		Guards: map[string]func(*State, time.Time) bool{
-			"entry_changed": func(s *State, _ time.Time) bool { return s.entryChanged() },
+			"entry_changed": (*State).entryChanged,
 		},
 		Actions: map[string]func(*State, time.Time){
 			"grant":          func(s *State, _ time.Time) { s.sessionStep(StepGrant) },
@@ -39,20 +39,21 @@
 	s.command(SessionCommand{Step: step, Lease: s.session.lease, Entry: s.session.written})
 }
 
-func (s *State) writeSession(time.Time) {
-	s.session.written = s.sessionEntry()
+func (s *State) writeSession(now time.Time) {
+	s.session.written = s.sessionEntry(now)
 	s.sessionStep(StepWrite)
 }
 
 // sessionEntry describes the node as it is now. Its version is the node's
-// acknowledgement.
-func (s *State) sessionEntry() SessionEntry {
+// acknowledgement. It relays the versions of peers that do not reach the
+// service and were seen within the fence time.
+func (s *State) sessionEntry(now time.Time) SessionEntry {
 	entry := SessionEntry{Node: s.options.Node, Incarnation: s.options.Incarnation, State: string(s.life.State)}
 	if s.takesPart() {
 		entry.Version = s.version
 	}
 	for _, peer := range s.members.Peers() {
-		if !peer.Away || peer.Version == 0 || len(entry.Relayed) >= maxRelayed {
+		if !peer.Away || peer.Version == 0 || now.Sub(peer.Heard) > config.FenceTime || len(entry.Relayed) >= maxRelayed {
 			continue
 		}
 		if entry.Relayed == nil {
@@ -63,8 +64,8 @@
 	return entry
 }
 
-func (s *State) entryChanged() bool {
-	entry, written := s.sessionEntry(), s.session.written
+func (s *State) entryChanged(now time.Time) bool {
+	entry, written := s.sessionEntry(now), s.session.written
 	if entry.Version != written.Version || entry.State != written.State {
 		return true
 	}
@@ -73,7 +74,7 @@
 
 // tickSession lets timeouts pass and rewrites an entry that is out of date.
 func (s *State) tickSession(now time.Time) {
-	if s.session.position.State == "held" && s.entryChanged() {
+	if s.session.position.State == "held" && s.entryChanged(now) {
 		s.fireSession("change", now)
 	}
 	_, _ = s.charts.session.Expire(&s.session.position, s, now)
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -117,6 +117,7 @@
 	s.life = s.charts.node.Start(now)
 	s.announced = s.life.State
 	s.configuration.position = s.charts.configuration.Start(now)
+	s.configuration.started = now
 	s.session.position = s.charts.session.Start(now)
 	return s, nil
 }
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -22,6 +22,25 @@
 	AdminStopped     = add(2505, LevelError, "admin listener stopped")
 )
 
+// The events of peers.
+var (
+	PeerFailed = add(2551, LevelDebug, "call of a peer failed", "peer", "code")
+)
+
+// The events of configurations.
+var (
+	ConfigInForce     = add(2601, LevelInfo, "configuration is in force", "version", "author")
+	ConfigUnreadable  = add(2602, LevelError, "configuration cannot be parsed; the one in force stays", "version", "code")
+	ConfigRepaired    = add(2603, LevelInfo, "key-value service held an older configuration; the newer one was written back", "version", "replaced")
+	ConfigNotRepaired = add(2604, LevelError, "key-value service holds an older configuration and could not be repaired", "version", "replaced", "code")
+)
+
+// The events of platform services.
+var (
+	ServiceCallFailed = add(2701, LevelInfo, "call of the key-value service failed", "call", "code")
+	VMListFailed      = add(2702, LevelInfo, "VM list did not answer; the last list stays in use", "code")
+)
+
 // The events of invariants.
 var (
 	InvariantFailed = add(2901, LevelError, "invariant failed", "invariant", "detail")
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -24,6 +24,8 @@
 	Version config.Version
 	// Away is true when the peer does not reach the key-value service.
 	Away bool
+	// Heard is when the peer last told its version and state itself.
+	Heard time.Time
 	// Seen is the latest time at which the peer had a configuration in force.
 	Seen time.Time
 }
--- /dev/null
+++ b/node/agent/agent.go
@@ -0,0 +1,144 @@
+// Package agent holds the traffic goroutines that connect the control thread
+// to the platform's services and to the peers. An agent carries out commands
+// from a bounded channel and reports results as messages; it decides nothing.
+package agent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/core/event"
+	"tanagerspread/node/eventlog"
+	"tanagerspread/node/peer"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/vmlist"
+)
+
+const (
+	// serviceTimeout bounds one call of a platform service. It is shorter
+	// than the timeouts of the session chart, so that a result arrives before
+	// its state is left.
+	serviceTimeout = 4 * time.Second
+	// pollInterval is the time between two reads of the VM list.
+	pollInterval = 2 * time.Second
+	// retryInterval is the time before a failed watch is armed again.
+	retryInterval = time.Second
+	// commandQueue bounds the commands that wait for one agent.
+	commandQueue = 16
+	// peerWorkers is the number of peer calls that run at a time.
+	peerWorkers = 12
+)
+
+// Teller is the control thread as the agents see it.
+type Teller interface {
+	Tell(message control.Message) bool
+}
+
+// Parse turns a rules file into rules, or returns an error that says which
+// rule is wrong.
+type Parse func(text []byte) (*config.Rules, *code.Error)
+
+// Options configures the agents of one node.
+type Options struct {
+	Control Teller
+	Service kv.Service
+	List    vmlist.Lister
+	Peers   *peer.Client
+	Parse   Parse
+	Logger  logr.Logger
+	// Address is where the node serves callers.
+	Address string
+}
+
+// Agents are the agents of one node.
+type Agents struct {
+	options  Options
+	reads    chan control.Command
+	sessions chan control.SessionCommand
+	peers    chan control.Command
+}
+
+// New returns agents that do not run yet.
+func New(options Options) *Agents {
+	return &Agents{
+		options:  options,
+		reads:    make(chan control.Command, commandQueue),
+		sessions: make(chan control.SessionCommand, commandQueue),
+		peers:    make(chan control.Command, commandQueue),
+	}
+}
+
+// Run runs the agents until the context ends.
+func (a *Agents) Run(ctx context.Context) {
+	tasks := []func(context.Context){a.watchConfig, a.runReads, a.runSession, a.pollList}
+	for range peerWorkers {
+		tasks = append(tasks, a.runPeers)
+	}
+	done := make(chan struct{})
+	for _, task := range tasks {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			task(ctx)
+		}()
+	}
+	for range tasks {
+		<-done
+	}
+}
+
+// Do hands a command to its agent. It does not block: a command that finds
+// its queue full is dropped, and the control thread issues it again after a
+// timeout. It reports false for a command that belongs to no agent.
+func (a *Agents) Do(command control.Command) bool {
+	switch c := command.(type) {
+	case control.ReadConfig, control.WriteConfig:
+		offer(a, a.reads, command)
+	case control.SessionCommand:
+		offer(a, a.sessions, c)
+	case control.SendDigest:
+		for _, target := range c.Targets {
+			offer(a, a.peers, control.Command(control.SendDigest{Targets: []control.PeerTarget{target}, Digest: c.Digest}))
+		}
+	case control.FetchConfig:
+		offer(a, a.peers, command)
+	default:
+		return false
+	}
+	return true
+}
+
+func offer[T any](a *Agents, queue chan T, command T) {
+	select {
+	case queue <- command:
+	default:
+		eventlog.Write(a.options.Logger, event.QueueFull, nil, "message", fmt.Sprintf("%T", command))
+	}
+}
+
+func (a *Agents) tell(message control.Message) {
+	if !a.options.Control.Tell(message) {
+		eventlog.Write(a.options.Logger, event.QueueFull, nil, "message", fmt.Sprintf("%T", message))
+	}
+}
+
+func (a *Agents) failed(call string, err *code.Error) {
+	eventlog.Write(a.options.Logger, event.ServiceCallFailed, err, "call", call, "code", int(err.Code))
+}
+
+// pause waits and reports false when the context ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/node/agent/config.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/core/event"
+	"tanagerspread/node/confkv"
+	"tanagerspread/node/eventlog"
+	"tanagerspread/platform/kv"
+)
+
+// watchConfig reads the configuration and then waits for changes. An empty
+// watch is followed by a read, because a service that was restored from an
+// older copy may count its revisions from a lower number.
+func (a *Agents) watchConfig(ctx context.Context) {
+	for ctx.Err() == nil {
+		revision, err := a.readConfig(ctx)
+		if err == nil {
+			err = a.followConfig(ctx, revision)
+		}
+		if err != nil && !pause(ctx, retryInterval) {
+			return
+		}
+	}
+}
+
+// followConfig reports changes until a watch returns none.
+func (a *Agents) followConfig(ctx context.Context, after kv.Revision) *code.Error {
+	for ctx.Err() == nil {
+		began := time.Now()
+		watchContext, cancel := context.WithTimeout(ctx, kv.WatchWait+serviceTimeout)
+		changes, revision, err := a.options.Service.Watch(watchContext, confkv.KeyCurrent, after)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if len(changes) == 0 {
+			return nil
+		}
+		for _, change := range changes {
+			a.changeSeen(change, began)
+		}
+		after = revision
+	}
+	return nil
+}
+
+func (a *Agents) changeSeen(change kv.Change, began time.Time) {
+	if change.Deleted || change.Entry.Key != confkv.KeyCurrent {
+		return
+	}
+	current, err := confkv.Decode(change.Entry.Value)
+	if err != nil {
+		a.failed("watch", err)
+		return
+	}
+	a.seen(current, true, began)
+}
+
+// runReads carries out reads and repairs.
+func (a *Agents) runReads(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-a.reads:
+			if write, ok := command.(control.WriteConfig); ok {
+				a.repair(ctx, write)
+				continue
+			}
+			_, _ = a.readConfig(ctx)
+		}
+	}
+}
+
+func (a *Agents) readConfig(ctx context.Context) (kv.Revision, *code.Error) {
+	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+	defer cancel()
+	asked := time.Now()
+	current, revision, err := confkv.Read(ctx, a.options.Service)
+	if err != nil {
+		a.failed("read configuration", err)
+		return revision, err
+	}
+	a.seen(current, true, asked)
+	return revision, nil
+}
+
+func (a *Agents) repair(ctx context.Context, write control.WriteConfig) {
+	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+	defer cancel()
+	fields := []any{"version", uint64(write.Current.Version), "replaced", uint64(write.Replaced.Version)}
+	if err := confkv.Repair(ctx, a.options.Service, write.Replaced, write.Current); err != nil {
+		eventlog.Write(a.options.Logger, event.ConfigNotRepaired, err, append(fields, "code", int(err.Code))...)
+		return
+	}
+	eventlog.Write(a.options.Logger, event.ConfigRepaired, nil, fields...)
+}
+
+// seen parses a configuration and reports it. One that cannot be parsed is
+// reported without rules, so that the node knows that it exists.
+func (a *Agents) seen(current config.Current, service bool, asked time.Time) {
+	message := control.ConfigSeen{Current: current, Service: service, Asked: asked}
+	if current.Version > 0 {
+		rules, err := a.options.Parse(current.Text)
+		if err != nil {
+			eventlog.Write(a.options.Logger, event.ConfigUnreadable, err, "version", uint64(current.Version), "code", int(err.Code))
+		} else {
+			message.Rules = rules
+		}
+	}
+	a.tell(message)
+}
--- /dev/null
+++ b/node/agent/vmlist.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"context"
+
+	"tanagerspread/core/control"
+	"tanagerspread/core/event"
+	"tanagerspread/core/fleet"
+	"tanagerspread/node/eventlog"
+	"tanagerspread/platform/vmlist"
+)
+
+// pollList reads the VM list at an interval. While the list does not answer,
+// the last one stays in use.
+func (a *Agents) pollList(ctx context.Context) {
+	for {
+		a.readList(ctx)
+		if !pause(ctx, pollInterval) {
+			return
+		}
+	}
+}
+
+func (a *Agents) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+	defer cancel()
+	list, err := a.options.List.List(ctx)
+	if err != nil {
+		eventlog.Write(a.options.Logger, event.VMListFailed, err, "code", int(err.Code))
+		return
+	}
+	message := control.VMList{}
+	for _, vm := range list {
+		message.VMs = append(message.VMs, typed(vm))
+	}
+	a.tell(message)
+}
+
+func typed(vm vmlist.VM) control.VM {
+	return control.VM{
+		ID:          vm.ID,
+		Address:     vm.Address,
+		Domain:      fleet.Domain(vm.Domain),
+		Role:        fleet.Role(vm.Role),
+		Serves:      vm.Serves,
+		Weights:     vm.Weights,
+		Leaving:     vm.State == vmlist.StateLeaving,
+		PeerAddress: vm.PeerAddress,
+	}
+}
--- /dev/null
+++ b/node/confkv/confkv.go
@@ -0,0 +1,127 @@
+// Package confkv stores configurations and session entries in the key-value
+// service. It is used by the nodes' agents and by the operators' tool.
+package confkv
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/platform/kv"
+)
+
+// The keys of the service.
+const (
+	KeyCurrent    = "config/current"
+	PrefixHistory = "config/history/"
+	PrefixNodes   = "nodes/"
+)
+
+// versionDigits pads versions in keys, so that a list is in order.
+const versionDigits = 20
+
+// Document is the stored form of a configuration.
+type Document struct {
+	Version uint64    `json:"version"`
+	ApplyID string    `json:"apply_id"`
+	Author  string    `json:"author"`
+	At      time.Time `json:"at"`
+	Rules   string    `json:"rules"`
+}
+
+// NewDocument returns the stored form of a configuration.
+func NewDocument(c config.Current) Document {
+	return Document{Version: uint64(c.Version), ApplyID: c.ApplyID, Author: c.Author, At: c.At, Rules: string(c.Text)}
+}
+
+// Current returns the typed configuration.
+func (d Document) Current() config.Current {
+	return config.Current{Version: config.Version(d.Version), ApplyID: d.ApplyID, Author: d.Author, At: d.At, Text: []byte(d.Rules)}
+}
+
+// HistoryKey returns the key of a version in the history.
+func HistoryKey(version config.Version) string {
+	digits := strconv.FormatUint(uint64(version), 10)
+	for len(digits) < versionDigits {
+		digits = "0" + digits
+	}
+	return PrefixHistory + digits
+}
+
+// Encode returns the stored bytes of a configuration, or code.ConfigTooLarge.
+func Encode(c config.Current) ([]byte, *code.Error) {
+	data, err := json.Marshal(NewDocument(c))
+	if err != nil {
+		return nil, code.Wrap(code.Internal, "the configuration cannot be encoded", err)
+	}
+	if len(data) > kv.MaxValueBytes {
+		return nil, code.Newf(code.ConfigTooLarge, "the configuration has %d bytes; a value may have %d", len(data), kv.MaxValueBytes)
+	}
+	return data, nil
+}
+
+// Decode parses stored bytes, or returns code.RuleMalformed.
+func Decode(data []byte) (config.Current, *code.Error) {
+	var document Document
+	if err := json.Unmarshal(data, &document); err != nil {
+		return config.Current{}, code.Wrap(code.RuleMalformed, "the stored configuration is not valid JSON of the expected form", err)
+	}
+	return document.Current(), nil
+}
+
+// Read returns the current configuration and its revision. Version 0 and
+// kv.Absent mean that the service holds none.
+func Read(ctx context.Context, service kv.Service) (config.Current, kv.Revision, *code.Error) {
+	entry, err := service.Get(ctx, KeyCurrent)
+	if err != nil && err.Code == code.KeyMissing {
+		return config.Current{}, kv.Absent, nil
+	}
+	if err != nil {
+		return config.Current{}, kv.Absent, err
+	}
+	current, err := Decode(entry.Value)
+	return current, entry.Revision, err
+}
+
+// Session is the stored form of a session entry.
+type Session struct {
+	Node        string            `json:"node"`
+	Incarnation uint64            `json:"incarnation"`
+	Version     uint64            `json:"version"`
+	State       string            `json:"state"`
+	Address     string            `json:"address,omitempty"`
+	Relayed     map[string]uint64 `json:"relayed,omitempty"`
+}
+
+// NewSession returns the stored form of a session entry. The address is the
+// one at which the node serves callers.
+func NewSession(e control.SessionEntry, address string) Session {
+	s := Session{Node: e.Node, Incarnation: e.Incarnation, Version: uint64(e.Version), State: e.State, Address: address}
+	for node, version := range e.Relayed {
+		if s.Relayed == nil {
+			s.Relayed = map[string]uint64{}
+		}
+		s.Relayed[node] = uint64(version)
+	}
+	return s
+}
+
+// Sessions returns the entries of all nodes.
+func Sessions(ctx context.Context, service kv.Service) ([]Session, *code.Error) {
+	entries, _, err := service.List(ctx, PrefixNodes)
+	if err != nil {
+		return nil, err
+	}
+	var out []Session
+	for _, entry := range entries {
+		var s Session
+		if json.Unmarshal(entry.Value, &s) == nil {
+			out = append(out, s)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/node/peer/wire.go
@@ -0,0 +1,116 @@
+// Package peer carries digests and configurations between nodes over
+// jsonrpc2. Its goroutines hold no control state.
+package peer
+
+import (
+	"time"
+
+	"tanagerspread/core/config"
+	"tanagerspread/core/membership"
+	"tanagerspread/node/confkv"
+)
+
+// The methods of the protocol.
+const (
+	methodDigest = "peer.digest"
+	methodConfig = "peer.config"
+	methodPing   = "peer.ping"
+)
+
+// maxItemBytes bounds one string in a list of a digest.
+const maxItemBytes = 128
+
+// digestWire is the encoded form of a digest. Its keys are short, because
+// digests are most of what a node sends for control.
+type digestWire struct {
+	Node        string        `json:"n"`
+	Incarnation uint64        `json:"i"`
+	State       string        `json:"s"`
+	Version     uint64        `json:"v"`
+	Newest      uint64        `json:"w,omitempty"`
+	Away        bool          `json:"a,omitempty"`
+	ConfirmedMS *int64        `json:"c,omitempty"`
+	List        uint32        `json:"l,omitempty"`
+	Ages        []byte        `json:"g,omitempty"`
+	Count       int           `json:"k,omitempty"`
+	Quarantine  []string      `json:"q,omitempty"`
+	Leaving     []leavingWire `json:"x,omitempty"`
+}
+
+type leavingWire struct {
+	Server  string `json:"s"`
+	Address string `json:"d"`
+	AgeMS   int64  `json:"a"`
+}
+
+type configWire struct {
+	Document confkv.Document `json:"document"`
+}
+
+func toWire(d membership.Digest) digestWire {
+	w := digestWire{
+		Node: d.Node, Incarnation: d.Incarnation, State: d.State, Version: uint64(d.Version),
+		Away: d.Away, List: d.List, Ages: pack(d.Ages), Count: len(d.Ages),
+		Quarantine: d.Quarantine[:min(len(d.Quarantine), membership.MaxItems)],
+	}
+	if d.Newest != d.Version {
+		w.Newest = uint64(d.Newest)
+	}
+	if d.Confirmed >= 0 {
+		age := ceilMS(d.Confirmed)
+		w.ConfirmedMS = &age
+	}
+	for _, word := range d.Leaving[:min(len(d.Leaving), membership.MaxItems)] {
+		w.Leaving = append(w.Leaving, leavingWire{Server: word.Server, Address: word.Address, AgeMS: ceilMS(word.Age)})
+	}
+	return w
+}
+
+// fromWire returns the typed digest. Items over the bounds are dropped.
+func fromWire(w digestWire) membership.Digest {
+	d := membership.Digest{
+		Node: w.Node, Incarnation: w.Incarnation, State: w.State, Version: config.Version(w.Version),
+		Newest: config.Version(max(w.Newest, w.Version)), Away: w.Away, Confirmed: membership.UnknownConfirmation,
+		List: w.List, Ages: unpack(w.Ages, w.Count),
+	}
+	if w.ConfirmedMS != nil && *w.ConfirmedMS >= 0 {
+		d.Confirmed = time.Duration(*w.ConfirmedMS) * time.Millisecond
+	}
+	for _, item := range w.Quarantine[:min(len(w.Quarantine), membership.MaxItems)] {
+		if len(item) <= maxItemBytes {
+			d.Quarantine = append(d.Quarantine, item)
+		}
+	}
+	for _, word := range w.Leaving[:min(len(w.Leaving), membership.MaxItems)] {
+		d.Leaving = append(d.Leaving, membership.Leaving{
+			Server: word.Server, Address: word.Address, Age: time.Duration(word.AgeMS) * time.Millisecond,
+		})
+	}
+	return d
+}
+
+// ceilMS rounds an age up, so that it never looks shorter than it is.
+func ceilMS(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// pack stores two ages in one byte.
+func pack(ages []uint8) []byte {
+	out := make([]byte, (len(ages)+1)/2)
+	for i, age := range ages {
+		out[i/2] |= (age & 0xf) << (4 * (i % 2))
+	}
+	return out
+}
+
+// unpack returns count ages, or nil when the length does not match.
+func unpack(packed []byte, count int) []uint8 {
+	if count < 0 || len(packed) != (count+1)/2 {
+		return nil
+	}
+	ages := make([]uint8, count)
+	for i := range ages {
+		ages[i] = packed[i/2] >> (4 * (i % 2)) & 0xf
+	}
+	return ages
+}
--- /dev/null
+++ b/node/runtime/fleet.go
@@ -0,0 +1,76 @@
+package runtime
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"tanagerspread/node/agent"
+	"tanagerspread/node/control"
+	"tanagerspread/node/peer"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/vmlist"
+)
+
+// Fleet is the part of the options that connects a node to the platform and
+// to its peers.
+type Fleet struct {
+	Service kv.Service
+	List    vmlist.Lister
+	Parse   agent.Parse
+	// PeerListener accepts the connections of peers.
+	PeerListener net.Listener
+	PeerDial     peer.Dialer
+	// PeerServerTLS and PeerClientTLS are nil for plain connections. For
+	// mutual TLS the server side requires and checks client certificates.
+	PeerServerTLS *tls.Config
+	PeerClientTLS *tls.Config
+}
+
+// fleetSide runs the agents and the peer protocol of a node.
+type fleetSide struct {
+	agents   *agent.Agents
+	client   *peer.Client
+	server   *peer.Server
+	listener net.Listener
+}
+
+func newFleetSide(loop *control.Loop, options Options) *fleetSide {
+	f := options.Fleet
+	side := &fleetSide{
+		client:   peer.NewClient(f.PeerDial, f.PeerClientTLS),
+		server:   peer.NewServer(loop),
+		listener: f.PeerListener,
+	}
+	if f.PeerServerTLS != nil {
+		side.listener = tls.NewListener(f.PeerListener, f.PeerServerTLS)
+	}
+	side.agents = agent.New(agent.Options{
+		Control: loop,
+		Service: f.Service,
+		List:    f.List,
+		Peers:   side.client,
+		Parse:   f.Parse,
+		Logger:  options.Logger,
+		Address: options.Listener.Addr().String(),
+	})
+	return side
+}
+
+// start runs the agents and the peer server until the context ends. The
+// returned channel is closed when all of them have ended.
+func (s *fleetSide) start(ctx context.Context) <-chan struct{} {
+	served := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = s.server.Serve(ctx, s.listener)
+	}()
+	go func() {
+		defer close(done)
+		s.agents.Run(ctx)
+		s.client.Close()
+		<-served
+	}()
+	return done
+}
--- /dev/null
+++ b/node/runtime/fleet_test.go
@@ -0,0 +1,362 @@
+package runtime_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
+	"tanagerspread/node/confkv"
+	"tanagerspread/node/ingress"
+	"tanagerspread/node/runtime"
+	"tanagerspread/platform/vmlist"
+	"tanagerspread/standin/kv"
+	list "tanagerspread/standin/vmlist"
+)
+
+// cluster is a few nodes with the platform's stand-ins in one bubble.
+type cluster struct {
+	t     *testing.T
+	ctx   context.Context
+	net   *network
+	store *kv.Store
+	list  *list.List
+	gates map[string]*gate
+	nodes map[string]*runtime.Node
+	stops map[string]func()
+	done  map[string]chan error
+	// starts numbers the processes.
+	starts uint64
+}
+
+func newCluster(t *testing.T, count int) *cluster {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{
+		t: t, ctx: ctx, net: newNetwork(), store: kv.NewStore(kv.Options{}), list: list.New(0),
+		gates: map[string]*gate{}, nodes: map[string]*runtime.Node{}, stops: map[string]func(){}, done: map[string]chan error{},
+	}
+	for i := range count {
+		name := fmt.Sprintf("n%d", i+1)
+		c.list.Set(vmlist.VM{ID: name, Address: name, PeerAddress: name + "-peer", Role: string(fleet.RoleEntry), State: vmlist.StateLive})
+		c.gates[name] = &gate{Service: c.store}
+	}
+	t.Cleanup(func() {
+		for _, stop := range c.stops {
+			stop()
+		}
+		cancel()
+	})
+	return c
+}
+
+func (c *cluster) startAll() {
+	for name := range c.gates {
+		c.start(name)
+	}
+}
+
+func (c *cluster) start(name string) {
+	c.t.Helper()
+	c.starts++
+	node, err := runtime.New(runtime.Options{
+		Control: control.Options{
+			Node: name, Domain: "hobart-a", Charts: chart.Embedded(), ServerSlots: 8, Incarnation: c.starts, Seed: c.starts,
+		},
+		Listener:     c.net.listen(name),
+		Dial:         c.net.dialer(name),
+		Recorder:     ingress.NoRecorder(),
+		Logger:       logr.Discard(),
+		MaxBodyBytes: 1 << 20,
+		Fleet: &runtime.Fleet{
+			Service:      c.gates[name],
+			List:         c.list,
+			Parse:        func([]byte) (*config.Rules, *code.Error) { return testRules(), nil },
+			PeerListener: c.net.listen(name + "-peer"),
+			PeerDial:     c.net.dialer(name + "-peer"),
+		},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	done := make(chan error, 1)
+	go func() {
+		done <- node.Run(ctx)
+		close(done)
+	}()
+	c.nodes[name] = node
+	c.done[name] = done
+	c.stops[name] = func() {
+		cancel()
+		for range done {
+		}
+	}
+}
+
+// cutOff separates a node from its peers.
+func (c *cluster) cutOff(name string, cut bool) {
+	c.net.setCut(name+"-peer", cut)
+}
+
+func (c *cluster) dump(name string) control.Dump {
+	c.t.Helper()
+	decision, err := c.nodes[name].Control().Ask(c.ctx, control.DumpState{ID: "dump"})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return decision.(control.Dump)
+}
+
+// expect checks state and version of a node.
+func (c *cluster) expect(name, state string, version config.Version) {
+	c.t.Helper()
+	d := c.dump(name)
+	if d.State != state || d.Version != version {
+		c.t.Errorf("%s is %s with version %d, want %s with version %d", name, d.State, d.Version, state, version)
+	}
+}
+
+func (c *cluster) apply(base config.Version, id string) (config.Current, *code.Error) {
+	return confkv.Apply(c.ctx, c.store, base, config.Current{ApplyID: id, Author: "author of " + id, Text: []byte(id)})
+}
+
+func (c *cluster) mustApply(base config.Version, id string) {
+	c.t.Helper()
+	if _, err := c.apply(base, id); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) await(version config.Version, wait time.Duration) (config.Verdict, *code.Error) {
+	return confkv.Await(c.ctx, c.store, c.list, version, wait)
+}
+
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// inBubble runs a test of some nodes with version 1 in force.
+func inBubble(t *testing.T, count int, test func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, count)
+		c.mustApply(0, "first")
+		c.startAll()
+		pass(5 * time.Second)
+		for name := range c.nodes {
+			c.expect(name, "ready", 1)
+		}
+		test(c)
+	})
+}
+
+// TestInForceEverywhere guards against a configuration that is slow to reach
+// a healthy fleet, and against an acceptance that is reported too late.
+func TestInForceEverywhere(t *testing.T) {
+	inBubble(t, 3, func(c *cluster) {
+		c.mustApply(1, "second")
+		verdict, err := c.await(2, 5*time.Second)
+		if err != nil || !verdict.Accepted || len(verdict.Missing) != 0 {
+			t.Fatalf("verdict %+v, error %v", verdict, err)
+		}
+		for name := range c.nodes {
+			c.expect(name, "ready", 2)
+		}
+	})
+}
+
+// TestServiceCutOff guards against a node that stops serving, or that misses
+// a configuration or its acknowledgement, when only its way to the key-value
+// service is broken.
+func TestServiceCutOff(t *testing.T) {
+	inBubble(t, 3, func(c *cluster) {
+		c.gates["n1"].shut.Store(true)
+		pass(15 * time.Second)
+		c.expect("n1", "ready", 1)
+		c.mustApply(1, "second")
+		verdict, err := c.await(2, 5*time.Second)
+		if err != nil || len(verdict.Missing) != 0 {
+			t.Errorf("verdict %+v, error %v; want an acknowledgement relayed by a peer", verdict, err)
+		}
+		c.expect("n1", "ready", 2)
+	})
+}
+
+// TestPeersCutOff guards against a node that fences itself although it
+// reaches the key-value service.
+func TestPeersCutOff(t *testing.T) {
+	inBubble(t, 3, func(c *cluster) {
+		c.cutOff("n1", true)
+		pass(20 * time.Second)
+		c.expect("n1", "ready", 1)
+		c.mustApply(1, "second")
+		if verdict, err := c.await(2, 5*time.Second); err != nil || len(verdict.Missing) != 0 {
+			t.Errorf("verdict %+v, error %v", verdict, err)
+		}
+		c.cutOff("n1", false)
+		pass(10 * time.Second)
+		c.expect("n1", "ready", 2)
+	})
+}
+
+// TestCutOffFences guards against a node that serves with an old
+// configuration after a newer one was reported as accepted.
+func TestCutOffFences(t *testing.T) {
+	inBubble(t, 3, func(c *cluster) {
+		c.cutOff("n1", true)
+		c.gates["n1"].shut.Store(true)
+		c.mustApply(1, "second")
+		if verdict, err := c.await(2, 5*time.Second); err == nil || err.Code != code.NotAccepted || len(verdict.Missing) != 1 {
+			t.Errorf("verdict %+v, error %v; want not accepted while n1 may serve", verdict, err)
+		}
+		verdict, err := c.await(2, 17*time.Second)
+		if err != nil || !verdict.Accepted {
+			t.Errorf("verdict %+v, error %v; want accepted after the fence time", verdict, err)
+		}
+		c.expect("n1", "fenced", 1)
+		c.gates["n1"].shut.Store(false)
+		pass(5 * time.Second)
+		c.expect("n1", "ready", 2)
+	})
+}
+
+// TestOutage guards against a majority that stops serving while the
+// key-value service is down, and against a minority that does not.
+func TestOutage(t *testing.T) {
+	inBubble(t, 5, func(c *cluster) {
+		c.store.SetOutage(true)
+		c.cutOff("n1", true)
+		c.cutOff("n2", true)
+		pass(15 * time.Second)
+		c.expect("n1", "fenced", 1)
+		c.expect("n2", "fenced", 1)
+		for _, name := range []string{"n3", "n4", "n5"} {
+			c.expect(name, "ready", 1)
+		}
+		pass(5 * time.Minute)
+		c.expect("n3", "ready", 1)
+		c.store.SetOutage(false)
+		pass(6 * time.Second)
+		c.expect("n1", "ready", 1)
+	})
+}
+
+// TestStartDuringOutage guards against a node that becomes ready with less
+// than a majority behind its configuration, or while an acknowledgement of
+// its earlier process may still count.
+func TestStartDuringOutage(t *testing.T) {
+	inBubble(t, 3, func(c *cluster) {
+		c.store.SetOutage(true)
+		c.stops["n1"]()
+		c.start("n1")
+		pass(config.RestartWait)
+		c.expect("n1", "starting", 1)
+		pass(10 * time.Second)
+		c.expect("n1", "ready", 1)
+		c.stops["n1"]()
+		c.cutOff("n2", true)
+		pass(15 * time.Second)
+		c.start("n1")
+		pass(2 * config.RestartWait)
+		c.expect("n1", "starting", 1)
+		c.cutOff("n2", false)
+		pass(20 * time.Second)
+		c.expect("n1", "ready", 1)
+	})
+}
+
+// TestRestoredCopy guards against a configuration that reverts because the
+// key-value service was restored from an older copy.
+func TestRestoredCopy(t *testing.T) {
+	inBubble(t, 3, func(c *cluster) {
+		old := c.store.Copy()
+		c.mustApply(1, "second")
+		pass(5 * time.Second)
+		c.store.Restore(old)
+		pass(10 * time.Second)
+		current, _, err := confkv.Read(c.ctx, c.store)
+		if err != nil || current.Version != 2 || current.ApplyID != "second" {
+			t.Errorf("service holds %+v, error %v; want version 2 written back", current, err)
+		}
+		c.expect("n1", "ready", 2)
+		c.mustApply(2, "third")
+		if _, err := c.await(3, 5*time.Second); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestAppliesRace guards against an operator who overwrites the work of
+// another one or is not told who won.
+func TestAppliesRace(t *testing.T) {
+	inBubble(t, 1, func(c *cluster) {
+		results := make(chan *code.Error, 2)
+		for _, id := range []string{"left", "right"} {
+			go func() {
+				_, err := c.apply(1, id)
+				results <- err
+			}()
+		}
+		first, second := <-results, <-results
+		if (first == nil) == (second == nil) {
+			t.Fatalf("results %v and %v, want one winner", first, second)
+		}
+		loser := first
+		if loser == nil {
+			loser = second
+		}
+		current, _, _ := confkv.Read(c.ctx, c.store)
+		want := fmt.Sprintf("version 2 by %s with apply id %s is in place", current.Author, current.ApplyID)
+		if loser.Code != code.VersionConflict || loser.Detail != want {
+			t.Errorf("loser was told %q, want %q", loser.Error(), want)
+		}
+	})
+}
+
+// TestLostResponse guards against an apply that takes effect and is reported
+// as failed, and against a repeated apply that takes effect twice.
+func TestLostResponse(t *testing.T) {
+	inBubble(t, 1, func(c *cluster) {
+		c.stops["n1"]()
+		for _, id := range []string{"second", "second"} {
+			c.store.LoseNext(1)
+			done, err := c.apply(1, id)
+			if err != nil || done.Version != 2 {
+				t.Fatalf("apply: version %d, error %v", done.Version, err)
+			}
+			c.store.LoseNext(0)
+		}
+		c.mustApply(2, "third")
+		done, err := c.apply(1, "second")
+		if err != nil || done.Version != 2 {
+			t.Errorf("late repeat: version %d, error %v; want version 2 as done", done.Version, err)
+		}
+	})
+}
+
+// TestListLag guards against a new node that is unready until the VM list
+// shows it.
+func TestListLag(t *testing.T) {
+	inBubble(t, 2, func(c *cluster) {
+		c.list.SetLag(time.Minute)
+		c.gates["n3"] = &gate{Service: c.store}
+		c.start("n3")
+		pass(5 * time.Second)
+		c.expect("n3", "ready", 1)
+		c.mustApply(1, "second")
+		if verdict, err := c.await(2, 5*time.Second); err != nil || !verdict.Accepted {
+			t.Errorf("verdict %+v, error %v", verdict, err)
+		}
+		pass(time.Second)
+		c.expect("n3", "ready", 2)
+	})
+}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -44,6 +44,9 @@
 	Metrics *metrics.Metrics
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64
+	// Fleet connects the node to the platform and to its peers. Without it
+	// the node serves with the configuration that it is told.
+	Fleet *Fleet
 }
 
 // Node is one running node.
@@ -53,12 +56,14 @@
 	front    *ingress.Front
 	exporter *blocks.Exporter
 	stopped  chan struct{}
+	fleet    *fleetSide
 }
 
 // New returns a node that does not run yet. It returns an error when a chart
 // cannot be loaded.
 func New(options Options) (*Node, error) {
 	n := &Node{options: options, stopped: make(chan struct{})}
+	options.Control.Agents = options.Fleet != nil
 	options.Control.Checker = invariant.NewChecker(n.violated)
 	state, err := corecontrol.New(options.Control, time.Now())
 	if err != nil {
@@ -75,6 +80,9 @@
 		Observer:     options.Metrics,
 		MaxBodyBytes: options.MaxBodyBytes,
 	})
+	if options.Fleet != nil {
+		n.fleet = newFleetSide(n.loop, options)
+	}
 	return n, nil
 }
 
@@ -95,6 +103,13 @@
 	defer cancel()
 	go n.loop.Run(ctx)
 	go n.exporter.Run(ctx)
+	if n.fleet != nil {
+		fleetDone := n.fleet.start(ctx)
+		defer func() {
+			cancel()
+			<-fleetDone
+		}()
+	}
 	server := &http.Server{
 		Handler:           n.front.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -126,6 +141,12 @@
 		if !n.exporter.Offer(c) {
 			n.loop.Tell(corecontrol.ExportDone{ID: c.ID})
 		}
+	case corecontrol.ConfigInForce:
+		eventlog.Write(n.options.Logger, event.ConfigInForce, nil, "version", uint64(c.Version), "author", c.Author)
+	default:
+		if n.fleet != nil {
+			n.fleet.agents.Do(command)
+		}
 	}
 }
 
