--- /dev/null
+++ b/core/control/config_test.go
@@ -0,0 +1,132 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/invariant"
+	"tanagerspread/core/membership"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// newFleetState returns the state of node n1 of n1, n2 and n3 with one
+// backend server e1. A failed invariant ends the test.
+func newFleetState(t *testing.T) *control.State {
+	t.Helper()
+	s, err := control.New(control.Options{
+		Node: "n1", Charts: chart.Embedded(), Agents: true, Incarnation: 1, ServerSlots: 1,
+		Checker: invariant.NewChecker(func(v *invariant.Violation) { t.Fatal(v) }),
+	}, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Handle(start, vmList("a:1", false))
+	return s
+}
+
+func vmList(address string, leaving bool) control.VMList {
+	list := control.VMList{VMs: []control.VM{{ID: "e1", Address: address, Role: fleet.RoleEngine, Leaving: leaving}}}
+	for _, id := range []string{"n1", "n2", "n3"} {
+		list.VMs = append(list.VMs, control.VM{ID: id, Role: fleet.RoleEntry, PeerAddress: id})
+	}
+	return list
+}
+
+func seen(version config.Version, id string, at time.Time, service bool) control.ConfigSeen {
+	return control.ConfigSeen{Current: config.Current{Version: version, ApplyID: id}, Rules: &config.Rules{}, Service: service, Asked: at}
+}
+
+func dumpOf(s *control.State, now time.Time) control.Dump {
+	return s.Handle(now, control.DumpState{ID: "dump"}).Replies[0].Decision.(control.Dump)
+}
+
+// TestOlderVersionOffered guards against a version that reverts on any path,
+// and against a service with an older copy that is left unrepaired.
+func TestOlderVersionOffered(t *testing.T) {
+	s := newFleetState(t)
+	s.Handle(start, seen(5, "five", start, true))
+	offers := map[string]control.Message{
+		"service":        seen(4, "four", start, true),
+		"peer":           seen(4, "four", start, false),
+		"direct message": control.Configure{Version: 4, Rules: &config.Rules{}},
+		"peer digest":    control.PeerDigest{Digest: membership.Digest{Node: "n2", Version: 4, Newest: 4}, Asked: start},
+		"same number":    seen(5, "other", start, true),
+	}
+	for name, offer := range offers {
+		commands := s.Handle(start.Add(time.Second), offer).Commands
+		if d := dumpOf(s, start); d.Version != 5 || d.State != "ready" {
+			t.Errorf("%s: version %d, state %s", name, d.Version, d.State)
+		}
+		var repair control.WriteConfig
+		for _, command := range commands {
+			if write, ok := command.(control.WriteConfig); ok {
+				repair = write
+			}
+		}
+		want := map[string]config.Version{"service": 5, "same number": 6}[name]
+		if repair.Current.Version != want {
+			t.Errorf("%s: repair writes version %d, want %d", name, repair.Current.Version, want)
+		}
+	}
+}
+
+// TestNewerVersionUnreachable guards against a node that serves on although
+// it cannot fetch a version that it knows of.
+func TestNewerVersionUnreachable(t *testing.T) {
+	s := newFleetState(t)
+	s.Handle(start, seen(1, "one", start, true))
+	for second := range 12 {
+		now := start.Add(time.Duration(second) * time.Second)
+		for _, peer := range []string{"n2", "n3"} {
+			s.Handle(now, control.PeerDigest{Digest: membership.Digest{Node: peer, Version: 1, Newest: 2}, Asked: now})
+		}
+		s.Handle(now, control.Tick{})
+	}
+	if d := dumpOf(s, start.Add(12*time.Second)); d.State != "fenced" {
+		t.Errorf("state %s, want fenced", d.State)
+	}
+}
+
+// TestLeavingServer guards against a source that fails to stop new work and
+// against a server that returns too early or never.
+func TestLeavingServer(t *testing.T) {
+	at := start.Add(time.Second)
+	word := func(age time.Duration) control.Message {
+		return control.PeerDigest{Asked: at, Digest: membership.Digest{
+			Node: "n2", Leaving: []membership.Leaving{{Server: "e1", Address: "a:1", Age: age}},
+		}}
+	}
+	rule := &config.Rules{Servers: map[string]config.ServerRule{"e1": {Leaving: true}}}
+	live := vmList("a:1", false)
+	cases := []struct {
+		name     string
+		messages []control.Message
+		after    time.Duration
+		want     string
+	}{
+		{"list", []control.Message{vmList("a:1", true)}, time.Hour, "leaving"},
+		{"rule", []control.Message{control.Configure{Version: 1, Rules: rule}, live}, time.Hour, "leaving"},
+		{"peer", []control.Message{word(0), live}, 50 * time.Second, "leaving"},
+		{"peer, expired", []control.Message{word(0)}, 61 * time.Second, "available"},
+		{"peer, aged", []control.Message{word(30 * time.Second)}, 31 * time.Second, "available"},
+		{"listed live again", []control.Message{vmList("a:1", true), live}, 0, "available"},
+		{"word from before the return", []control.Message{vmList("a:1", true), live, word(time.Second)}, 0, "available"},
+		{"another address", []control.Message{word(0), vmList("a:2", false)}, 0, "available"},
+	}
+	for _, c := range cases {
+		s := newFleetState(t)
+		for _, message := range c.messages {
+			s.Handle(at, message)
+		}
+		now := at.Add(c.after)
+		s.Handle(now, control.Tick{})
+		if got := dumpOf(s, now).Servers[0].State; got != c.want {
+			t.Errorf("%s: server is %s, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/core/control/leaving.go
+++ b/core/control/leaving.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"sort"
 	"time"
 
 	"tanagerspread/core/fleet"
@@ -33,8 +32,9 @@
 	}
 }
 
-// leavingWords lists the latest words of leaving servers. A word keeps its
-// age when it is passed on, so that peers do not renew it among themselves.
+// leavingWords picks some words of leaving servers at random, so that each
+// one spreads when there are many. A word keeps its age when it is passed on,
+// so that peers do not renew it among themselves.
 func (s *State) leavingWords(now time.Time) []membership.Leaving {
 	var said []*fleet.Server
 	for _, server := range s.ordered {
@@ -42,7 +42,7 @@
 			said = append(said, server)
 		}
 	}
-	sort.SliceStable(said, func(i, j int) bool { return said[i].SaidAt.After(said[j].SaidAt) })
+	s.random.Shuffle(len(said), func(i, j int) { said[i], said[j] = said[j], said[i] })
 	said = said[:min(len(said), membership.MaxItems)]
 	var out []membership.Leaving
 	for _, server := range said {
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -43,8 +43,9 @@
 	s.members.SetMembers(addresses, func() chart.Instance { return s.charts.peer.Start(now) })
 }
 
-// digest describes the node to a peer. The ages of sightings are left out of
-// digests that are sent unasked, where they would be unusable.
+// digest describes the node to a peer. A digest that is sent unasked carries
+// the lists; the answer to it carries the ages of sightings, which are usable
+// there because the asker knows when it asked.
 func (s *State) digest(now time.Time, asked bool) membership.Digest {
 	c := &s.configuration
 	d := membership.Digest{
@@ -54,12 +55,12 @@
 		Newest:      c.newest,
 		Away:        now.Sub(c.contact) > config.FenceTime,
 		Confirmed:   membership.UnknownConfirmation,
-		Leaving:     s.leavingWords(now),
 	}
 	if s.takesPart() {
 		d.Version = s.version
 	}
 	if !asked {
+		d.Leaving = s.leavingWords(now)
 		return d
 	}
 	d.List, d.Ages = s.members.Ages(now, s.takesPart())
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -13,8 +13,10 @@
 	UnknownAge uint8 = 15
 	// MaxAge is the oldest sighting that a digest carries, in seconds.
 	MaxAge = 14
-	// MaxItems bounds each list of strings in a digest.
-	MaxItems = 8
+	// MaxItems bounds the quarantine and leaving lists. With two items in each
+	// list of a question and none in an answer, digests fit the allowance of
+	// 3 KB/s at 340 nodes.
+	MaxItems = 2
 	// UnknownConfirmation is the confirmation age of a node that knows of no
 	// confirmation.
 	UnknownConfirmation = time.Duration(-1)
--- /dev/null
+++ b/node/runtime/drain_test.go
@@ -0,0 +1,191 @@
+package runtime_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/node/confkv"
+	"tanagerspread/node/ingress"
+	platform "tanagerspread/platform/engine"
+	"tanagerspread/platform/vmlist"
+	"tanagerspread/standin/engine"
+)
+
+// serveBackend lists a backend server and serves its handler in memory.
+func (c *cluster) serveBackend(vm vmlist.VM, handler http.Handler) {
+	vm.Address = vm.ID
+	vm.State = vmlist.StateLive
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(c.net.listen(vm.ID)) }()
+	c.t.Cleanup(func() { _ = server.Close() })
+	c.list.Set(vm)
+	pass(3 * time.Second)
+}
+
+func (c *cluster) serveEngine(handler http.Handler) {
+	c.serveBackend(vmlist.VM{ID: "e1", Role: string(fleet.RoleEngine), Serves: testModel, Weights: 1}, handler)
+}
+
+// result is the response of one call.
+type result struct {
+	status int
+	body   string
+}
+
+func (c *cluster) send(method, node, path, body string, header ...string) result {
+	client := &http.Client{Timeout: time.Minute, Transport: &http.Transport{DialContext: c.net.dialer("caller"), DisableKeepAlives: true}}
+	r, _ := http.NewRequestWithContext(c.ctx, method, "http://"+node+path, bytes.NewReader([]byte(body)))
+	r.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		return result{body: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return result{body: err.Error()}
+	}
+	return result{status: response.StatusCode, body: string(data)}
+}
+
+func (c *cluster) complete(node, tokens string) result {
+	return c.send(http.MethodPost, node, "/v1/completions", `{"model":"entry-text","prompt":"brief","stream":true,"max_tokens":`+tokens+`}`)
+}
+
+// testDrain stops n1 while a stream of 15 s runs.
+func testDrain(t *testing.T, outage bool) {
+	inBubble(t, 3, func(c *cluster) {
+		c.serveEngine(engine.New(c.ctx, engine.Options{PrefillRate: 1e6, TokenInterval: time.Second}).Handler())
+		c.store.SetOutage(outage)
+		stream := make(chan result, 1)
+		go func() { stream <- c.complete("n1", "15") }()
+		pass(time.Second)
+		c.nodes["n1"].Drain()
+		pass(100 * time.Millisecond)
+		if got := c.send(http.MethodGet, "n1", "/readyz", ""); got.status != http.StatusServiceUnavailable {
+			t.Errorf("readiness: status %d, want 503 at once", got.status)
+		}
+		if got := c.complete("n1", "1"); got.status != http.StatusOK {
+			t.Errorf("request during the drain delay: %+v", got)
+		}
+		pass(5 * time.Second)
+		if got := c.complete("n1", "1"); !strings.Contains(got.body, "1502") {
+			t.Errorf("request after the drain delay: %+v, want code 1502", got)
+		}
+		if got := <-stream; got.status != http.StatusOK || !strings.Contains(got.body, "t14 ") || !strings.Contains(got.body, "[DONE]") {
+			t.Errorf("stream that outlasts the delay: %+v", got)
+		}
+		if err := <-c.done["n1"]; err != nil {
+			t.Errorf("planned stop: %v", err)
+		}
+		if outage {
+			return
+		}
+		sessions, err := confkv.Sessions(c.ctx, c.store)
+		if err != nil || len(sessions) != 2 {
+			t.Errorf("sessions %+v, error %v; want the entry of n1 deleted", sessions, err)
+		}
+	})
+}
+
+// TestDrain guards against a planned stop that cuts a request, refuses one
+// too early, or leaves the session entry behind.
+func TestDrain(t *testing.T) {
+	testDrain(t, false)
+}
+
+// TestDrainDuringOutage guards against a planned stop that needs the
+// key-value service.
+func TestDrainDuringOutage(t *testing.T) {
+	testDrain(t, true)
+}
+
+// slowRecorder takes a while to complete a record.
+type slowRecorder struct {
+	ingress.Recorder
+	completed chan time.Time
+}
+
+func (slowRecorder) Claim(context.Context, ingress.Claim) (*ingress.Kept, *code.Error) {
+	return nil, nil
+}
+
+func (r slowRecorder) Complete(context.Context, ingress.Claim, ingress.Kept) *code.Error {
+	time.Sleep(12 * time.Second)
+	r.completed <- time.Now()
+	return nil
+}
+
+// TestDrainWaitsForRecord guards against a planned stop that ends before the
+// at-most-once record of a request that ran is completed.
+func TestDrainWaitsForRecord(t *testing.T) {
+	inBubble(t, 1, func(c *cluster) {
+		recorder := slowRecorder{Recorder: ingress.NoRecorder(), completed: make(chan time.Time, 1)}
+		c.recorder = recorder
+		c.rules.Services = map[string]config.Service{"lodgement": {NonIdempotent: true, Class: "check"}}
+		c.stops["n1"]()
+		c.start("n1")
+		lodged := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("lodged")) })
+		c.serveBackend(vmlist.VM{ID: "s1", Role: string(fleet.RoleService), Serves: "lodgement"}, lodged)
+		response := make(chan result, 1)
+		go func() {
+			response <- c.send(http.MethodPost, "n1", "/services/lodgement/entries", "{}", "Idempotency-Key", "k1")
+		}()
+		pass(time.Second)
+		c.nodes["n1"].Drain()
+		err := <-c.done["n1"]
+		stopped := time.Now()
+		select {
+		case at := <-recorder.completed:
+			if stopped.Before(at) || err != nil {
+				t.Errorf("stopped at %v, record completed at %v, error %v", stopped, at, err)
+			}
+		default:
+			t.Error("the node stopped before the record was completed")
+		}
+		if got := <-response; got.body != "lodged" {
+			t.Errorf("response %+v", got)
+		}
+	})
+}
+
+// TestLeavingSpreads guards against new work on a server that told one node
+// that it is leaving, while the VM list lags.
+func TestLeavingSpreads(t *testing.T) {
+	inBubble(t, 3, func(c *cluster) {
+		c.serveEngine(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(platform.HeaderLeaving, "true")
+			w.Header().Set(platform.HeaderExecution, platform.ExecutionNotRun)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		c.complete("n1", "1")
+		pass(3 * time.Second)
+		for name := range c.nodes {
+			if state := c.serverState(name); state != "leaving" {
+				t.Errorf("%s sees the server as %s, want leaving", name, state)
+			}
+		}
+		pass(2 * time.Minute)
+		if state := c.serverState("n2"); state != "available" {
+			t.Errorf("the server is %s after the word has expired, want available", state)
+		}
+	})
+}
+
+func (c *cluster) serverState(node string) string {
+	for _, server := range c.dump(node).Servers {
+		return server.State
+	}
+	return "unknown"
+}
--- a/node/runtime/fleet_test.go
+++ b/node/runtime/fleet_test.go
@@ -33,6 +33,9 @@
 	nodes map[string]*runtime.Node
 	stops map[string]func()
 	done  map[string]chan error
+	// recorder and rules are used by the nodes that start next.
+	recorder ingress.Recorder
+	rules    *config.Rules
 	// starts numbers the processes.
 	starts uint64
 }
@@ -42,6 +45,7 @@
 	c := &cluster{
 		t: t, ctx: ctx, net: newNetwork(), store: kv.NewStore(kv.Options{}), list: list.New(0),
 		gates: map[string]*gate{}, nodes: map[string]*runtime.Node{}, stops: map[string]func(){}, done: map[string]chan error{},
+		recorder: ingress.NoRecorder(), rules: testRules(),
 	}
 	for i := range count {
 		name := fmt.Sprintf("n%d", i+1)
@@ -72,13 +76,13 @@
 		},
 		Listener:     c.net.listen(name),
 		Dial:         c.net.dialer(name),
-		Recorder:     ingress.NoRecorder(),
+		Recorder:     c.recorder,
 		Logger:       logr.Discard(),
 		MaxBodyBytes: 1 << 20,
 		Fleet: &runtime.Fleet{
 			Service:      c.gates[name],
 			List:         c.list,
-			Parse:        func([]byte) (*config.Rules, *code.Error) { return testRules(), nil },
+			Parse:        func([]byte) (*config.Rules, *code.Error) { return c.rules, nil },
 			PeerListener: c.net.listen(name + "-peer"),
 			PeerDial:     c.net.dialer(name + "-peer"),
 		},
--- a/node/runtime/network_test.go
+++ b/node/runtime/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,7 @@
 // dialer returns the dial function of the node at an address.
 func (n *network) dialer(from string) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, _, to string) (net.Conn, error) {
+		to = strings.TrimSuffix(to, ":80")
 		n.mu.Lock()
 		l := n.listeners[to]
 		n.mu.Unlock()
