ctl: apply a rules file and report what is true of it

The report says accepted only when confkv.Await says so, and otherwise names the nodes that have not acknowledged with code 1606.

--- /dev/null
+++ b/ctl/ruleapply_test.go
@@ -0,0 +1,55 @@
+package ctl_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/ctl"
+	"tanagerspread/node/confkv"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/vmlist"
+	standinkv "tanagerspread/standin/kv"
+	list "tanagerspread/standin/vmlist"
+)
+
+// TestApplyReport guards against a report that says more than is true: a
+// version that nodes have not acknowledged is committed, not accepted.
+func TestApplyReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		store := standinkv.NewStore(standinkv.Options{})
+		vms := list.New(0)
+		for _, id := range []string{"n1", "n2"} {
+			vms.Set(vmlist.VM{ID: id, Role: "entry", State: vmlist.StateLive})
+		}
+		options := ctl.ApplyOptions{
+			Service: store, List: vms, ApplyID: "a", Author: "operator", Text: []byte("rules"), Wait: ctl.DefaultApplyWait,
+			Parse: func([]byte) (*config.Rules, *code.Error) { return &config.Rules{}, nil },
+		}
+		acknowledge := func(node string) {
+			data, _ := json.Marshal(confkv.Session{Node: node, Version: 1})
+			if _, err := store.Put(ctx, kv.Write{Key: confkv.PrefixNodes + node, Value: data}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		acknowledge("n1")
+		began := time.Now()
+		report, err := ctl.ApplyRules(ctx, options)
+		if err == nil || err.Code != code.NotAccepted || report.Accepted || report.Version != 1 || len(report.Missing) != 1 || report.Missing[0] != "n2" {
+			t.Errorf("report %+v, error %v; want committed without n2", report, err)
+		}
+		if waited := time.Since(began); waited != ctl.DefaultApplyWait {
+			t.Errorf("waited %v, want %v", waited, ctl.DefaultApplyWait)
+		}
+		acknowledge("n2")
+		report, err = ctl.ApplyRules(ctx, options)
+		if err != nil || !report.Accepted || report.Version != 1 || len(report.Missing) != 0 {
+			t.Errorf("report %+v, error %v; want version 1 accepted", report, err)
+		}
+	})
+}
--- a/node/runtime/drain_test.go
+++ b/node/runtime/drain_test.go
@@ -83,11 +83,12 @@
 		if got := c.complete("n1", "1"); !strings.Contains(got.body, "1502") {
 			t.Errorf("request after the drain delay: %+v, want code 1502", got)
 		}
-		if got := <-stream; got.status != http.StatusOK || !strings.Contains(got.body, "t14 ") || !strings.Contains(got.body, "[DONE]") {
+		if got := <-stream; got.status != http.StatusOK || strings.Count(got.body, `"text":"t`) != 15 || !strings.Contains(got.body, "[DONE]") {
 			t.Errorf("stream that outlasts the delay: %+v", got)
 		}
-		if err := <-c.done["n1"]; err != nil {
-			t.Errorf("planned stop: %v", err)
+		ended := time.Now()
+		if err := <-c.done["n1"]; err != nil || time.Since(ended) > 5*time.Second {
+			t.Errorf("planned stop: %v, %v after the last request", err, time.Since(ended))
 		}
 		if outage {
 			return
