--- a/node/runtime/fleet_test.go
+++ b/node/runtime/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -227,6 +229,12 @@
 			t.Errorf("verdict %+v, error %v; want accepted after the fence time", verdict, err)
 		}
 		c.expect("n1", "fenced", 1)
+		if got := c.complete("n1", "1"); !strings.Contains(got.body, "1504") || !strings.Contains(got.body, "not-run") {
+			t.Errorf("fenced node responded %+v, want code 1504 as not run", got)
+		}
+		if got := c.send(http.MethodGet, "n1", "/readyz", ""); got.status != http.StatusServiceUnavailable {
+			t.Errorf("readiness of a fenced node: status %d, want 503", got.status)
+		}
 		c.gates["n1"].shut.Store(false)
 		pass(5 * time.Second)
 		c.expect("n1", "ready", 2)
@@ -323,6 +331,9 @@
 		if loser.Code != code.VersionConflict || loser.Detail != want {
 			t.Errorf("loser was told %q, want %q", loser.Error(), want)
 		}
+		if _, err := c.apply(1, "late"); err == nil || err.Code != code.VersionConflict || err.Detail != want {
+			t.Errorf("apply to a replaced version: %v, want %q", err, want)
+		}
 	})
 }
 
