--- a/core/control/fleetmessage.go
+++ b/core/control/fleetmessage.go
@@ -149,9 +149,14 @@
 func (SessionCommand) command() {}
 func (ConfigInForce) command()  {}
 
-// decideFleet handles the messages of the agents.
+// decideFleet handles messages about the node itself: those of the agents,
+// the configuration and the planned stop.
 func (s *State) decideFleet(now time.Time, message Message) {
 	switch m := message.(type) {
+	case Configure:
+		s.configure(now, m)
+	case Drain:
+		s.fireNode("drain", now)
 	case ConfigSeen:
 		s.configSeen(now, m)
 	case ServiceReached:
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -149,8 +149,6 @@
 		s.recorded(now, m)
 	case Abandon:
 		s.abandon(now, m)
-	case Configure:
-		s.configure(now, m)
 	case VMList:
 		s.vmList(now, m)
 	case ImportFound:
@@ -165,8 +163,6 @@
 		s.storeReport(now, m)
 	case QuarantineSeen:
 		s.quarantineSeen(now, m)
-	case Drain:
-		s.fireNode("drain", now)
 	case Tick:
 		s.tick(now)
 	default:
