--- a/node/runtime/fleet_test.go
+++ b/node/runtime/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -64,7 +66,7 @@
 }
 
 func (c *cluster) startAll() {
-	for name := range c.gates {
+	for _, name := range slices.Sorted(maps.Keys(c.gates)) {
 		c.start(name)
 	}
 }
