--- a/core/control/config_test.go
+++ b/core/control/config_test.go
@@ -12,7 +12,7 @@
 	"tanagerspread/core/membership"
 )
 
-var start = time.Unix(1_000_000, 0)
+var fleetStart = time.Unix(1_000_000, 0)
 
 // newFleetState returns the state of node n1 of n1, n2 and n3 with one
 // backend server e1. A failed invariant ends the test.
@@ -21,11 +21,11 @@
 	s, err := control.New(control.Options{
 		Node: "n1", Charts: chart.Embedded(), Agents: true, Incarnation: 1, ServerSlots: 1,
 		Checker: invariant.NewChecker(func(v *invariant.Violation) { t.Fatal(v) }),
-	}, start)
+	}, fleetStart)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Handle(start, vmList("a:1", false))
+	s.Handle(fleetStart, vmList("a:1", false))
 	return s
 }
 
@@ -49,17 +49,17 @@
 // and against a service with an older copy that is left unrepaired.
 func TestOlderVersionOffered(t *testing.T) {
 	s := newFleetState(t)
-	s.Handle(start, seen(5, "five", start, true))
+	s.Handle(fleetStart, seen(5, "five", fleetStart, true))
 	offers := map[string]control.Message{
-		"service":        seen(4, "four", start, true),
-		"peer":           seen(4, "four", start, false),
+		"service":        seen(4, "four", fleetStart, true),
+		"peer":           seen(4, "four", fleetStart, false),
 		"direct message": control.Configure{Version: 4, Rules: &config.Rules{}},
 		"peer digest":    control.PeerDigest{Digest: membership.Digest{Node: "n2", Version: 4, Newest: 4}, Asked: start},
-		"same number":    seen(5, "other", start, true),
+		"same number":    seen(5, "other", fleetStart, true),
 	}
 	for name, offer := range offers {
-		commands := s.Handle(start.Add(time.Second), offer).Commands
-		if d := dumpOf(s, start); d.Version != 5 || d.State != "ready" {
+		commands := s.Handle(fleetStart.Add(time.Second), offer).Commands
+		if d := dumpOf(s, fleetStart); d.Version != 5 || d.State != "ready" {
 			t.Errorf("%s: version %d, state %s", name, d.Version, d.State)
 		}
 		var repair control.WriteConfig
@@ -79,15 +79,15 @@
 // it cannot fetch a version that it knows of.
 func TestNewerVersionUnreachable(t *testing.T) {
 	s := newFleetState(t)
-	s.Handle(start, seen(1, "one", start, true))
+	s.Handle(fleetStart, seen(1, "one", fleetStart, true))
 	for second := range 12 {
-		now := start.Add(time.Duration(second) * time.Second)
+		now := fleetStart.Add(time.Duration(second) * time.Second)
 		for _, peer := range []string{"n2", "n3"} {
 			s.Handle(now, control.PeerDigest{Digest: membership.Digest{Node: peer, Version: 1, Newest: 2}, Asked: now})
 		}
 		s.Handle(now, control.Tick{})
 	}
-	if d := dumpOf(s, start.Add(12*time.Second)); d.State != "fenced" {
+	if d := dumpOf(s, fleetStart.Add(12*time.Second)); d.State != "fenced" {
 		t.Errorf("state %s, want fenced", d.State)
 	}
 }
@@ -95,7 +95,7 @@
 // TestLeavingServer guards against a source that fails to stop new work and
 // against a server that returns too early or never.
 func TestLeavingServer(t *testing.T) {
-	at := start.Add(time.Second)
+	at := fleetStart.Add(time.Second)
 	word := func(age time.Duration) control.Message {
 		return control.PeerDigest{Asked: at, Digest: membership.Digest{
 			Node: "n2", Leaving: []membership.Leaving{{Server: "e1", Address: "a:1", Age: age}},
--- a/ctl/ruleapply_test.go
+++ b/ctl/ruleapply_test.go
@@ -14,7 +14,7 @@
 	"tanagerspread/platform/kv"
 	"tanagerspread/platform/vmlist"
 	standinkv "tanagerspread/standin/kv"
-	list "tanagerspread/standin/vmlist"
+	standinlist "tanagerspread/standin/vmlist"
 )
 
 // TestApplyReport guards against a report that says more than is true: a
@@ -23,7 +23,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
 		store := standinkv.NewStore(standinkv.Options{})
-		vms := list.New(0)
+		vms := standinlist.New(0)
 		for _, id := range []string{"n1", "n2"} {
 			vms.Set(vmlist.VM{ID: id, Role: "entry", State: vmlist.StateLive})
 		}
