--- a/cmd/tanagerspread/main_test.go
+++ b/cmd/tanagerspread/main_test.go
@@ -16,12 +16,12 @@
 	}
 	for args, want := range map[string]int{
 		"--check-settings ../../ctl/example/node.ini": exitStopped,
-		"--check-settings " + bad:                  exitFaults,
-		"--settings " + bad:                        exitFaults,
-		"--version":                                exitStopped,
-		"--help":                                   exitStopped,
-		"":                                         exitUsage,
-		"--colour":                                 exitUsage,
+		"--check-settings " + bad:                     exitFaults,
+		"--settings " + bad:                           exitFaults,
+		"--version":                                   exitStopped,
+		"--help":                                      exitStopped,
+		"":                                            exitUsage,
+		"--colour":                                    exitUsage,
 	} {
 		var out strings.Builder
 		if exit := run(strings.Fields(args), &out, &out); exit != want {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -101,10 +101,10 @@
 		t.Fatal(err)
 	}
 	for args, want := range map[string]int{
-		"rules check " + bad:                                          ctl.ExitFaults,
-		"rules check example/derwent.rules":                       ctl.ExitDone,
+		"rules check " + bad:                                  ctl.ExitFaults,
+		"rules check example/derwent.rules":                   ctl.ExitDone,
 		"rules diff example/derwent.rules example/ulan.rules": ctl.ExitDone,
-		"rules diff example/derwent.rules absent.rules":           ctl.ExitFailed,
+		"rules diff example/derwent.rules absent.rules":       ctl.ExitFailed,
 		"charts node": ctl.ExitDone, "charts absent": ctl.ExitUsage, "codes": ctl.ExitDone, "events": ctl.ExitDone,
 		"status --nodes " + one: ctl.ExitDone, "dump " + one: ctl.ExitDone, "drain " + one: ctl.ExitDone,
 		"explain known-n1 --nodes " + one: ctl.ExitDone,
