node/process: connect a node to the platform and its peers

Cause: a started node had no agents and stayed in starting. Change: settings for the peer listener, the key-value service, the VM list and mutual TLS between peers; process.Run creates the clients and the fleet side. A peer's certificate must name the IP number that was dialled. The hook that tests used to attach state is gone: the session test runs against the stand-ins. Result: TestSession reaches ready with the configuration of the key-value service; the list of faults grows by the three new required settings.

--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -145,7 +145,7 @@
 	if err != nil || c.tls == nil {
 		return raw, err
 	}
-	secure := tls.Client(raw, c.tls)
+	secure := tls.Client(raw, c.tlsFor(address))
 	if err := secure.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, err
@@ -153,6 +153,19 @@
 	return secure, nil
 }
 
+// tlsFor returns the TLS settings of one peer. Its certificate must name the
+// IP number that was dialled, unless the settings name another server.
+func (c *Client) tlsFor(address string) *tls.Config {
+	if c.tls.ServerName != "" {
+		return c.tls
+	}
+	config := c.tls.Clone()
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		config.ServerName = host
+	}
+	return config
+}
+
 func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
 	c.mu.Lock()
 	if c.open[address] == conn {
--- a/node/peer/tls_test.go
+++ b/node/peer/tls_test.go
@@ -62,7 +62,7 @@
 		certificate tls.Certificate
 		want        bool
 	}{{"trusted", own, true}, {"stranger", stranger, false}} {
-		client := NewClient((&net.Dialer{}).DialContext, &tls.Config{Certificates: []tls.Certificate{c.certificate}, RootCAs: trusted, ServerName: "127.0.0.1"})
+		client := NewClient((&net.Dialer{}).DialContext, &tls.Config{Certificates: []tls.Certificate{c.certificate}, RootCAs: trusted})
 		if _, err := client.Digest(ctx, plain.Addr().String(), membership.Digest{Node: "n1"}); (err == nil) != c.want {
 			t.Errorf("%s: %v", c.name, err)
 		}
--- /dev/null
+++ b/node/process/platform.go
@@ -0,0 +1,75 @@
+package process
+
+import (
+	"fmt"
+	"net"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/node/rules"
+	"tanagerspread/node/runtime"
+	"tanagerspread/node/settings"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/vmlist"
+	"tanagerspread/platform/wire"
+)
+
+// platform holds the clients of the platform's services.
+type platform struct {
+	fleet *runtime.Fleet
+	kv    *kv.Client
+	list  *vmlist.Client
+}
+
+// connect opens the peer listener and creates the clients. The clients open
+// connections on demand, so that a node starts while a service is away.
+func connect(options Options) (*platform, error) {
+	s := options.Settings
+	listener, err := options.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	p := &platform{
+		kv:   kv.NewClient(wire.Options{Address: s.KeyValue}),
+		list: vmlist.NewClient(wire.Options{Address: s.VMList}),
+	}
+	p.fleet = &runtime.Fleet{
+		Service:      p.kv,
+		List:         p.list,
+		Parse:        parseRules,
+		PeerListener: listener,
+		PeerDial:     (&net.Dialer{}).DialContext,
+	}
+	if err := p.secure(s); err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *platform) secure(s *settings.Settings) error {
+	var err error
+	if p.fleet.PeerServerTLS, err = s.PeerTLS.Config(); err != nil {
+		return fmt.Errorf("peer TLS: %w", err)
+	}
+	if p.fleet.PeerClientTLS, err = s.PeerTLS.ClientConfig(); err != nil {
+		return fmt.Errorf("peer TLS: %w", err)
+	}
+	return nil
+}
+
+func (p *platform) close() {
+	// The process ends; a listener that cannot be closed changes nothing.
+	_ = p.fleet.PeerListener.Close()
+	p.kv.Close()
+	p.list.Close()
+}
+
+// parseRules returns the rules, or the first fault with its code.
+func parseRules(text []byte) (*config.Rules, *code.Error) {
+	parsed, faults := rules.Parse(string(text))
+	if len(faults) > 0 {
+		return nil, code.New(faults[0].Code, faults[0].Error())
+	}
+	return parsed, nil
+}
--- a/node/process/process.go
+++ b/node/process/process.go
@@ -49,9 +49,6 @@
 	Signals <-chan os.Signal
 	// Listen opens a listener; tests replace it.
 	Listen func(network, address string) (net.Listener, error)
-	// Started is called with the running node before the first request, so
-	// that agents can be attached. It may be nil.
-	Started func(ctx context.Context, node *runtime.Node)
 }
 
 // Run serves until the planned stop is complete. It returns ErrInterrupted
@@ -71,7 +68,12 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for operators: %w", err), callers.Close())
 	}
-	node, err := runtime.New(nodeOptions(options.Settings, callers, logger, counters))
+	platform, err := connect(options)
+	if err != nil {
+		return errors.Join(err, callers.Close(), operators.Close())
+	}
+	defer platform.close()
+	node, err := runtime.New(nodeOptions(options.Settings, callers, platform, logger, counters))
 	if err != nil {
 		return errors.Join(err, callers.Close(), operators.Close())
 	}
@@ -79,9 +81,6 @@
 	defer func() { _ = server.Close() }()
 	go serveAdmin(server, operators, logger)
 	go watchSignals(ctx, cancel, options.Signals, node)
-	if options.Started != nil {
-		options.Started(ctx, node)
-	}
 	err = node.Run(ctx)
 	if errors.Is(context.Cause(ctx), ErrInterrupted) {
 		return ErrInterrupted
@@ -101,7 +100,7 @@
 	return tls.NewListener(listener, config), nil
 }
 
-func nodeOptions(s *settings.Settings, listener net.Listener, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
+func nodeOptions(s *settings.Settings, listener net.Listener, platform *platform, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
 	return runtime.Options{
 		Control: control.Options{
 			Node:        s.Node,
@@ -115,6 +114,7 @@
 		Dial:         (&net.Dialer{}).DialContext,
 		Recorder:     ingress.NoRecorder(),
 		Logger:       logger,
+		Fleet:        platform.fleet,
 		Metrics:      counters,
 		MaxBodyBytes: s.MaxBodyBytes,
 	}
--- a/node/process/process_test.go
+++ b/node/process/process_test.go
@@ -18,11 +18,13 @@
 
 	"tanagerspread/core/config"
 	"tanagerspread/core/control"
-	"tanagerspread/core/fleet"
-	"tanagerspread/core/request"
+	"tanagerspread/node/confkv"
 	"tanagerspread/node/process"
-	"tanagerspread/node/runtime"
 	"tanagerspread/node/settings"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/vmlist"
+	standinkv "tanagerspread/standin/kv"
+	standinvmlist "tanagerspread/standin/vmlist"
 )
 
 // The texts that must appear in no dump and no log line.
@@ -49,44 +51,82 @@
 	server := httptest.NewServer(backend)
 	t.Cleanup(server.Close)
 	s := &session{t: t, signals: make(chan os.Signal, 2), done: make(chan error, 1)}
-	started := make(chan struct{})
-	var addresses []string
+	addresses := make(chan string, 3)
+	keyValue, list := startPlatform(t, server.Listener.Addr().String())
 	options := process.Options{
 		Settings: &settings.Settings{
 			Node: "n1", Domain: "hobart-a", DrainDelay: 100 * time.Millisecond,
 			MaxBodyBytes: 1 << 20, ServerSlots: 4, LogLevel: "debug",
+			KeyValue: keyValue, VMList: list,
 		},
 		Log:     &s.log,
 		Signals: s.signals,
 		Listen: func(string, string) (net.Listener, error) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			addresses = append(addresses, listener.Addr().String())
+			if err == nil {
+				addresses <- listener.Addr().String()
+			}
 			return listener, err
 		},
-		Started: func(_ context.Context, node *runtime.Node) {
-			node.Control().Tell(control.Configure{Version: 3, Rules: testRules()})
-			node.Control().Tell(control.VMList{VMs: []control.VM{
-				{ID: "e1", Address: strings.TrimPrefix(server.URL, "http://"), Role: fleet.RoleEngine, Serves: "m", Weights: 1},
-				{ID: "s1", Address: strings.TrimPrefix(server.URL, "http://"), Role: fleet.RoleService, Serves: "tide"},
-			}})
-			close(started)
-		},
 	}
 	go func() { s.done <- process.Run(context.Background(), options) }()
-	<-started
-	s.callers, s.operators = addresses[0], addresses[1]
+	s.callers, s.operators = <-addresses, <-addresses
+	s.awaitReady()
 	return s
 }
 
-func testRules() *config.Rules {
-	return &config.Rules{
-		Organisations: map[request.Organisation]config.Organisation{"guild": {}},
-		Tokens:        map[request.Digest]config.Token{sha256.Sum256([]byte(token)): {Organisation: "guild"}},
-		Classes:       map[request.Class]config.Class{"check": {Queue: 10}},
-		Models:        map[string]config.Model{"m": {Weights: 1, Class: "check"}},
-		Services:      map[string]config.Service{"tide": {Class: "check"}},
-		Comments:      map[string]string{"models/m": "M. Tasker"},
+// startPlatform serves a configuration of version 3 and a VM list, and
+// returns both addresses.
+func startPlatform(t *testing.T, backend string) (string, string) {
+	t.Helper()
+	service := standinkv.NewStore(standinkv.Options{})
+	data, err := confkv.Encode(config.Current{Version: 3, ApplyID: "a", Author: "M. Tasker", Text: []byte(testRules())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := service.Put(t.Context(), kv.Write{Key: confkv.KeyCurrent, Value: data, Expected: kv.Absent}); err != nil {
+		t.Fatal(err)
+	}
+	list := standinvmlist.New(0)
+	list.Set(vmlist.VM{ID: "e1", Address: backend, Role: "engine", Serves: "m", Weights: 1, State: vmlist.StateLive})
+	list.Set(vmlist.VM{ID: "s1", Address: backend, Role: "service", Serves: "tide", State: vmlist.StateLive})
+	var addresses []string
+	for _, handler := range []http.Handler{service.Handler(), list.Handler()} {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	return addresses[0], addresses[1]
+}
+
+// awaitReady waits until the node has its configuration and its VM list.
+func (s *session) awaitReady() {
+	s.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); {
+		var got control.Status
+		_, _, body := s.do(http.MethodGet, s.operators+"/status", "", "")
+		if err := json.Unmarshal([]byte(body), &got); err != nil {
+			s.t.Fatal(err)
+		}
+		if got.State == "ready" && got.Servers == 2 {
+			return
+		}
 	}
+	s.t.Fatal("the node did not become ready")
+}
+
+func testRules() string {
+	return fmt.Sprintf(`[classes]
+check = priority=0 queue=10 ; M. Tasker
+[organisations]
+guild = rate=1000/s burst=1000 ; M. Tasker
+[tokens]
+%x = organisation=guild ; M. Tasker
+[models]
+m = weights=1 class=check ; M. Tasker
+[services]
+tide = class=check non-idempotent=no ; M. Tasker
+`, sha256.Sum256([]byte(token)))
 }
 
 // do sends a request and returns status, request identifier and body.
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -14,7 +14,7 @@
 	"tanagerspread/node/settings"
 )
 
-const minimal = "[node]\nid = n1\ndomain = hobart-a\nlisten = 127.0.0.1:8080\nadmin-listen = [::1]:8081\n"
+const minimal = "[node]\nid = n1\ndomain = hobart-a\nlisten = 127.0.0.1:8080\nadmin-listen = [::1]:8081\npeer-listen = 127.0.0.1:8082\n[platform]\nkey-value = 127.0.0.1:7001\nvm-list = 127.0.0.1:7002\n"
 
 // TestExample guards against an example file that the node refuses, and
 // against defaults that are not applied.
@@ -63,7 +63,7 @@
 		"directory = " + badCharts,
 	}, "\n")
 	want := []string{
-		"0 node.domain 1802", "0 tls.caller-key 1802", "0 charts.directory 1807",
+		"0 node.domain 1802", "0 node.peer-listen 1802", "0 platform.key-value 1802", "0 platform.vm-list 1802", "0 tls.caller-key 1802", "0 charts.directory 1807",
 		"1 .stray 1803", "4 node.id 1804", "5 node.listen 1805", "6 node.admin-listen 1803", "7 node.drain-delay 1803",
 		"8 node.colour 1801", "10 limits.max-body-bytes 1803", "11 limits.server-slots 1803", "13 weather.rain 1801",
 		"15 log.level 1803", "16 log. 1803",
