core: decide on at-most-once records by a chart

Cause: a non-idempotent request needs a guard that holds across nodes, pauses and lost responses. Change: chart record interprets each claim, completion and release; the control thread owns the jobs, traffic goroutines perform reads and compare-and-swaps and report their outcomes. Decision: every unclear write is settled by reading; a claim that stays unclear is refused as not run and withdrawn, and the withdrawal writes the record again so that a delayed write of the claim cannot take effect.

--- a/core/control/state.go
+++ b/core/control/state.go
@@ -15,6 +15,7 @@
 	"tanagerspread/core/invariant"
 	"tanagerspread/core/kvcache"
 	"tanagerspread/core/limits"
+	"tanagerspread/core/once"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
@@ -71,6 +72,7 @@
 	suspectRuns map[quarantine.Fingerprint]int
 	policy      placement.Policy
 	journal     journal
+	records     *once.Book
 	out         Output
 }
 
@@ -98,6 +100,11 @@
 	if err := s.loadCharts(options.Charts); err != nil {
 		return nil, fmt.Errorf("load charts: %w", err)
 	}
+	records, err := once.NewBook(options.Charts)
+	if err != nil {
+		return nil, fmt.Errorf("load charts: %w", err)
+	}
+	s.records = records
 	s.life = s.charts.node.Start(now)
 	return s, nil
 }
@@ -117,6 +124,10 @@
 		s.admit(now, m)
 	case ClaimResult:
 		s.claimResult(now, m)
+	case RecordBegin:
+		s.reply(m.Job.ID, RecordStep{Step: s.records.Begin(now, m.Job)})
+	case RecordReport:
+		s.reply(m.Job, RecordStep{Step: s.records.Report(now, m.Job, m.Report)})
 	case Place:
 		s.place(now, m)
 	case Connected:
@@ -175,5 +186,6 @@
 	s.expireTransfers(now)
 	s.quarantine.Expire(now)
 	s.expireRequests(now)
+	s.records.Expire(now)
 	s.assignQueued(now)
 }
--- /dev/null
+++ b/core/once/record.go
@@ -0,0 +1,57 @@
+// Package once decides what happens to at-most-once records. A record is the
+// guard of one non-idempotent request: whoever creates its claim may dispatch
+// the request once, and nobody else ever may. The package decides on reads
+// and on outcomes of compare-and-swaps; traffic goroutines perform them.
+package once
+
+import (
+	"time"
+
+	"tanagerspread/core/request"
+)
+
+// MaxBodyBytes bounds the response body that a record keeps.
+const MaxBodyBytes = 64 << 10
+
+// clockMargin is added to a record's deadline before its outcome counts as
+// unknown, because the clocks of two nodes differ.
+const clockMargin = 5 * time.Second
+
+// Status is what a stored record says about its request.
+type Status string
+
+// The statuses of a stored record.
+const (
+	// Claimed means that the holder of the claim may dispatch or has done so.
+	Claimed Status = "claimed"
+	// Released means that no holder dispatched the request.
+	Released Status = "released"
+	// Finished means that the request ran and its response arrived whole.
+	Finished Status = "finished"
+)
+
+// Record is one at-most-once record.
+type Record struct {
+	// Claim identifies the holder; each call has a claim of its own.
+	Claim request.ID
+	Node  string
+	// BodyDigest is the hexadecimal digest of method, path and body.
+	BodyDigest string
+	ClaimedAt  time.Time
+	// Deadline is when the holder's request ends at the latest.
+	Deadline time.Time
+	Status   Status
+	Response Response
+}
+
+// Response is the response that a finished record keeps.
+type Response struct {
+	// HTTPStatus is the status code of the response.
+	HTTPStatus  int
+	ContentType string
+	// Digest is the hexadecimal digest of the body.
+	Digest string
+	// Kept is false when the body is larger than MaxBodyBytes.
+	Kept bool
+	Body []byte
+}
--- /dev/null
+++ b/core/once/step.go
@@ -0,0 +1,91 @@
+package once
+
+import (
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/request"
+)
+
+// Operation is what a traffic goroutine wants to do with a record. Its values
+// are events of the record's chart.
+type Operation string
+
+// The operations on a record.
+const (
+	// Claim creates the claim before the request is placed.
+	Claim Operation = "claim"
+	// Complete stores the response of a request that ran.
+	Complete Operation = "complete"
+	// Release gives up the claim of a request that was not dispatched.
+	Release Operation = "release"
+)
+
+// Job is one operation on one record.
+type Job struct {
+	// ID identifies the job while it runs.
+	ID        request.ID
+	Operation Operation
+	// Own is the record as this claim writes it; its status is set by the
+	// decisions.
+	Own Record
+	// Until is when the job gives up while the key-value service is away.
+	Until time.Time
+}
+
+// Outcome is what one read or write led to. Its values are events of the
+// record's chart.
+type Outcome string
+
+// The outcomes of a read or a write.
+const (
+	// Absent means that a read found no record.
+	Absent Outcome = "absent"
+	// Found means that a read returned the record.
+	Found Outcome = "found"
+	// Written means that a compare-and-swap took effect.
+	Written Outcome = "written"
+	// Conflict means that a compare-and-swap found another revision.
+	Conflict Outcome = "conflict"
+	// Away means that the service did not respond. A write may have taken
+	// effect.
+	Away Outcome = "away"
+)
+
+// Report is the result of one step.
+type Report struct {
+	Outcome Outcome
+	// Record and Revision are set when a read found the record.
+	Record   Record
+	Revision uint64
+}
+
+// Action is what a traffic goroutine does next.
+type Action int
+
+// The actions of a step.
+const (
+	// Read reads the record.
+	Read Action = iota + 1
+	// Write writes the record by compare-and-swap.
+	Write
+	// Stop ends the job.
+	Stop
+)
+
+// Step is the next step of a job.
+type Step struct {
+	Action Action
+	// Delay is the wait before a read.
+	Delay time.Duration
+	// Record and Expected are the value and the expected revision of a write;
+	// revision 0 means that the record must not exist.
+	Record   Record
+	Expected uint64
+	// Refused is why a stopped job did not reach its aim, or nil.
+	Refused *code.Error
+	// Replay is the finished record that a claim found, or nil.
+	Replay *Record
+	// Withdraw is true when a refused claim may exist and must be released.
+	Withdraw bool
+}
