node: keep at-most-once records in the key-value service

Change: Recorder performs the steps that the control thread decides; record encoding is here. The exchange releases the claim on each path that ends before an attempt was sent, and waits for the control thread's decision past the deadline instead of guessing it. Fault found while reading: the gate took any decision other than a refusal as permission to send, including a Dispatch to another server.

--- a/node/ingress/completion.go
+++ b/node/ingress/completion.go
@@ -90,6 +90,7 @@
 	if x.request.KeyDigest != "" {
 		parent = context.WithoutCancel(parent)
 	}
+	x.caller = parent
 	return context.WithDeadline(parent, x.request.Deadline)
 }
 
--- a/node/ingress/exchange.go
+++ b/node/ingress/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"tanagerspread/core/cachekey"
@@ -21,8 +22,24 @@
 	claim    Claim
 	// prefix holds the keys of the whole blocks of a prompt.
 	prefix []cachekey.Key
+	// caller ends when the caller leaves, but not at the deadline: the control
+	// thread decides how a request ends whose deadline has passed.
+	caller context.Context
+	// sent is true once the control thread let an attempt be sent.
+	sent atomic.Bool
 }
 
+const (
+	// askGrace is how long after its deadline a request waits for the control
+	// thread's decision.
+	askGrace = 2 * time.Second
+	// doneWait is the delay before the end of an attempt is reported again to
+	// a control thread whose queue is full.
+	doneWait = 20 * time.Millisecond
+	// maxDoneAsks bounds how often the end of an attempt is reported.
+	maxDoneAsks = 50
+)
+
 // refused is how an exchange ends without a response.
 type refused struct {
 	err        *code.Error
@@ -62,12 +79,13 @@
 		KeyDigest:    x.request.KeyDigest,
 		BodyDigest:   x.request.BodyDigest,
 		Request:      x.request.ID,
+		Deadline:     x.request.Deadline,
 	}
 	kept, claimErr := x.front.options.Recorder.Claim(ctx, x.claim)
 	result := control.ClaimResult{Request: x.request.ID, Refused: claimErr, Replay: kept != nil}
-	decision, err := x.front.options.Control.Ask(ctx, result)
+	decision, err := x.askGraced(result)
 	if err != nil {
-		x.release(ctx)
+		x.abandonUnsent(ctx, claimErr == nil && kept == nil)
 		return &ended{refused: &refused{err: notRun(err)}}
 	}
 	switch decision.(type) {
@@ -85,7 +103,7 @@
 // run places the request and performs attempts until it is delivered or
 // refused. It returns nil when the response is whole.
 func (x *exchange) run(ctx context.Context, prefix []cachekey.Key, run runner) *refused {
-	decision, err := x.front.options.Control.Ask(ctx, control.Place{
+	decision, err := x.askGraced(control.Place{
 		Request:      x.request.ID,
 		Prefix:       prefix,
 		PromptTokens: x.request.PromptTokens,
@@ -97,7 +115,7 @@
 		}
 		result := run(ctx, dispatch, x.gate(dispatch.Attempt))
 		x.logFailure(dispatch, result)
-		decision, err = x.front.options.Control.Ask(context.WithoutCancel(ctx), control.AttemptDone{
+		decision, err = x.askDone(control.AttemptDone{
 			Request: x.request.ID,
 			Attempt: dispatch.Attempt,
 			Outcome: result.Outcome,
@@ -107,22 +125,60 @@
 			Died:    result.Died,
 		})
 	}
+	if x.sent.Load() {
+		x.front.options.Control.Tell(control.Abandon{Request: x.request.ID})
+		return &refused{err: mayHaveRun(err)}
+	}
+	x.abandonUnsent(ctx, x.admitted.Claim)
+	return &refused{err: notRun(err)}
+}
+
+// askGraced asks a question whose decision may come after the deadline.
+func (x *exchange) askGraced(question control.Question) (control.Decision, *code.Error) {
+	ctx, cancel := context.WithDeadline(x.caller, x.request.Deadline.Add(askGrace))
+	defer cancel()
+	return x.front.options.Control.Ask(ctx, question)
+}
+
+// askDone reports the end of an attempt. It repeats the report while the
+// control queue is full, because the attempt may have run.
+func (x *exchange) askDone(done control.AttemptDone) (control.Decision, *code.Error) {
+	ctx := context.WithoutCancel(x.caller)
+	for range maxDoneAsks {
+		decision, err := x.front.options.Control.Ask(ctx, done)
+		if err == nil || err.Code != code.Overloaded {
+			return decision, err
+		}
+		<-time.After(doneWait)
+	}
+	return nil, code.New(code.Overloaded, "the control queue of the node is full")
+}
+
+// abandonUnsent ends a request of which no attempt was sent and releases its
+// claim.
+func (x *exchange) abandonUnsent(ctx context.Context, claimed bool) {
+	if claimed {
+		x.release(ctx)
+	}
 	x.front.options.Control.Tell(control.Abandon{Request: x.request.ID})
-	return &refused{err: err}
 }
 
 // gate asks the control thread whether the request may be sent on the open
 // connection.
 func (x *exchange) gate(attempt request.AttemptID) egress.Gate {
-	return func(ctx context.Context) error {
-		decision, err := x.front.options.Control.Ask(ctx, control.Connected{Request: x.request.ID, Attempt: attempt})
+	return func(context.Context) error {
+		decision, err := x.askGraced(control.Connected{Request: x.request.ID, Attempt: attempt})
 		if err != nil {
 			return err
 		}
-		if refusal, ok := decision.(control.Refusal); ok {
-			return refusal.Err
+		switch d := decision.(type) {
+		case control.Proceed:
+			x.sent.Store(true)
+			return nil
+		case control.Refusal:
+			return d.Err
 		}
-		return nil
+		return code.New(code.Internal, "the control thread gave an unexpected decision")
 	}
 }
 
@@ -179,3 +235,12 @@
 	}
 	return code.Wrap(code.DeadlinePassedNotRun, "the request ended before it was sent", err)
 }
+
+// mayHaveRun gives an error of a request that was sent the execution class
+// unknown.
+func mayHaveRun(err *code.Error) *code.Error {
+	if err.Info().Execution != code.NotRun {
+		return err
+	}
+	return code.Wrap(code.BackendLost, "the request was sent and its outcome is not known", err)
+}
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -39,6 +39,8 @@
 	KeyDigest    string
 	BodyDigest   string
 	Request      request.ID
+	// Deadline is when the request ends at the latest.
+	Deadline time.Time
 }
 
 // Recorder keeps the at-most-once records.
--- /dev/null
+++ b/node/once/encoding.go
@@ -0,0 +1,98 @@
+package once
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"tanagerspread/core/once"
+	"tanagerspread/core/request"
+	"tanagerspread/node/ingress"
+)
+
+// keyPrefix is the prefix of all records in the key-value service.
+const keyPrefix = "once/"
+
+// recordWire is the JSON form of a record.
+type recordWire struct {
+	Claim          string    `json:"claim"`
+	Node           string    `json:"node"`
+	BodyDigest     string    `json:"body_digest"`
+	ClaimedAt      time.Time `json:"claimed_at"`
+	Deadline       time.Time `json:"deadline"`
+	Status         string    `json:"status"`
+	HTTPStatus     int       `json:"http_status,omitempty"`
+	ContentType    string    `json:"content_type,omitempty"`
+	ResponseDigest string    `json:"response_digest,omitempty"`
+	Kept           bool      `json:"kept,omitempty"`
+	Body           []byte    `json:"body,omitempty"`
+}
+
+func keyOf(claim ingress.Claim) string {
+	return keyPrefix + string(claim.Organisation) + "/" + claim.KeyDigest
+}
+
+func encode(record once.Record) ([]byte, error) {
+	return json.Marshal(recordWire{
+		Claim:          string(record.Claim),
+		Node:           record.Node,
+		BodyDigest:     record.BodyDigest,
+		ClaimedAt:      record.ClaimedAt,
+		Deadline:       record.Deadline,
+		Status:         string(record.Status),
+		HTTPStatus:     record.Response.HTTPStatus,
+		ContentType:    record.Response.ContentType,
+		ResponseDigest: record.Response.Digest,
+		Kept:           record.Response.Kept,
+		Body:           record.Response.Body,
+	})
+}
+
+// decode returns a record. A value that cannot be decoded, or whose body does
+// not match its digest, becomes a claim with no holder: its request may have
+// run, and no call may run it again.
+func decode(value []byte) once.Record {
+	var wire recordWire
+	if json.Unmarshal(value, &wire) != nil {
+		return once.Record{Status: once.Claimed}
+	}
+	record := once.Record{
+		Claim:      request.ID(wire.Claim),
+		Node:       wire.Node,
+		BodyDigest: wire.BodyDigest,
+		ClaimedAt:  wire.ClaimedAt,
+		Deadline:   wire.Deadline,
+		Status:     once.Status(wire.Status),
+		Response: once.Response{
+			HTTPStatus:  wire.HTTPStatus,
+			ContentType: wire.ContentType,
+			Digest:      wire.ResponseDigest,
+			Kept:        wire.Kept,
+			Body:        wire.Body,
+		},
+	}
+	if record.Response.Kept && digestOf(wire.Body) != wire.ResponseDigest {
+		return once.Record{Status: once.Claimed, BodyDigest: wire.BodyDigest}
+	}
+	return record
+}
+
+func responseOf(kept ingress.Kept) once.Response {
+	response := once.Response{HTTPStatus: kept.Status, ContentType: kept.ContentType, Digest: digestOf(kept.Body)}
+	if len(kept.Body) <= once.MaxBodyBytes {
+		response.Kept = true
+		response.Body = kept.Body
+	}
+	return response
+}
+
+func keptOf(record *once.Record) *ingress.Kept {
+	response := record.Response
+	return &ingress.Kept{Status: response.HTTPStatus, ContentType: response.ContentType, Body: response.Body}
+}
+
+func digestOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
