core, node: make not-run true after pauses and refused attempts

Change: no attempt is sent after the deadline (checked by the control thread and again before the first byte); a server's own not-run word takes its dispatch back for requests that may be repeated; a server that failed the request does not keep it queued; code 1202 has the class unknown, because the request with the key may be running. Decision: for non-idempotent requests the server's not-run word changes nothing, since one record permits one dispatch.

--- a/core/code/table.go
+++ b/core/code/table.go
@@ -87,7 +87,7 @@
 	{UnknownToken, "unknown-token", 401, NotRun, RetryNever, "no rule knows the bearer token"},
 	{ModelNotAllowed, "model-not-allowed", 403, NotRun, RetryNever, "the organisation may not use the model or service"},
 	{KeyReused, "key-reused", 422, NotRun, RetryNever, "the idempotency key was used with another body"},
-	{InProgress, "in-progress", 409, NotRun, RetrySameKey, "a request with this idempotency key is in progress"},
+	{InProgress, "in-progress", 409, Unknown, RetrySameKey, "a request with this idempotency key is in progress"},
 	{OutcomeUnknown, "outcome-unknown", 409, Unknown, RetrySameKey, "the request with this idempotency key may have run and its answer is lost"},
 	{ClaimUnavailable, "claim-unavailable", 503, NotRun, RetryLater, "the key-value service is away, so a non-idempotent request is refused"},
 	{AnswerNotKept, "answer-not-kept", 409, Ran, RetrySameKey, "the request with this idempotency key ran and its answer was too large to keep"},
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// markNotRun takes back a dispatch that the backend server says it did not
+// run.
+func (s *State) markNotRun(a *active, _ time.Time) {
+	a.dispatches--
+}
+
+// noneRan is the guard of a refusal by a backend server: no other attempt of
+// the request may have run.
+func (s *State) noneRan(a *active, _ time.Time) bool {
+	return a.dispatches <= 1
+}
+
 // current returns the request and whether the attempt is its current one.
 func (s *State) current(id messageAttempt) (*active, bool) {
 	a, ok := s.requests[id.request]
@@ -55,7 +67,14 @@
 	return a, true
 }
 
-// connected decides whether an attempt may still be sent.
+// late reports whether the caller's deadline has passed. A node that was
+// paused may handle a message before the tick that ends the request.
+func (a *active) late(now time.Time) bool {
+	return !a.Deadline.IsZero() && !a.Deadline.After(now)
+}
+
+// connected decides whether an attempt may still be sent. A refusal leaves the
+// attempt open; its end is reported by AttemptDone.
 func (s *State) connected(now time.Time, m Connected) {
 	a, ok := s.current(messageAttempt{m.Request, m.Attempt})
 	if !ok {
@@ -68,8 +87,8 @@
 		s.refuse(m.Request, code.DialRefused, "the request may no longer be sent to the backend server")
 		return
 	}
-	if !s.fireRequest(a, "connect", now) {
-		s.end(now, a, "refuse", code.New(code.DeadlinePassedNotRun, "the deadline passed while the connection was opened"))
+	if a.late(now) || !s.fireRequest(a, "connect", now) {
+		s.refuse(a.ID, code.DeadlinePassedNotRun, "the deadline passed while the connection was opened")
 		return
 	}
 	s.fireAttempt(a, "connect", now)
@@ -89,7 +108,7 @@
 func (s *State) attemptDone(now time.Time, m AttemptDone) {
 	a, ok := s.current(messageAttempt{m.Request, m.Attempt})
 	if !ok {
-		s.refuseLate(m)
+		s.refuseLate(a, m)
 		return
 	}
 	s.noteServer(now, a.attempt, m)
@@ -101,7 +120,7 @@
 		s.answered(now, a)
 	case DialFailed:
 		s.fireAttempt(a, a.attempt.dialEvent(), now)
-		s.dialFailed(now, a)
+		s.dialFailed(now, a, m.Cause)
 	case Rejected:
 		s.fireAttempt(a, "drop", now)
 		s.attemptFailed(now, a, "attempt_refused", m.Cause)
@@ -110,13 +129,26 @@
 		s.attemptFailed(now, a, "attempt_failed", m.Cause)
 	case Stopped:
 		s.fireAttempt(a, "drop", now)
-		s.attemptFailed(now, a, "expire", m.Cause)
+		s.stopped(now, a, m.Cause)
 	}
 	s.assignQueued(now)
 }
 
-// refuseLate answers for an attempt whose request has ended meanwhile.
-func (s *State) refuseLate(m AttemptDone) {
+// stopped ends a request whose attempt the node ended itself.
+func (s *State) stopped(now time.Time, a *active, cause *code.Error) {
+	if !a.mayHaveRun() {
+		cause = s.deadlineError(a)
+	}
+	s.attemptFailed(now, a, "expire", cause)
+}
+
+// refuseLate answers for an attempt whose request has ended meanwhile. A
+// claimed request that was not dispatched still has its claim to release.
+func (s *State) refuseLate(a *active, m AttemptDone) {
+	if a != nil && a.position.State == "releasing" {
+		s.conclude(a, s.deadlineError(a))
+		return
+	}
 	if m.Outcome == DialFailed {
 		s.refuse(m.Request, code.DeadlinePassedNotRun, "the deadline passed before the request was sent")
 		return
@@ -147,9 +179,19 @@
 	return "fail"
 }
 
-// dialFailed repeats an attempt that never reached the backend server.
-func (s *State) dialFailed(now time.Time, a *active) {
+// dialFailed repeats an attempt that never reached the backend server. When
+// the decision to send it was made but lost on the way, the attempt counts as
+// dispatched.
+func (s *State) dialFailed(now time.Time, a *active, cause *code.Error) {
+	if a.position.State == "dispatched" {
+		s.attemptFailed(now, a, "attempt_failed", cause)
+		return
+	}
 	s.prepareRetry(a)
+	if a.late(now) {
+		s.end(now, a, "expire", s.deadlineError(a))
+		return
+	}
 	s.fireRequest(a, "dial_failed", now)
 	s.follow(now, a, code.New(code.DialRefused, "no connection to a backend server could be opened"))
 }
@@ -199,7 +241,7 @@
 	if int(a.attempts) >= maxAttempts {
 		return false
 	}
-	if s.quarantine.Quarantined(a.fingerprint) {
+	if a.late(now) || s.quarantine.Quarantined(a.fingerprint) {
 		return false
 	}
 	return retry.FitsDeadline(now, a.backoff, a.Deadline) && s.budget.Allows(a.organisation)
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -61,11 +61,16 @@
 	return chart.Bindings[*active]{
 		Guards: map[string]func(*active, time.Time) bool{
 			"may_retry": s.mayRetry,
+			"may_retry_and_none_ran": func(a *active, now time.Time) bool {
+				return s.noneRan(a, now) && s.mayRetry(a, now)
+			},
+			"none_ran": s.noneRan,
 		},
 		Actions: map[string]func(*active, time.Time){
 			"begin_attempt":   s.beginAttempt,
 			"end_attempt":     s.endAttempt,
 			"mark_dispatched": s.markDispatched,
+			"mark_not_run":    s.markNotRun,
 			"spend_retry":     s.spendRetry,
 			"mark_claimed":    func(a *active, _ time.Time) { a.claimed = true },
 		},
--- a/node/egress/completion.go
+++ b/node/egress/completion.go
@@ -137,7 +137,7 @@
 func failure(ctx context.Context, err error) Result {
 	var stopped *errStopped
 	if errors.As(err, &stopped) {
-		return Result{Outcome: control.Stopped, Cause: code.Wrap(code.CallerGone, "the caller closed the connection", err)}
+		return Result{Outcome: control.Stopped, Cause: stoppedBy(stopped.cause)}
 	}
 	if NotSent(err) {
 		return Result{Outcome: control.DialFailed, Cause: classify(err)}
@@ -147,12 +147,24 @@
 		return Result{Outcome: control.Lost, Cause: silent}
 	}
 	if ctx.Err() != nil {
-		return Result{Outcome: control.Stopped, Cause: code.Wrap(code.CallerGone, "the caller closed the connection", err)}
+		return Result{Outcome: control.Stopped, Cause: stoppedBy(ctx.Err())}
 	}
 	cause := classify(err)
 	return Result{Outcome: control.Lost, Cause: cause, Died: cause.Code == code.BackendLost}
 }
 
+// stoppedBy names the reason for which the node ended an attempt.
+func stoppedBy(err error) *code.Error {
+	var coded *code.Error
+	if errors.As(err, &coded) {
+		return coded
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return code.Wrap(code.DeadlinePassed, "the deadline passed while the request ran", err)
+	}
+	return code.Wrap(code.CallerGone, "the caller closed the connection", err)
+}
+
 func rejected(result Result, response *http.Response) Result {
 	result.Outcome = control.Lost
 	result.Cause = code.Newf(code.BackendLost, "the backend server responded with status %d", response.StatusCode)
--- a/node/egress/egress.go
+++ b/node/egress/egress.go
@@ -62,7 +62,7 @@
 func (c *Client) send(request *http.Request, timeouts Timeouts, gate Gate) (*http.Response, func(), error) {
 	request.GetBody = nil
 	transport := &http.Transport{
-		DialContext:           c.gatedDial(timeouts.Dial, gate),
+		DialContext:           c.gatedDial(timeouts, gate),
 		DisableKeepAlives:     true,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: timeouts.Header,
@@ -75,9 +75,9 @@
 	return response, transport.CloseIdleConnections, nil
 }
 
-func (c *Client) gatedDial(timeout time.Duration, gate Gate) Dialer {
+func (c *Client) gatedDial(timeouts Timeouts, gate Gate) Dialer {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		dialContext, cancel := context.WithTimeout(ctx, timeout)
+		dialContext, cancel := context.WithTimeout(ctx, timeouts.Dial)
 		defer cancel()
 		conn, err := c.dial(dialContext, network, address)
 		if err != nil {
@@ -86,7 +86,7 @@
 		if err := gate(ctx); err != nil {
 			return nil, &errNotSent{cause: errors.Join(err, conn.Close())}
 		}
-		return conn, nil
+		return newGuardedConn(ctx, conn, timeouts.Header), nil
 	}
 }
 
--- a/node/egress/service.go
+++ b/node/egress/service.go
@@ -10,6 +10,7 @@
 
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
+	"tanagerspread/platform/engine"
 )
 
 // The headers of a call to a plain service.
@@ -61,6 +62,9 @@
 	defer closeConn()
 	defer func() { _ = response.Body.Close() }()
 	result := loadOf(response.Header)
+	if saysNotRun(response) {
+		return ServiceResponse{}, rejected(result, response)
+	}
 	reader, stop := newGapReader(response.Body, timeouts.Gap, cancel)
 	defer stop()
 	body, err := io.ReadAll(io.LimitReader(reader, maxServiceBytes+1))
@@ -71,11 +75,30 @@
 	return whole, finish(ctx, result, err)
 }
 
+// saysNotRun reports whether a plain service refused the call before running
+// it.
+func saysNotRun(response *http.Response) bool {
+	return response.StatusCode >= http.StatusBadRequest &&
+		response.Header.Get(engine.HeaderExecution) == engine.ExecutionNotRun
+}
+
+// endIsMarked reports whether the response says where its body ends. A body
+// that ends with the connection cannot be told from a truncated one.
+func endIsMarked(response *http.Response, method string) bool {
+	if method == http.MethodHead || response.ContentLength >= 0 {
+		return true
+	}
+	return len(response.TransferEncoding) > 0
+}
+
 // checkService verifies that the response is whole and belongs to the call.
 func checkService(response *http.Response, call ServiceCall, body []byte) error {
 	if len(body) > maxServiceBytes {
 		return code.Newf(code.AnswerTooLarge, "the response is larger than %d bytes", maxServiceBytes)
 	}
+	if !endIsMarked(response, call.Method) {
+		return code.New(code.AnswerTruncated, "the response does not say where its body ends")
+	}
 	if echoed := response.Header.Get(headerRequestID); echoed != "" && echoed != call.RequestID {
 		return code.New(code.AnswerMismatched, "the response belongs to another request")
 	}
