core, node: say not-run only when no attempt was sent

Cause: a request that had ended before its last attempt was reported was called not-run after a failed dial, although an earlier attempt may have run; a first dial cut off by the deadline was called unknown. Change: the exchange counts the attempts it let be sent and reports with each end whether none may have run. A record that cannot be decoded counts as unknown instead of as a reused key.

--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -149,7 +149,7 @@
 		s.conclude(a, s.deadlineError(a))
 		return
 	}
-	if m.Outcome == DialFailed {
+	if m.Unsent {
 		s.refuse(m.Request, code.DeadlinePassedNotRun, "the deadline passed before the request was sent")
 		return
 	}
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -103,7 +103,9 @@
 func nodeBindings() chart.Bindings[*State] {
 	return chart.Bindings[*State]{
 		Guards: map[string]func(*State, time.Time) bool{
-			"nothing_in_progress": func(s *State, _ time.Time) bool { return len(s.requests) == 0 },
+			"nothing_in_progress": func(s *State, _ time.Time) bool {
+				return len(s.requests) == 0 && s.records.Len() == 0
+			},
 		},
 		Actions: map[string]func(*State, time.Time){
 			"announce_stopped": func(s *State, _ time.Time) {
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -94,6 +94,9 @@
 	Load *fleet.Load
 	// Leaving is true when the server said that it is leaving.
 	Leaving bool
+	// Unsent is true when, as far as the asker knows, no attempt of the
+	// request may have run.
+	Unsent bool
 	// Died is true when the connection broke while the request was running.
 	Died bool
 }
--- a/core/once/bindings.go
+++ b/core/once/bindings.go
@@ -33,7 +33,8 @@
 			return e.report.Record.Status == Released && mayTry(e, now)
 		},
 		"other_body": func(e *entry, _ time.Time) bool {
-			return e.report.Record.BodyDigest != e.job.Own.BodyDigest
+			stored := e.report.Record.BodyDigest
+			return stored != "" && stored != e.job.Own.BodyDigest
 		},
 		"response_kept": func(e *entry, _ time.Time) bool {
 			return e.report.Record.Status == Finished && e.report.Record.Response.Kept
--- a/node/ingress/exchange.go
+++ b/node/ingress/exchange.go
@@ -25,8 +25,10 @@
 	// caller ends when the caller leaves, but not at the deadline: the control
 	// thread decides how a request ends whose deadline has passed.
 	caller context.Context
-	// sent is true once the control thread let an attempt be sent.
-	sent atomic.Bool
+	// sent counts the attempts that the control thread let be sent, without
+	// those that the backend server says it did not run. A claim permits one
+	// dispatch, so a claimed request keeps its count.
+	sent atomic.Int32
 }
 
 const (
@@ -115,6 +117,9 @@
 		}
 		result := run(ctx, dispatch, x.gate(dispatch.Attempt))
 		x.logFailure(dispatch, result)
+		if result.Outcome == control.Rejected && !x.admitted.Claim {
+			x.sent.Add(-1)
+		}
 		decision, err = x.askDone(control.AttemptDone{
 			Request: x.request.ID,
 			Attempt: dispatch.Attempt,
@@ -122,10 +127,11 @@
 			Cause:   result.Cause,
 			Load:    result.Load,
 			Leaving: result.Leaving,
+			Unsent:  x.sent.Load() == 0,
 			Died:    result.Died,
 		})
 	}
-	if x.sent.Load() {
+	if x.sent.Load() > 0 {
 		x.front.options.Control.Tell(control.Abandon{Request: x.request.ID})
 		return &refused{err: mayHaveRun(err)}
 	}
@@ -173,7 +179,7 @@
 		}
 		switch d := decision.(type) {
 		case control.Proceed:
-			x.sent.Store(true)
+			x.sent.Add(1)
 			return nil
 		case control.Refusal:
 			return d.Err
--- a/node/once/encoding.go
+++ b/node/once/encoding.go
@@ -50,8 +50,8 @@
 }
 
 // decode returns a record. A value that cannot be decoded, or whose body does
-// not match its digest, becomes a claim with no holder: its request may have
-// run, and no call may run it again.
+// not match its digest, becomes a claim without holder, body digest and
+// deadline: its request may have run, and no call may run it again.
 func decode(value []byte) once.Record {
 	var wire recordWire
 	if json.Unmarshal(value, &wire) != nil {
@@ -73,7 +73,7 @@
 		},
 	}
 	if record.Response.Kept && digestOf(wire.Body) != wire.ResponseDigest {
-		return once.Record{Status: once.Claimed, BodyDigest: wire.BodyDigest}
+		return once.Record{Status: once.Claimed}
 	}
 	return record
 }
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -21,6 +21,8 @@
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/ingress"
 	"tanagerspread/node/metrics"
+	"tanagerspread/node/once"
+	"tanagerspread/platform/kv"
 	"tanagerspread/platform/wire"
 )
 
@@ -38,7 +40,10 @@
 	Control  corecontrol.Options
 	Listener net.Listener
 	Dial     egress.Dialer
+	// Recorder keeps the at-most-once records; nil means that they are kept in
+	// KeyValue.
 	Recorder ingress.Recorder
+	KeyValue kv.Service
 	Logger   logr.Logger
 	// Metrics counts what the node does, or is nil.
 	Metrics *metrics.Metrics
@@ -53,12 +58,14 @@
 	front    *ingress.Front
 	exporter *blocks.Exporter
 	stopped  chan struct{}
+	// endWrites ends the writes of at-most-once records in the background.
+	endWrites context.CancelFunc
 }
 
 // New returns a node that does not run yet. It returns an error when a chart
 // cannot be loaded.
 func New(options Options) (*Node, error) {
-	n := &Node{options: options, stopped: make(chan struct{})}
+	n := &Node{options: options, stopped: make(chan struct{}), endWrites: func() {}}
 	options.Control.Checker = invariant.NewChecker(n.violated)
 	state, err := corecontrol.New(options.Control, time.Now())
 	if err != nil {
@@ -66,11 +73,15 @@
 	}
 	n.loop = control.NewLoop(state, n.command)
 	n.exporter = blocks.NewExporter(n.loop, wire.Dialer(options.Dial))
+	recorder := options.Recorder
+	if recorder == nil {
+		recorder = n.newRecorder()
+	}
 	n.front = ingress.NewFront(ingress.Options{
 		Importer:     blocks.NewImporter(n.loop, wire.Dialer(options.Dial)),
 		Control:      options.Metrics.Observe(n.loop),
 		Egress:       egress.NewClient(options.Dial),
-		Recorder:     options.Recorder,
+		Recorder:     recorder,
 		Logger:       options.Logger,
 		Observer:     options.Metrics,
 		MaxBodyBytes: options.MaxBodyBytes,
@@ -78,6 +89,19 @@
 	return n, nil
 }
 
+// newRecorder returns a recorder over the key-value service. Its work in the
+// background ends when the node has run.
+func (n *Node) newRecorder() ingress.Recorder {
+	life, cancel := context.WithCancel(context.Background())
+	n.endWrites = cancel
+	return once.New(life, once.Options{
+		Control: n.loop,
+		Service: n.options.KeyValue,
+		Node:    n.options.Control.Node,
+		Logger:  n.options.Logger,
+	})
+}
+
 // Control returns the control thread for messages from agents.
 func (n *Node) Control() *control.Loop {
 	return n.loop
@@ -93,6 +117,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer n.endWrites()
 	go n.loop.Run(ctx)
 	go n.exporter.Run(ctx)
 	server := &http.Server{
