--- /dev/null
+++ b/node/egress/guard_test.go
@@ -0,0 +1,38 @@
+package egress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/core/code"
+)
+
+// TestFirstByteAfterDeadline guards against a process that was paused after
+// the decision to send and sends the first byte after the deadline.
+func TestFirstByteAfterDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		near, far := net.Pipe()
+		received := make(chan int, 1)
+		go func() {
+			n, _ := far.Read(make([]byte, 1))
+			received <- n
+		}()
+		conn := newGuardedConn(ctx, near, time.Second)
+		time.Sleep(time.Minute)
+		_, err := conn.Write([]byte("x"))
+		var coded *code.Error
+		if !errors.As(err, &coded) || coded.Code != code.DeadlinePassed {
+			t.Errorf("got error %v, want code %d", err, code.DeadlinePassed)
+		}
+		_ = near.Close()
+		if n := <-received; n != 0 {
+			t.Errorf("%d bytes were sent after the deadline", n)
+		}
+	})
+}
--- /dev/null
+++ b/node/ingress/harness_test.go
@@ -0,0 +1,335 @@
+package ingress_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/invariant"
+	"tanagerspread/core/request"
+	nodecontrol "tanagerspread/node/control"
+	"tanagerspread/node/egress"
+	"tanagerspread/node/ingress"
+	"tanagerspread/node/once"
+	"tanagerspread/platform/kv"
+	kvstandin "tanagerspread/standin/kv"
+)
+
+// fault happens at one call of a node's key-value client or dialer.
+type fault int
+
+const (
+	faultNone fault = iota
+	// faultAway fails the call without effect.
+	faultAway
+	// faultLost performs the call and loses its response.
+	faultLost
+	// faultFreezeBefore and faultFreezeAfter pause the caller beyond the
+	// deadline of its request, before or after the call takes effect.
+	faultFreezeBefore
+	faultFreezeAfter
+)
+
+// freeze is longer than each deadline in these tests.
+const freeze = 30 * time.Second
+
+// faulty is the key-value service as one node sees it.
+type faulty struct {
+	kv.Service
+	mu    sync.Mutex
+	plan  []fault
+	calls int
+	// dead is true once the node has died: its calls have no effect.
+	dead atomic.Bool
+}
+
+func (f *faulty) next() fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.dead.Load() {
+		return faultAway
+	}
+	if f.calls > len(f.plan) {
+		return faultNone
+	}
+	return f.plan[f.calls-1]
+}
+
+func away() *code.Error { return code.New(code.KeyValueAway, "test fault") }
+
+func (f *faulty) Get(ctx context.Context, key string) (kv.Entry, *code.Error) {
+	next := f.next()
+	if next == faultAway || next == faultLost {
+		return kv.Entry{}, away()
+	}
+	if next == faultFreezeBefore {
+		time.Sleep(freeze)
+	}
+	entry, err := f.Service.Get(context.WithoutCancel(ctx), key)
+	if next == faultFreezeAfter {
+		time.Sleep(freeze)
+	}
+	return entry, err
+}
+
+func (f *faulty) Put(ctx context.Context, write kv.Write) (kv.Revision, *code.Error) {
+	next := f.next()
+	if next == faultAway {
+		return 0, away()
+	}
+	if next == faultFreezeBefore {
+		time.Sleep(freeze)
+	}
+	revision, err := f.Service.Put(context.WithoutCancel(ctx), write)
+	if next == faultFreezeAfter {
+		time.Sleep(freeze)
+	}
+	if next == faultLost {
+		return 0, away()
+	}
+	return revision, err
+}
+
+// pipes is a listener and dialer over net.Pipe.
+type pipes struct {
+	ctx   context.Context
+	conns chan net.Conn
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case conn := <-p.conns:
+		return conn, nil
+	case <-p.ctx.Done():
+		return nil, net.ErrClosed
+	}
+}
+func (p *pipes) Close() error   { return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// connKey is the context key of the number of requests on a connection.
+type connKey struct{}
+
+// world is a set of nodes and backend servers in one synctest bubble.
+type world struct {
+	t     *testing.T
+	ctx   context.Context
+	store *kvstandin.Store
+	vms   []control.VM
+	pipes map[string]*pipes
+
+	mu sync.Mutex
+	// runs counts how often each idempotency digest, or path, was run.
+	runs map[string]int
+}
+
+// inWorld runs a test in virtual time and stops everything at its end.
+func inWorld(t *testing.T, test func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := &world{t: t, ctx: ctx, store: kvstandin.NewStore(kvstandin.Options{}), pipes: map[string]*pipes{}, runs: map[string]int{}}
+		test(w)
+		time.Sleep(2 * freeze)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// serve adds a backend server; one without a handler accepts connections and
+// reads nothing.
+func (w *world) serve(id string, role fleet.Role, serves string, handler http.Handler) {
+	p := &pipes{ctx: w.ctx, conns: make(chan net.Conn)}
+	w.pipes[id+":80"] = p
+	w.vms = append(w.vms, control.VM{ID: id, Address: id + ":80", Role: role, Serves: serves, Weights: 1})
+	if handler == nil {
+		go func() {
+			for _, err := p.Accept(); err == nil; _, err = p.Accept() {
+			}
+		}()
+		return
+	}
+	server := &http.Server{Handler: handler, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, new(atomic.Int32))
+	}}
+	go func() { _ = server.Serve(p) }()
+	go func() { <-w.ctx.Done(); _ = server.Close() }()
+}
+
+// lodge is a plain service that counts its runs and responds with the number
+// of the run.
+func (w *world) lodge(after func(w http.ResponseWriter)) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		run := w.count(r.URL.Path)
+		if after != nil {
+			after(rw)
+		}
+		_, _ = fmt.Fprintf(rw, "%s run %d", r.URL.Path, run)
+	})
+}
+
+func (w *world) count(key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[key]++
+	return w.runs[key]
+}
+
+func (w *world) ran(key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[key]
+}
+
+type node struct {
+	w       *world
+	kv      *faulty
+	handler http.Handler
+	// onDial runs before each dial; an error refuses it.
+	onDial func() error
+	// onWrite runs before each write to a backend server.
+	onWrite func()
+	dials   atomic.Int32
+	loop    *nodecontrol.Loop
+	stop    context.CancelFunc
+}
+
+type hookedConn struct {
+	net.Conn
+	n *node
+}
+
+func (c hookedConn) Write(p []byte) (int, error) {
+	if c.n.onWrite != nil {
+		c.n.onWrite()
+	}
+	return c.Conn.Write(p)
+}
+
+func (n *node) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.dials.Add(1)
+	if n.onDial != nil {
+		if err := n.onDial(); err != nil {
+			return nil, err
+		}
+	}
+	near, far := net.Pipe()
+	select {
+	case n.w.pipes[address].conns <- far:
+		return hookedConn{near, n}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.w.ctx.Done():
+		return nil, errDial
+	}
+}
+
+var errDial = errors.New("connection refused")
+
+func (w *world) node(name string, plan ...fault) *node {
+	n := &node{w: w, kv: &faulty{Service: w.store, plan: plan}}
+	checker := invariant.NewChecker(func(v *invariant.Violation) { w.t.Error(v) })
+	state, err := control.New(control.Options{Node: name, Charts: chart.Embedded(), ServerSlots: 8, Checker: checker}, time.Now())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(w.ctx)
+	n.stop = stop
+	n.loop = nodecontrol.NewLoop(state, func(control.Command) {})
+	go n.loop.Run(ctx)
+	n.handler = ingress.NewFront(ingress.Options{
+		Control:      n.loop,
+		Egress:       egress.NewClient(n.dial),
+		Recorder:     once.New(ctx, once.Options{Control: n.loop, Service: n.kv, Node: name, Logger: logr.Discard()}),
+		Logger:       logr.Discard(),
+		MaxBodyBytes: 1 << 20,
+	}).Handler()
+	n.loop.Tell(control.Configure{Version: 1, Rules: &config.Rules{
+		Organisations: map[request.Organisation]config.Organisation{"castlereagh": {}, "limited": {Rate: 0.001, Models: []string{"lookup"}}},
+		Tokens: map[request.Digest]config.Token{
+			sha256.Sum256([]byte("secret")): {Organisation: "castlereagh"},
+			sha256.Sum256([]byte("other")):  {Organisation: "limited"},
+		},
+		Classes:  map[request.Class]config.Class{"check": {Queue: 10}, "none": {}},
+		Models:   map[string]config.Model{"entry-text": {Weights: 1, Class: "check"}},
+		Services: map[string]config.Service{"lodgement": {NonIdempotent: true, Class: "check"}, "lookup": {Class: "check"}, "empty": {Class: "check"}, "full": {Class: "none"}},
+	}})
+	n.loop.Tell(control.VMList{VMs: w.vms})
+	return n
+}
+
+// reply is what a caller received.
+type reply struct {
+	status    int
+	code      code.Code
+	execution code.Execution
+	body      string
+}
+
+const deadline = 10 * time.Second
+
+// newRequest returns an authorised request; completions have a longer deadline
+// than the waits for a silent server.
+func newRequest(method, path, key, body string) *http.Request {
+	r := httptest.NewRequest(method, path, bytes.NewBufferString(body))
+	r.Header.Set("Authorization", "Bearer secret")
+	wait := deadline
+	if strings.HasPrefix(path, "/v1/") {
+		wait = 20 * deadline
+	}
+	r.Header.Set("Tanagerspread-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	return r
+}
+
+// call sends one request and waits for its response.
+func (n *node) call(method, path, key, body string) reply {
+	return n.do(newRequest(method, path, key, body))
+}
+
+func (n *node) do(r *http.Request) reply {
+	recorder := httptest.NewRecorder()
+	n.handler.ServeHTTP(recorder, r)
+	got := reply{status: recorder.Code, body: recorder.Body.String()}
+	number, _ := strconv.Atoi(recorder.Header().Get("Tanagerspread-Code"))
+	got.code = code.Code(number)
+	got.execution = code.Execution(recorder.Header().Get("Tanagerspread-Execution"))
+	return got
+}
+
+// lodge calls the non-idempotent service with a key.
+func (n *node) lodge(key string) reply {
+	return n.call(http.MethodPost, "/services/lodgement/"+key, key, "entry")
+}
+
+func completionBody(stream bool) string {
+	data, _ := json.Marshal(map[string]any{
+		"model": "entry-text", "prompt": "sand", "max_tokens": 3, "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": "sand"}},
+	})
+	return string(data)
+}
