node: test that each caller receives its own whole response

Crossed, duplicated, missing and truncated events, engine death, silence before and after the headers, servers that read nothing, and plain services whose body is short, unmarked, doubly marked or foreign. It fails without: request id check, sequence check, gap timer, resume, error event, write deadline, end-of-body check, echo check.

--- /dev/null
+++ b/node/ingress/whole_test.go
@@ -0,0 +1,193 @@
+package ingress_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/fleet"
+	"tanagerspread/platform/engine"
+)
+
+// emit writes one event of a completion.
+func emit(rw http.ResponseWriter, id string, sequence int, done bool) {
+	event := engine.CompletionEvent{RequestID: id, Sequence: sequence, Done: done, FinishReason: "length"}
+	if !done {
+		event.Text = fmt.Sprintf("t%d ", sequence)
+	}
+	data, _ := json.Marshal(event)
+	_, _ = rw.Write([]byte("data: " + string(data) + "\n\n"))
+	_ = http.NewResponseController(rw).Flush()
+}
+
+// generate is an engine that behaves well unless fault, which runs before
+// sequence number 1, ends the response by returning false.
+func (w *world) generate(name string, fault func(rw http.ResponseWriter, r *http.Request, id string) bool) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		var call engine.CompletionRequest
+		_ = json.NewDecoder(r.Body).Decode(&call)
+		w.count(name)
+		from := 0
+		if call.Resume != nil {
+			from = call.Resume.From
+		}
+		for i := from; i < call.MaxTokens; i++ {
+			if i == 1 && fault != nil && !fault(rw, r, call.RequestID) {
+				return
+			}
+			emit(rw, call.RequestID, i, false)
+		}
+		emit(rw, call.RequestID, call.MaxTokens, true)
+	})
+}
+
+// midstream lists the faults of an engine after its first token.
+var midstream = map[string]func(rw http.ResponseWriter, r *http.Request, id string) bool{
+	"crossed": func(rw http.ResponseWriter, _ *http.Request, _ string) bool {
+		emit(rw, "another", 1, false)
+		return true
+	},
+	"duplicated": func(rw http.ResponseWriter, _ *http.Request, id string) bool { emit(rw, id, 0, false); return true },
+	"gap":        func(rw http.ResponseWriter, _ *http.Request, id string) bool { emit(rw, id, 2, false); return true },
+	"truncated":  func(http.ResponseWriter, *http.Request, string) bool { return false },
+	"death":      func(http.ResponseWriter, *http.Request, string) bool { panic(http.ErrAbortHandler) },
+	"silent":     func(_ http.ResponseWriter, r *http.Request, _ string) bool { <-r.Context().Done(); return false },
+}
+
+// textOf returns the text of a completion response and whether it is whole.
+func textOf(body string, stream bool) (string, bool) {
+	lines := []string{body}
+	if stream {
+		lines = strings.Split(body, "\n\n")
+	}
+	text := ""
+	finished := false
+	for _, line := range lines {
+		var chunk struct {
+			Choices []struct {
+				Text           string
+				Message, Delta struct{ Content string }
+				FinishReason   *string `json:"finish_reason"`
+			}
+		}
+		if json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &chunk) != nil || len(chunk.Choices) != 1 {
+			continue
+		}
+		choice := chunk.Choices[0]
+		text += choice.Text + choice.Message.Content + choice.Delta.Content
+		finished = choice.FinishReason != nil
+	}
+	return text, finished && (!stream || strings.HasSuffix(body, "data: [DONE]\n\n"))
+}
+
+// TestWholeCompletion guards against late, crossed, duplicated or truncated
+// completions that reach the caller, and against streams that end silently.
+func TestWholeCompletion(t *testing.T) {
+	for name, fault := range midstream {
+		for _, path := range []string{"/v1/completions", "/v1/chat/completions"} {
+			for _, stream := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s%s stream=%t", name, path, stream), func(t *testing.T) {
+					inWorld(t, func(w *world) {
+						w.serve("e1", fleet.RoleEngine, "entry-text", w.generate("e1", fault))
+						alone := w.node("a").call(http.MethodPost, path, "", completionBody(stream))
+						w.serve("e2", fleet.RoleEngine, "entry-text", w.generate("e2", nil))
+						resumed := w.node("b").call(http.MethodPost, path, "", completionBody(stream))
+						checkAlone(t, alone, stream)
+						if text, whole := textOf(resumed.body, stream); text != "t0 t1 t2 " || !whole {
+							t.Errorf("not whole after a resume: %s", resumed.body)
+						}
+						if w.ran("e1") != 2 || w.ran("e2") != 1 {
+							t.Errorf("runs: %v, want 2 and 1", w.runs)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// checkAlone verifies the response when no other server can resume.
+func checkAlone(t *testing.T, got reply, stream bool) {
+	t.Helper()
+	if !stream {
+		if got.status < 500 || got.execution != code.Unknown {
+			t.Errorf("got %+v, want an error of class unknown", got)
+		}
+		return
+	}
+	text, whole := textOf(got.body, true)
+	if text != "t0 " || whole || !strings.Contains(got.body, `"execution":"unknown"`) || !strings.HasSuffix(got.body, "data: [DONE]\n\n") {
+		t.Errorf("got %s, want one token and an error event", got.body)
+	}
+}
+
+// TestKeyedCompletion guards against resuming a completion that must not be
+// repeated, and against losing the word about its unknown outcome.
+func TestKeyedCompletion(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.serve("e1", fleet.RoleEngine, "entry-text", w.generate("e1", midstream["death"]))
+		w.serve("e2", fleet.RoleEngine, "entry-text", w.generate("e2", nil))
+		checkAlone(t, w.node("a").call(http.MethodPost, "/v1/completions", "k", completionBody(true)), true)
+		expect(t, w.node("b").call(http.MethodPost, "/v1/completions", "k", completionBody(true)), 409, code.InProgress)
+		if w.ran("e1") != 1 || w.ran("e2") != 0 {
+			t.Errorf("runs: %v, want 1 and 0", w.runs)
+		}
+	})
+}
+
+// TestSilentConnection guards against an unbounded wait for a server that
+// reads nothing, or reads the request and sends nothing.
+func TestSilentConnection(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.serve("e1", fleet.RoleEngine, "entry-text", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}))
+		w.serve("e2", fleet.RoleEngine, "entry-text", nil)
+		w.serve("e3", fleet.RoleEngine, "entry-text", w.generate("e3", nil))
+		n := w.node("a")
+		began := time.Now()
+		got := n.call(http.MethodPost, "/v1/completions", "", completionBody(false))
+		if text, _ := textOf(got.body, false); text != "t0 t1 t2 " || n.dials.Load() != 3 {
+			t.Errorf("got %+v after %d dials and %s", got, n.dials.Load(), time.Since(began))
+		}
+	})
+}
+
+// raw responds with exact bytes and closes the connection.
+func raw(text string) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, _ := rw.(http.Hijacker).Hijack()
+		_, _ = conn.Write([]byte(text))
+		_ = conn.Close()
+	})
+}
+
+// TestWholeService guards against delivering a response of a plain service
+// that is truncated, may be truncated, or belongs to another call.
+func TestWholeService(t *testing.T) {
+	for name, text := range map[string]string{
+		"short body":  "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+		"no length":   "HTTP/1.1 200 OK\r\n\r\nhalf",
+		"short chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"two lengths": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 100\r\n\r\nhalf",
+		"crossed":     "HTTP/1.1 200 OK\r\nTanagerspread-Request-Id: another\r\nContent-Length: 4\r\n\r\nhalf",
+	} {
+		inWorld(t, func(w *world) {
+			w.serve("s1", fleet.RoleService, "lookup", raw(text))
+			w.serve("s2", fleet.RoleService, "lodgement", raw(text))
+			n := w.node("a")
+			for _, got := range []reply{n.call(http.MethodGet, "/services/lookup/tide", "", ""), n.lodge("k")} {
+				if got.status < 500 || got.execution != code.Unknown {
+					t.Errorf("%s: got %+v, want an error of class unknown", name, got)
+				}
+			}
+		})
+	}
+}
