--- /dev/null
+++ b/chart/chart_test.go
@@ -0,0 +1,183 @@
+package chart_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"tanagerspread/chart"
+)
+
+func load(t *testing.T, name string) *chart.Definition {
+	t.Helper()
+	def, err := chart.Load(chart.Embedded(), name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return def
+}
+
+func explore(t *testing.T, name string, monitor chart.Monitor) {
+	t.Helper()
+	if err := chart.Explore(load(t, name), monitor); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestOneDispatch guards against a path on which a non-idempotent request is
+// dispatched twice, or is reported as not run or releases its claim after it
+// was dispatched.
+func TestOneDispatch(t *testing.T) {
+	explore(t, "request-once", func(dispatches int, step chart.Step) (int, error) {
+		if step.To == "dispatched" && step.From != "dispatched" {
+			dispatches++
+		}
+		if dispatches > 1 {
+			return 0, errors.New("dispatched twice")
+		}
+		if dispatches > 0 && (step.To == "refused" || step.To == "releasing") {
+			return 0, errors.New("not run after dispatch")
+		}
+		return dispatches, nil
+	})
+}
+
+// TestRefusedIsNotRun guards against a path on which a request that may be
+// repeated is reported as not run although an attempt may have run. Only the
+// server's own word, with a guard that no other attempt ran, takes a dispatch
+// back.
+func TestRefusedIsNotRun(t *testing.T) {
+	explore(t, "request", func(mayHaveRun int, step chart.Step) (int, error) {
+		if step.To == "dispatched" {
+			return 1, nil
+		}
+		if step.Event == "attempt_refused" && strings.Contains(step.Guard, "none_ran") {
+			return 0, nil
+		}
+		if mayHaveRun == 1 && (step.To == "refused" || step.To == "queued") {
+			return 0, errors.New("counts as not run after dispatch")
+		}
+		return mayHaveRun, nil
+	})
+}
+
+// TestAttemptSendsOnce guards against an attempt that is sent twice or that
+// succeeds without having been sent.
+func TestAttemptSendsOnce(t *testing.T) {
+	explore(t, "attempt", func(sent int, step chart.Step) (int, error) {
+		if step.To == "sent" {
+			sent++
+		}
+		if sent > 1 || sent == 0 && step.To == "succeeded" {
+			return 0, errors.New("sent twice or not at all")
+		}
+		return sent, nil
+	})
+}
+
+// TestClaimIsOwn guards against a claim that is granted without a write of its
+// own, and against a refusal that forgets a write which may have taken effect.
+func TestClaimIsOwn(t *testing.T) {
+	explore(t, "record", func(wrote int, step chart.Step) (int, error) {
+		if step.To == "claiming" {
+			wrote = 1
+		}
+		if step.To == "claimed" && (wrote == 0 || step.Event != "written" && step.Guard != "own_claim") {
+			return 0, errors.New("claimed without an own write")
+		}
+		if step.To == "refused" && wrote == 1 && step.Event != "found" {
+			return 0, errors.New("an unclear write is not withdrawn")
+		}
+		return wrote, nil
+	})
+}
+
+// TestEveryPathEnds guards against a chart in which an instance can stay for
+// ever although all of its timeouts pass.
+func TestEveryPathEnds(t *testing.T) {
+	for _, name := range []string{"request", "request-once", "attempt", "record"} {
+		def := load(t, name)
+		for _, s := range def.States {
+			if !endsByTimeouts(def, s, len(def.States)) {
+				t.Errorf("chart %s: state %s does not end by timeouts", name, s.Name)
+			}
+		}
+	}
+}
+
+// endsByTimeouts follows every alternative of the timeout events.
+func endsByTimeouts(def *chart.Definition, from chart.StateDef, steps int) bool {
+	if from.Kind == chart.Final {
+		return true
+	}
+	if steps == 0 {
+		return false
+	}
+	for _, t := range def.Transitions {
+		for _, source := range t.From {
+			if source != from.Name || t.Event != from.OnTimeout {
+				continue
+			}
+			for _, s := range def.States {
+				if s.Name == t.To && !endsByTimeouts(def, s, steps-1) {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+const sound = `
+name = "x"
+initial = "a"
+[[state]]
+name = "a"
+kind = "waiting"
+timeout = "1s"
+on_timeout = "go"
+[[state]]
+name = "b"
+kind = "final"
+[[transition]]
+event = "go"
+from = ["a"]
+to = "b"
+`
+
+// TestLoaderRefuses guards against a loader that accepts a chart with a
+// structural fault.
+func TestLoaderRefuses(t *testing.T) {
+	cases := map[string]string{
+		"":                      sound,
+		"waits with no timeout": strings.Replace(sound, "timeout = \"1s\"\n", "", 1),
+		"unreachable":           sound + "[[state]]\nname = \"c\"\nkind = \"final\"\n",
+		"neither final nor left": strings.Replace(sound, "kind = \"final\"",
+			"kind = \"waiting\"\ntimeout = \"1s\"\non_timeout = \"go\"", 1),
+		"names unknown state": strings.Replace(sound, "to = \"b\"", "to = \"c\"", 1),
+		"can never be taken":  sound + "[[transition]]\nevent = \"go\"\nfrom = [\"a\"]\nto = \"a\"\n",
+		"no transition for":   strings.Replace(sound, "on_timeout = \"go\"", "on_timeout = \"stop\"", 1),
+		"decode":              sound + "colour = \"red\"\n",
+		"missing unit":        strings.Replace(sound, "\"1s\"", "\"1\"", 1),
+	}
+	for want, text := range cases {
+		_, err := chart.Parse([]byte(text))
+		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("got error %v, want %q", err, want)
+		}
+	}
+}
+
+// TestMachineRefuses guards against a chart that names a guard or an action
+// that the code lacks.
+func TestMachineRefuses(t *testing.T) {
+	for _, line := range []string{`guard = "none"`, `actions = ["none"]`} {
+		def, err := chart.Parse([]byte(sound + line + "\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := chart.NewMachine(def, chart.Bindings[int]{}); err == nil || !strings.Contains(err.Error(), "unknown") {
+			t.Errorf("%s: got error %v", line, err)
+		}
+	}
+}
