node: require that a plain service names the request in its response

Cause: the services' protocol has the response echo the request id, but a response without it was accepted, so a crossed response of such a server would have been delivered. Result: TestWholeService, cases 'no echo' and 'crossed', fail without the check (status 200).

--- a/node/egress/service.go
+++ b/node/egress/service.go
@@ -11,14 +11,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/platform/engine"
-)
-
-// The headers of a call to a plain service.
-const (
-	headerRequestID    = "Tanagerspread-Request-Id"
-	headerOrganisation = "Tanagerspread-Organisation"
-	headerDeadline     = "Tanagerspread-Deadline-Ms"
-	headerKeyDigest    = "Tanagerspread-Idempotency-Digest"
+	"tanagerspread/platform/service"
 )
 
 // maxServiceBytes bounds the response of a plain service.
@@ -99,7 +92,7 @@
 	if !endIsMarked(response, call.Method) {
 		return code.New(code.AnswerTruncated, "the response does not say where its body ends")
 	}
-	if echoed := response.Header.Get(headerRequestID); echoed != "" && echoed != call.RequestID {
+	if response.Header.Get(service.HeaderRequestID) != call.RequestID {
 		return code.New(code.AnswerMismatched, "the response belongs to another request")
 	}
 	return nil
@@ -114,11 +107,11 @@
 	if call.ContentType != "" {
 		header.Set("Content-Type", call.ContentType)
 	}
-	header.Set(headerRequestID, call.RequestID)
-	header.Set(headerOrganisation, call.Organisation)
-	header.Set(headerDeadline, strconv.FormatInt(call.Deadline.Milliseconds(), 10))
+	header.Set(service.HeaderRequestID, call.RequestID)
+	header.Set(service.HeaderOrganisation, call.Organisation)
+	header.Set(service.HeaderDeadline, strconv.FormatInt(call.Deadline.Milliseconds(), 10))
 	if call.KeyDigest != "" {
-		header.Set(headerKeyDigest, call.KeyDigest)
+		header.Set(service.HeaderKeyDigest, call.KeyDigest)
 	}
 	return request, nil
 }
--- a/node/ingress/harness_test.go
+++ b/node/ingress/harness_test.go
@@ -33,6 +33,7 @@
 	"tanagerspread/node/ingress"
 	"tanagerspread/node/once"
 	"tanagerspread/platform/kv"
+	"tanagerspread/platform/service"
 	kvstandin "tanagerspread/standin/kv"
 )
 
@@ -170,13 +171,21 @@
 		}()
 		return
 	}
-	server := &http.Server{Handler: handler, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+	server := &http.Server{Handler: echo(handler), ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, new(atomic.Int32))
 	}}
 	go func() { _ = server.Serve(p) }()
 	go func() { <-w.ctx.Done(); _ = server.Close() }()
 }
 
+// echo names the request in its response, as the services' protocol demands.
+func echo(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(service.HeaderRequestID, r.Header.Get(service.HeaderRequestID))
+		handler.ServeHTTP(rw, r)
+	})
+}
+
 // lodge is a plain service that counts its runs and responds with the number
 // of the run.
 func (w *world) lodge(after func(w http.ResponseWriter)) http.Handler {
--- a/node/ingress/whole_test.go
+++ b/node/ingress/whole_test.go
@@ -12,6 +12,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/fleet"
 	"tanagerspread/platform/engine"
+	"tanagerspread/platform/service"
 )
 
 // emit writes one event of a completion.
@@ -159,12 +160,14 @@
 	})
 }
 
-// raw responds with exact bytes and closes the connection.
+// raw responds with headers and a body, byte by byte as given, and closes the
+// connection. "ID" stands for the header that names the request.
 func raw(text string) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		conn, _, _ := rw.(http.Hijacker).Hijack()
-		_, _ = conn.Write([]byte(text))
+		id := r.Header.Get(service.HeaderRequestID)
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n" + strings.ReplaceAll(text, "ID", service.HeaderRequestID+": "+id)))
 		_ = conn.Close()
 	})
 }
@@ -173,11 +176,12 @@
 // that is truncated, may be truncated, or belongs to another call.
 func TestWholeService(t *testing.T) {
 	for name, text := range map[string]string{
-		"short body":  "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
-		"no length":   "HTTP/1.1 200 OK\r\n\r\nhalf",
-		"short chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
-		"two lengths": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 100\r\n\r\nhalf",
-		"crossed":     "HTTP/1.1 200 OK\r\nTanagerspread-Request-Id: another\r\nContent-Length: 4\r\n\r\nhalf",
+		"short body":  "ID\r\nContent-Length: 100\r\n\r\nhalf",
+		"no length":   "ID\r\n\r\nhalf",
+		"short chunk": "ID\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"two lengths": "ID\r\nContent-Length: 4\r\nContent-Length: 100\r\n\r\nhalf",
+		"no echo":     "Content-Length: 4\r\n\r\nhalf",
+		"crossed":     "Tanagerspread-Request-Id: another\r\nContent-Length: 4\r\n\r\nhalf",
 	} {
 		inWorld(t, func(w *world) {
 			w.serve("s1", fleet.RoleService, "lookup", raw(text))
