--- a/core/control/once_test.go
+++ b/core/control/once_test.go
@@ -10,6 +10,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
+	"tanagerspread/core/once"
 	"tanagerspread/core/request"
 )
 
@@ -56,3 +57,26 @@
 	}
 	return refused
 }
+
+// TestStopWaitsForRecords guards against a planned stop that cuts off a record
+// which is still being written.
+func TestStopWaitsForRecords(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	checker := invariant.NewChecker(func(v *invariant.Violation) { t.Error(v) })
+	s, err := control.New(control.Options{Charts: chart.Embedded(), Checker: checker}, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Handle(now, control.RecordBegin{Job: once.Job{ID: "j", Operation: once.Release, Until: now}})
+	s.Handle(now, control.Drain{})
+	now = now.Add(time.Second)
+	if commands := s.Handle(now, control.Tick{}).Commands; len(commands) != 0 {
+		t.Errorf("got %+v while a record is being written", commands)
+	}
+	s.Handle(now, control.RecordReport{Job: "j", Report: once.Report{Outcome: once.Away}})
+	now = now.Add(time.Second)
+	commands := s.Handle(now, control.Tick{}).Commands
+	if len(commands) != 1 || commands[0] != (control.NodeState{State: "stopped"}) {
+		t.Errorf("got %+v, want the stop", commands)
+	}
+}
