--- a/node/ingress/harness_test.go
+++ b/node/ingress/harness_test.go
@@ -114,13 +114,13 @@
 	return revision, err
 }
 
-// pipes is a listener and dialer over net.Pipe.
-type pipes struct {
+// pipeListener is a listener and dialer over net.Pipe.
+type pipeListener struct {
 	ctx   context.Context
 	conns chan net.Conn
 }
 
-func (p *pipes) Accept() (net.Conn, error) {
+func (p *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-p.conns:
 		return conn, nil
@@ -128,19 +128,24 @@
 		return nil, net.ErrClosed
 	}
 }
-func (p *pipes) Close() error   { return nil }
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+func (p *pipeListener) Close() error   { return nil }
+func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // connKey is the context key of the number of requests on a connection.
 type connKey struct{}
 
+// unobserved counts nothing.
+type unobserved struct{}
+
+func (unobserved) Outcome(*code.Error) {}
+
 // world is a set of nodes and backend servers in one synctest bubble.
 type world struct {
 	t     *testing.T
 	ctx   context.Context
 	store *kvstandin.Store
 	vms   []control.VM
-	pipes map[string]*pipes
+	pipes map[string]*pipeListener
 
 	mu sync.Mutex
 	// runs counts how often each idempotency digest, or path, was run.
@@ -151,7 +156,7 @@
 func inWorld(t *testing.T, test func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		w := &world{t: t, ctx: ctx, store: kvstandin.NewStore(kvstandin.Options{}), pipes: map[string]*pipes{}, runs: map[string]int{}}
+		w := &world{t: t, ctx: ctx, store: kvstandin.NewStore(kvstandin.Options{}), pipes: map[string]*pipeListener{}, runs: map[string]int{}}
 		test(w)
 		time.Sleep(2 * freeze)
 		cancel()
@@ -162,7 +167,7 @@
 // serve adds a backend server; one without a handler accepts connections and
 // reads nothing.
 func (w *world) serve(id string, role fleet.Role, serves string, handler http.Handler) {
-	p := &pipes{ctx: w.ctx, conns: make(chan net.Conn)}
+	p := &pipeListener{ctx: w.ctx, conns: make(chan net.Conn)}
 	w.pipes[id+":80"] = p
 	w.vms = append(w.vms, control.VM{ID: id, Address: id + ":80", Role: role, Serves: serves, Weights: 1})
 	if handler == nil {
@@ -280,6 +285,7 @@
 		Egress:       egress.NewClient(n.dial),
 		Recorder:     once.New(ctx, once.Options{Control: n.loop, Service: n.kv, Node: name, Logger: logr.Discard()}),
 		Logger:       logr.Discard(),
+		Observer:     unobserved{},
 		MaxBodyBytes: 1 << 20,
 	}).Handler()
 	n.loop.Tell(control.Configure{Version: 1, Rules: &config.Rules{
