--- a/node/ingress/badinput_test.go
+++ b/node/ingress/badinput_test.go
@@ -232,7 +232,10 @@
 func TestServiceHeaders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var got *http.Request
-		b := newBed(t, func(_ http.ResponseWriter, r *http.Request) { got = r })
+		b := newBed(t, func(w http.ResponseWriter, r *http.Request) {
+			got = r
+			w.Header().Set("Tanagerspread-Request-Id", r.Header.Get("Tanagerspread-Request-Id"))
+		})
 		response, body := b.send(post("/services/tide/a%3Fadmin=1%2Fb?q=1", bearer+"Tanagerspread-Organisation: other\r\nTanagerspread-Request-Id: forged\r\nConnection: close, Authorization\r\n", ""))
 		if response.StatusCode != http.StatusOK {
 			t.Fatalf("got status %d and %s", response.StatusCode, body)
