--- a/core/control/inspect.go
+++ b/core/control/inspect.go
@@ -63,6 +63,10 @@
 // inspect answers the questions of operators, which change nothing.
 func (s *State) inspect(now time.Time, message Message) {
 	switch m := message.(type) {
+	case RecordBegin:
+		s.reply(m.Job.ID, RecordStep{Step: s.records.Begin(now, m.Job)})
+	case RecordReport:
+		s.reply(m.Job, RecordStep{Step: s.records.Report(now, m.Job, m.Report)})
 	case DumpState:
 		s.reply(m.ID, s.dump(now))
 	case AskStatus:
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -124,10 +124,6 @@
 		s.admit(now, m)
 	case ClaimResult:
 		s.claimResult(now, m)
-	case RecordBegin:
-		s.reply(m.Job.ID, RecordStep{Step: s.records.Begin(now, m.Job)})
-	case RecordReport:
-		s.reply(m.Job, RecordStep{Step: s.records.Report(now, m.Job, m.Report)})
 	case Place:
 		s.place(now, m)
 	case Connected:
