limits: a rate without a burst limits

Cause: rates.Allow capped each count at the burst, so a rule with a rate and no burst admitted everything (min(1, 0) tokens). Change: a burst below 1 means the units of one second. Result: TestRateWithoutBurst admits 10 of 10 before, 3 of 10 after.

--- a/core/limits/rates.go
+++ b/core/limits/rates.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -20,11 +21,16 @@
 
 // Allow reports whether the organisation may use count units now, and uses
 // them. The rate is in units per second; a rate of 0 means no limit. A count
-// above the burst needs a full bucket.
+// above the burst needs a full bucket. A burst below 1 means that of one
+// second.
 func (r *Rates) Allow(organisation request.Organisation, count int, perSecond float64, burst int, now time.Time) bool {
 	if perSecond <= 0 {
 		return true
 	}
+	if burst < 1 {
+		// An empty bucket would admit everything, since no count exceeds it.
+		burst = int(math.Ceil(perSecond))
+	}
 	limiter, known := r.limiters[organisation]
 	if !known {
 		limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
--- /dev/null
+++ b/core/limits/rates_test.go
@@ -0,0 +1,22 @@
+package limits
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRateWithoutBurst guards against a limit that admits every request when
+// the rule names no burst.
+func TestRateWithoutBurst(t *testing.T) {
+	r := NewRates()
+	now := time.Unix(0, 0)
+	admitted := 0
+	for range 10 {
+		if r.Allow("a", 1, 2.5, 0, now) {
+			admitted++
+		}
+	}
+	if admitted != 3 {
+		t.Errorf("admitted %d of 10 at once, want 3", admitted)
+	}
+}
--- a/node/ingress/whole_test.go
+++ b/node/ingress/whole_test.go
@@ -209,7 +209,7 @@
 // name.
 func TestEchoOptional(t *testing.T) {
 	for text, want := range map[string]int{
-		"Content-Length: 4\r\n\r\nhalf":                                       http.StatusOK,
+		"Content-Length: 4\r\n\r\nhalf":                                      http.StatusOK,
 		"Tanagerspread-Request-Id: another\r\nContent-Length: 4\r\n\r\nhalf": http.StatusBadGateway,
 	} {
 		inWorld(t, func(w *world) {
