--- a/core/control/place.go
+++ b/core/control/place.go
@@ -137,6 +137,10 @@
 	if !s.options.Checker.Check(choice.Server.ReceivesWork(), invariant.NoNewWork, "server %s", choice.Server.ID) {
 		return limits.Blocked
 	}
+	if err := s.checkScope(a, choice.Server); err != nil {
+		s.end(now, a, "refuse", err)
+		return limits.Taken
+	}
 	s.beginAttemptAt(now, a, choice)
 	if !s.fireRequest(a, "assign", now) {
 		a.attempt = nil
@@ -149,6 +153,20 @@
 	return limits.Taken
 }
 
+// checkScope withholds a completion whose cache keys belong to another
+// organisation, or to other weights than the server has loaded.
+func (s *State) checkScope(a *active, server *fleet.Server) *code.Error {
+	if a.Route.Kind != request.Completion {
+		return nil
+	}
+	own := s.options.Checker.Check(a.scope.Organisation == string(a.organisation), invariant.SameOrganisation, "request %s", a.ID)
+	same := s.options.Checker.Check(a.scope.Weights == server.Weights, invariant.SameWeights, "request %s on server %s", a.ID, server.ID)
+	if own && same {
+		return nil
+	}
+	return code.New(code.InvariantFailed, "the request would use cache blocks of another scope")
+}
+
 // verdictOnNone tells whether other requests of the same lane may still find
 // a server.
 func verdictOnNone(a *active, suspect bool) limits.Verdict {
--- a/node/ingress/completion.go
+++ b/node/ingress/completion.go
@@ -68,7 +68,7 @@
 		f.writeEnd(w, x, end)
 		return
 	}
-	sink := newSink(w, x.request.ID, call)
+	sink := newSink(w, x.request.ID, call, f.options.Checker)
 	x.prefix = cachekey.Chain(x.admitted.Scope, []byte(call.Prompt))
 	run := f.completionRunner(x, call, sink)
 	refused := x.run(ctx, x.prefix, run)
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
+	"tanagerspread/core/invariant"
 	"tanagerspread/core/request"
 	"tanagerspread/node/blocks"
 	"tanagerspread/node/egress"
@@ -69,6 +70,8 @@
 	// Importer brings cache blocks into engines.
 	Importer *blocks.Importer
 	Logger   logr.Logger
+	// Checker receives violations of invariants.
+	Checker  invariant.Checker
 	Observer Observer
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
--- a/node/ingress/sink.go
+++ b/node/ingress/sink.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tanagerspread/core/code"
+	"tanagerspread/core/invariant"
 	"tanagerspread/core/request"
 	"tanagerspread/platform/engine"
 )
@@ -35,16 +36,20 @@
 	next  int
 	usage engine.Usage
 	// reason is why the engine stopped generating.
-	reason string
-	begun  bool
+	reason  string
+	begun   bool
+	checker invariant.Checker
 }
 
-func newSink(w http.ResponseWriter, id request.ID, call completionCall) *sink {
-	return &sink{w: w, id: id, call: call}
+func newSink(w http.ResponseWriter, id request.ID, call completionCall, checker invariant.Checker) *sink {
+	return &sink{w: w, id: id, call: call, checker: checker}
 }
 
 // receive takes the next event in sequence.
 func (s *sink) receive(e engine.CompletionEvent) error {
+	if !s.checker.Check(e.RequestID == string(s.id), invariant.OwnAnswer, "request %s", s.id) {
+		return code.New(code.InvariantFailed, "the response belongs to another request")
+	}
 	if s.text.Len()+len(e.Text) > maxAnswerBytes {
 		return code.Newf(code.AnswerTooLarge, "the response is larger than %d bytes", maxAnswerBytes)
 	}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -89,6 +89,7 @@
 		Recorder:     recorder,
 		Logger:       options.Logger,
 		Observer:     options.Metrics,
+		Checker:      options.Control.Checker,
 		MaxBodyBytes: options.MaxBodyBytes,
 	})
 	if options.Fleet != nil {
