control: share the links of stores by the member list; test replaced blocks

Cause: each node took the whole export share of a store's link, so 7 nodes together could take 175%. The reuse of a generation between search and transfer had no test. Change: an equal share for each entry VM of the VM list. Result: TestBlockReplaced keeps the one block before the replaced one; without the comparison with the expected block an engine used an invalid block.

--- a/core/control/transfers.go
+++ b/core/control/transfers.go
@@ -143,7 +143,7 @@
 	if store == nil {
 		return
 	}
-	budget := store.LinkRate * exportShare / float64(s.liveNodes())
+	budget := store.LinkRate * exportShare / float64(s.sharingNodes())
 	if !s.exports.Begin(now, string(store.ID), budget, int(float64(len(keys))*store.BlockBytes)) {
 		return
 	}
@@ -226,7 +226,9 @@
 	_ = s.charts.blockExport.Fire(&t.position, t, event, now)
 }
 
-// liveNodes returns the number of nodes that share the links of the stores.
-func (s *State) liveNodes() int {
-	return 1
+// sharingNodes returns the number of nodes that share the links of the stores:
+// the entry VMs of the VM list. Each takes an equal share, so that no
+// coordinator is needed.
+func (s *State) sharingNodes() int {
+	return max(1, len(s.members.Members()))
 }
--- a/node/runtime/returning_test.go
+++ b/node/runtime/returning_test.go
@@ -253,3 +253,34 @@
 		}
 	})
 }
+
+// TestBlockReplaced guards against the import of a block that was written
+// again, by another generation, between the search and the transfer.
+func TestBlockReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startReturning(t)
+		prompt, keys := promptOf(3)
+		s.send(prompt)
+		time.Sleep(time.Minute)
+		s.forget()
+		for _, v := range s.Stores {
+			v.Store.SetDelay(300 * time.Millisecond)
+		}
+		cached := make(chan int, 1)
+		go func() { cached <- s.send(prompt) }()
+		time.Sleep(450 * time.Millisecond) // The manifest is found; the pin is not yet set.
+		for _, v := range s.Stores {
+			v.Store.SetDelay(0)
+			client := platformstore.NewClient(wire.Options{Address: v.Address, Dial: s.dial})
+			content := []byte("content of another generation")
+			if err := client.PutBlock(t.Context(), platformstore.NewMeta(keys[1], 7, content), content); err != nil {
+				t.Error(err)
+			}
+			client.Close()
+		}
+		if got := <-cached; got != cachekey.BlockTokens {
+			t.Errorf("%d cached tokens, want the block before the replaced one", got)
+		}
+		s.checkBlocks()
+	})
+}
