--- a/ctl/reference/reference_test.go
+++ b/ctl/reference/reference_test.go
@@ -1,6 +1,11 @@
 package reference_test
 
 import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
@@ -40,3 +45,36 @@
 		events[e.Number] = e.Text
 	}
 }
+
+// TestProofs guards against a page of proofs that names tests which do not
+// exist.
+func TestProofs(t *testing.T) {
+	page, err := os.ReadFile("../../docs/proofs.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defined := map[string]bool{}
+	err = filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		for _, match := range testFunction.FindAllStringSubmatch(string(source), -1) {
+			defined[match[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, match := range testName.FindAllStringSubmatch(string(page), -1) {
+		if !defined[match[1]] {
+			t.Errorf("docs/proofs.md names %s, which does not exist", match[1])
+		}
+	}
+}
+
+var (
+	testFunction = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)\w+)\(`)
+	testName     = regexp.MustCompile("`((?:Test|Fuzz)\\w+)`")
+)
