chart: tags tell the code what a state means

Cause: decisions compared the names of states, so a chart that an operator replaced could rename or split a state and silently lose a meaning. Change: states carry tags; Instance.Is asks for a tag; the loader refuses unknown tags and charts without a state for a tag that the code needs. Timeouts that the code reads are found by tag. Released and completed records use one event.

--- a/chart/chart_test.go
+++ b/chart/chart_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"tanagerspread/chart"
 )
@@ -181,3 +182,25 @@
 		}
 	}
 }
+
+// TestTags guards against a replaced chart that lacks a state which the code
+// asks for, or marks one in a way that the code does not know.
+func TestTags(t *testing.T) {
+	def, err := chart.Parse([]byte(strings.Replace(sound, "[[state]]", "[[state]]\ntags = [\"known\"]", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, tags := range map[string][]chart.Tag{"unknown tag": nil, "no state has tag": {"known", "missing"}} {
+		if _, err := chart.NewMachine(def, chart.Bindings[int]{Tags: tags}); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: got error %v", name, err)
+		}
+	}
+	machine, err := chart.NewMachine(def, chart.Bindings[int]{Tags: []chart.Tag{"known"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	instance := machine.Start(time.Now())
+	if !instance.Is("known") || instance.Is("missing") {
+		t.Error("the initial state does not have its tag")
+	}
+}
--- a/chart/definition.go
+++ b/chart/definition.go
@@ -11,6 +11,11 @@
 // Event is the name of an event in a chart.
 type Event string
 
+// Tag marks states that the code treats alike. The code asks for tags and
+// not for the names of states, so that a chart may name and split its states
+// freely.
+type Tag string
+
 // Kind tells how long an instance may stay in a state.
 type Kind string
 
@@ -41,6 +46,8 @@
 	Timeout Duration `toml:"timeout"`
 	// OnTimeout is the event that fires when the timeout passes.
 	OnTimeout Event `toml:"on_timeout"`
+	// Tags tell the code what the state means.
+	Tags []Tag `toml:"tags"`
 }
 
 // Transition moves an instance from one of several states to another.
--- a/chart/machine.go
+++ b/chart/machine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/looplab/fsm"
@@ -14,6 +15,9 @@
 type Bindings[T any] struct {
 	Guards  map[string]func(subject T, now time.Time) bool
 	Actions map[string]func(subject T, now time.Time)
+	// Tags lists the tags that the code asks for. Each of them must mark at
+	// least one state.
+	Tags []Tag
 }
 
 // Instance is the position of one subject in a chart.
@@ -22,6 +26,13 @@
 	Entered time.Time
 	// Deadline is when the timeout of the state passes, or zero.
 	Deadline time.Time
+
+	def *StateDef
+}
+
+// Is reports whether the state of the instance has a tag.
+func (i *Instance) Is(tag Tag) bool {
+	return i.def != nil && slices.Contains(i.def.Tags, tag)
 }
 
 // Machine interprets one chart for all instances. It is not safe for use by
@@ -75,7 +86,7 @@
 }
 
 func checkBindings[T any](def *Definition, bindings Bindings[T]) error {
-	var faults []error
+	faults := checkTags(def, bindings.Tags)
 	for _, t := range def.Transitions {
 		if _, known := bindings.Guards[t.Guard]; t.Guard != "" && !known {
 			faults = append(faults, fmt.Errorf("event %s names unknown guard %q", t.Event, t.Guard))
@@ -89,6 +100,27 @@
 	return errors.Join(faults...)
 }
 
+// checkTags refuses tags that the code does not know, and charts without a
+// state for a tag that the code asks for.
+func checkTags(def *Definition, known []Tag) []error {
+	var faults []error
+	used := map[Tag]bool{}
+	for _, s := range def.States {
+		for _, tag := range s.Tags {
+			used[tag] = true
+			if !slices.Contains(known, tag) {
+				faults = append(faults, fmt.Errorf("state %s has unknown tag %q", s.Name, tag))
+			}
+		}
+	}
+	for _, tag := range known {
+		if !used[tag] {
+			faults = append(faults, fmt.Errorf("no state has tag %q", tag))
+		}
+	}
+	return faults
+}
+
 // compile gives each guarded alternative an event name of its own, because
 // looplab/fsm allows one target per event and source state.
 func (m *Machine[T]) compile() fsm.Events {
@@ -152,10 +184,13 @@
 	return m.def
 }
 
-// Timeout returns the timeout of a state, or 0 when it has none.
-func (m *Machine[T]) Timeout(state State) time.Duration {
-	if s := m.states[state]; s != nil {
-		return time.Duration(s.Timeout)
+// Timeout returns the timeout of the first state with a tag, or 0 when there
+// is none.
+func (m *Machine[T]) Timeout(tag Tag) time.Duration {
+	for i := range m.def.States {
+		if slices.Contains(m.def.States[i].Tags, tag) {
+			return time.Duration(m.def.States[i].Timeout)
+		}
 	}
 	return 0
 }
@@ -176,6 +211,7 @@
 
 func (m *Machine[T]) enter(instance *Instance, state State, now time.Time) {
 	instance.State = state
+	instance.def = m.states[state]
 	instance.Entered = now
 	instance.Deadline = time.Time{}
 	if timeout := m.states[state].Timeout; timeout != 0 {
--- a/core/control/active.go
+++ b/core/control/active.go
@@ -25,6 +25,8 @@
 	scope        cachekey.Scope
 	prefix       []cachekey.Key
 	claimed      bool
+	// responded is true when the whole response is with the asker.
+	responded    bool
 	echoOptional bool
 	// dispatches counts how often a connection was open for sending.
 	dispatches int
--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -69,13 +69,10 @@
 
 // checkNode refuses requests while the node may not serve any.
 func (s *State) checkNode() *code.Error {
-	switch s.life.State {
-	case "starting":
-		return code.New(code.Starting, "the node has no configuration yet")
-	case "fenced":
-		return code.New(code.Fenced, "the node cannot confirm that its configuration is in force")
-	case "draining", "stopped":
-		return code.New(code.Draining, "the node is stopping")
+	for _, refusal := range nodeRefusals {
+		if s.life.Is(refusal.tag) {
+			return code.New(refusal.code, refusal.detail)
+		}
 	}
 	return nil
 }
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -5,6 +5,7 @@
 
 	"tanagerspread/chart"
 	"tanagerspread/core/code"
+	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/retry"
@@ -81,7 +82,7 @@
 		s.refuse(m.Request, code.DeadlinePassedNotRun, "the deadline passed while the connection was opened")
 		return
 	}
-	if a.attempt.server.Chart.State == "leaving" || s.quarantine.Quarantined(a.fingerprint) {
+	if a.attempt.server.Chart.Is(fleet.TagLeaves) || s.quarantine.Quarantined(a.fingerprint) {
 		// The asker closes the connection and reports a failed dial.
 		a.attempt.denied = true
 		s.refuse(m.Request, code.DialRefused, "the request may no longer be sent to the backend server")
@@ -145,7 +146,7 @@
 // refuseLate answers for an attempt whose request has ended meanwhile. A
 // claimed request that was not dispatched still has its claim to release.
 func (s *State) refuseLate(a *active, m AttemptDone) {
-	if a != nil && a.position.State == "releasing" {
+	if a != nil && a.position.Is(tagReleasesClaim) {
 		s.conclude(a, s.deadlineError(a))
 		return
 	}
@@ -166,6 +167,7 @@
 	s.budget.Credit(a.organisation)
 	s.clearSuspicion(a)
 	s.considerExport(now, a, server)
+	a.responded = true
 	s.reply(a.ID, Deliver{Record: a.once()})
 	s.forgetFinal(a)
 }
@@ -183,7 +185,7 @@
 // the decision to send it was made but lost on the way, the attempt counts as
 // dispatched.
 func (s *State) dialFailed(now time.Time, a *active, cause *code.Error) {
-	if a.position.State == "dispatched" {
+	if a.position.Is(tagDispatched) {
 		s.attemptFailed(now, a, "attempt_failed", cause)
 		return
 	}
@@ -219,12 +221,11 @@
 // follow continues a request after a failed attempt according to the state
 // that its chart entered.
 func (s *State) follow(now time.Time, a *active, cause *code.Error) {
-	switch a.position.State {
-	case "queued", "requeued":
+	if a.position.Is(tagPlaceable) {
 		s.enqueue(now, a)
-	default:
-		s.conclude(a, s.truthful(a, cause))
+		return
 	}
+	s.conclude(a, s.truthful(a, cause))
 }
 
 // truthful replaces a cause that claims that the request was not run when an
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -29,10 +29,10 @@
 
 func (s *State) loadCharts(files fs.FS) error {
 	var err error
-	if s.charts.request, err = load(files, "request", s.requestBindings()); err != nil {
+	if s.charts.request, err = load(files, "request", s.requestBindings(requestTags)); err != nil {
 		return err
 	}
-	if s.charts.once, err = load(files, "request-once", s.requestBindings()); err != nil {
+	if s.charts.once, err = load(files, "request-once", s.requestBindings(onceTags)); err != nil {
 		return err
 	}
 	if s.charts.attempt, err = load(files, "attempt", s.attemptBindings()); err != nil {
@@ -41,7 +41,7 @@
 	if s.charts.server, err = load(files, "server", s.serverBindings()); err != nil {
 		return err
 	}
-	if s.charts.store, err = load(files, "store", chart.Bindings[*fleet.Store]{}); err != nil {
+	if s.charts.store, err = load(files, "store", chart.Bindings[*fleet.Store]{Tags: []chart.Tag{fleet.TagReadable, fleet.TagWritable}}); err != nil {
 		return err
 	}
 	if s.charts.node, err = load(files, "node", nodeBindings()); err != nil {
@@ -65,8 +65,9 @@
 	return machine, nil
 }
 
-func (s *State) requestBindings() chart.Bindings[*active] {
+func (s *State) requestBindings(tags []chart.Tag) chart.Bindings[*active] {
 	return chart.Bindings[*active]{
+		Tags: tags,
 		Guards: map[string]func(*active, time.Time) bool{
 			"may_retry": s.mayRetry,
 			"may_retry_and_none_ran": func(a *active, now time.Time) bool {
@@ -87,6 +88,7 @@
 
 func (s *State) attemptBindings() chart.Bindings[*active] {
 	return chart.Bindings[*active]{
+		Tags: attemptTags,
 		Actions: map[string]func(*active, time.Time){
 			"credit_server": s.creditServer,
 			"blame_server":  s.blameServer,
@@ -96,6 +98,7 @@
 
 func (s *State) serverBindings() chart.Bindings[*fleet.Server] {
 	return chart.Bindings[*fleet.Server]{
+		Tags: []chart.Tag{fleet.TagReceivesWork, fleet.TagOneAtATime, fleet.TagGradual, fleet.TagRests, fleet.TagLeaves},
 		Guards: map[string]func(*fleet.Server, time.Time) bool{
 			"failures_reached_limit": func(server *fleet.Server, _ time.Time) bool { return server.FailuresReachedLimit() },
 			"evidence_is_newer":      func(server *fleet.Server, _ time.Time) bool { return server.EvidenceIsNewer() },
@@ -111,6 +114,7 @@
 
 func nodeBindings() chart.Bindings[*State] {
 	return chart.Bindings[*State]{
+		Tags: nodeTags,
 		Guards: map[string]func(*State, time.Time) bool{
 			"nothing_in_progress": func(s *State, _ time.Time) bool {
 				return len(s.requests) == 0 && s.records.Len() == 0
@@ -140,7 +144,7 @@
 	if a.position.Deadline.IsZero() || a.Deadline.IsZero() {
 		return
 	}
-	if a.position.State == "recording" || a.position.State == "releasing" {
+	if a.position.Is(tagKeepsRecord) {
 		return
 	}
 	if a.Deadline.Before(a.position.Deadline) {
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -54,6 +54,7 @@
 
 func configurationBindings() chart.Bindings[*State] {
 	return chart.Bindings[*State]{
+		Tags: configTags,
 		Actions: map[string]func(*State, time.Time){
 			"confirm_node": func(s *State, now time.Time) { s.fireNode("confirm", now) },
 			"fence_node":   func(s *State, now time.Time) { s.fireNode("fence", now) },
@@ -143,7 +144,7 @@
 		return
 	}
 	c.confirmed = at
-	deadline := at.Add(s.charts.configuration.Timeout("confirmed"))
+	deadline := at.Add(s.charts.configuration.Timeout(tagConfirmed))
 	if !deadline.After(now) {
 		return
 	}
@@ -177,7 +178,7 @@
 // configuration in force. A node that starts does not: it may have
 // acknowledged a newer version before it was restarted.
 func (s *State) takesPart() bool {
-	return s.version > 0 && s.life.State != "starting"
+	return s.version > 0 && !s.life.Is(tagRefusesStarting)
 }
 
 func (s *State) expireConfiguration(now time.Time) {
--- a/core/control/decision.go
+++ b/core/control/decision.go
@@ -102,6 +102,8 @@
 	State string
 	// Ready is the answer to the load balancer's readiness check.
 	Ready bool
+	// Stopped is true when the process may end.
+	Stopped bool
 }
 
 // PublishQuarantine stores quarantined fingerprints in the key-value service
--- a/core/control/ending.go
+++ b/core/control/ending.go
@@ -31,7 +31,7 @@
 	s.queue.Remove(a.ID)
 	err = s.checkTruth(a, err)
 	s.journal.refuse(a.position.Entered, a, err)
-	if a.position.State == "releasing" {
+	if a.position.Is(tagReleasesClaim) {
 		a.ending = err
 		s.reply(a.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code), Release: true})
 		return
@@ -58,12 +58,7 @@
 		s.reply(m.Request, Proceed{})
 		return
 	}
-	switch a.position.State {
-	case "recording":
-		s.fireRequest(a, "recorded", now)
-	case "releasing":
-		s.fireRequest(a, "released", now)
-	}
+	s.fireRequest(a, "recorded", now)
 	s.forgetFinal(a)
 	s.reply(m.Request, Proceed{})
 }
@@ -86,7 +81,7 @@
 		if !expired || err != nil {
 			continue
 		}
-		if a.position.State == "delivered" {
+		if a.responded {
 			s.forgetFinal(a)
 			continue
 		}
--- a/core/control/leaving.go
+++ b/core/control/leaving.go
@@ -16,8 +16,8 @@
 	}
 	server.SaidAt = at
 	s.fireServer(server, "leave", now)
-	if server.Chart.State == "leaving" && !server.ListedLeaving && !server.RuledLeaving {
-		server.Chart.Deadline = at.Add(s.charts.server.Timeout("leaving"))
+	if server.Chart.Is(fleet.TagLeaves) && !server.ListedLeaving && !server.RuledLeaving {
+		server.Chart.Deadline = at.Add(s.charts.server.Timeout(fleet.TagLeaves))
 	}
 }
 
@@ -25,7 +25,7 @@
 func (s *State) peerWords(now, asked time.Time, words []membership.Leaving) {
 	for _, word := range words {
 		server, known := s.servers[fleet.ServerID(word.Server)]
-		if !known || server.Address != word.Address || word.Age < 0 || word.Age >= s.charts.server.Timeout("leaving") {
+		if !known || server.Address != word.Address || word.Age < 0 || word.Age >= s.charts.server.Timeout(fleet.TagLeaves) {
 			continue
 		}
 		s.serverSaid(server, asked.Add(-word.Age), now)
@@ -38,7 +38,7 @@
 func (s *State) leavingWords(now time.Time) []membership.Leaving {
 	var said []*fleet.Server
 	for _, server := range s.ordered {
-		if !server.SaidAt.IsZero() && now.Sub(server.SaidAt) < s.charts.server.Timeout("leaving") {
+		if !server.SaidAt.IsZero() && now.Sub(server.SaidAt) < s.charts.server.Timeout(fleet.TagLeaves) {
 			said = append(said, server)
 		}
 	}
--- a/core/control/life.go
+++ b/core/control/life.go
@@ -20,8 +20,8 @@
 // unready node does not extend the delay.
 func (s *State) limitUnready(before chart.Instance, now time.Time) {
 	switch {
-	case s.life.State != "unready":
-	case before.State == "unready":
+	case !s.life.Is(tagDrainDelay):
+	case before.Is(tagDrainDelay):
 		s.life.Deadline = before.Deadline
 	case s.options.DrainDelay > 0:
 		s.life.Deadline = now.Add(s.options.DrainDelay)
@@ -40,5 +40,5 @@
 		return
 	}
 	s.announced = s.life.State
-	s.command(NodeState{State: string(s.life.State), Ready: s.life.State == "ready"})
+	s.command(NodeState{State: string(s.life.State), Ready: s.life.Is(tagReady), Stopped: s.life.Is(tagStopped)})
 }
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -28,7 +28,7 @@
 }
 
 func peerBindings() chart.Bindings[*membership.Peer] {
-	return chart.Bindings[*membership.Peer]{}
+	return chart.Bindings[*membership.Peer]{Tags: peerTags}
 }
 
 // noteMembers takes the member list from the VM list: the entry VMs,
@@ -43,6 +43,15 @@
 	s.members.SetMembers(addresses, func() chart.Instance { return s.charts.peer.Start(now) })
 }
 
+// stateForPeers returns the state of the node, with one name for all states in
+// which it leaves.
+func (s *State) stateForPeers() string {
+	if s.life.Is(tagDeparts) {
+		return membership.StateLeaving
+	}
+	return string(s.life.State)
+}
+
 // digest describes the node to a peer. A digest that is sent unasked carries
 // the lists; the answer to it carries the ages of sightings, which are usable
 // there because the asker knows when it asked.
@@ -51,7 +60,7 @@
 	d := membership.Digest{
 		Node:        s.options.Node,
 		Incarnation: s.options.Incarnation,
-		State:       string(s.life.State),
+		State:       s.stateForPeers(),
 		Newest:      c.newest,
 		Away:        now.Sub(c.contact) > config.FenceTime,
 		Confirmed:   membership.UnknownConfirmation,
@@ -103,7 +112,7 @@
 	switch {
 	case d.Incarnation > peer.Incarnation:
 		event = "restart"
-	case d.State == "leaving" || d.State == "stopped":
+	case d.State == membership.StateLeaving:
 		event = "leave"
 	}
 	// An event that the chart refuses changes nothing, for example a late
@@ -142,11 +151,11 @@
 
 func (s *State) samplePeers() []*membership.Peer {
 	count := digestPeers
-	if s.life.State == "starting" {
+	if s.life.Is(tagRefusesStarting) {
 		count = startingPeers
 	}
-	present := func(p *membership.Peer) bool { return p.Chart.State == "alive" || p.Chart.State == "suspect" }
-	dead := func(p *membership.Peer) bool { return p.Chart.State == "dead" }
+	present := func(p *membership.Peer) bool { return p.Chart.Is(tagPresent) }
+	dead := func(p *membership.Peer) bool { return p.Chart.Is(tagDead) }
 	sample := s.members.Sample(s.random, count, present)
 	if len(sample) < count || s.rounds.count%deadRounds == 0 {
 		sample = append(sample, s.members.Sample(s.random, 1, dead)...)
--- a/core/control/once_test.go
+++ b/core/control/once_test.go
@@ -76,7 +76,7 @@
 	s.Handle(now, control.RecordReport{Job: "j", Report: once.Report{Outcome: once.Away}})
 	now = now.Add(time.Second)
 	commands := s.Handle(now, control.Tick{}).Commands
-	if len(commands) != 1 || commands[0] != (control.NodeState{State: "stopped"}) {
+	if len(commands) != 1 || commands[0] != (control.NodeState{State: "stopped", Stopped: true}) {
 		t.Errorf("got %+v, want the stop", commands)
 	}
 }
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -185,9 +185,9 @@
 		Source:        a.attempt.choice.Source,
 		Import:        a.attempt.choice.Plan,
 		ImportTimeout: importTime(a.PromptTokens),
-		DialTimeout:   s.charts.attempt.Timeout("dialing"),
-		HeaderTimeout: s.charts.attempt.Timeout("sent"),
-		GapTimeout:    s.charts.attempt.Timeout("receiving"),
+		DialTimeout:   s.charts.attempt.Timeout(tagOpens),
+		HeaderTimeout: s.charts.attempt.Timeout(tagAwaitsHeaders),
+		GapTimeout:    s.charts.attempt.Timeout(tagReceives),
 	}
 }
 
@@ -230,7 +230,7 @@
 func (s *State) canServe(a *active) bool {
 	live := false
 	for _, server := range s.group(a).Servers {
-		if server.Chart.State == "leaving" {
+		if server.Chart.Is(fleet.TagLeaves) {
 			continue
 		}
 		if !slices.Contains(a.avoid, server.ID) {
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -83,7 +83,7 @@
 	// An event that the chart refuses changes nothing, for example a second
 	// "leave" of a leaving server.
 	_ = s.charts.server.Fire(&server.Chart, server, event, now)
-	if server.Chart.State == "open" && server.Chart.Entered.Equal(now) {
+	if server.Chart.Is(fleet.TagRests) && server.Chart.Entered.Equal(now) {
 		s.spreadProbe(server)
 	}
 }
@@ -91,7 +91,7 @@
 // spreadProbe delays the probe by a random time, so that the nodes that saw
 // the same failure do not all probe at once.
 func (s *State) spreadProbe(server *fleet.Server) {
-	timeout := s.charts.server.Timeout("open")
+	timeout := s.charts.server.Timeout(fleet.TagRests)
 	server.Chart.Deadline = server.Chart.Entered.Add(timeout + time.Duration(s.random.Int64N(int64(timeout))))
 }
 
--- a/core/control/session.go
+++ b/core/control/session.go
@@ -22,6 +22,7 @@
 
 func sessionBindings() chart.Bindings[*State] {
 	return chart.Bindings[*State]{
+		Tags: sessionTags,
 		Guards: map[string]func(*State, time.Time) bool{
 			"entry_changed": (*State).entryChanged,
 		},
@@ -74,7 +75,7 @@
 
 // tickSession lets timeouts pass and rewrites an entry that is out of date.
 func (s *State) tickSession(now time.Time) {
-	if s.session.position.State == "held" && s.entryChanged(now) {
+	if s.session.position.Is(tagHeld) && s.entryChanged(now) {
 		s.fireSession("change", now)
 	}
 	_, _ = s.charts.session.Expire(&s.session.position, s, now)
--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -49,7 +49,7 @@
 }
 
 func sent(at *attempt) bool {
-	return at.position.State == "sent" || at.position.State == "receiving"
+	return at.position.Is(tagRuns)
 }
 
 // holdNewSuspects counts running attempts whose fingerprint has become
--- /dev/null
+++ b/core/control/tags.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"tanagerspread/chart"
+	"tanagerspread/core/code"
+)
+
+// The tags of the charts that the control thread asks for.
+const (
+	// tagPlaceable marks requests that wait for a backend server.
+	tagPlaceable chart.Tag = "placeable"
+	// tagDispatched marks requests that were sent.
+	tagDispatched chart.Tag = "dispatched"
+	// tagKeepsRecord marks requests whose at-most-once record is written,
+	// whatever their deadline.
+	tagKeepsRecord chart.Tag = "keeps_record"
+	// tagReleasesClaim marks requests whose claim is given up.
+	tagReleasesClaim chart.Tag = "releases_claim"
+
+	// tagOpens, tagAwaitsHeaders and tagReceives mark the states whose
+	// timeouts bound the waits of an attempt; tagRuns marks sent attempts.
+	tagOpens         chart.Tag = "opens"
+	tagAwaitsHeaders chart.Tag = "awaits_headers"
+	tagReceives      chart.Tag = "receives"
+	tagRuns          chart.Tag = "runs"
+
+	// tagPresent marks peers that are expected to respond, tagDead those that
+	// are asked rarely.
+	tagPresent chart.Tag = "present"
+	tagDead    chart.Tag = "dead"
+
+	// tagHeld marks a session whose entry is in place.
+	tagHeld chart.Tag = "held"
+	// tagConfirmed marks a configuration that is known to be in force.
+	tagConfirmed chart.Tag = "confirmed"
+
+	// tagMayTransfer and tagMaySeal mark transfers whose blocks are verified.
+	tagMayTransfer chart.Tag = "may_transfer"
+	tagMaySeal     chart.Tag = "may_seal"
+
+	// tagReady marks a node that takes new requests. tagDrainDelay marks the
+	// state whose timeout the settings replace, tagDeparts the states in which
+	// peers are told that the node leaves.
+	tagReady           chart.Tag = "ready"
+	tagDrainDelay      chart.Tag = "drain_delay"
+	tagDeparts         chart.Tag = "departs"
+	tagStopped         chart.Tag = "stopped"
+	tagRefusesStarting chart.Tag = "refuses_starting"
+	tagRefusesFenced   chart.Tag = "refuses_fenced"
+	tagRefusesDraining chart.Tag = "refuses_draining"
+)
+
+// nodeRefusals says how a node refuses new requests in a tagged state.
+var nodeRefusals = []struct {
+	tag    chart.Tag
+	code   code.Code
+	detail string
+}{
+	{tagRefusesStarting, code.Starting, "the node has no configuration yet"},
+	{tagRefusesFenced, code.Fenced, "the node cannot confirm that its configuration is in force"},
+	{tagRefusesDraining, code.Draining, "the node is stopping"},
+}
+
+// The tags that each chart must provide.
+var (
+	requestTags     = []chart.Tag{tagPlaceable, tagDispatched}
+	onceTags        = []chart.Tag{tagPlaceable, tagDispatched, tagKeepsRecord, tagReleasesClaim}
+	attemptTags     = []chart.Tag{tagOpens, tagAwaitsHeaders, tagReceives, tagRuns}
+	nodeTags        = []chart.Tag{tagReady, tagDrainDelay, tagDeparts, tagStopped, tagRefusesStarting, tagRefusesFenced, tagRefusesDraining}
+	peerTags        = []chart.Tag{tagPresent, tagDead}
+	sessionTags     = []chart.Tag{tagHeld}
+	configTags      = []chart.Tag{tagConfirmed}
+	blockImportTags = []chart.Tag{tagMayTransfer}
+	blockExportTags = []chart.Tag{tagMaySeal}
+)
--- a/core/control/transfers.go
+++ b/core/control/transfers.go
@@ -42,12 +42,13 @@
 		"blocks_verified": func(t *transfer, _ time.Time) bool { return t.whole },
 	}
 	var err error
-	s.charts.blockImport, err = load(s.options.Charts, "block-import", chart.Bindings[*transfer]{Guards: verified})
+	s.charts.blockImport, err = load(s.options.Charts, "block-import", chart.Bindings[*transfer]{Guards: verified, Tags: blockImportTags})
 	if err != nil {
 		return err
 	}
 	s.charts.blockExport, err = load(s.options.Charts, "block-export", chart.Bindings[*transfer]{
 		Guards: verified,
+		Tags:   blockExportTags,
 		Actions: map[string]func(*transfer, time.Time){
 			"remember_export": func(t *transfer, now time.Time) { s.exports.Remember(now, t.keys) },
 		},
@@ -78,7 +79,7 @@
 	t.blocks = kvcache.Usable(t.keys, m.Blocks)
 	t.whole = len(t.blocks) > 0 && s.importPays(now, a, t)
 	s.fireImport(t, "found", now)
-	if t.position.State != "transferring" {
+	if !t.position.Is(tagMayTransfer) {
 		s.refuse(m.Request, code.BlockInvalid, "no found block may be imported")
 		return
 	}
@@ -174,7 +175,7 @@
 	t.blocks = m.Blocks
 	t.whole = kvcache.Whole(t.keys, m.Blocks)
 	s.fireExport(t, "written", now)
-	if t.position.State != "sealing" {
+	if !t.position.Is(tagMaySeal) {
 		s.endExport(m.ID)
 		s.refuse(m.ID, code.BlockInvalid, "the written blocks are not the wanted ones")
 		return
--- a/core/fleet/circuit.go
+++ b/core/fleet/circuit.go
@@ -51,10 +51,10 @@
 // HasRoom reports whether the server may receive one more attempt from this
 // node, which sends at most slots attempts to a server at a time.
 func (s *Server) HasRoom(slots int) bool {
-	switch s.Chart.State {
-	case "probing":
+	switch {
+	case s.Chart.Is(TagOneAtATime):
 		return s.InFlight == 0
-	case "recovering":
+	case s.Chart.Is(TagGradual):
 		return s.InFlight < min(s.Slots, slots)
 	}
 	return s.InFlight < slots
@@ -62,9 +62,5 @@
 
 // ReceivesWork reports whether the server's circuit lets attempts through.
 func (s *Server) ReceivesWork() bool {
-	switch s.Chart.State {
-	case "available", "probing", "recovering":
-		return true
-	}
-	return false
+	return s.Chart.Is(TagReceivesWork)
 }
--- a/core/fleet/store.go
+++ b/core/fleet/store.go
@@ -90,12 +90,12 @@
 
 // Readable reports whether blocks may be imported from the store.
 func (s *Store) Readable() bool {
-	return s.Chart.State == "available" || s.Chart.State == "full"
+	return s.Chart.Is(TagReadable)
 }
 
 // Writable reports whether blocks may be exported to the store.
 func (s *Store) Writable() bool {
-	return s.Chart.State == "available"
+	return s.Chart.Is(TagWritable)
 }
 
 func smooth(old, measured float64) float64 {
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -22,11 +22,14 @@
 	UnknownConfirmation = time.Duration(-1)
 )
 
+// StateLeaving is the state of a node that leaves.
+const StateLeaving = "leaving"
+
 // Digest is what a node tells a peer about itself and the fleet.
 type Digest struct {
 	Node        string
 	Incarnation uint64
-	// State is the state of the node's own chart.
+	// State is the state of the node's own chart, or StateLeaving.
 	State string
 	// Version is the configuration in force; 0 means none.
 	Version config.Version
--- a/core/once/bindings.go
+++ b/core/once/bindings.go
@@ -13,8 +13,12 @@
 	maxDelay   = 2 * time.Second
 )
 
+// tagWithdraws marks the end of a claim that may have been written and must
+// not stay.
+const tagWithdraws chart.Tag = "withdraws"
+
 func bindings() chart.Bindings[*entry] {
-	return chart.Bindings[*entry]{Guards: guards(), Actions: actions()}
+	return chart.Bindings[*entry]{Guards: guards(), Actions: actions(), Tags: []chart.Tag{tagWithdraws}}
 }
 
 func guards() map[string]func(*entry, time.Time) bool {
--- a/core/once/book.go
+++ b/core/once/book.go
@@ -83,7 +83,7 @@
 	}
 	if b.machine.IsFinal(&e.position) {
 		delete(b.entries, e.job.ID)
-		e.step.Withdraw = e.position.State == "doubtful"
+		e.step.Withdraw = e.position.Is(tagWithdraws)
 	}
 	return e.step
 }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -21,12 +21,34 @@
 	return out
 }
 
-func store(id string, state chart.State) *fleet.Store {
+// store returns a store to which events happened.
+func store(id string, events ...chart.Event) *fleet.Store {
 	s := fleet.NewStore(fleet.ServerID(id))
-	s.Chart.State = state
+	s.Chart = storeChart().Start(now)
+	happen(s, events...)
 	return s
 }
 
+func storeChart() *chart.Machine[*fleet.Store] {
+	def, err := chart.Load(chart.Embedded(), "store")
+	if err != nil {
+		panic(err)
+	}
+	machine, err := chart.NewMachine(def, chart.Bindings[*fleet.Store]{Tags: []chart.Tag{fleet.TagReadable, fleet.TagWritable}})
+	if err != nil {
+		panic(err)
+	}
+	return machine
+}
+
+func happen(s *fleet.Store, events ...chart.Event) {
+	for _, event := range events {
+		if err := storeChart().Fire(&s.Chart, s, event, now); err != nil {
+			panic(err)
+		}
+	}
+}
+
 func keys(root byte, n int) []cachekey.Key {
 	var out []cachekey.Key
 	for i := range n {
@@ -61,7 +83,7 @@
 	for name, c := range cases {
 		view := View{Servers: servers(10), Recent: NewRecent(), LinkPrice: c.price}
 		if c.rate > 0 {
-			view.Stores = []*fleet.Store{store("k0", "available")}
+			view.Stores = []*fleet.Store{store("k0")}
 			view.Stores[0].LinkRate = c.rate
 			view.Stores[0].HitShare = 0.9
 		}
@@ -125,14 +147,14 @@
 
 // TestStoreChoice guards against transfers with stores that are down or full.
 func TestStoreChoice(t *testing.T) {
-	stores := []*fleet.Store{store("k0", "available"), store("k1", "available")}
+	stores := []*fleet.Store{store("k0"), store("k1")}
 	root := cachekey.Key{3}
 	first := ExportStore(root, stores)
-	first.Chart.State = "full"
+	happen(first, "fill")
 	if ExportStore(root, stores) == first || ImportStore(root, stores) != first {
 		t.Error("a full store must serve imports only")
 	}
-	first.Chart.State = "down"
+	happen(first, "fail")
 	if ImportStore(root, stores) == first {
 		t.Error("import from a store that is down")
 	}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -179,7 +179,7 @@
 func (n *Node) nodeState(c corecontrol.NodeState) {
 	n.front.SetReady(c.Ready)
 	eventlog.Write(n.options.Logger, event.NodeStateChanged, nil, "state", c.State)
-	if c.State == "stopped" {
+	if c.Stopped {
 		close(n.stopped)
 	}
 }
