bench: measure nodes before a scaled site in virtual time

tanagerbench starts nodes and stand-ins in a bubble of testing/synctest and sends seeded arrivals in the shape of the two sites. It reports time to first token by class, recomputed prompt tokens, link bytes, refusals, failed attempts and goodput as a table, JSON and SVG.

--- /dev/null
+++ b/bench/measure/options.go
@@ -0,0 +1,90 @@
+// Package measure runs nodes before a scaled site of stand-ins and records
+// what callers see.
+package measure
+
+import (
+	"time"
+
+	"tanagerspread/bench/workload"
+	"tanagerspread/standin/engine"
+	"tanagerspread/standin/store"
+)
+
+// Fault names what goes wrong in the middle of a run.
+type Fault string
+
+// The faults.
+const (
+	NoFault      Fault = "none"
+	EngineKilled Fault = "engine-killed"
+	StoreKilled  Fault = "store-killed"
+	StoreFull    Fault = "store-full"
+	LinkSlow     Fault = "link-slow"
+	Flood        Fault = "flood"
+	NodeKilled   Fault = "node-killed"
+)
+
+// Faults lists all faults.
+func Faults() []Fault {
+	return []Fault{NoFault, EngineKilled, StoreKilled, StoreFull, LinkSlow, Flood, NodeKilled}
+}
+
+// Options sets one run.
+type Options struct {
+	Profile workload.Profile
+	// Placement names the placement policy.
+	Placement string
+	Fault     Fault
+	Seed      uint64
+	Load      float64
+	Engines   int
+	Nodes     int
+	// WarmUp is the part of the run that is not measured; Duration follows.
+	WarmUp   time.Duration
+	Duration time.Duration
+	// PrefillRate is the speed of the engines in prompt tokens per second.
+	PrefillRate float64
+}
+
+const (
+	// floodFactor multiplies the long prompts by new ones of one organisation.
+	floodFactor = 3
+	// balancerDelay is how long the load balancer sends to a dead node.
+	balancerDelay = 3 * time.Second
+	// slowLink divides the speed of a link.
+	slowLink = 10
+)
+
+// The stand-ins keep the proportions of an engine that computes a block in
+// 0.2 s and a link that moves it in 64 ms, with blocks of 32,000 bytes.
+const (
+	storeLinkRate = 500_000
+	storeMemory   = 16 << 20
+	storeDisk     = 256 << 20
+	cacheBlocks   = 64
+	serverSlots   = 16
+	classQueue    = 200
+	maxBodyBytes  = 1 << 20
+)
+
+// faultFrom and faultTo bound the fault in the measured part.
+func (o Options) faultFrom() time.Duration { return o.WarmUp + o.Duration/4 }
+func (o Options) faultTo() time.Duration   { return o.WarmUp + o.Duration*3/4 }
+
+func (o Options) engineOptions() engine.Options {
+	return engine.Options{PrefillRate: o.PrefillRate, CacheBlocks: cacheBlocks}
+}
+
+func (o Options) storeOptions() store.Options {
+	return store.Options{MemoryBytes: storeMemory, DiskBytes: storeDisk, LinkRate: storeLinkRate, DiskRate: 2 * storeLinkRate}
+}
+
+func (o Options) arrivals() workload.Options {
+	w := workload.Options{Profile: o.Profile, Seed: o.Seed, Engines: o.Engines, Load: o.Load}
+	if o.Fault == Flood {
+		w.Flood = floodFactor
+		w.FloodFrom = o.faultFrom()
+		w.FloodTo = o.faultTo()
+	}
+	return w
+}
--- /dev/null
+++ b/bench/measure/stage.go
@@ -0,0 +1,176 @@
+package measure
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/bench/workload"
+	"tanagerspread/chart"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/request"
+	"tanagerspread/node/ingress"
+	"tanagerspread/node/runtime"
+	"tanagerspread/standin/pipe"
+	"tanagerspread/standin/site"
+)
+
+// listInterval is how often the nodes see the VM list.
+const listInterval = time.Second
+
+// stage is a running site with its nodes.
+type stage struct {
+	options Options
+	site    *site.Site
+	nodes   []*entry
+	client  *http.Client
+	network *pipe.Network
+	failed  *failureSink
+	cancel  context.CancelFunc
+}
+
+// entry is one node. Its fields are set before any request is sent.
+type entry struct {
+	address string
+	node    *runtime.Node
+	kill    context.CancelFunc
+	deadSince
+}
+
+func organisationName(i int) request.Organisation {
+	return request.Organisation(fmt.Sprintf("organisation-%02d", i))
+}
+
+func bearerToken(i int) string {
+	return fmt.Sprintf("token-%02d", i)
+}
+
+func startStage(ctx context.Context, options Options) (*stage, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &stage{options: options, network: pipe.NewNetwork(), failed: &failureSink{}, cancel: cancel}
+	shape, invalid := site.ShapeOf(options.Profile.Site, 1)
+	if invalid != nil {
+		cancel()
+		return nil, invalid
+	}
+	shape.Engines = options.Engines
+	shape.Services = nil
+	var err error
+	s.site, err = site.Start(ctx, site.Options{
+		Shape:  shape,
+		Engine: options.engineOptions(),
+		Store:  options.storeOptions(),
+		Listen: func(id string) (net.Listener, error) { return s.network.Listen(id + ":80"), nil },
+		Dial:   s.network.Dial,
+	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	s.client = &http.Client{Transport: &http.Transport{DialContext: s.network.Dial, DisableKeepAlives: true}}
+	for i := range options.Nodes {
+		if err := s.startNode(ctx, i, shape); err != nil {
+			s.stop()
+			return nil, err
+		}
+	}
+	go s.listVMs(ctx)
+	return s, nil
+}
+
+func (s *stage) startNode(ctx context.Context, i int, shape site.Shape) error {
+	name := fmt.Sprintf("entry-%02d", i+1)
+	address := name + ":80"
+	node, err := runtime.New(runtime.Options{
+		Control: control.Options{
+			Node: name, Domain: fleet.Domain(shape.Domains[i%len(shape.Domains)]), Charts: chart.Embedded(),
+			ServerSlots: serverSlots, Seed: s.options.Seed + uint64(i),
+		},
+		Listener:     s.network.Listen(address),
+		Dial:         s.network.Dial,
+		Recorder:     ingress.NoRecorder(),
+		Logger:       logr.New(s.failed),
+		MaxBodyBytes: maxBodyBytes,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, kill := context.WithCancel(ctx)
+	s.nodes = append(s.nodes, &entry{address: address, node: node, kill: kill})
+	go func() { _ = node.Run(ctx) }()
+	node.Control().Tell(control.Configure{Version: 1, Rules: rulesOf(s.options, shape.Model)})
+	node.Control().Tell(s.list())
+	return nil
+}
+
+// listVMs tells the nodes the VM list until the context ends.
+func (s *stage) listVMs(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, n := range s.nodes {
+				n.node.Control().Tell(s.list())
+			}
+		}
+	}
+}
+
+func (s *stage) list() control.VMList {
+	var vms []control.VM
+	for _, e := range s.site.Engines {
+		vms = append(vms, control.VM{ID: e.ID, Address: e.Address, Domain: fleet.Domain(e.Domain), Role: fleet.RoleEngine, Serves: e.Serves, Weights: e.Weights})
+	}
+	for _, v := range s.site.Stores {
+		vms = append(vms, control.VM{ID: v.ID, Address: v.Address, Domain: fleet.Domain(v.Domain), Role: fleet.RoleStore})
+	}
+	return control.VMList{VMs: vms}
+}
+
+func (s *stage) stop() {
+	s.cancel()
+	_ = s.site.Close()
+	s.client.CloseIdleConnections()
+}
+
+// linkBytes is what has crossed the links of all stores.
+func (s *stage) linkBytes() int64 {
+	var sum int64
+	for _, v := range s.site.Stores {
+		sum += v.Store.Stats().LinkBytes
+	}
+	return sum
+}
+
+func rulesOf(options Options, model string) *config.Rules {
+	profile := options.Profile
+	rules := &config.Rules{
+		Organisations: map[request.Organisation]config.Organisation{},
+		Tokens:        map[request.Digest]config.Token{},
+		Classes:       map[request.Class]config.Class{},
+		Models:        map[string]config.Model{model: {Weights: 1, Class: profile.Short.Name}},
+		Policy: config.Policy{
+			Placement:       options.Placement,
+			LinkPrice:       profile.LinkPrice,
+			ExportMinBlocks: profile.ExportMinBlocks,
+		},
+	}
+	for i := range profile.Shares {
+		rules.Organisations[organisationName(i)] = config.Organisation{}
+		rules.Tokens[sha256.Sum256([]byte(bearerToken(i)))] = config.Token{Organisation: organisationName(i)}
+	}
+	for _, class := range []workload.Class{profile.Short, profile.Long} {
+		rules.Classes[class.Name] = config.Class{Priority: class.Priority, Queue: classQueue, FirstToken: class.Goal}
+	}
+	return rules
+}
--- /dev/null
+++ b/bench/report/report.go
@@ -0,0 +1,172 @@
+// Package report sums up recordings as JSON, text tables and plots.
+package report
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"tanagerspread/bench/measure"
+)
+
+// The range of the histograms in microseconds and their precision.
+const (
+	maxMicroseconds   = int64(10 * time.Minute / time.Microsecond)
+	significantDigits = 3
+)
+
+// Latency is a time to first token in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Run is the summary of one recording.
+type Run struct {
+	Site   string  `json:"site"`
+	Policy string  `json:"policy"`
+	Fault  string  `json:"fault"`
+	Seed   uint64  `json:"seed"`
+	Load   float64 `json:"load"`
+	// Requests counts the arrivals, without those of a flood.
+	Requests int     `json:"requests"`
+	Short    Latency `json:"short"`
+	Long     Latency `json:"long"`
+	// Others is the short class of all but the largest organisation, OthersLong
+	// the long class.
+	Others     Latency `json:"others_short"`
+	OthersLong Latency `json:"others_long"`
+	// Recomputed is the share of prompt tokens that engines computed,
+	// Returning that of returning prompts, and Held that of returning prompts
+	// of which a store held all whole blocks.
+	Recomputed float64 `json:"recomputed"`
+	Returning  float64 `json:"recomputed_returning"`
+	Held       float64 `json:"recomputed_held"`
+	// HeldRequests is the number of requests behind Held.
+	HeldRequests int   `json:"held_requests"`
+	LinkBytes    int64 `json:"link_bytes"`
+	// Refusals counts results by code; code 0 is a broken connection.
+	Refusals map[int]int `json:"refusals"`
+	// FailedAttempts is per request and bounds the retries from above.
+	FailedAttempts float64 `json:"failed_attempts_per_request"`
+	Violations     int64   `json:"violations"`
+	// Goodput is the number of responses per second that met the goal of
+	// their class.
+	Goodput float64 `json:"goodput_per_s"`
+}
+
+// tokens counts prompt tokens and those that were computed.
+type tokens struct {
+	prompt   int
+	computed int
+}
+
+func (t *tokens) add(r measure.Result) {
+	t.prompt += r.Usage.PromptTokens
+	t.computed += r.Usage.PromptTokens - r.Usage.CachedTokens
+}
+
+func (t *tokens) share() float64 {
+	if t.prompt == 0 {
+		return 0
+	}
+	return float64(t.computed) / float64(t.prompt)
+}
+
+// counter sums up the results of one run.
+type counter struct {
+	run                             Run
+	short, long, others, othersLong *hdrhistogram.Histogram
+	all, returning, held            tokens
+	good                            int
+}
+
+// Summarize sums up one recording.
+func Summarize(recording *measure.Recording) Run {
+	o := recording.Options
+	c := &counter{
+		run: Run{
+			Site: o.Profile.Site, Policy: o.Placement, Fault: string(o.Fault), Seed: o.Seed, Load: o.Load,
+			LinkBytes: recording.LinkBytes, Violations: recording.Violations, Refusals: map[int]int{},
+		},
+		short: newHistogram(), long: newHistogram(), others: newHistogram(), othersLong: newHistogram(),
+	}
+	for _, result := range recording.Results {
+		c.add(result)
+	}
+	c.run.FailedAttempts = float64(recording.FailedAttempts) / float64(max(1, len(recording.Results)))
+	c.run.Goodput = float64(c.good) / o.Duration.Seconds()
+	c.run.Recomputed = c.all.share()
+	c.run.Returning = c.returning.share()
+	c.run.Held = c.held.share()
+	c.run.Short, c.run.Long = latencyOf(c.short), latencyOf(c.long)
+	c.run.Others, c.run.OthersLong = latencyOf(c.others), latencyOf(c.othersLong)
+	return c.run
+}
+
+func (c *counter) add(r measure.Result) {
+	if !r.Delivered {
+		c.run.Refusals[r.Code]++
+	}
+	if r.Arrival.Flooding {
+		return
+	}
+	c.run.Requests++
+	if !r.Delivered {
+		return
+	}
+	c.addLatency(r)
+	c.addTokens(r)
+	if r.FirstToken <= r.Arrival.Class.Goal {
+		c.good++
+	}
+}
+
+func (c *counter) addLatency(r measure.Result) {
+	all, others := c.short, c.others
+	if r.Arrival.Class.Priority > 0 {
+		all, others = c.long, c.othersLong
+	}
+	record(all, r.FirstToken)
+	if r.Arrival.Organisation > 0 {
+		record(others, r.FirstToken)
+	}
+}
+
+func (c *counter) addTokens(r measure.Result) {
+	c.all.add(r)
+	if !r.Arrival.Returning {
+		return
+	}
+	c.returning.add(r)
+	if r.Held >= r.PrefixTokens {
+		c.held.add(r)
+		c.run.HeldRequests++
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxMicroseconds, significantDigits)
+}
+
+// record cannot fail: a request ends before the largest value.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(d.Microseconds(), maxMicroseconds))
+}
+
+func latencyOf(h *hdrhistogram.Histogram) Latency {
+	return Latency{
+		Count: h.TotalCount(),
+		P50:   milliseconds(h.ValueAtQuantile(50)),
+		P95:   milliseconds(h.ValueAtQuantile(95)),
+		P99:   milliseconds(h.ValueAtQuantile(99)),
+		Max:   milliseconds(h.Max()),
+	}
+}
+
+func milliseconds(microseconds int64) float64 {
+	return float64(microseconds) / 1000
+}
--- /dev/null
+++ b/bench/workload/arrivals.go
@@ -0,0 +1,152 @@
+package workload
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"tanagerspread/core/cachekey"
+)
+
+// Options sets the arrivals of one run.
+type Options struct {
+	Profile Profile
+	Seed    uint64
+	// Engines scales the rates.
+	Engines int
+	// Load is the share of the profile's rates.
+	Load float64
+	// Flood multiplies the long prompts of the largest organisation between
+	// FloodFrom and FloodTo; 0 means no flood.
+	Flood     float64
+	FloodFrom time.Duration
+	FloodTo   time.Duration
+}
+
+// Arrival is one request of a caller.
+type Arrival struct {
+	// At is the time since the start of the run.
+	At           time.Duration
+	Organisation int
+	Class        *Class
+	// Document numbers the document that returns, or is -1.
+	Document int
+	// Returning is true when the document was sent before.
+	Returning bool
+	// Flooding is true for a request of a flood.
+	Flooding bool
+	number   int
+	blocks   int
+	tail     int
+}
+
+// document is one prompt that returns.
+type document struct {
+	organisation int
+	blocks       int
+	seen         bool
+}
+
+// Generator yields arrivals in order of time.
+type Generator struct {
+	options   Options
+	random    *rand.Rand
+	documents []document
+	now       time.Duration
+	number    int
+}
+
+// NewGenerator returns a generator that depends on nothing but its options.
+func NewGenerator(options Options) *Generator {
+	g := &Generator{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed))}
+	long := options.Profile.Long
+	for range options.Profile.Documents {
+		g.documents = append(g.documents, document{organisation: g.organisation(), blocks: g.between(long.MinBlocks, long.MaxBlocks)})
+	}
+	return g
+}
+
+// Next returns the next arrival. The gaps are exponential.
+func (g *Generator) Next() Arrival {
+	profile := &g.options.Profile
+	scale := float64(g.options.Engines) * g.options.Load
+	short, long, flood := profile.Short.Rate*scale, profile.Long.Rate*scale, g.floodRate(scale)
+	total := short + long + flood
+	g.now += time.Duration(g.random.ExpFloat64() / total * float64(time.Second))
+	g.number++
+	a := Arrival{At: g.now, Document: -1, number: g.number}
+	switch drawn := g.random.Float64() * total; {
+	case drawn < short:
+		a.Class = &profile.Short
+		a.Organisation = g.organisation()
+	case drawn < short+long:
+		a.Class = &profile.Long
+		g.pick(&a)
+	default:
+		a.Class = &profile.Long
+		a.Flooding = true
+		a.blocks = g.between(profile.Long.MinBlocks, profile.Long.MaxBlocks)
+	}
+	a.tail = g.between(a.Class.MinTail, a.Class.MaxTail)
+	return a
+}
+
+// floodRate is the rate of new prompts of the largest organisation.
+func (g *Generator) floodRate(scale float64) float64 {
+	if g.now < g.options.FloodFrom || g.now >= g.options.FloodTo {
+		return 0
+	}
+	return g.options.Flood * g.options.Profile.Long.Rate * scale
+}
+
+func (g *Generator) pick(a *Arrival) {
+	a.Document = g.random.IntN(len(g.documents))
+	d := &g.documents[a.Document]
+	a.Organisation = d.organisation
+	a.blocks = d.blocks
+	a.Returning = d.seen
+	d.seen = true
+}
+
+func (g *Generator) organisation() int {
+	sum := 0.0
+	for _, share := range g.options.Profile.Shares {
+		sum += share
+	}
+	drawn := g.random.Float64() * sum
+	for i, share := range g.options.Profile.Shares {
+		if drawn < share {
+			return i
+		}
+		drawn -= share
+	}
+	return 0
+}
+
+func (g *Generator) between(least, most int) int {
+	return least + g.random.IntN(most-least+1)
+}
+
+// Prompt returns the text of the prompt: one block that the organisation's
+// prompts of the class share, the blocks of the document, and a tail that is
+// new each time.
+func (a Arrival) Prompt() string {
+	var b strings.Builder
+	organisation := "organisation " + strconv.Itoa(a.Organisation)
+	fill(&b, organisation+" "+string(a.Class.Name)+" rules; ", cachekey.BlockBytes)
+	name := "arrival " + strconv.Itoa(a.number)
+	if a.Document >= 0 {
+		name = "document " + strconv.Itoa(a.Document)
+	}
+	for i := range a.blocks {
+		fill(&b, organisation+" "+name+" part "+strconv.Itoa(i)+"; ", cachekey.BlockBytes)
+	}
+	fill(&b, "question "+strconv.Itoa(a.number)+"; ", a.tail*cachekey.BytesPerToken)
+	return b.String()
+}
+
+func fill(b *strings.Builder, text string, length int) {
+	repeated := strings.Repeat(text, length/len(text)+1)
+	b.WriteString(repeated[:length])
+}
--- /dev/null
+++ b/bench/workload/profile.go
@@ -0,0 +1,98 @@
+// Package workload generates seeded arrivals in the shape of the current
+// sites.
+package workload
+
+import (
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/request"
+)
+
+// Class describes one class of the arrivals.
+type Class struct {
+	Name request.Class
+	// Priority orders classes; 0 is the most urgent.
+	Priority int
+	// Goal is the time to first token up to which a response counts as good.
+	Goal time.Duration
+	// Deadline is the deadline that callers set.
+	Deadline time.Duration
+	// Rate is in requests per second and engine at load 1.
+	Rate float64
+	// MaxTokens is the length of a response in tokens.
+	MaxTokens int
+	// MinBlocks and MaxBlocks bound the cache blocks of a document that
+	// returns; 0 means prompts that never return.
+	MinBlocks int
+	MaxBlocks int
+	// MinTail and MaxTail bound the prompt tokens behind the whole blocks.
+	MinTail int
+	MaxTail int
+}
+
+// Profile is the workload of one site.
+type Profile struct {
+	Site string
+	// Short is the urgent class, Long the class that can wait.
+	Short Class
+	Long  Class
+	// Documents is the number of documents that return.
+	Documents int
+	// Shares are the shares of the organisations, which need not add up to 1.
+	Shares []float64
+	// LinkPrice is the time that a transferred mebibyte is worth in the rules.
+	LinkPrice time.Duration
+	// ExportMinBlocks is the least number of blocks of an exported prompt.
+	ExportMinBlocks int
+}
+
+// shares has a few large organisations among ten.
+var shares = []float64{30, 20, 15, 10, 8, 5, 4, 3, 3, 2}
+
+// The link price of Ulan makes one block of 32,000 bytes cost 100 ms, half of
+// the time in which an engine computes it.
+const ulanLinkPrice = 3200 * time.Millisecond
+
+var profiles = map[string]Profile{
+	"derwent": {
+		Site:      "derwent",
+		Short:     short("check"),
+		Long:      long("review"),
+		Documents: 300,
+		Shares:    shares,
+	},
+	"ulan": {
+		Site:            "ulan",
+		Short:           short("quote"),
+		Long:            long("summary"),
+		Documents:       300,
+		Shares:          shares,
+		LinkPrice:       ulanLinkPrice,
+		ExportMinBlocks: 1,
+	},
+}
+
+func short(name request.Class) Class {
+	return Class{
+		Name: name, Goal: 1500 * time.Millisecond, Deadline: 10 * time.Second,
+		Rate: 2, MaxTokens: 4, MinTail: 200, MaxTail: 600,
+	}
+}
+
+func long(name request.Class) Class {
+	return Class{
+		Name: name, Priority: 1, Goal: 30 * time.Second, Deadline: 2 * time.Minute,
+		Rate: 0.8, MaxTokens: 16, MinBlocks: 2, MaxBlocks: 8, MinTail: 100, MaxTail: 400,
+	}
+}
+
+// ProfileOf returns the workload of a site. It returns code.SettingInvalid
+// for an unknown site.
+func ProfileOf(site string) (Profile, *code.Error) {
+	profile, known := profiles[site]
+	if !known {
+		return Profile{}, code.Newf(code.SettingInvalid, "no workload for site %q", site)
+	}
+	return profile, nil
+}
