control: learn the speed of prompt work per model

Cause: the placement assumed 20,000 prompt tokens per second. The engines of the measurement compute 10,000, so an import looked too slow too often, and its timeout was half of what the engine needed. Change: the time from sending to the first token, together with the prompt work of the server, gives the speed of the model's servers.

--- /dev/null
+++ b/bench/measure/run_test.go
@@ -0,0 +1,65 @@
+package measure_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/bench/measure"
+	"tanagerspread/bench/report"
+	"tanagerspread/bench/workload"
+	"tanagerspread/core/placement"
+)
+
+// measured returns the summary of a short run of a site.
+func measured(t *testing.T, site, policy string, fault measure.Fault) report.Run {
+	t.Helper()
+	profile, invalid := workload.ProfileOf(site)
+	if invalid != nil {
+		t.Fatal(invalid)
+	}
+	profile.Documents = 60
+	var run report.Run
+	synctest.Test(t, func(t *testing.T) {
+		recording, err := measure.Run(t.Context(), measure.Options{
+			Profile: profile, Placement: policy, Fault: fault, Seed: 1, Load: 0.3,
+			Engines: 3, Nodes: 2, WarmUp: time.Minute, Duration: 2 * time.Minute, PrefillRate: 10_000,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		run = report.Summarize(recording)
+	})
+	if run.Violations != 0 {
+		t.Errorf("%d invariants failed", run.Violations)
+	}
+	return run
+}
+
+// TestPoliciesDiffer guards against a measuring command that does not tell the
+// policies apart, and against a placement that uses neither caches nor stores.
+func TestPoliciesDiffer(t *testing.T) {
+	estimate := measured(t, "derwent", placement.NameEstimate, measure.NoFault)
+	roundRobin := measured(t, "derwent", placement.NameRoundRobin, measure.NoFault)
+	if estimate.Requests == 0 || estimate.Requests != roundRobin.Requests {
+		t.Errorf("requests: %d and %d on the same arrivals", estimate.Requests, roundRobin.Requests)
+	}
+	if estimate.Returning >= roundRobin.Returning {
+		t.Errorf("returning prompts recomputed: estimate %.3f, round-robin %.3f", estimate.Returning, roundRobin.Returning)
+	}
+	if estimate.LinkBytes == 0 {
+		t.Error("estimate used no link")
+	}
+}
+
+// TestFaultsTakeEffect guards against a fault that is not injected and against
+// a fault that ends the service.
+func TestFaultsTakeEffect(t *testing.T) {
+	killed := measured(t, "ulan", placement.NameEstimate, measure.EngineKilled)
+	if killed.FailedAttempts == 0 {
+		t.Error("the death of an engine failed no attempt")
+	}
+	if killed.Short.Count+killed.Long.Count < int64(killed.Requests)*9/10 {
+		t.Errorf("%d of %d requests delivered", killed.Short.Count+killed.Long.Count, killed.Requests)
+	}
+}
--- a/core/control/active.go
+++ b/core/control/active.go
@@ -54,6 +54,9 @@
 	// prefill is the part of the server's PrefillTokens that is due to the
 	// attempt; it is 0 after the first token.
 	prefill int
+	// backlog is the estimated prompt work of the server when the attempt was
+	// sent, including that of the attempt.
+	backlog int
 	// firstAt is when the first token arrived, or zero.
 	firstAt time.Time
 	// ownAtFirst is the server's PrefillTokens when the first token arrived.
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -11,8 +11,13 @@
 	"tanagerspread/core/retry"
 )
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+	// minSpeedTokens is the least prompt work of an attempt from which the
+	// speed of the model's servers is learned.
+	minSpeedTokens = 1000
+)
 
 // beginAttemptAt prepares the attempt that the chart's action then begins.
 func (s *State) beginAttemptAt(now time.Time, a *active, choice placement.Choice) {
@@ -93,18 +98,28 @@
 		return
 	}
 	s.fireAttempt(a, "connect", now)
+	a.attempt.backlog = int(a.attempt.server.Backlog(now))
 	s.reply(a.ID, Proceed{})
 }
 
 func (s *State) firstToken(now time.Time, m FirstToken) {
 	if a, ok := s.current(messageAttempt{m.Request, m.Attempt}); ok {
 		s.fireAttempt(a, "receive", now)
+		s.noteSpeed(a, m.After)
 		s.releasePrefill(a.attempt)
 		a.attempt.firstAt = now
 		a.attempt.ownAtFirst = a.attempt.server.PrefillTokens
 	}
 }
 
+// noteSpeed learns the speed of the model's servers. An attempt that computes
+// little says more about the queue than about the speed.
+func (s *State) noteSpeed(a *active, after time.Duration) {
+	if a.attempt.prefill >= minSpeedTokens {
+		a.attempt.server.Speed.Note(a.attempt.backlog, after)
+	}
+}
+
 // attemptDone ends an attempt and decides what follows.
 func (s *State) attemptDone(now time.Time, m AttemptDone) {
 	a, ok := s.current(messageAttempt{m.Request, m.Attempt})
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -184,7 +184,7 @@
 		Priority:      a.rank.Priority,
 		Source:        a.attempt.choice.Source,
 		Import:        a.attempt.choice.Plan,
-		ImportTimeout: importTime(a.PromptTokens),
+		ImportTimeout: importTime(a.attempt.server.Speed, a.PromptTokens),
 		DialTimeout:   s.charts.attempt.Timeout(tagOpens),
 		HeaderTimeout: s.charts.attempt.Timeout(tagAwaitsHeaders),
 		GapTimeout:    s.charts.attempt.Timeout(tagReceives),
--- a/core/control/transfers.go
+++ b/core/control/transfers.go
@@ -98,10 +98,10 @@
 		bytes += int64(block.Length)
 	}
 	s.correctLink(a.attempt, bytes)
-	queue := a.attempt.server.QueueTime(now) - fleet.PrefillTime(float64(a.attempt.prefill))
+	queue := a.attempt.server.QueueTime(now) - a.attempt.server.Speed.Time(float64(a.attempt.prefill))
 	delay := max(t.store.TransferTime(0)-queue, 0)
 	price := time.Duration(float64(bytes) / mebibyte * float64(s.rules.Policy.LinkPrice))
-	return delay+price < fleet.PrefillTime(float64(len(t.blocks)*cachekey.BlockTokens))
+	return delay+price < a.attempt.server.Speed.Time(float64(len(t.blocks)*cachekey.BlockTokens))
 }
 
 // importDone corrects the estimates of the store. A failed import only means
@@ -129,8 +129,8 @@
 
 // importTime bounds the import of an attempt by the time that the engine
 // would need to compute the prompt.
-func importTime(promptTokens int) time.Duration {
-	return min(max(fleet.PrefillTime(float64(promptTokens)), minImportTime), maxImportTime)
+func importTime(speed *fleet.Speed, promptTokens int) time.Duration {
+	return min(max(speed.Time(float64(promptTokens)), minImportTime), maxImportTime)
 }
 
 // considerExport commands the export of a delivered prompt's blocks when a
--- a/core/fleet/group.go
+++ b/core/fleet/group.go
@@ -15,6 +15,8 @@
 	Servers []*Server
 	// Hold is the smoothed time for which an attempt occupies a slot.
 	Hold time.Duration
+	// Speed is the learned speed of prompt work.
+	Speed *Speed
 }
 
 // holdWeight is the inverse weight of a new attempt in the smoothed hold time.
@@ -45,7 +47,7 @@
 }
 
 // Rebuild indexes the servers, which must be ordered by identifier. Groups
-// that still have servers keep their hold time.
+// that still have servers keep their hold time and speed.
 func (x *Index) Rebuild(servers []*Server) {
 	old := x.groups
 	x.groups = map[GroupKey]*Group{}
@@ -53,12 +55,14 @@
 		key := KeyOf(server)
 		group := x.groups[key]
 		if group == nil {
-			group = &Group{}
+			group = &Group{Speed: &Speed{}}
 			if before := old[key]; before != nil {
 				group.Hold = before.Hold
+				group.Speed = before.Speed
 			}
 			x.groups[key] = group
 		}
+		server.Speed = group.Speed
 		group.Servers = append(group.Servers, server)
 	}
 }
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// PrefillRate is the assumed speed of prompt work in tokens per second.
+	// PrefillRate is the assumed speed of prompt work in tokens per second
+	// before any attempt was observed.
 	PrefillRate = 20000
 	// loadHalfLife is the age at which half of a reported load still counts.
 	// Other nodes keep sending work, so a report is not simply worked off.
@@ -30,9 +31,13 @@
 // prompt: this node's prompt work, and the reported work of other nodes
 // discounted by the age of the report.
 func (s *Server) QueueTime(now time.Time) time.Duration {
+	return s.Speed.Time(s.Backlog(now))
+}
+
+// Backlog estimates the prompt tokens that the server has not computed yet.
+func (s *Server) Backlog(now time.Time) float64 {
 	others := max(s.Load.PrefillTokens-s.OwnAtReport, 0)
-	tokens := float64(s.PrefillTokens) + float64(others)*freshness(now.Sub(s.Load.ReportedAt))
-	return PrefillTime(tokens)
+	return float64(s.PrefillTokens) + float64(others)*freshness(now.Sub(s.Load.ReportedAt))
 }
 
 // Requests estimates the number of requests that the server has.
@@ -41,11 +46,6 @@
 	return float64(s.InFlight) + reported*freshness(now.Sub(s.Load.ReportedAt))
 }
 
-// PrefillTime returns the time that the prompt work of the tokens takes.
-func PrefillTime(tokens float64) time.Duration {
-	return time.Duration(tokens / PrefillRate * float64(time.Second))
-}
-
 func freshness(age time.Duration) float64 {
 	if age <= 0 {
 		return 1
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -43,6 +43,8 @@
 	// Weights is the weight version that the engine has loaded.
 	Weights int
 	Load    Load
+	// Speed is shared by all servers of the model, or nil.
+	Speed *Speed
 	// InFlight counts this node's own attempts on the server.
 	InFlight int
 	// PrefillTokens counts the uncached prompt tokens of this node's attempts
--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -103,7 +103,7 @@
 		}
 	}
 	prefill := max(float64(query.PromptTokens)-cached, 0)
-	total := on.queue + fleet.PrefillTime(prefill)
+	total := on.queue + on.server.Speed.Time(prefill)
 	return option{Choice{Server: on.server, Source: source, Prefill: int(prefill), FirstToken: total}, total}
 }
 
@@ -117,7 +117,7 @@
 	found := float64(missing) * store.HitShare
 	bytes := found * store.BlockBytes
 	prefill := max(float64(query.PromptTokens)-(float64(on.held)+found)*cachekey.BlockTokens, 0)
-	first := max(on.queue, store.TransferTime(bytes)) + fleet.PrefillTime(prefill)
+	first := max(on.queue, store.TransferTime(bytes)) + on.server.Speed.Time(prefill)
 	price := time.Duration(bytes / mebibyte * float64(linkPrice))
 	return option{Choice{Server: on.server, Source: Import, Prefill: int(prefill), FirstToken: first}, first + price}
 }
