fleet: measure the speed of a store's link over all transfers

Cause: the speed of a link was that of one transfer. Transfers share the link, so the estimate was too low by their number, and the pending transfers were then counted once more. An import stayed pending until the first token. Change: a node divides the bytes of all its transfers by the time in which any of them ran. An import is pending until it has ended. TestLinkRate fails with 45 bytes/s when the sums drop earlier windows. The property test loses a field that no longer exists.

--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -39,7 +39,7 @@
 		return
 	}
 	s.group(a).NoteHold(now.Sub(a.attempt.began))
-	s.releaseServer(a)
+	s.releaseServer(now, a)
 	a.attempt = nil
 }
 
--- a/core/control/holding.go
+++ b/core/control/holding.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"tanagerspread/core/invariant"
 )
 
@@ -10,18 +12,15 @@
 	at.server.InFlight++
 	at.prefill = at.choice.Prefill
 	at.server.PrefillTokens += at.prefill
-	if at.store != nil {
-		at.pending = at.choice.Plan.ExpectedBytes
-		at.store.PendingBytes += at.pending
-	}
 	if s.quarantine.Suspect(a.fingerprint) {
 		s.holdSuspect(a)
 	}
 }
 
 // releaseServer undoes holdServer.
-func (s *State) releaseServer(a *active) {
+func (s *State) releaseServer(now time.Time, a *active) {
 	at := a.attempt
+	s.releaseLink(now, at, 0)
 	at.server.InFlight--
 	s.releasePrefill(at)
 	if at.suspect {
@@ -35,20 +34,29 @@
 	s.options.Checker.Check(notNegative, invariant.CountsNotNegative, "server %s", at.server.ID)
 }
 
-// releasePrefill ends the prompt work of an attempt and its use of a link.
+// releasePrefill ends the prompt work of an attempt.
 func (s *State) releasePrefill(at *attempt) {
 	at.server.PrefillTokens -= at.prefill
 	at.prefill = 0
-	s.releaseLink(at)
 }
 
-// releaseLink ends the use of a store's link by an import.
-func (s *State) releaseLink(at *attempt) {
-	if at.store != nil {
-		at.store.PendingBytes -= at.pending
-		s.options.Checker.Check(at.store.PendingBytes >= 0, invariant.CountsNotNegative, "store %s", at.store.ID)
-		at.store = nil
+// holdLink counts the import of an attempt on the link of its store.
+func (s *State) holdLink(now time.Time, at *attempt) {
+	at.pending = at.choice.Plan.ExpectedBytes
+	at.store.PendingBytes += at.pending
+	at.store.BeginTransfer(now)
+}
+
+// releaseLink undoes holdLink after the given number of bytes. It changes
+// nothing when the import has already ended.
+func (s *State) releaseLink(now time.Time, at *attempt, bytes int64) {
+	if at.store == nil {
+		return
 	}
+	at.store.PendingBytes -= at.pending
+	s.options.Checker.Check(at.store.PendingBytes >= 0, invariant.CountsNotNegative, "store %s", at.store.ID)
+	at.store.EndTransfer(now, bytes)
+	at.store = nil
 }
 
 // correctLink replaces the expected bytes of an import by the found ones.
--- a/core/control/property_test.go
+++ b/core/control/property_test.go
@@ -190,7 +190,7 @@
 func (x *traffic) report(t *rapid.T) {
 	store := fleet.ServerID(fmt.Sprintf("store-%04d", rapid.IntRange(0, 1).Draw(t, "store")))
 	x.send(StoreReport{Store: store, Failed: rapid.Bool().Draw(t, "failed"), Full: rapid.Bool().Draw(t, "full"),
-		Transfer: fleet.Transfer{Planned: 2, Found: 1, Bytes: 1 << 20, Took: time.Second}})
+		Transfer: fleet.Transfer{Planned: 2, Found: 1, Bytes: 1 << 20}})
 }
 
 func (x *traffic) gossip(t *rapid.T) {
--- a/core/control/transfers.go
+++ b/core/control/transfers.go
@@ -66,6 +66,7 @@
 		store:    a.attempt.store,
 		keys:     a.prefix,
 	}
+	s.holdLink(now, a.attempt)
 }
 
 // importFound decides which of the found blocks an engine may read.
@@ -113,7 +114,7 @@
 	}
 	t := a.attempt.importing
 	a.attempt.importing = nil
-	s.releaseLink(a.attempt)
+	s.releaseLink(now, a.attempt, m.Bytes)
 	if m.Failed {
 		s.fireImport(t, "fail", now)
 		s.exports.Forget(t.keys)
@@ -122,7 +123,7 @@
 	}
 	s.storeReport(now, StoreReport{
 		Store:    t.store.ID,
-		Transfer: fleet.Transfer{Planned: len(t.keys), Found: len(t.blocks), Moved: m.Moved, Bytes: m.Bytes, Took: m.Took},
+		Transfer: fleet.Transfer{Planned: len(t.keys), Found: len(t.blocks), Moved: m.Moved, Bytes: m.Bytes},
 		Failed:   m.StoreFailed,
 	})
 }
@@ -149,6 +150,7 @@
 		return
 	}
 	id := s.exportID()
+	store.BeginTransfer(now)
 	s.transfers[id] = &transfer{position: s.charts.blockExport.Start(now), store: store, keys: keys}
 	s.command(ExportBlocks{
 		ID:            id,
@@ -176,7 +178,7 @@
 	t.whole = kvcache.Whole(t.keys, m.Blocks)
 	s.fireExport(t, "written", now)
 	if !t.position.Is(tagMaySeal) {
-		s.endExport(m.ID)
+		s.endExport(now, m.ID, 0)
 		s.refuse(m.ID, code.BlockInvalid, "the written blocks are not the wanted ones")
 		return
 	}
@@ -194,16 +196,17 @@
 		event = "sealed"
 	}
 	s.fireExport(t, event, now)
-	s.endExport(m.ID)
+	s.endExport(now, m.ID, m.Bytes)
 	s.storeReport(now, StoreReport{
 		Store:    t.store.ID,
-		Transfer: fleet.Transfer{Found: len(t.blocks), Moved: m.Moved, Bytes: m.Bytes, Took: m.Took},
+		Transfer: fleet.Transfer{Found: len(t.blocks), Moved: m.Moved, Bytes: m.Bytes},
 		Failed:   m.StoreFailed,
 		Full:     m.StoreFull,
 	})
 }
 
-func (s *State) endExport(id request.ID) {
+func (s *State) endExport(now time.Time, id request.ID, bytes int64) {
+	s.transfers[id].store.EndTransfer(now, bytes)
 	delete(s.transfers, id)
 	s.exports.End()
 }
@@ -212,7 +215,7 @@
 func (s *State) expireTransfers(now time.Time) {
 	for id, t := range s.transfers {
 		if expired, _ := s.charts.blockExport.Expire(&t.position, t, now); expired {
-			s.endExport(id)
+			s.endExport(now, id, 0)
 		}
 	}
 }
--- a/core/fleet/estimate_test.go
+++ b/core/fleet/estimate_test.go
@@ -24,3 +24,24 @@
 		t.Errorf("speed without observations: %f", none.Rate())
 	}
 }
+
+// TestLinkRate guards against a link that looks slow because its transfers
+// share it, and against idle time that counts as transfer time.
+func TestLinkRate(t *testing.T) {
+	const rate = 1000
+	s := NewStore("s")
+	now := start
+	for range 50 {
+		for range 4 {
+			s.BeginTransfer(now)
+		}
+		now = now.Add(4 * time.Second)
+		for range 4 {
+			s.EndTransfer(now, rate)
+		}
+		now = now.Add(time.Minute)
+	}
+	if s.LinkRate < 0.95*rate || s.LinkRate > 1.05*rate {
+		t.Errorf("link rate %f, want about %d", s.LinkRate, rate)
+	}
+}
--- a/core/fleet/store.go
+++ b/core/fleet/store.go
@@ -36,6 +36,8 @@
 	BlockBytes float64
 	// HitShare is the estimated share of planned blocks that the store has.
 	HitShare float64
+	// link measures the speed of the link.
+	link linkMeter
 	// measured is true after the first transfer.
 	measured bool
 	// ListedLeaving is true while the VM list says that the VM is leaving.
@@ -52,7 +54,6 @@
 	// Moved counts the blocks that crossed the link, Bytes their size.
 	Moved int
 	Bytes int64
-	Took  time.Duration
 }
 
 // NewStore returns a store without measurements.
@@ -65,21 +66,31 @@
 	if t.Planned > 0 {
 		s.HitShare = max(smooth(s.HitShare, float64(t.Found)/float64(t.Planned)), minHitShare)
 	}
-	if t.Moved > 0 && t.Bytes > 0 && t.Took > 0 {
-		s.noteLink(float64(t.Bytes)/float64(t.Moved), float64(t.Bytes)/t.Took.Seconds())
+	if t.Moved > 0 && t.Bytes > 0 {
+		s.noteBlocks(float64(t.Bytes) / float64(t.Moved))
 	}
 }
 
-// noteLink replaces the assumed size and speed by the first measurement.
-func (s *Store) noteLink(blockBytes, linkRate float64) {
+// noteBlocks replaces the assumed size by the first measurement.
+func (s *Store) noteBlocks(blockBytes float64) {
 	if !s.measured {
 		s.measured = true
 		s.BlockBytes = blockBytes
-		s.LinkRate = linkRate
 		return
 	}
 	s.BlockBytes = smooth(s.BlockBytes, blockBytes)
-	s.LinkRate = smooth(s.LinkRate, linkRate)
+}
+
+// BeginTransfer counts a transfer of this node on the link.
+func (s *Store) BeginTransfer(now time.Time) {
+	s.link.begin(now)
+}
+
+// EndTransfer ends a transfer that moved the given number of bytes.
+func (s *Store) EndTransfer(now time.Time, bytes int64) {
+	if rate, measured := s.link.end(now, bytes); measured {
+		s.LinkRate = rate
+	}
 }
 
 // TransferTime estimates the time to transfer the bytes behind the transfers
