node/blocks: write a manifest for each prefix of an exported prompt

Cause: a store that receives a block again drops the manifests that list the old copy. Prompts of one organisation share their first blocks, but only the whole prompt had a manifest, so each export wrote the shared blocks again and made the other prompts unusable. Change: an export writes a manifest for each prefix that the store did not list. An export of n blocks then writes at most n manifests. TestSharedPrefix finds 0 cached tokens without the change.

--- a/node/blocks/exporter.go
+++ b/node/blocks/exporter.go
@@ -69,7 +69,8 @@
 	done := control.ExportDone{ID: order.ID}
 	manifest, reply, err := e.write(ctx, client, order)
 	if err == nil {
-		err = e.seal(ctx, client, order, manifest)
+		found := len(manifest.Blocks) - len(reply.Written)
+		err = e.seal(ctx, client, order, manifest, found)
 	}
 	done.Moved = reply.Moved
 	done.Bytes = reply.Bytes
@@ -101,14 +102,13 @@
 	if reply.Code != 0 {
 		return manifest, reply, code.New(code.Code(reply.Code), reply.Detail)
 	}
-	manifest.Key = keys[len(keys)-1]
 	manifest.Blocks = append(manifest.Blocks, reply.Written...)
 	return manifest, reply, nil
 }
 
 // seal asks the control thread whether the written blocks are the wanted ones
-// and writes the manifest.
-func (e *Exporter) seal(ctx context.Context, client *store.Client, order control.ExportBlocks, manifest store.Manifest) *code.Error {
+// and writes the manifests behind the number of blocks that were found.
+func (e *Exporter) seal(ctx context.Context, client *store.Client, order control.ExportBlocks, manifest store.Manifest, found int) *code.Error {
 	decision, err := e.control.Ask(ctx, control.ExportWritten{ID: order.ID, Blocks: decodeBlocks(manifest.Blocks)})
 	if err != nil {
 		return err
@@ -116,5 +116,19 @@
 	if _, ok := decision.(control.Proceed); !ok {
 		return code.New(code.BlockInvalid, "the written blocks are not the wanted ones")
 	}
-	return client.PutManifest(ctx, manifest)
+	return e.sealPrefixes(ctx, client, manifest, found)
+}
+
+// sealPrefixes writes a manifest for each prefix that the store did not list.
+// Another prompt with the same beginning then finds the shared blocks and does
+// not write them again, which would make the store drop the manifests that
+// list them.
+func (e *Exporter) sealPrefixes(ctx context.Context, client *store.Client, manifest store.Manifest, found int) *code.Error {
+	for n := found + 1; n <= len(manifest.Blocks); n++ {
+		prefix := store.Manifest{Key: manifest.Blocks[n-1].Key, Blocks: manifest.Blocks[:n]}
+		if err := client.PutManifest(ctx, prefix); err != nil {
+			return err
+		}
+	}
+	return nil
 }
