control: keep long prompts that can wait in the queue of the node

Cause: an engine shares its speed between all prompts in progress. During a flood of long prompts of one organisation the engines filled up, and neither urgent requests nor fair queueing could overtake what was already sent. Change: a class that can wait is sent to a server only while the server has at most 0.5 s of known prompt work; a first token offers the place again. TestLongPromptsWaitOnNode fails without the limit.

--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -109,6 +109,7 @@
 		s.releasePrefill(a.attempt)
 		a.attempt.firstAt = now
 		a.attempt.ownAtFirst = a.attempt.server.PrefillTokens
+		s.assignQueued(now)
 	}
 }
 
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -12,6 +12,10 @@
 	"tanagerspread/core/request"
 )
 
+// maxSharedWork is the prompt work of a server, as the time that it takes, up
+// to which the server receives requests that can wait.
+const maxSharedWork = 500 * time.Millisecond
+
 // place queues a request and assigns it at once when a server has room.
 func (s *State) place(now time.Time, m Place) {
 	a, ok := s.requests[m.Request]
@@ -214,7 +218,7 @@
 		if suspect && server.Suspects > 0 {
 			continue
 		}
-		if server.ReceivesWork() && server.HasRoom(s.options.ServerSlots) {
+		if server.ReceivesWork() && server.HasRoom(s.options.ServerSlots) && mayAddWork(now, a, server) {
 			s.scratch = append(s.scratch, server)
 		}
 	}
@@ -224,6 +228,13 @@
 	return s.scratch
 }
 
+// mayAddWork reports whether the request may add to the prompt work of a server.
+// An engine shares its speed between all prompts, so a request that can wait
+// does so in the queue of the node, where urgent ones overtake it.
+func mayAddWork(now time.Time, a *active, server *fleet.Server) bool {
+	return a.rank.Priority == 0 || server.QueueTime(now) <= maxSharedWork
+}
+
 // canServe reports whether any server could take the request once it has
 // room. When only servers are left that failed an attempt of the request, it
 // may go to them again.
