placement: tell prompts apart by their second block

Cause: stores, preferred servers and the memory of recent prompts were keyed by the first block. Prompts of one organisation share it, so all of them used one store, and the memory kept the last three of them. Change: the second block, or the only one, is the key. A prompt that grows keeps its store from two blocks on. TestSharedFirstBlock fails with the first block as the key, TestGrownPrompt with the last one.

--- a/core/control/transfers.go
+++ b/core/control/transfers.go
@@ -141,7 +141,7 @@
 	if len(keys) < max(1, s.rules.Policy.ExportMinBlocks) || !server.ReceivesWork() {
 		return
 	}
-	store := placement.ExportStore(keys[0], s.storeList)
+	store := placement.ExportStore(placement.Anchor(a.prefix), s.storeList)
 	if store == nil {
 		return
 	}
--- /dev/null
+++ b/core/placement/anchor_test.go
@@ -0,0 +1,40 @@
+package placement
+
+import (
+	"testing"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/fleet"
+)
+
+// TestSharedFirstBlock guards against prompts with the same first block that
+// all use one store or replace each other in the memory of recent prompts.
+func TestSharedFirstBlock(t *testing.T) {
+	stores := []*fleet.Store{store("store-a"), store("store-b")}
+	recent := NewRecent()
+	used := map[fleet.ServerID]bool{}
+	for i := range byte(20) {
+		prefix := []cachekey.Key{{1}, {2, i}, {3, i}}
+		used[ExportStore(Anchor(prefix), stores).ID] = true
+		recent.Note(now, prefix, "s")
+	}
+	if len(used) != len(stores) {
+		t.Errorf("20 prompts use %d stores", len(used))
+	}
+	for i := range byte(20) {
+		if got := recent.Blocks(now, []cachekey.Key{{1}, {2, i}, {3, i}}, "s"); got != 3 {
+			t.Errorf("prompt %d: %d blocks remembered", i, got)
+		}
+	}
+}
+
+// TestGrownPrompt guards against a prompt that has grown and is looked for at
+// another store than the one that holds its beginning.
+func TestGrownPrompt(t *testing.T) {
+	grown := keys(1, 8)
+	for n := 2; n <= len(grown); n++ {
+		if Anchor(grown[:n]) != Anchor(grown) {
+			t.Errorf("%d blocks have another anchor than %d", n, len(grown))
+		}
+	}
+}
--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -44,7 +44,7 @@
 	var store *fleet.Store
 	if len(query.Prefix) > 0 {
 		preferred = Preferred(query, view.Servers)
-		store = ImportStore(query.Prefix[0], view.Stores)
+		store = ImportStore(Anchor(query.Prefix), view.Stores)
 	}
 	var best option
 	fewest := 0.0
--- a/core/placement/recent.go
+++ b/core/placement/recent.go
@@ -28,7 +28,7 @@
 // hint: a server may have dropped the blocks.
 type Recent struct {
 	places map[cachekey.Key]*[recentPlaces]place
-	// ring lists the remembered root blocks; the oldest one is replaced.
+	// ring lists the remembered anchors; the oldest one is replaced.
 	ring []cachekey.Key
 	next int
 }
@@ -43,7 +43,7 @@
 	if len(prefix) == 0 {
 		return
 	}
-	places := r.entry(prefix[0])
+	places := r.entry(Anchor(prefix))
 	slot := 0
 	for i := range places {
 		if places[i].server == server {
@@ -57,19 +57,19 @@
 	places[slot] = place{server: server, last: prefix[len(prefix)-1], blocks: len(prefix), at: now}
 }
 
-func (r *Recent) entry(root cachekey.Key) *[recentPlaces]place {
-	if places, known := r.places[root]; known {
+func (r *Recent) entry(anchor cachekey.Key) *[recentPlaces]place {
+	if places, known := r.places[anchor]; known {
 		return places
 	}
 	if len(r.ring) < recentPrefixes {
-		r.ring = append(r.ring, root)
+		r.ring = append(r.ring, anchor)
 	} else {
 		delete(r.places, r.ring[r.next])
-		r.ring[r.next] = root
+		r.ring[r.next] = anchor
 		r.next = (r.next + 1) % recentPrefixes
 	}
 	places := &[recentPlaces]place{}
-	r.places[root] = places
+	r.places[anchor] = places
 	return places
 }
 
@@ -85,12 +85,13 @@
 }
 
 // Blocks returns how many leading blocks of the prefix the server is expected
-// to hold. Prompts that share only their root block count as one block.
+// to hold. Prompts that share only the blocks up to their anchor count as that
+// many blocks.
 func (r *Recent) Blocks(now time.Time, prefix []cachekey.Key, server fleet.ServerID) int {
 	if r == nil || len(prefix) == 0 {
 		return 0
 	}
-	places, known := r.places[prefix[0]]
+	places, known := r.places[Anchor(prefix)]
 	if !known {
 		return 0
 	}
@@ -102,7 +103,7 @@
 		if p.blocks <= len(prefix) && prefix[p.blocks-1] == p.last {
 			return p.blocks
 		}
-		return 1
+		return anchorIndex(prefix) + 1
 	}
 	return 0
 }
@@ -110,7 +111,7 @@
 // Age returns how long ago the prefix was sent to the server, or recentAge
 // when it is not remembered.
 func (r *Recent) Age(now time.Time, prefix []cachekey.Key, server fleet.ServerID) time.Duration {
-	places, known := r.places[prefix[0]]
+	places, known := r.places[Anchor(prefix)]
 	if !known {
 		return recentAge
 	}
--- a/core/placement/rendezvous.go
+++ b/core/placement/rendezvous.go
@@ -14,6 +14,22 @@
 // hashInputBytes is the capacity for a key and an identifier on the stack.
 const hashInputBytes = 128
 
+// anchorDepth is the index of the block by which prompts are told apart. The
+// first block is often the same in all prompts of an organisation, and would
+// send them all to one store. A later one would move a prompt that has grown
+// past it to another store.
+const anchorDepth = 1
+
+// Anchor returns the key that stands for a prompt in rendezvous hashes. The
+// prefix must not be empty.
+func Anchor(prefix []cachekey.Key) cachekey.Key {
+	return prefix[anchorIndex(prefix)]
+}
+
+func anchorIndex(prefix []cachekey.Key) int {
+	return min(anchorDepth, len(prefix)-1)
+}
+
 // Preferred returns the preferred servers of the query's prefix, best first.
 // The result has nil entries when there are fewer servers. The prefix must
 // not be empty.
@@ -24,7 +40,7 @@
 		if avoided(query, server) {
 			continue
 		}
-		candidate, weight := server, Weight(query.Prefix[0], server.ID)
+		candidate, weight := server, Weight(Anchor(query.Prefix), server.ID)
 		for i := range best {
 			if best[i] == nil || weight > weights[i] {
 				best[i], candidate = candidate, best[i]
@@ -40,24 +56,24 @@
 
 // ImportStore returns the store from which the blocks of a prefix are
 // imported, or nil when all stores are down.
-func ImportStore(root cachekey.Key, stores []*fleet.Store) *fleet.Store {
-	return firstStore(root, stores, (*fleet.Store).Readable)
+func ImportStore(anchor cachekey.Key, stores []*fleet.Store) *fleet.Store {
+	return firstStore(anchor, stores, (*fleet.Store).Readable)
 }
 
 // ExportStore returns the store to which the blocks of a prefix are exported,
 // or nil when all stores are down or full.
-func ExportStore(root cachekey.Key, stores []*fleet.Store) *fleet.Store {
-	return firstStore(root, stores, (*fleet.Store).Writable)
+func ExportStore(anchor cachekey.Key, stores []*fleet.Store) *fleet.Store {
+	return firstStore(anchor, stores, (*fleet.Store).Writable)
 }
 
-func firstStore(root cachekey.Key, stores []*fleet.Store, usable func(*fleet.Store) bool) *fleet.Store {
+func firstStore(anchor cachekey.Key, stores []*fleet.Store, usable func(*fleet.Store) bool) *fleet.Store {
 	var best *fleet.Store
 	var highest uint64
 	for _, store := range stores {
 		if !usable(store) {
 			continue
 		}
-		weight := Weight(root, store.ID)
+		weight := Weight(anchor, store.ID)
 		if best == nil || weight > highest {
 			best = store
 			highest = weight
@@ -67,9 +83,9 @@
 }
 
 // Weight is the rendezvous hash of a prefix and a server or store.
-func Weight(root cachekey.Key, id fleet.ServerID) uint64 {
+func Weight(anchor cachekey.Key, id fleet.ServerID) uint64 {
 	var space [hashInputBytes]byte
-	input := append(space[:0], root[:]...)
+	input := append(space[:0], anchor[:]...)
 	input = append(input, id...)
 	return xxhash.Sum64(input)
 }
