core/order: issue orders to engines under a fenced lease

Engines get new weights only by hand so far. Three chart files describe the issuer, one order and one rollout.

New requests use the wanted weight version once half of the engines have it and the version of most engines until then.

--- a/core/config/rules.go
+++ b/core/config/rules.go
@@ -58,7 +58,12 @@
 type Model struct {
 	// Weights is the weight version that new requests use.
 	Weights int
-	Class   request.Class
+	// Adapter is the adapter of the engines; empty means none. It changes only
+	// together with Weights.
+	Adapter string
+	// Role is what the engines do; empty leaves their role as it is.
+	Role  string
+	Class request.Class
 }
 
 // Service describes one plain service.
--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -106,7 +106,13 @@
 		return code.New(code.UnknownModel, "no rule defines the model")
 	}
 	a.class = model.Class
-	a.scope = cachekey.Scope{Organisation: string(a.organisation), Model: a.Route.Name, Weights: model.Weights}
+	weights := s.orders.serving[a.Route.Name]
+	a.scope = cachekey.Scope{
+		Organisation: string(a.organisation),
+		Model:        a.Route.Name,
+		Adapter:      s.orders.adapters[a.Route.Name][weights],
+		Weights:      weights,
+	}
 	return nil
 }
 
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -82,7 +82,8 @@
 		s.refuse(m.Request, code.DeadlinePassedNotRun, "the deadline passed while the connection was opened")
 		return
 	}
-	if a.attempt.server.Chart.Is(fleet.TagLeaves) || s.quarantine.Quarantined(a.fingerprint) {
+	mayRun := !a.attempt.server.Chart.Is(fleet.TagLeaves) && s.sameWeights(a, a.attempt.server)
+	if !mayRun || s.quarantine.Quarantined(a.fingerprint) {
 		// The asker closes the connection and reports a failed dial.
 		a.attempt.denied = true
 		s.refuse(m.Request, code.DialRefused, "the request may no longer be sent to the backend server")
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -9,6 +9,7 @@
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
 	"tanagerspread/core/membership"
+	"tanagerspread/core/order"
 )
 
 // machines holds the compiled chart of each kind of object.
@@ -18,6 +19,9 @@
 	attempt     *chart.Machine[*active]
 	server      *chart.Machine[*fleet.Server]
 	store       *chart.Machine[*fleet.Store]
+	issuer      *chart.Machine[*State]
+	order       *chart.Machine[*order.Order]
+	rollout     *chart.Machine[*order.Rollout]
 	node        *chart.Machine[*State]
 	blockImport *chart.Machine[*transfer]
 	blockExport *chart.Machine[*transfer]
@@ -44,6 +48,9 @@
 	if s.charts.store, err = load(files, "store", chart.Bindings[*fleet.Store]{Tags: []chart.Tag{fleet.TagReadable, fleet.TagWritable}}); err != nil {
 		return err
 	}
+	if err = s.loadOrderCharts(files); err != nil {
+		return err
+	}
 	if s.charts.node, err = load(files, "node", nodeBindings()); err != nil {
 		return err
 	}
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -86,6 +86,9 @@
 	s.journal.rules = rules
 	s.journal.version = s.version
 	s.applyServerRules(now)
+	s.noteAdapters()
+	s.updateServing()
+	s.syncEngines(now)
 	s.fireNode("configure", now)
 	s.command(ConfigInForce{Version: s.version, Author: current.Author})
 	s.assignQueued(now)
--- a/core/control/dump.go
+++ b/core/control/dump.go
@@ -23,6 +23,7 @@
 	// Suspects and Quarantined count fingerprints.
 	Suspects    int
 	Quarantined int
+	Orders      OrdersDump
 	Decisions   []Record
 }
 
@@ -63,6 +64,7 @@
 		Version:   s.version,
 		Waiting:   s.queue.Len(),
 		Budget:    s.budget.Left(),
+		Orders:    s.dumpOrders(),
 		Decisions: s.journal.list(),
 	}
 	d.Suspects, d.Quarantined = s.quarantine.Counts()
--- a/core/control/fleetmessage.go
+++ b/core/control/fleetmessage.go
@@ -168,6 +168,8 @@
 		s.reply(m.ID, DigestAnswer{Digest: s.digest(now, true)})
 	case AskConfig:
 		s.reply(m.ID, ConfigAnswer{Current: s.configuration.current})
+	case OrderMessage:
+		s.decideOrders(now, m)
 	case LeaseResult:
 		s.leaseResult(now, m)
 	default:
--- /dev/null
+++ b/core/control/ordercharts.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"io/fs"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/event"
+	"tanagerspread/core/order"
+)
+
+// loadOrderCharts loads the charts of the issuer, the orders and the rollouts.
+func (s *State) loadOrderCharts(files fs.FS) error {
+	var err error
+	if s.charts.issuer, err = load(files, "issuer", s.issuerBindings()); err != nil {
+		return err
+	}
+	if s.charts.order, err = load(files, "order", s.orderBindings()); err != nil {
+		return err
+	}
+	s.charts.rollout, err = load(files, "rollout", s.rolloutBindings())
+	return err
+}
+
+func (s *State) issuerBindings() chart.Bindings[*State] {
+	return chart.Bindings[*State]{
+		Guards: map[string]func(*State, time.Time) bool{
+			"may_hold": s.mayHold,
+			"settled":  s.settled,
+		},
+		Actions: map[string]func(*State, time.Time){
+			"read_key":     s.readKey,
+			"grant_lease":  func(*State, time.Time) { s.issuerStep(IssuerGrant) },
+			"claim_key":    func(*State, time.Time) { s.issuerStep(IssuerClaim) },
+			"renew_lease":  func(*State, time.Time) { s.issuerStep(IssuerRenew) },
+			"begin_term":   s.beginTerm,
+			"choose_fence": s.chooseFence,
+			"end_term":     s.endTerm,
+		},
+	}
+}
+
+func (s *State) orderBindings() chart.Bindings[*order.Order] {
+	return chart.Bindings[*order.Order]{
+		Guards: map[string]func(*order.Order, time.Time) bool{
+			"overdue":         func(o *order.Order, now time.Time) bool { return o.Overdue(now) },
+			"deadline_passed": func(o *order.Order, now time.Time) bool { return !now.Before(o.Deadline) },
+		},
+		Actions: map[string]func(*order.Order, time.Time){
+			"send":         s.send,
+			"read_back":    s.readBack,
+			"note_done":    s.noteDone,
+			"note_failed":  s.noteFailed,
+			"note_refused": s.noteRefused,
+		},
+	}
+}
+
+func (s *State) rolloutBindings() chart.Bindings[*order.Rollout] {
+	return chart.Bindings[*order.Rollout]{
+		Actions: map[string]func(*order.Rollout, time.Time){
+			"note_started":  s.rolloutLogger(event.RolloutStarted),
+			"note_stalled":  s.rolloutLogger(event.RolloutStalled),
+			"note_complete": s.rolloutLogger(event.RolloutComplete),
+		},
+	}
+}
+
+func (s *State) rolloutLogger(e event.Event) func(*order.Rollout, time.Time) {
+	return func(r *order.Rollout, _ time.Time) {
+		c := r.Counts
+		s.log(e, "model", r.Model, "weights", r.Wanted.Weights, "live", c.Live, "done", c.Met, "out", c.Out)
+	}
+}
--- /dev/null
+++ b/core/control/ordermessage.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/event"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/order"
+)
+
+// OrderMessage is a message about orders to engines.
+type OrderMessage interface {
+	Message
+	orderMessage()
+}
+
+// IssuerStep is one call of the key-value service by which a node becomes or
+// stays the issuer of orders.
+type IssuerStep string
+
+// The steps of an issuer.
+const (
+	// IssuerLook reads whether the key is held.
+	IssuerLook IssuerStep = "look"
+	// IssuerGrant creates a lease.
+	IssuerGrant IssuerStep = "grant"
+	// IssuerClaim creates the key under the lease.
+	IssuerClaim IssuerStep = "claim"
+	// IssuerRenew extends the lease.
+	IssuerRenew IssuerStep = "renew"
+)
+
+// IssuerResult reports the end of an IssuerCommand.
+type IssuerResult struct {
+	Step    IssuerStep
+	Attempt uint64
+	// Asked is when the call was made.
+	Asked time.Time
+	// Held is true when another claim holds the key.
+	Held  bool
+	Lease string
+	// Revision is the revision of the claimed key.
+	Revision uint64
+	// Err is why the call failed, or nil.
+	Err *code.Error
+}
+
+// EngineStatus reports the end of a SendOrder or ReadEngine.
+type EngineStatus struct {
+	Engine fleet.ServerID
+	Call   uint64
+	Status order.Status
+	// Err is code.OrderRefused for an old fencing number, another code when no
+	// status arrived, or nil.
+	Err *code.Error
+}
+
+func (IssuerResult) message()      {}
+func (IssuerResult) orderMessage() {}
+func (EngineStatus) message()      {}
+func (EngineStatus) orderMessage() {}
+
+// IssuerCommand orders one step of the selection of the issuer. It is
+// followed by IssuerResult.
+type IssuerCommand struct {
+	Step    IssuerStep
+	Attempt uint64
+	Node    string
+	Lease   string
+}
+
+// SendOrder sends an order to an engine. It is followed by EngineStatus.
+type SendOrder struct {
+	Engine  fleet.ServerID
+	Address string
+	Call    uint64
+	ID      string
+	Fencing uint64
+	Desired order.Desired
+	// Deadline is when the engine must give up the order.
+	Deadline time.Time
+	// NotAfter is when the order may no longer be sent, because the lease may
+	// have been taken over.
+	NotAfter time.Time
+}
+
+// ReadEngine reads the state of an engine. It is followed by EngineStatus.
+type ReadEngine struct {
+	Engine  fleet.ServerID
+	Address string
+	Call    uint64
+}
+
+// LogOrder logs an event of the issuer.
+type LogOrder struct {
+	Event  event.Event
+	Fields []any
+}
+
+func (IssuerCommand) command() {}
+func (SendOrder) command()     {}
+func (ReadEngine) command()    {}
+func (LogOrder) command()      {}
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -31,6 +31,8 @@
 	}
 	s.orderServers()
 	s.applyServerRules(now)
+	s.updateServing()
+	s.syncEngines(now)
 	s.assignQueued(now)
 }
 
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -44,6 +44,8 @@
 	// DrainDelay replaces the timeout of the chart's state unready when it is
 	// positive.
 	DrainDelay time.Duration
+	// Issuer is true when the node may become the issuer of orders to engines.
+	Issuer bool
 }
 
 // State is the control state of one node.
@@ -79,6 +81,7 @@
 	exportCount uint64
 	// suspectRuns counts the running attempts of each suspect fingerprint.
 	suspectRuns map[quarantine.Fingerprint]int
+	orders      orders
 	policy      placement.Policy
 	journal     journal
 	records     *once.Book
@@ -109,6 +112,7 @@
 		exports:     kvcache.NewExports(),
 		transfers:   map[request.ID]*transfer{},
 		suspectRuns: map[quarantine.Fingerprint]int{},
+		orders:      newOrders(),
 		policy:      placement.Estimate{},
 		members:     membership.NewTable(options.Node),
 	}
@@ -126,6 +130,7 @@
 	s.configuration.position = s.charts.configuration.Start(now)
 	s.configuration.started = now
 	s.session.position = s.charts.session.Start(now)
+	s.orders.issuer.Chart = s.charts.issuer.Start(now)
 	return s, nil
 }
 
@@ -196,6 +201,7 @@
 	s.tickFleet(now)
 	s.expireServers(now)
 	s.expireStores(now)
+	s.tickOrders(now)
 	s.expireTransfers(now)
 	s.quarantine.Expire(now)
 	s.expireRequests(now)
--- a/core/invariant/invariant.go
+++ b/core/invariant/invariant.go
@@ -20,6 +20,8 @@
 	CountsNotNegative  Name = "counts of work in progress are never negative"
 	BudgetNotNegative  Name = "retry budget is never negative"
 	QueueBounded       Name = "queue of a class stays within its bound"
+	FencingIncreases   Name = "issuer never uses a fencing number that was seen before"
+	LoadsBounded       Name = "orders in progress stay within the bound of the site"
 	VerifiedBlocksOnly Name = "imported block passed verification"
 )
 
--- /dev/null
+++ b/core/order/engine.go
@@ -0,0 +1,79 @@
+package order
+
+import (
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/fleet"
+)
+
+// Order is one order to one engine.
+type Order struct {
+	ID       string
+	Engine   *Engine
+	Fencing  uint64
+	Desired  Desired
+	Deadline time.Time
+	Chart    chart.Instance
+}
+
+// Overdue reports whether the engine has given up the order for certain.
+func (o *Order) Overdue(now time.Time) bool {
+	return !now.Before(o.Deadline.Add(Grace))
+}
+
+// EventFor returns the event of the order's chart that a status stands for.
+func (o *Order) EventFor(status Status) chart.Event {
+	switch {
+	case o.Desired.MetBy(status.Current):
+		return "complete"
+	case status.OrderID != o.ID:
+		return "missing"
+	case status.Phase == PhaseLoading:
+		return "accept"
+	default:
+		return "fail"
+	}
+}
+
+// Engine is one engine as the issuer sees it.
+type Engine struct {
+	ID      fleet.ServerID
+	Address string
+	Model   string
+	// Live is true when the VM list shows the engine and no sign says that it
+	// is leaving.
+	Live bool
+	// Known is true when the engine has told its state in this term.
+	Known bool
+	// Asked is true when a call of the engine has ended in this term.
+	Asked bool
+	// Away is true when the last call of the engine got no response.
+	Away   bool
+	Status Status
+	// Order is the order in progress, or nil.
+	Order *Order
+	// NotBefore is when the next order may be sent.
+	NotBefore time.Time
+	// Failures counts failed orders since the last good one.
+	Failures int
+	// Call numbers the calls of the engine. Only one is open at a time, so
+	// that an old status cannot be taken for the result of a newer order.
+	Call     uint64
+	Calling  bool
+	CalledAt time.Time
+}
+
+// Note takes over the status that a call returned.
+func (e *Engine) Note(status Status) {
+	e.Status = status
+	e.Known = true
+	e.Asked = true
+	e.Away = false
+}
+
+// NoteAway records a call without a response.
+func (e *Engine) NoteAway() {
+	e.Asked = true
+	e.Away = true
+}
--- /dev/null
+++ b/core/order/rollout.go
@@ -0,0 +1,140 @@
+package order
+
+import (
+	"slices"
+	"time"
+
+	"tanagerspread/chart"
+)
+
+// Rollout brings the engines of one model to the wanted state.
+type Rollout struct {
+	Model  string
+	Wanted Desired
+	Chart  chart.Instance
+	// HalfAt is when half of the live engines had the wanted state, or zero.
+	HalfAt time.Time
+	Counts Counts
+}
+
+// Counts is the progress of a rollout over the live engines of its model.
+type Counts struct {
+	Live int
+	// Met counts engines in the wanted state.
+	Met int
+	// Out counts engines that are loading or do not respond.
+	Out int
+	// Free counts responding engines in another state without an order.
+	Free int
+}
+
+// Update counts the engines of the model and returns whether more of them
+// than before have the wanted state.
+func (r *Rollout) Update(now time.Time, engines []*Engine) bool {
+	before := r.Counts.Met
+	r.Counts = Counts{}
+	for _, e := range engines {
+		if e.Model == r.Model {
+			r.Counts.add(e, r.Wanted)
+		}
+	}
+	if r.Counts.Met*2 < r.Counts.Live {
+		r.HalfAt = time.Time{}
+	} else if r.HalfAt.IsZero() {
+		r.HalfAt = now
+	}
+	return r.Counts.Met > before
+}
+
+func (c *Counts) add(e *Engine, wanted Desired) {
+	if e.Order != nil || (e.Live && e.Away) {
+		c.Out++
+	}
+	if !e.Live {
+		return
+	}
+	c.Live++
+	switch {
+	case e.Known && wanted.MetBy(e.Status.Current):
+		c.Met++
+	case e.Known && !e.Away && e.Order == nil:
+		c.Free++
+	}
+}
+
+// Want sets the wanted state and reports whether it changed.
+func (r *Rollout) Want(wanted Desired) bool {
+	if r.Wanted == wanted {
+		return false
+	}
+	r.Wanted = wanted
+	r.HalfAt = time.Time{}
+	r.Counts = Counts{}
+	return true
+}
+
+// Next returns the engine of the model to order now, or nil. It never leaves
+// the model without a server as long as it has two.
+func (r *Rollout) Next(now time.Time, engines []*Engine) *Engine {
+	if r.Counts.Out >= min(MaxOut, max(1, r.Counts.Live-1)) {
+		return nil
+	}
+	if r.Counts.Live > 1 && r.Counts.Free <= 1 && !r.handedOver(now) {
+		return nil
+	}
+	var next *Engine
+	for _, e := range engines {
+		if e.Model == r.Model && r.mayOrder(now, e) && (next == nil || e.Failures < next.Failures) {
+			next = e
+		}
+	}
+	return next
+}
+
+// handedOver reports whether new requests have moved to the wanted version.
+func (r *Rollout) handedOver(now time.Time) bool {
+	return !r.HalfAt.IsZero() && !now.Before(r.HalfAt.Add(HandoverTime))
+}
+
+func (r *Rollout) mayOrder(now time.Time, e *Engine) bool {
+	if !e.Live || !e.Known || e.Away || e.Order != nil || e.Calling {
+		return false
+	}
+	return !r.Wanted.MetBy(e.Status.Current) && !now.Before(e.NotBefore)
+}
+
+// Loading counts the orders in progress.
+func Loading(engines []*Engine) int {
+	count := 0
+	for _, e := range engines {
+		if e.Order != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// Serving returns the weight version for new requests of a model. It is the
+// wanted one as soon as half of the engines have it, and stays so while any
+// engine has it. Until then it is the one that most engines have. The counts
+// are live engines by version.
+func Serving(wanted, before int, counts map[int]int) int {
+	total := 0
+	versions := make([]int, 0, len(counts))
+	for version, count := range counts {
+		total += count
+		versions = append(versions, version)
+	}
+	have := counts[wanted]
+	if have*2 >= total || (before == wanted && have > 0) {
+		return wanted
+	}
+	slices.Sort(versions)
+	best := wanted
+	for _, version := range versions {
+		if version != wanted && (best == wanted || counts[version] >= counts[best]) {
+			best = version
+		}
+	}
+	return best
+}
--- a/node/ingress/completion.go
+++ b/node/ingress/completion.go
@@ -145,6 +145,7 @@
 	body := engine.CompletionRequest{
 		RequestID:      string(x.request.ID),
 		Model:          call.Model,
+		Adapter:        x.admitted.Scope.Adapter,
 		Weights:        x.admitted.Scope.Weights,
 		CacheNamespace: blocks.EncodeKey(cachekey.Root(x.admitted.Scope)),
 		PrefixKeys:     blocks.EncodeKeys(x.prefix),
