node/orders: workers for the lease and the orders of the issuer

An order is not sent once the lease may have been taken over.

No behaviour changes for nodes without an order service.

--- /dev/null
+++ b/node/orders/orders.go
@@ -0,0 +1,164 @@
+// Package orders carries out the commands of the issuer of orders: calls of
+// the key-value service for its lease, and management calls of engines. The
+// workers are bounded and decide nothing.
+package orders
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/event"
+	"tanagerspread/core/order"
+	"tanagerspread/node/eventlog"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/wire"
+)
+
+const (
+	// leaseQueue bounds the commands that wait for the lease worker.
+	leaseQueue = 4
+	// engineQueue bounds the commands that wait for the workers of a kind.
+	engineQueue = 64
+	// sendWorkers is the number of orders that are sent at a time.
+	sendWorkers = order.MaxLoads
+	// readWorkers is the number of engines that are read at a time. Reads of
+	// silent engines occupy a worker for the whole call timeout.
+	readWorkers = 4
+)
+
+// Teller is the control thread as the workers see it.
+type Teller interface {
+	Tell(message control.Message) bool
+}
+
+// Options configures the workers of one node.
+type Options struct {
+	Control Teller
+	Service kv.Service
+	// Dial opens connections to engines; nil means TCP.
+	Dial   wire.Dialer
+	Logger logr.Logger
+}
+
+// Workers carry out the commands of one node.
+type Workers struct {
+	options Options
+	// process tells the claims of this process from those of an earlier one
+	// of the same node.
+	process string
+	leases  chan control.IssuerCommand
+	sends   chan control.SendOrder
+	reads   chan control.ReadEngine
+}
+
+// New returns workers that do not run yet.
+func New(options Options) *Workers {
+	return &Workers{
+		options: options,
+		process: uuid.NewString(),
+		leases:  make(chan control.IssuerCommand, leaseQueue),
+		sends:   make(chan control.SendOrder, engineQueue),
+		reads:   make(chan control.ReadEngine, engineQueue),
+	}
+}
+
+// Run carries out commands until the context ends.
+func (w *Workers) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { consume(ctx, w.leases, w.step) })
+	for range sendWorkers {
+		group.Go(func() { consume(ctx, w.sends, w.send) })
+	}
+	for range readWorkers {
+		group.Go(func() { consume(ctx, w.reads, w.read) })
+	}
+	group.Wait()
+}
+
+func consume[T any](ctx context.Context, queue <-chan T, do func(context.Context, T)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-queue:
+			do(ctx, command)
+		}
+	}
+}
+
+// Do hands a command to its worker without blocking. A command that finds its
+// queue full is dropped; the control thread issues it again after a timeout.
+// Do reports false for a command of another kind.
+func (w *Workers) Do(command control.Command) bool {
+	switch c := command.(type) {
+	case control.IssuerCommand:
+		offer(w, w.leases, c)
+	case control.SendOrder:
+		offer(w, w.sends, c)
+	case control.ReadEngine:
+		offer(w, w.reads, c)
+	case control.LogOrder:
+		eventlog.Write(w.options.Logger, c.Event, nil, c.Fields...)
+	default:
+		return false
+	}
+	return true
+}
+
+func offer[T any](w *Workers, queue chan<- T, command T) {
+	select {
+	case queue <- command:
+	default:
+		eventlog.Write(w.options.Logger, event.QueueFull, nil, "message", fmt.Sprintf("%T", command))
+	}
+}
+
+func (w *Workers) tell(message control.Message) {
+	if !w.options.Control.Tell(message) {
+		eventlog.Write(w.options.Logger, event.QueueFull, nil, "message", fmt.Sprintf("%T", message))
+	}
+}
+
+// step makes one call for the lease and reports its result.
+func (w *Workers) step(ctx context.Context, command control.IssuerCommand) {
+	asked := time.Now()
+	result := w.call(ctx, command)
+	result.Step = command.Step
+	result.Attempt = command.Attempt
+	result.Asked = asked
+	if result.Err != nil {
+		eventlog.Write(w.options.Logger, event.IssuerCallFailed, result.Err, "step", string(command.Step), "code", int(result.Err.Code))
+	}
+	w.tell(result)
+}
+
+// send sends an order unless the lease may have been taken over.
+func (w *Workers) send(ctx context.Context, command control.SendOrder) {
+	result := control.EngineStatus{Engine: command.Engine, Call: command.Call}
+	result.Status, result.Err = w.sendOrder(ctx, command)
+	w.report(result)
+}
+
+func (w *Workers) read(ctx context.Context, command control.ReadEngine) {
+	result := control.EngineStatus{Engine: command.Engine, Call: command.Call}
+	result.Status, result.Err = w.readStatus(ctx, command.Address)
+	w.report(result)
+}
+
+func (w *Workers) report(result control.EngineStatus) {
+	if result.Err != nil {
+		w.failed(result, result.Err)
+	}
+	w.tell(result)
+}
+
+func (w *Workers) failed(result control.EngineStatus, err *code.Error) {
+	eventlog.Write(w.options.Logger, event.EngineCallFailed, err, "server", string(result.Engine), "code", int(err.Code))
+}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -22,6 +22,7 @@
 	"tanagerspread/node/ingress"
 	"tanagerspread/node/metrics"
 	"tanagerspread/node/once"
+	"tanagerspread/node/orders"
 	"tanagerspread/platform/kv"
 	"tanagerspread/platform/wire"
 )
@@ -52,6 +53,9 @@
 	// Fleet connects the node to the platform and to its peers. Without it
 	// the node serves with the configuration that it is told.
 	Fleet *Fleet
+	// OrderService is the key-value service through which the node may become
+	// the issuer of orders to engines; nil means that it never does.
+	OrderService kv.Service
 }
 
 // Node is one running node.
@@ -60,6 +64,7 @@
 	loop     *control.Loop
 	front    *ingress.Front
 	exporter *blocks.Exporter
+	orders   *orders.Workers
 	stopped  chan struct{}
 	fleet    *fleetSide
 	// endWrites ends the writes of at-most-once records in the background.
@@ -72,6 +77,7 @@
 	n := &Node{options: options, stopped: make(chan struct{}), endWrites: func() {}}
 	options.Control.Agents = options.Fleet != nil
 	options.Control.Checker = invariant.NewChecker(n.violated)
+	options.Control.Issuer = options.OrderService != nil
 	state, err := corecontrol.New(options.Control, time.Now())
 	if err != nil {
 		return nil, fmt.Errorf("new node: %w", err)
@@ -95,6 +101,12 @@
 	if options.Fleet != nil {
 		n.fleet = newFleetSide(n.loop, options)
 	}
+	n.orders = orders.New(orders.Options{
+		Control: n.loop,
+		Service: options.OrderService,
+		Dial:    wire.Dialer(options.Dial),
+		Logger:  options.Logger,
+	})
 	return n, nil
 }
 
@@ -136,6 +148,7 @@
 			<-fleetDone
 		}()
 	}
+	go n.orders.Run(ctx)
 	server := &http.Server{
 		Handler:           n.front.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -163,6 +176,8 @@
 	switch c := command.(type) {
 	case corecontrol.NodeState:
 		n.nodeState(c)
+	case corecontrol.IssuerCommand, corecontrol.SendOrder, corecontrol.ReadEngine, corecontrol.LogOrder:
+		n.orders.Do(command)
 	case corecontrol.ExportBlocks:
 		if !n.exporter.Offer(c) {
 			n.loop.Tell(corecontrol.ExportDone{ID: c.ID})
