--- a/node/runtime/returning_test.go
+++ b/node/runtime/returning_test.go
@@ -36,6 +36,7 @@
 	t      *testing.T
 	client *http.Client
 	dial   wire.Dialer
+	tell   func(control.Message) bool
 }
 
 func startReturning(t *testing.T) *returningSite {
@@ -58,6 +59,7 @@
 		Recorder:     ingress.NoRecorder(),
 		Logger:       logr.Discard(),
 		MaxBodyBytes: 1 << 20,
+		OrderService: s.KV,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -71,7 +73,7 @@
 		_ = s.Close()
 		transport.CloseIdleConnections()
 	})
-	return &returningSite{Site: s, t: t, client: &http.Client{Transport: transport}, dial: network.Dial}
+	return &returningSite{Site: s, t: t, client: &http.Client{Transport: transport}, dial: network.Dial, tell: node.Control().Tell}
 }
 
 func listOf(s *site.Site) []control.VM {
