--- a/node/orders/orders_test.go
+++ b/node/orders/orders_test.go
@@ -132,6 +132,9 @@
 		s.store.SetOutage(false)
 		since := time.Now()
 		s.run(time.Hour)
+		if n := s.issuer(); n != nil {
+			t.Errorf("node %s counts itself as issuer during the outage", n.id)
+		}
 		if n := s.history.sentSince(since); n != 0 {
 			t.Errorf("%d orders during the outage", n)
 		}
--- a/node/orders/site_test.go
+++ b/node/orders/site_test.go
@@ -52,18 +52,20 @@
 	most    int
 }
 
-// note checks that an engine takes no order of an older holder after one of a
-// newer holder.
-func (h *history) note(id string, order protocol.Order, accepted bool) {
+func (h *history) noteArrival(id, orderID string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.orders[id] == nil {
 		h.orders[id] = map[string]time.Time{}
 	}
-	h.orders[id][order.ID] = time.Now()
-	if !accepted {
-		return
-	}
+	h.orders[id][orderID] = time.Now()
+}
+
+// noteTaken checks that an engine takes no order of an older holder after one
+// of a newer holder.
+func (h *history) noteTaken(id string, order protocol.Order) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if order.Fencing < h.newest[id] {
 		h.faults = append(h.faults, fmt.Sprintf("engine %s took order %s with %d after %d", id, order.ID, order.Fencing, h.newest[id]))
 	}
@@ -310,16 +312,19 @@
 			b.Handler().ServeHTTP(w, r)
 			return
 		}
-		if b.loseRequests.Add(-1) >= 0 {
-			panic(http.ErrAbortHandler)
-		}
 		data, _ := io.ReadAll(r.Body)
 		var sent protocol.Order
 		_ = json.Unmarshal(data, &sent)
+		s.history.noteArrival(b.id, sent.ID)
+		if b.loseRequests.Add(-1) >= 0 {
+			panic(http.ErrAbortHandler)
+		}
 		r.Body = io.NopCloser(bytes.NewReader(data))
 		reply := httptest.NewRecorder()
 		b.Handler().ServeHTTP(reply, r)
-		s.history.note(b.id, sent, reply.Code == http.StatusOK)
+		if reply.Code == http.StatusOK {
+			s.history.noteTaken(b.id, sent)
+		}
 		if b.loseResponses.Add(-1) >= 0 {
 			panic(http.ErrAbortHandler)
 		}
--- a/node/process/process.go
+++ b/node/process/process.go
@@ -112,6 +112,7 @@
 		Listener:     listener,
 		Dial:         (&net.Dialer{}).DialContext,
 		KeyValue:     platform.kv,
+		OrderService: platform.kv,
 		Logger:       logger,
 		Fleet:        platform.fleet,
 		Metrics:      counters,
