--- a/core/order/desired.go
+++ b/core/order/desired.go
@@ -29,7 +29,8 @@
 	// again.
 	RetryDelay = 10 * time.Second
 	// SweepInterval is the time between two reads of engines' states. One
-	// read is about 600 bytes, so that this uses 3 KB/s.
+	// read is about 300 bytes of HTTP and as much of TCP, so that sweeping
+	// stays within the 3 KB/s that a node may use for control.
 	SweepInterval = 200 * time.Millisecond
 	// CallTimeout is the time after which a call of an engine counts as lost.
 	CallTimeout = 5 * time.Second
--- a/node/orders/orders_test.go
+++ b/node/orders/orders_test.go
@@ -161,10 +161,10 @@
 	})
 }
 
-// TestListLag guards against orders to engines that the VM list shows as
+// TestOrdersFollowList guards against orders to engines that the VM list shows as
 // leaving or does not show, and against a rollout that waits for an engine
 // that the list drops late.
-func TestListLag(t *testing.T) {
+func TestOrdersFollowList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := startSite(t, siteOptions{engines: engineCount, models: 2})
 		s.leaving["e0"] = true
@@ -185,6 +185,18 @@
 	})
 }
 
+// TestSilentEngineKeepsPlace guards against a third load while an engine that
+// has gone silent may still load.
+func TestSilentEngineKeepsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, loading := begun(t, siteOptions{engines: engineCount, models: 2, loadTime: 20 * time.Second})
+		loading.SetHang(true)
+		s.run(time.Minute)
+		loading.SetHang(false)
+		s.finish(2)
+	})
+}
+
 // TestDeadEnginesStopRollout guards against weights that kill each engine and
 // take the whole model out of service two engines at a time.
 func TestDeadEnginesStopRollout(t *testing.T) {
--- a/node/orders/site_test.go
+++ b/node/orders/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -265,6 +266,8 @@
 	engines       int
 	models        int
 	ignoreFencing bool
+	// loadTime is the least time of one load; 0 means one second.
+	loadTime time.Duration
 }
 
 func startSite(t failer, options siteOptions) *testSite {
@@ -272,7 +275,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	s := &testSite{
 		t: t, ctx: ctx, network: pipe.NewNetwork(), kv: kv.NewStore(kv.Options{}),
-		store:    weightstore.New(weightstore.Options{LoadTime: time.Second, FullSpeedLoads: 2}),
+		store:    weightstore.New(weightstore.Options{LoadTime: cmp.Or(options.loadTime, time.Second), FullSpeedLoads: 2}),
 		history:  &history{newest: map[string]uint64{}, orders: map[string]map[string]time.Time{}, loading: map[string]int{}},
 		unlisted: map[string]bool{}, leaving: map[string]bool{},
 	}
