--- a/node/orders/property_test.go
+++ b/node/orders/property_test.go
@@ -21,10 +21,10 @@
 	os.Exit(m.Run())
 }
 
-// TestRandomFaults guards against combinations of faults, possibly repeated,
+// TestRandomOrderFaults guards against combinations of faults, possibly repeated,
 // that break the order of holders or the bound on loads, or after which a
 // rollout does not end.
-func TestRandomFaults(t *testing.T) {
+func TestRandomOrderFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(bubble{t}, func(r *rapid.T) {
 			s := startSite(r, siteOptions{engines: 5, models: 2, ignoreFencing: rapid.Bool().Draw(r, "ignore fencing")})
