--- a/core/control/ordercharts.go
+++ b/core/control/ordercharts.go
@@ -24,6 +24,7 @@
 
 func (s *State) issuerBindings() chart.Bindings[*State] {
 	return chart.Bindings[*State]{
+		Tags: issuerTags,
 		Guards: map[string]func(*State, time.Time) bool{
 			"may_hold": s.mayHold,
 			"settled":  s.settled,
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -97,8 +97,7 @@
 
 // mayIssue reports whether the node may send orders now.
 func (s *State) mayIssue(now time.Time) bool {
-	state := s.orders.issuer.Chart.State
-	return (state == "issuing" || state == "renewing") && s.orders.issuer.Safe(now)
+	return s.orders.issuer.Chart.Is(tagMayIssue) && s.orders.issuer.Safe(now)
 }
 
 func (s *State) fireIssuer(event chart.Event, now time.Time) {
@@ -120,7 +119,7 @@
 	case IssuerLook:
 		s.fireIssuer(lookEvent(m.Held), now)
 	case IssuerGrant:
-		if issuer.Chart.State == "granting" {
+		if issuer.Chart.Is(tagAwaitsLease) {
 			issuer.Lease = m.Lease
 			issuer.Confirm(m.Asked)
 			s.fireIssuer("granted", now)
@@ -215,7 +214,7 @@
 
 // mayHold reports whether the node may become or stay the issuer.
 func (s *State) mayHold(*State, time.Time) bool {
-	return s.life.State == "ready" && s.rules != nil
+	return s.life.Is(tagReady) && s.rules != nil
 }
 
 func (s *State) log(e event.Event, fields ...any) {
@@ -257,7 +256,7 @@
 		s.orders.engines[server.ID] = e
 	}
 	e.Model = server.Serves
-	e.Live = server.Chart.State != "leaving" && e.Address == server.Address
+	e.Live = !server.Chart.Is(fleet.TagLeaves) && e.Address == server.Address
 }
 
 func (s *State) syncRollouts(now time.Time) {
@@ -454,14 +453,15 @@
 }
 
 func (s *State) fireRollout(rollout *order.Rollout, progress bool, now time.Time) {
-	event := chart.Event("differ")
-	switch {
-	case rollout.Counts.Met == rollout.Counts.Live:
-		event = "complete"
-	case progress && rollout.Chart.State != "settled":
-		event = "progress"
-	}
-	// An event that the chart refuses changes nothing, for example the
-	// completion of a settled rollout.
-	_ = s.charts.rollout.Fire(&rollout.Chart, rollout, event, now)
+	events := []chart.Event{"differ"}
+	if rollout.Counts.Met == rollout.Counts.Live {
+		events = []chart.Event{"complete"}
+	} else if progress {
+		events = append(events, "progress")
+	}
+	for _, event := range events {
+		// An event that the chart refuses changes nothing, for example the
+		// completion of a settled rollout.
+		_ = s.charts.rollout.Fire(&rollout.Chart, rollout, event, now)
+	}
 }
--- a/core/control/tags.go
+++ b/core/control/tags.go
@@ -31,6 +31,10 @@
 
 	// tagHeld marks a session whose entry is in place.
 	tagHeld chart.Tag = "held"
+	// tagMayIssue marks an issuer that may send orders, tagAwaitsLease one that
+	// has asked for a lease.
+	tagMayIssue    chart.Tag = "may_issue"
+	tagAwaitsLease chart.Tag = "awaits_lease"
 	// tagConfirmed marks a configuration that is known to be in force.
 	tagConfirmed chart.Tag = "confirmed"
 
@@ -70,6 +74,7 @@
 	peerTags        = []chart.Tag{tagPresent, tagDead}
 	sessionTags     = []chart.Tag{tagHeld}
 	configTags      = []chart.Tag{tagConfirmed}
+	issuerTags      = []chart.Tag{tagMayIssue, tagAwaitsLease}
 	blockImportTags = []chart.Tag{tagMayTransfer}
 	blockExportTags = []chart.Tag{tagMaySeal}
 )
