core/control, node/rules: adapter and role of a model; end of a term

Rules may name an adapter and a role, which orders carry to the engines. TestTermEnds covers a higher fencing number on an engine, which the rollout tests do not reach because a holder reads all engines first.

--- a/core/control/orders_test.go
+++ b/core/control/orders_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
 	"tanagerspread/chart"
 	"tanagerspread/core/code"
+	"tanagerspread/core/order"
 )
 
 // TestIssuerChart guards against a path on which a node issues orders without
@@ -64,3 +66,54 @@
 		t.Errorf("scope with half of the engines: %+v", a.Scope)
 	}
 }
+
+// issuing returns a state that issues orders, and the time.
+func issuing(t *testing.T) (*State, time.Time) {
+	s := newState(t, 1, vms(2, 0, 0), rulesFor(1, ""))
+	s.options.Issuer = true
+	now := testStart
+	for range 2000 {
+		now = now.Add(50 * time.Millisecond)
+		follow(s, now, s.Handle(now, Tick{}), 7)
+		if s.mayIssue(now) {
+			return s, now
+		}
+	}
+	t.Fatalf("not issuing: %+v", s.dumpOrders())
+	return nil, now
+}
+
+// follow answers the commands of the issuer; engines have seen a number.
+func follow(s *State, now time.Time, output Output, seen uint64) {
+	for _, command := range slices.Clone(output.Commands) {
+		switch c := command.(type) {
+		case IssuerCommand:
+			follow(s, now, s.Handle(now, IssuerResult{Step: c.Step, Attempt: c.Attempt, Asked: now, Lease: "l", Revision: 5}), seen)
+		case ReadEngine:
+			s.Handle(now, EngineStatus{Engine: c.Engine, Call: c.Call, Status: order.Status{Current: order.Desired{Model: "m", Weights: 1}, Fencing: seen}})
+		}
+	}
+}
+
+// TestTermEnds guards against a term that goes on after an engine has seen a
+// higher fencing number, or after the lease has ended by the node's own clock,
+// and against a number that engines have seen before.
+func TestTermEnds(t *testing.T) {
+	s, now := issuing(t)
+	if s.orders.issuer.Fence != 8 {
+		t.Errorf("fencing number %d after 7 was seen", s.orders.issuer.Fence)
+	}
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		follow(s, now, s.Handle(now, Tick{}), 9)
+	}
+	if s.inTerm() || s.orders.issuer.Highest != 9 {
+		t.Errorf("after a higher number: %+v", s.dumpOrders())
+	}
+	s, now = issuing(t)
+	now = now.Add(order.LeaseTime)
+	s.Handle(now, EngineStatus{})
+	if s.inTerm() || s.mayIssue(now) {
+		t.Errorf("after the lease: %+v", s.dumpOrders())
+	}
+}
--- a/node/orders/orders_test.go
+++ b/node/orders/orders_test.go
@@ -71,6 +71,16 @@
 			s.run(3 * time.Minute)
 			s.store.SetOutage(false)
 		},
+		"adapter and role change": func(s *testSite, _ *testNode, _ *backend) {
+			s.adapter, s.role = "caption", "decode"
+			s.want(2)
+			for _, b := range s.backends {
+				s.until("adapter and role", 5*time.Minute, func() bool {
+					current := s.status(b).Current
+					return current.Adapter == "caption" && current.Role == "decode"
+				})
+			}
+		},
 		"wanted version changes": func(s *testSite, _ *testNode, _ *backend) {
 			s.want(3)
 			s.run(time.Second)
--- a/node/orders/site_test.go
+++ b/node/orders/site_test.go
@@ -255,6 +255,8 @@
 	backends []*backend
 	nodes    []*testNode
 	version  config.Version
+	adapter  string
+	role     string
 	copyOnce sync.Once
 	granted  kv.Copy
 	unlisted map[string]bool
@@ -385,7 +387,7 @@
 	s.version++
 	rules := &config.Rules{Models: map[string]config.Model{}}
 	for _, b := range s.backends {
-		rules.Models[b.model] = config.Model{Weights: version}
+		rules.Models[b.model] = config.Model{Weights: version, Adapter: s.adapter, Role: s.role}
 	}
 	for _, n := range s.nodes {
 		n.Tell(control.Configure{Version: s.version, Rules: rules})
--- a/node/rules/rules_test.go
+++ b/node/rules/rules_test.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// TestModelOptions guards against a writer that loses the adapter or the role
+// of a model.
+func TestModelOptions(t *testing.T) {
+	text := "[classes]\na = priority=0 queue=5 ; who\n[models]\nm = weights=1 class=a adapter=caption role=decode ; who\n"
+	parsed, faults := rules.Parse(text)
+	if len(faults) > 0 || parsed.Models["m"].Adapter != "caption" || parsed.Models["m"].Role != "decode" {
+		t.Fatalf("models %+v: %v", parsed.Models, faults)
+	}
+	again, faults := rules.Parse(rules.Write(parsed))
+	if len(faults) > 0 || !reflect.DeepEqual(parsed, again) {
+		t.Errorf("rules differ after writing: %v", faults)
+	}
+}
+
 // TestFaults guards against a fault that is missed, has another line, or
 // hides the faults after it.
 func TestFaults(t *testing.T) {
--- a/node/rules/sections.go
+++ b/node/rules/sections.go
@@ -57,6 +57,8 @@
 var modelOptions = []option[config.Model]{
 	numberOption("weights", true, 1, func(m *config.Model) *int { return &m.Weights }),
 	nameOption("class", true, func(m *config.Model) *string { return (*string)(&m.Class) }),
+	nameOption("adapter", false, func(m *config.Model) *string { return &m.Adapter }),
+	nameOption("role", false, func(m *config.Model) *string { return &m.Role }),
 }
 
 var serviceOptions = []option[config.Service]{
