--- a/ctl/client.go
+++ b/ctl/client.go
@@ -11,7 +11,6 @@
 	"net/netip"
 	"time"
 
-	"tanagerspread/core/control"
 	"tanagerspread/core/fleet"
 	"tanagerspread/node/admin"
 	"tanagerspread/node/settings"
@@ -25,17 +24,41 @@
 	maxAnswerBytes = 64 << 20
 )
 
-// addresses returns the admin addresses of the nodes that the command line
-// names, or that the VM list names.
+// listedNode is a node that the command line or the VM list names.
+type listedNode struct {
+	// id is empty when the command line names the node.
+	id      string
+	address string
+}
+
+// addresses returns the admin addresses of the nodes.
 func (a *app) addresses(ctx context.Context) ([]string, error) {
+	nodes, err := a.nodes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, n := range nodes {
+		if n.address != "" {
+			out = append(out, n.address)
+		}
+	}
+	return out, nil
+}
+
+// nodes returns the nodes that the command line names, or that the VM list
+// names.
+func (a *app) nodes(ctx context.Context) ([]listedNode, error) {
+	var out []listedNode
 	for _, address := range a.options.Nodes {
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			return nil, &errUsage{reason: fmt.Sprintf("--nodes %s is not an IP number with a port", address)}
 		}
+		out = append(out, listedNode{address: address})
 	}
 	switch {
-	case len(a.options.Nodes) > 0:
-		return a.options.Nodes, nil
+	case len(out) > 0:
+		return out, nil
 	case a.options.VMList == "":
 		return nil, &errUsage{reason: "--nodes or --vm-list is required"}
 	}
@@ -47,10 +70,9 @@
 	if fault != nil {
 		return nil, fault
 	}
-	var out []string
 	for _, vm := range vms {
-		if vm.Role == string(fleet.RoleEntry) && vm.AdminAddress != "" {
-			out = append(out, vm.AdminAddress)
+		if vm.Role == string(fleet.RoleEntry) {
+			out = append(out, listedNode{id: vm.ID, address: vm.AdminAddress})
 		}
 	}
 	return out, nil
@@ -73,14 +95,18 @@
 	if _, err := netip.ParseAddrPort(node); err == nil {
 		return node, nil
 	}
-	addresses, err := a.addresses(ctx)
+	listed, err := a.nodes(ctx)
 	if err != nil {
 		return "", err
 	}
-	for _, address := range addresses {
-		var status control.Status
-		if err := a.call(ctx, http.MethodGet, address, admin.PathStatus, &status); err == nil && status.Node == node {
-			return address, nil
+	for _, n := range listed {
+		if n.id == node && n.address != "" {
+			return n.address, nil
+		}
+	}
+	for _, answer := range a.askAll(ctx, listed) {
+		if answer.Status != nil && answer.Status.Node == node {
+			return answer.Address, nil
 		}
 	}
 	return "", fmt.Errorf("no node that answers is named %s", node)
@@ -119,7 +145,12 @@
 // client returns an HTTP client and the URL scheme. TLS is used when the
 // command line names a certificate authority.
 func (a *app) client() (*http.Client, string, error) {
-	if a.options.CA == "" {
+	switch {
+	case (a.options.Cert == "") != (a.options.Key == ""):
+		return nil, "", &errUsage{reason: "--cert and --key belong together"}
+	case a.options.CA == "" && a.options.Cert != "":
+		return nil, "", &errUsage{reason: "--cert needs --ca, which turns on TLS"}
+	case a.options.CA == "":
 		return &http.Client{Transport: &http.Transport{}}, "http", nil
 	}
 	pool, err := settings.LoadPool(a.options.CA)
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -78,6 +78,8 @@
 		{"status --nodes " + one + " --nodes 127.0.0.1:1", ctl.ExitFailed, "127.0.0.1:1 unreachable"},
 		{"status --nodes host:1", ctl.ExitUsage, ""},
 		{"status", ctl.ExitUsage, ""},
+		{"status --nodes " + one + " --cert c.pem --key k.pem", ctl.ExitUsage, ""},
+		{"status --nodes " + one + " --ca c.pem --cert c.pem", ctl.ExitUsage, ""},
 		{"dump n2 --vm-list 127.0.0.1:9", ctl.ExitDone, `"Node": "n2"`},
 		{"dump n3 --vm-list 127.0.0.1:9", ctl.ExitFailed, ""},
 		{"dump", ctl.ExitUsage, ""},
--- a/ctl/nodes.go
+++ b/ctl/nodes.go
@@ -25,38 +25,6 @@
 	)
 }
 
-// nodeStatus is one line of the status.
-type nodeStatus struct {
-	Address string          `json:"address"`
-	Status  *control.Status `json:"status,omitempty"`
-	Error   string          `json:"error,omitempty"`
-}
-
-// status prints every node and fails when one does not answer.
-func (a *app) status([]string) error {
-	ctx := context.Background()
-	addresses, err := a.addresses(ctx)
-	if err != nil {
-		return err
-	}
-	var nodes []nodeStatus
-	var failed error
-	var b strings.Builder
-	for _, address := range addresses {
-		var got control.Status
-		if err := a.call(ctx, http.MethodGet, address, admin.PathStatus, &got); err != nil {
-			failed = errors.Join(failed, err)
-			nodes = append(nodes, nodeStatus{Address: address, Error: err.Error()})
-			fmt.Fprintf(&b, "%s unreachable\n", address)
-			continue
-		}
-		nodes = append(nodes, nodeStatus{Address: address, Status: &got})
-		fmt.Fprintf(&b, "%s %s %s %s version %d, %d requests, %d waiting, %d of %d servers available\n",
-			address, got.Node, got.Domain, got.State, got.Version, got.Requests, got.Waiting, got.Available, got.Servers)
-	}
-	return errors.Join(a.print(nodes, b.String()), failed)
-}
-
 // dump prints the same JSON in both forms of output, since a dump has no
 // shorter form.
 func (a *app) dump(args []string) error {
--- a/ctl/ruleapply.go
+++ b/ctl/ruleapply.go
@@ -40,6 +40,9 @@
 	// Missing lists the nodes that have not acknowledged the version. With an
 	// accepted version they are fenced or gone.
 	Missing []string `json:"missing,omitempty"`
+	// Conflict names version, author and apply id of the configuration that
+	// was applied first. Nothing was written then, and Version is 0.
+	Conflict string `json:"conflict,omitempty"`
 }
 
 // ApplyRules checks and writes a rules file and waits until it is accepted.
--- a/ctl/ruleforce.go
+++ b/ctl/ruleforce.go
@@ -58,6 +58,9 @@
 	if err != nil {
 		return err
 	}
+	if _, faults := rules.Parse(text); len(faults) > 0 {
+		return c.app.printFaults(faults)
+	}
 	service, err := c.service()
 	if err != nil {
 		return err
@@ -85,7 +88,8 @@
 			report.Version, report.ApplyID, strings.Join(report.Missing, ", "))
 		return errors.Join(c.app.print(report, text), errNotAccepted)
 	case fault.Code == code.VersionConflict:
-		return errors.Join(errConflict, fault)
+		report.Conflict = fault.Detail
+		return errors.Join(c.app.print(report, ""), errConflict, fault)
 	}
 	return fmt.Errorf("apply id %s: %w", c.ApplyID, fault)
 }
--- a/ctl/rules.go
+++ b/ctl/rules.go
@@ -35,6 +35,11 @@
 	if len(faults) == 0 {
 		return a.print([]inifile.Fault{}, "no faults\n")
 	}
+	return a.printFaults(faults)
+}
+
+// printFaults prints every fault of a rules file and returns errFaults.
+func (a *app) printFaults(faults []inifile.Fault) error {
 	var b strings.Builder
 	for _, fault := range faults {
 		b.WriteString(fault.Error() + "\n")
