--- a/standin/cmd/standin/commands.go
+++ b/standin/cmd/standin/commands.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -139,6 +141,8 @@
 	Site  string        `long:"site" default:"derwent" choice:"derwent" choice:"ulan" description:"site"`
 	Scale int           `long:"scale-down" default:"1" description:"divide the numbers of engines and service VMs"`
 	Lag   time.Duration `long:"list-lag" default:"2s" description:"how far the VM list is behind"`
+	// Switches is the address of the switches; empty serves none.
+	Switches string `long:"switches" value-name:"IP:PORT" description:"loopback address of calls that change the running site"`
 }
 
 // siteAddresses is what the site command prints.
@@ -147,6 +151,8 @@
 	VMList  string      `json:"vm_list"`
 	Weights string      `json:"weights"`
 	VMs     []vmlist.VM `json:"vms"`
+	// Switches is empty when the site has no switches.
+	Switches string `json:"switches,omitempty"`
 }
 
 // Execute serves a whole site on free ports of loopback.
@@ -163,12 +169,20 @@
 	if refused != nil {
 		return refused
 	}
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	addresses := siteAddresses{KV: s.KVAddress, VMList: s.VMListAddress, Weights: s.WeightsAddress, VMs: vms}
-	if err := encoder.Encode(addresses); err != nil {
-		return err
+	switches, err := serveSwitches(c.ctx, c.Switches, s)
+	if err != nil {
+		return errors.Join(err, s.Close())
+	}
+	addresses := siteAddresses{KV: s.KVAddress, VMList: s.VMListAddress, Weights: s.WeightsAddress, VMs: vms, Switches: switches}
+	if err := addresses.print(os.Stdout); err != nil {
+		return errors.Join(err, s.Close())
 	}
 	<-c.ctx.Done()
 	return s.Close()
 }
+
+func (a siteAddresses) print(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(a)
+}
--- a/standin/cmd/standin/main_test.go
+++ b/standin/cmd/standin/main_test.go
@@ -15,6 +15,7 @@
 		{"kv", "--listen", "localhost:0"},
 		{"kv", "--unknown"},
 		{"site", "--site", "unknown"},
+		{"site", "--scale-down", "5", "--switches", "0.0.0.0:0"},
 	} {
 		if run(ctx, arguments) == nil {
 			t.Errorf("%v was accepted", arguments)
--- /dev/null
+++ b/standin/cmd/standin/switches.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/vmlist"
+	"tanagerspread/platform/wire"
+	"tanagerspread/standin/site"
+)
+
+// maxVMBytes bounds the entry of a VM.
+const maxVMBytes = 16 << 10
+
+// siteCounters tells what has happened in a site.
+type siteCounters struct {
+	// Manifests is the number of exported prompts in the stores.
+	Manifests int `json:"manifests"`
+	// ServiceRuns counts the calls of plain services that had their effect.
+	ServiceRuns int `json:"service_runs"`
+}
+
+// switches returns the routes that change a running site and show its
+// counters.
+func switches(s *site.Site) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /vms", func(w http.ResponseWriter, r *http.Request) { setVM(s, w, r) })
+	mux.HandleFunc("POST /engines/clear-cache", func(w http.ResponseWriter, _ *http.Request) {
+		for _, vm := range s.Engines {
+			vm.Engine.ClearCache()
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST /engines/hang", func(w http.ResponseWriter, r *http.Request) { setHang(s, w, r) })
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { wire.Reply(w, countersOf(s)) })
+	return mux
+}
+
+// setVM adds a VM to the list, or replaces the entry with the same identifier.
+func setVM(s *site.Site, w http.ResponseWriter, r *http.Request) {
+	var vm vmlist.VM
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxVMBytes)).Decode(&vm); err != nil || vm.ID == "" {
+		wire.Refuse(w, code.Wrap(code.MalformedBody, "the body is not an entry of the VM list", err))
+		return
+	}
+	s.VMs.Set(vm)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// setHang stops or continues all engines.
+func setHang(s *site.Site, w http.ResponseWriter, r *http.Request) {
+	hang, err := strconv.ParseBool(r.URL.Query().Get("on"))
+	if err != nil {
+		wire.Refuse(w, code.Wrap(code.MalformedBody, "the parameter on is not true or false", err))
+		return
+	}
+	for _, vm := range s.Engines {
+		vm.Engine.SetHang(hang)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func countersOf(s *site.Site) siteCounters {
+	var c siteCounters
+	for _, vm := range s.Stores {
+		c.Manifests += vm.Store.Stats().Manifests
+	}
+	for _, vm := range s.Services {
+		for _, runs := range vm.Service.Runs() {
+			c.ServiceRuns += runs
+		}
+	}
+	return c
+}
+
+// serveSwitches serves the switches until the context ends and returns their
+// address. An empty address serves none.
+func serveSwitches(ctx context.Context, address string, s *site.Site) (string, error) {
+	if address == "" {
+		return "", nil
+	}
+	if err := checkLoopback(address); err != nil {
+		return "", err
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", fmt.Errorf("listen for switches: %w", err)
+	}
+	server := &http.Server{Handler: switches(s)}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	// The server ends with the site, whose end needs no report.
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
