standin: count the runs in progress of a site

Cause: a test that stops the engines in the middle of a stream must know that the stream had not ended before. Change: the counters of an engine and of a site tell how many runs are in the batch.

--- a/standin/cmd/standin/switches.go
+++ b/standin/cmd/standin/switches.go
@@ -23,6 +23,8 @@
 	Manifests int `json:"manifests"`
 	// ServiceRuns counts the calls of plain services that had their effect.
 	ServiceRuns int `json:"service_runs"`
+	// Running is the number of runs in the batches of the engines.
+	Running int `json:"running"`
 }
 
 // switches returns the routes that change a running site and show its
@@ -67,6 +69,9 @@
 
 func countersOf(s *site.Site) siteCounters {
 	var c siteCounters
+	for _, vm := range s.Engines {
+		c.Running += vm.Engine.Counters().Running
+	}
 	for _, vm := range s.Stores {
 		c.Manifests += vm.Store.Stats().Manifests
 	}
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -87,6 +87,8 @@
 	InvalidBlocksUsed int
 	// CachedBlocks is the number of blocks in memory.
 	CachedBlocks int
+	// Running is the number of runs in the batch.
+	Running int
 }
 
 // Counters returns what has happened.
@@ -99,6 +101,7 @@
 		counters.ResumeMismatches = s.resumeMismatches
 		counters.InvalidBlocksUsed = s.invalidUsed
 		counters.CachedBlocks = len(s.cache.blocks)
+		counters.Running = len(s.batch.runs)
 	})
 	return counters
 }
