cmd/session: whole sessions through the shipped binaries

Cause: tests ran nodes within the test process, so that the shipped binaries, their options, signals, exit codes and TLS files were never run together.

--- /dev/null
+++ b/cmd/session/binary_test.go
@@ -0,0 +1,109 @@
+package session_test
+
+import (
+	"debug/buildinfo"
+	"debug/elf"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// libraryC begins the name of the C library in a dynamically linked binary.
+const libraryC = "libc."
+
+// shipped are the names of the shipped binaries.
+var shipped = []string{"tanagerspread", "tanagerctl"}
+
+// TestBinaries guards against a shipped binary that is built without cgo or
+// linked statically, and one that is able to start processes.
+func TestBinaries(t *testing.T) {
+	for _, name := range shipped {
+		if err := checkLinked(binary(name)); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, imported := range list(t, "-deps", packageNode, packageCtl) {
+		if imported == "os/exec" {
+			t.Error("a shipped binary imports os/exec")
+		}
+	}
+}
+
+// checkLinked returns an error unless the binary was built with cgo and links
+// the C library dynamically.
+func checkLinked(path string) error {
+	info, err := buildinfo.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "CGO_ENABLED" && setting.Value != "1" {
+			return fmt.Errorf("%s is built with CGO_ENABLED=%s", path, setting.Value)
+		}
+	}
+	file, err := elf.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	libraries, err := file.ImportedLibraries()
+	if err != nil {
+		return err
+	}
+	isC := func(library string) bool { return strings.HasPrefix(library, libraryC) }
+	if !slices.ContainsFunc(libraries, isC) {
+		return fmt.Errorf("%s links %v, not the C library", path, libraries)
+	}
+	return nil
+}
+
+// TestNoReverseProxy guards against the use of a ready-made proxy in any
+// package of the project, tests included.
+func TestNoReverseProxy(t *testing.T) {
+	const imports = `{{join .Imports " "}} {{join .TestImports " "}} {{join .XTestImports " "}}`
+	patterns := []string{"-f", "{{.ImportPath}} " + imports}
+	for _, module := range []string{"chart", "cmd", "core", "ctl", "node", "platform", "standin"} {
+		patterns = append(patterns, "tanagerspread/"+module+"/...")
+	}
+	packages := list(t, patterns...)
+	if len(packages) < len(patterns) {
+		t.Fatalf("only %d packages are listed", len(packages))
+	}
+	for _, line := range packages {
+		if fields := strings.Fields(line); slices.Contains(fields[1:], "net/http/httputil") {
+			t.Errorf("%s imports net/http/httputil", fields[0])
+		}
+	}
+}
+
+// list returns the lines of go list.
+func list(t *testing.T, args ...string) []string {
+	t.Helper()
+	command := exec.CommandContext(t.Context(), "go", append([]string{"list"}, args...)...)
+	command.Stderr = os.Stderr
+	output, err := command.Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Split(strings.TrimSpace(string(output)), "\n")
+}
+
+// checkNoChildren fails when a process that the test started has a child
+// process.
+func checkNoChildren(t *testing.T, p *program) {
+	t.Helper()
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", p.command.Process.Pid))
+	if err != nil || len(tasks) == 0 {
+		t.Fatalf("the threads of process %d cannot be listed: %v", p.command.Process.Pid, err)
+	}
+	for _, path := range tasks {
+		// A thread that ended meanwhile has no children.
+		if children, err := os.ReadFile(path); err == nil && len(children) > 0 {
+			t.Errorf("%s: child processes %s", path, children)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/session/certificates_test.go
@@ -0,0 +1,118 @@
+package session_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"tanagerspread/node/settings"
+)
+
+// certificates holds one certificate authority and the PEM files of a node
+// and an operator in a directory of the test.
+type certificates struct {
+	t         *testing.T
+	directory string
+	authority *x509.Certificate
+	key       *ecdsa.PrivateKey
+}
+
+func newCertificates(t *testing.T, names ...string) *certificates {
+	t.Helper()
+	c := &certificates{t: t, directory: t.TempDir()}
+	c.issue("ca")
+	for _, name := range names {
+		c.issue(name)
+	}
+	return c
+}
+
+// issue writes a certificate and its key. The first one is the authority.
+func (c *certificates) issue(name string) {
+	c.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: c.authority == nil, BasicConstraintsValid: true, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	if c.authority == nil {
+		c.authority, c.key = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, c.authority, &key.PublicKey, c.key)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.write(name+".pem", "CERTIFICATE", der)
+	c.write(name+".key", "EC PRIVATE KEY", keyDER)
+}
+
+func (c *certificates) write(name, kind string, der []byte) {
+	c.t.Helper()
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(c.path(name), data, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *certificates) path(name string) string {
+	return filepath.Join(c.directory, name)
+}
+
+// settings returns the section of a node that uses TLS on each listener.
+func (c *certificates) settings() string {
+	text := "[tls]\n"
+	for _, listener := range []string{"caller", "admin", "peer"} {
+		text += fmt.Sprintf("%s-cert = %s\n%s-key = %s\n", listener, c.path("node.pem"), listener, c.path("node.key"))
+	}
+	return text + fmt.Sprintf("admin-ca = %s\npeer-ca = %s\n", c.path("ca.pem"), c.path("ca.pem"))
+}
+
+// operator returns the options of tanagerctl.
+func (c *certificates) operator() []string {
+	return []string{"--ca", c.path("ca.pem"), "--cert", c.path("operator.pem"), "--key", c.path("operator.key")}
+}
+
+// client returns the TLS configuration of a named client, or of one without
+// a certificate when the name is empty.
+func (c *certificates) client(name string) *tls.Config {
+	c.t.Helper()
+	pool, err := settings.LoadPool(c.path("ca.pem"))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	if name == "" {
+		return config
+	}
+	pair, err := tls.LoadX509KeyPair(c.path(name+".pem"), c.path(name+".key"))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	config.Certificates = []tls.Certificate{pair}
+	return config
+}
+
+// server returns the TLS configuration of a listener that asks for client
+// certificates.
+func (c *certificates) server(name string) *tls.Config {
+	config := c.client(name)
+	config.ClientCAs, config.ClientAuth = config.RootCAs, tls.RequireAndVerifyClientCert
+	return config
+}
--- /dev/null
+++ b/cmd/session/program_test.go
@@ -0,0 +1,103 @@
+package session_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// patience bounds each wait. It is far longer than any wait needs on a
+	// busy machine; a test that reaches it fails.
+	patience = 60 * time.Second
+	// pollInterval is the time between two looks at a process.
+	pollInterval = 20 * time.Millisecond
+)
+
+// program is one process that a test started.
+type program struct {
+	command *exec.Cmd
+	output  bytes.Buffer
+	// ended is closed when the process has ended and output is complete.
+	ended chan struct{}
+}
+
+// start starts a program. Its standard output goes to out, or to its output
+// when out is nil. The process is killed at the end of the test.
+func start(t *testing.T, out io.Writer, name string, args ...string) *program {
+	t.Helper()
+	p := &program{command: exec.Command(binary(name), args...), ended: make(chan struct{})}
+	p.command.Stderr = &p.output
+	p.command.Stdout = out
+	if out == nil {
+		p.command.Stdout = &p.output
+	}
+	p.command.WaitDelay = patience
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = p.command.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		_ = p.command.Process.Kill()
+		<-p.ended
+		if t.Failed() {
+			t.Logf("output of %s %v:\n%s", name, args, p.output.String())
+		}
+	})
+	return p
+}
+
+// signal sends a signal to the process by its identifier.
+func (p *program) signal(t *testing.T, signal syscall.Signal) {
+	t.Helper()
+	if err := p.command.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		t.Fatal(err)
+	}
+}
+
+// exitCode waits for the end of the process.
+func (p *program) exitCode(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		t.Fatalf("process %d has not ended", p.command.Process.Pid)
+	}
+	return p.command.ProcessState.ExitCode()
+}
+
+// ctl runs tanagerctl and returns its exit code and both outputs.
+func ctl(t *testing.T, args ...string) (int, string, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	var out, errOut strings.Builder
+	command := exec.CommandContext(ctx, binary("tanagerctl"), args...)
+	command.Stdout, command.Stderr = &out, &errOut
+	if err := command.Run(); command.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return command.ProcessState.ExitCode(), out.String(), errOut.String()
+}
+
+// await polls until the condition holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		if holds() {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+	t.Fatalf("waited in vain: %s", what)
+}
