--- a/ctl/ruleforce_test.go
+++ b/ctl/ruleforce_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -36,6 +37,36 @@
 	return clients("n1"), clients("n2")
 }
 
+// TestOperatorsPage guards against a command or an exit code that the
+// operators' guide leaves out.
+func TestOperatorsPage(t *testing.T) {
+	data, err := os.ReadFile("../docs/operators.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, page, _ := strings.Cut(string(data), "## tanagerctl")
+	commands := 0
+	for _, group := range []string{"", "rules "} {
+		_, help := run(ctl.Clients{}, strings.Fields(group+"--help")...)
+		_, help, _ = strings.Cut(help, "Available commands:")
+		for _, line := range strings.Split(strings.TrimSpace(help), "\n") {
+			name := group + strings.Fields(line)[0]
+			commands++
+			if !strings.Contains(page, "\n| `"+name) && name != "rules" && name != "events" {
+				t.Errorf("the page does not describe %s", name)
+			}
+		}
+	}
+	if commands < 10 {
+		t.Errorf("the help lists %d commands", commands)
+	}
+	for exit := ctl.ExitDone; exit <= ctl.ExitConflict; exit++ {
+		if !strings.Contains(page, fmt.Sprintf("\n| %d | ", exit)) {
+			t.Errorf("the page does not describe exit code %d", exit)
+		}
+	}
+}
+
 // TestRulesInForce guards against an exit code or an output that says more
 // than is true of an apply, and against output that is not JSON.
 func TestRulesInForce(t *testing.T) {
