cmd/session: a session through an outage of the key-value service

Cause: the guide says what operators see in an outage, and no session showed it. Change: standin site has a switch for an outage; TestKeyValueOutage records a refused keyed call, a served lookup, a refused apply, and the repeat after the outage.

--- a/cmd/session/session_test.go
+++ b/cmd/session/session_test.go
@@ -127,6 +127,27 @@
 	s.check(t, "lodgement")
 }
 
+// TestKeyValueOutage guards against an outage of the key-value service that
+// stops idempotent work, lets a keyed call run without its record, or lets an
+// apply be reported as written.
+func TestKeyValueOutage(t *testing.T) {
+	w := openWithRules(t, nil)
+	s := &w.transcript
+	w.turn(http.MethodPost, "/kv/outage?on=true", nil)
+	s.note("The key-value service is away. A keyed call is refused.")
+	lodge := call{node: w.nodes[0], path: "/services/lodgement/entries", token: castlereagh, key: "entry-9", body: `{"plot":14}`}
+	w.send(lodge)
+	s.note("A lookup is served.")
+	w.send(call{node: w.nodes[1], path: "/services/lookup/tides", token: castlereagh, body: "{}"})
+	s.note("Rules cannot be applied.")
+	w.operate(withoutVMList(w.applyArguments(1, "ann", "apply-ann", derwent))...)
+	w.turn(http.MethodPost, "/kv/outage?on=false", nil)
+	s.note("The service is back. The keyed call is repeated and runs.")
+	w.send(lodge)
+	w.operate("status")
+	s.check(t, "outage")
+}
+
 // TestConflictingApplies guards against an apply that silently replaces one
 // of another operator.
 func TestConflictingApplies(t *testing.T) {
--- a/standin/cmd/standin/switches.go
+++ b/standin/cmd/standin/switches.go
@@ -38,7 +38,14 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
-	mux.HandleFunc("POST /engines/hang", func(w http.ResponseWriter, r *http.Request) { setHang(s, w, r) })
+	mux.HandleFunc("POST /engines/hang", func(w http.ResponseWriter, r *http.Request) {
+		turn(w, r, func(on bool) {
+			for _, vm := range s.Engines {
+				vm.Engine.SetHang(on)
+			}
+		})
+	})
+	mux.HandleFunc("POST /kv/outage", func(w http.ResponseWriter, r *http.Request) { turn(w, r, s.KV.SetOutage) })
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { wire.Reply(w, countersOf(s)) })
 	return mux
 }
@@ -54,16 +61,14 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// setHang stops or continues all engines.
-func setHang(s *site.Site, w http.ResponseWriter, r *http.Request) {
-	hang, err := strconv.ParseBool(r.URL.Query().Get("on"))
+// turn sets a switch to the value of the parameter on.
+func turn(w http.ResponseWriter, r *http.Request, set func(on bool)) {
+	on, err := strconv.ParseBool(r.URL.Query().Get("on"))
 	if err != nil {
 		wire.Refuse(w, code.Wrap(code.MalformedBody, "the parameter on is not true or false", err))
 		return
 	}
-	for _, vm := range s.Engines {
-		vm.Engine.SetHang(hang)
-	}
+	set(on)
 	w.WriteHeader(http.StatusNoContent)
 }
 
