--- a/cmd/session/session_test.go
+++ b/cmd/session/session_test.go
@@ -44,10 +44,10 @@
 	return strings.Repeat(line, size/len(line)+1)[:size]
 }
 
-// TestReturningPrompt guards against a streamed response that is not whole,
+// TestReturningSession guards against a streamed response that is not whole,
 // a returning prompt that is computed again, and cache blocks that reach
 // another organisation.
-func TestReturningPrompt(t *testing.T) {
+func TestReturningSession(t *testing.T) {
 	w := openWithRules(t, nil)
 	s := &w.transcript
 	body := completion(t, longPrompt(), 4)
