control: doc comments of holdServer and releaseServer name what they count

Cause: the link of an import is counted by holdLink since the speed of a link is measured over all transfers. Change: comments only; go test -race ./core/control passes.

--- a/core/control/holding.go
+++ b/core/control/holding.go
@@ -6,7 +6,7 @@
 	"tanagerspread/core/invariant"
 )
 
-// holdServer counts an attempt on its server and on the link of its store.
+// holdServer counts an attempt on its server.
 func (s *State) holdServer(a *active) {
 	at := a.attempt
 	at.server.InFlight++
@@ -17,7 +17,7 @@
 	}
 }
 
-// releaseServer undoes holdServer.
+// releaseServer undoes holdServer and ends the use of a link by an import.
 func (s *State) releaseServer(now time.Time, a *active) {
 	at := a.attempt
 	s.releaseLink(now, at, 0)
