core: spread the reads that confirm a configuration

Cause: each node read the key-value service 4 s after its last confirmation. Nodes whose confirmations have the same age, as after a common start or an outage, all read at the same moment, before a peer could pass the confirmation on. Change: each node draws the age at which it reads from 4 s to 7 s. A second read still fits before the fence time of 10 s.

--- a/core/control/config.go
+++ b/core/control/config.go
@@ -14,6 +14,11 @@
 	// reads the key-value service itself. Peers' digests carry confirmations,
 	// so in a large fleet few nodes have to read.
 	confirmInterval = 4 * time.Second
+	// confirmSpread is the range of the random time that each node adds to
+	// confirmInterval. Nodes whose confirmations have the same age, for
+	// example after an outage, would otherwise all read at the same moment.
+	// Together both stay far enough below the fence time for a second try.
+	confirmSpread = 3 * time.Second
 	// readInterval is the time between two reads of the key-value service.
 	readInterval = 2 * time.Second
 	// fetchInterval is the time between two attempts to fetch a newer
@@ -35,7 +40,9 @@
 	// contact is when the node last reached the key-value service.
 	contact time.Time
 	// started is when the process started.
-	started   time.Time
+	started time.Time
+	// readAge is the age of the last confirmation at which the node reads.
+	readAge   time.Duration
 	nextRead  time.Time
 	nextFetch time.Time
 }
@@ -189,13 +196,19 @@
 	_, _ = s.charts.configuration.Expire(&s.configuration.position, s, now)
 }
 
+// drawReadAge chooses when the node reads next.
+func (s *State) drawReadAge() {
+	s.configuration.readAge = confirmInterval + time.Duration(s.random.Int64N(int64(confirmSpread)))
+}
+
 // tickReads asks for a read when the last confirmation is old, and for a
 // newer version that the node only knows by its number.
 func (s *State) tickReads(now time.Time) {
 	c := &s.configuration
 	behind := c.newest > s.version
-	if (behind || now.Sub(c.confirmed) >= confirmInterval) && !now.Before(c.nextRead) {
+	if (behind || now.Sub(c.confirmed) >= c.readAge) && !now.Before(c.nextRead) {
 		c.nextRead = now.Add(readInterval)
+		s.drawReadAge()
 		s.command(ReadConfig{})
 	}
 	if !behind || now.Before(c.nextFetch) {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -129,6 +129,7 @@
 	s.announced = s.life.State
 	s.configuration.position = s.charts.configuration.Start(now)
 	s.configuration.started = now
+	s.drawReadAge()
 	s.session.position = s.charts.session.Start(now)
 	s.orders.issuer.Chart = s.charts.issuer.Start(now)
 	return s, nil
