platform: do not transfer an unchanged VM list

Cause: a node reads the VM list every 2 s; at the target size the list has about 200 KB, far above the allowance of 3 KB/s for control. Change: the client sends the entity tag of the list that it has, and the stand-in confirms it with status 304. A list without tags works as before. Conclusion: an unchanged list costs the headers of a call.

--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -118,7 +118,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+vmlist.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		vms, err := l.List(r.Context())
-		wire.ReplyOr(w, vmlist.Reply{VMs: vms}, err)
+		if err != nil {
+			wire.Refuse(w, err)
+			return
+		}
+		wire.ReplyTagged(w, r, vmlist.Reply{VMs: vms})
 	})
 	return mux
 }
