--- /dev/null
+++ b/core/control/capacity_bench_test.go
@@ -0,0 +1,197 @@
+package control
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/invariant"
+	"tanagerspread/core/kvcache"
+	"tanagerspread/core/membership"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/quarantine"
+	"tanagerspread/core/request"
+)
+
+const (
+	benchMembers = 340
+	// benchRequests is the number of requests that one node has in progress
+	// when 6.8 requests arrive a second and each takes 22 s.
+	benchRequests = 150
+)
+
+func benchMember(i int) string {
+	return fmt.Sprintf("entry-vm-%04d", i)
+}
+
+// fleetState is a ready node that runs with agents among 340 members, all of
+// which it has seen.
+func fleetState(b *testing.B) (*State, []VM) {
+	b.Helper()
+	s, err := New(Options{
+		Node: benchMember(0), Charts: chart.Embedded(), Seed: 1, ServerSlots: testSlots, Agents: true, Incarnation: 1,
+		Checker: invariant.NewChecker(func(v *invariant.Violation) { panic(v) }),
+	}, testStart)
+	if err != nil {
+		b.Fatal(err)
+	}
+	list := benchList(benchServers)
+	for i := range benchMembers {
+		list = append(list, VM{ID: benchMember(i), Address: benchMember(i), PeerAddress: benchMember(i), Role: fleet.RoleEntry})
+	}
+	s.Handle(testStart, VMList{VMs: list})
+	s.Handle(testStart, Configure{Version: 1, Rules: benchRules(benchOrganisations, 1000)})
+	for i := range benchMembers - 1 {
+		s.Handle(testStart, PeerDigest{Digest: benchDigest(i+1, s.members.Members()), Asked: testStart})
+	}
+	return s, list
+}
+
+// benchDigest is the answer of a peer.
+func benchDigest(i int, members []string) membership.Digest {
+	d := membership.Digest{
+		Node: benchMember(i), Incarnation: 1, State: "ready", Version: 1, Newest: 1,
+		Confirmed: time.Second, List: membership.ListID(members), Ages: make([]uint8, len(members)),
+	}
+	for k := range d.Ages {
+		d.Ages[k] = uint8(k % 8)
+	}
+	return d
+}
+
+// BenchmarkFleetTick measures one tick of a node among 340 members with 1,000
+// servers and 150 requests in progress.
+func BenchmarkFleetTick(b *testing.B) {
+	s, _ := fleetState(b)
+	for i := range benchRequests {
+		r, prefix := benchRequest(i)
+		begin(b, s, testStart, r, prefix...)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		s.Handle(testStart, Tick{})
+	}
+}
+
+// BenchmarkFleetVMList measures one VMList message with 1,000 servers and 340
+// members.
+func BenchmarkFleetVMList(b *testing.B) {
+	s, list := fleetState(b)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		s.Handle(testStart, VMList{VMs: list})
+	}
+}
+
+// BenchmarkPeerDigest measures a peer's answer among 340 members.
+func BenchmarkPeerDigest(b *testing.B) {
+	s, _ := fleetState(b)
+	message := PeerDigest{Digest: benchDigest(7, s.members.Members()), Asked: testStart}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		s.Handle(testStart, message)
+	}
+}
+
+// BenchmarkAskDigest measures a peer's question and the digest that answers
+// it among 340 members.
+func BenchmarkAskDigest(b *testing.B) {
+	s, _ := fleetState(b)
+	message := AskDigest{ID: "q", Digest: benchDigest(7, nil)}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		s.Handle(testStart, message)
+	}
+}
+
+// BenchmarkConfigure measures a new configuration of 1,400 organisations with
+// 1,000 servers.
+func BenchmarkConfigure(b *testing.B) {
+	s, _ := fleetState(b)
+	rules := benchRules(benchOrganisations, 1000)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		s.Handle(testStart, Configure{Version: config.Version(i + 2), Rules: rules})
+	}
+}
+
+// BenchmarkUnknownToken measures a refusal after the comparison with the
+// digests of 1,400 tokens.
+func BenchmarkUnknownToken(b *testing.B) {
+	s, _ := fleetState(b)
+	r := completion("r", 0, time.Time{})
+	r.TokenDigest = request.Digest{9, 9, 9}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		s.Handle(testStart, Admit{Request: r})
+	}
+}
+
+// BenchmarkFullQuarantine measures the expiry of a full list in each tick.
+func BenchmarkFullQuarantine(b *testing.B) {
+	list := quarantine.NewList()
+	fillQuarantine(list, 4096)
+	b.ResetTimer()
+	for range b.N {
+		list.Expire(testStart)
+	}
+}
+
+func fillQuarantine(list *quarantine.List, count int) {
+	for i := range count {
+		e := quarantine.Entry{Kind: quarantine.Banned, Server: "e1", Until: testStart.Add(time.Hour)}
+		binary.LittleEndian.PutUint32(e.Fingerprint[:], uint32(i))
+		list.Seen(testStart, e)
+	}
+}
+
+// BenchmarkBoundedMemory reports the heap bytes of the bounded lists per
+// entry, and of a peer.
+func BenchmarkBoundedMemory(b *testing.B) {
+	const count = 4096
+	key := func(i int) cachekey.Key {
+		var k cachekey.Key
+		binary.LittleEndian.PutUint32(k[:], uint32(i))
+		return k
+	}
+	for range b.N {
+		start := heap()
+		recent := placement.NewRecent()
+		for i := range count {
+			recent.Note(testStart, []cachekey.Key{key(i)}, fleet.ServerID(benchMember(i)))
+		}
+		prefixes := heap()
+		exports := kvcache.NewExports()
+		for i := range count {
+			exports.Remember(testStart, []cachekey.Key{key(i)})
+		}
+		exported := heap()
+		list := quarantine.NewList()
+		fillQuarantine(list, count)
+		quarantined := heap()
+		members := membership.NewTable(benchMember(0))
+		addresses := map[string]string{}
+		for i := range benchMembers {
+			addresses[benchMember(i)] = benchMember(i)
+		}
+		members.SetMembers(addresses, func() chart.Instance { return chart.Instance{} })
+		peers := heap()
+		b.ReportMetric((prefixes-start)/count, "B/prefix")
+		b.ReportMetric((exported-prefixes)/count, "B/export")
+		b.ReportMetric((quarantined-exported)/count, "B/quarantine")
+		b.ReportMetric((peers-quarantined)/benchMembers, "B/peer")
+		runtime.KeepAlive([]any{recent, exports, list, members, addresses})
+	}
+}
--- /dev/null
+++ b/node/peer/capacity_test.go
@@ -0,0 +1,131 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+)
+
+// configControl answers with a configuration.
+type configControl struct {
+	current config.Current
+}
+
+func (c configControl) Ask(context.Context, control.Question) (control.Decision, *code.Error) {
+	return control.ConfigAnswer{Current: c.current}, nil
+}
+
+func (configControl) Tell(control.Message) bool { return true }
+
+// TestExchangeBytes guards against digests that grow faster than half a byte
+// for each member, and prints the bytes of docs/CAPACITY.md.
+func TestExchangeBytes(t *testing.T) {
+	bytesFor := func(members int) int64 {
+		var exchange int64
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			answer := fullDigest(true)
+			answer.Ages = answer.Ages[:members]
+			client, written, _ := pipe(ctx, answer)
+			defer client.Close()
+			question := fullDigest(false)
+			question.Leaving, question.Quarantine = nil, nil
+			const rounds = 20
+			for range rounds {
+				if _, err := client.Digest(ctx, "n2", question); err != nil {
+					t.Fatal(err)
+				}
+			}
+			exchange = written.Load() / rounds
+		})
+		return exchange
+	}
+	small := bytesFor(10)
+	for _, members := range []int{10, 100, 340} {
+		exchange := bytesFor(members)
+		t.Logf("%d members: %d bytes an exchange without lists, %d bytes/s", members, exchange, 4*exchange)
+		// Base64 writes half a byte as two thirds of one.
+		if bound := small + int64(members); exchange > bound {
+			t.Errorf("%d members: %d bytes an exchange, want at most %d", members, exchange, bound)
+		}
+	}
+}
+
+// TestConfigBytes guards against a configuration of the largest size that a
+// peer cannot deliver, and prints the bytes of docs/CAPACITY.md.
+func TestConfigBytes(t *testing.T) {
+	for _, size := range []int{300_000, 1_000_000} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			line := "org-0001 = rate=10 burst=20 token-rate=20000 token-burst=400000 ; M. Tasker\n"
+			current := config.Current{Version: 2, ApplyID: "a", Author: "M. Tasker", Text: []byte(strings.Repeat(line, size/len(line)))}
+			client, written, _ := pipeTo(ctx, configControl{current})
+			defer client.Close()
+			found, err := client.Config(ctx, "n2")
+			if err != nil || len(found.Text) != len(current.Text) {
+				t.Fatalf("%d bytes of rules, error %v", len(found.Text), err)
+			}
+			t.Logf("%d bytes of rules: 2 calls, %d bytes", len(current.Text), written.Load())
+		})
+	}
+}
+
+// BenchmarkDigest measures one exchange of both sides over net.Pipe with 340
+// members, encoding and decoding included.
+func BenchmarkDigest(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	client, _, _ := pipe(ctx, fullDigest(true))
+	defer client.Close()
+	question := fullDigest(false)
+	b.ReportAllocs()
+	for range b.N {
+		if _, err := client.Digest(ctx, "n2", question); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkConnections reports the memory of a connection to a peer and one
+// from a peer over loopback, heap and stacks. An operation opens 339 of each.
+func BenchmarkConnections(b *testing.B) {
+	const peers = 339
+	for range b.N {
+		ctx, cancel := context.WithCancel(context.Background())
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		go func() { _ = NewServer(fakeControl{fullDigest(true)}).Serve(ctx, listener) }()
+		client := NewClient(func(ctx context.Context, network, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, network, listener.Addr().String())
+		}, nil)
+		before := memoryInUse()
+		for i := range peers {
+			if _, err := client.Digest(ctx, strconv.Itoa(i), fullDigest(false)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(memoryInUse()-before)/peers, "B/peer")
+		client.Close()
+		cancel()
+	}
+}
+
+// memoryInUse returns the bytes of heap and stacks.
+func memoryInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -46,9 +46,14 @@
 // pipe returns a client of a server over net.Pipe, the bytes written by both
 // ends, and a function that makes the connections opened so far silent.
 func pipe(ctx context.Context, digest membership.Digest) (*Client, *atomic.Int64, func()) {
+	return pipeTo(ctx, fakeControl{digest})
+}
+
+// pipeTo is pipe with another control thread.
+func pipeTo(ctx context.Context, asker Asker) (*Client, *atomic.Int64, func()) {
 	written := &atomic.Int64{}
 	var opened []*atomic.Bool
-	server := NewServer(fakeControl{digest})
+	server := NewServer(asker)
 	client := NewClient(func(context.Context, string, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		silent := &atomic.Bool{}
--- a/node/process/process_test.go
+++ b/node/process/process_test.go
@@ -38,7 +38,7 @@
 
 // session is one process with a backend server.
 type session struct {
-	t         *testing.T
+	t         testing.TB
 	log       bytes.Buffer
 	callers   string
 	operators string
--- /dev/null
+++ b/node/runtime/capacity_test.go
@@ -0,0 +1,156 @@
+package runtime_test
+
+import (
+	"context"
+	"flag"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/node/ingress"
+	"tanagerspread/node/once"
+	"tanagerspread/standin/kv"
+)
+
+const (
+	// inForceLimit is the time within which a configuration is in force on
+	// every node.
+	inForceLimit = 17 * time.Second
+	// lookInterval is the resolution of the printed times.
+	lookInterval = 100 * time.Millisecond
+)
+
+// The size of the fleet and the idle time whose calls are counted.
+// docs/CAPACITY.md has the figures of other sizes.
+var (
+	members = flag.Int("members", 5, "nodes of the capacity tests")
+	idle    = flag.Duration("idle", time.Minute, "idle time of the capacity tests")
+)
+
+// inForce counts the nodes that have a version in force.
+func (c *cluster) inForce(version config.Version) int {
+	c.t.Helper()
+	count := 0
+	for name := range c.nodes {
+		decision, err := c.nodes[name].Control().Ask(c.ctx, control.AskConfig{ID: "capacity"})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		if decision.(control.ConfigAnswer).Current.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// spread prints when a new version is in force on half of the nodes and on
+// all of them.
+func (c *cluster) spread(version config.Version, id, way string) {
+	c.t.Helper()
+	began := time.Now()
+	calls := c.store.Calls()
+	c.mustApply(version-1, id)
+	half := time.Duration(0)
+	for count := 0; count < len(c.nodes); count = c.inForce(version) {
+		if half == 0 && 2*count >= len(c.nodes) {
+			half = time.Since(began)
+		}
+		if time.Since(began) > inForceLimit {
+			c.t.Fatalf("%s: version %d is in force on %d of %d nodes after %v", way, version, count, len(c.nodes), inForceLimit)
+		}
+		pass(lookInterval)
+	}
+	c.t.Logf("%s: %d nodes, half after %v, all after %v", way, len(c.nodes), half, time.Since(began))
+	pass(10 * time.Second)
+	c.t.Logf("%s: calls up to 10 s later: %v", way, callsSince(c.store, calls))
+}
+
+func callsSince(store *kv.Store, before map[kv.Operation]int) map[kv.Operation]int {
+	now := store.Calls()
+	for operation := range now {
+		now[operation] -= before[operation]
+	}
+	return now
+}
+
+// TestSpread guards against a configuration that takes longer than 17 s to
+// reach every node, also when only one of them reaches the key-value service,
+// and prints the calls and bytes of docs/CAPACITY.md.
+func TestSpread(t *testing.T) {
+	inBubble(t, *members, func(c *cluster) {
+		pass(20 * time.Second)
+		calls, written := c.store.Calls(), c.net.written.Load()
+		pass(*idle)
+		t.Logf("idle for %v: calls %v", *idle, callsSince(c.store, calls))
+		perNode := float64(c.net.written.Load()-written) / idle.Seconds() / float64(*members)
+		t.Logf("idle: %.0f bytes/s written by a node to its peers", perNode)
+		c.spread(2, "second", "service up")
+		for _, name := range slices.Sorted(maps.Keys(c.gates))[1:] {
+			c.gates[name].shut.Store(true)
+		}
+		pass(20 * time.Second)
+		c.spread(3, "third", "service reached by one node")
+	})
+}
+
+// TestRestartCalls prints the calls of a planned stop and a start.
+func TestRestartCalls(t *testing.T) {
+	inBubble(t, 3, func(c *cluster) {
+		pass(20 * time.Second)
+		calls := c.store.Calls()
+		pass(20 * time.Second)
+		t.Logf("without a restart: %v", callsSince(c.store, calls))
+		calls = c.store.Calls()
+		c.nodes["n1"].Drain()
+		pass(10 * time.Second)
+		c.stops["n1"]()
+		c.start("n1")
+		pass(10 * time.Second)
+		t.Logf("with a restart: %v", callsSince(c.store, calls))
+		c.expect("n1", "ready", 1)
+	})
+}
+
+// TestRecordCalls guards against a non-idempotent request that needs more
+// calls of the key-value service than docs/CAPACITY.md counts on.
+func TestRecordCalls(t *testing.T) {
+	inBubble(t, 1, func(c *cluster) {
+		ctx, cancel := context.WithCancel(c.ctx)
+		defer cancel()
+		service := kv.NewStore(kv.Options{})
+		recorder := once.New(ctx, once.Options{Control: c.nodes["n1"].Control(), Service: service, Node: "n1", Logger: logr.Discard()})
+		claim := ingress.Claim{Organisation: "guild", KeyDigest: "key", BodyDigest: "body", Request: "r1", Deadline: time.Now().Add(time.Minute)}
+		step := func(name string, reads, writes int, run func()) {
+			before := service.Calls()
+			run()
+			calls := callsSince(service, before)
+			t.Logf("%s: %v", name, calls)
+			if calls[kv.OpGet] > reads || calls[kv.OpPut] > writes {
+				t.Errorf("%s: %v, want at most %d reads and %d writes", name, calls, reads, writes)
+			}
+		}
+		step("claim", 1, 1, func() {
+			if _, err := recorder.Claim(ctx, claim); err != nil {
+				t.Fatal(err)
+			}
+		})
+		step("complete", 1, 1, func() {
+			if err := recorder.Complete(ctx, claim, ingress.Kept{Status: 200, Body: []byte("done")}); err != nil {
+				t.Fatal(err)
+			}
+		})
+		claim.Request = "r2"
+		step("repeat", 1, 0, func() {
+			if kept, err := recorder.Claim(ctx, claim); err != nil || kept == nil {
+				t.Fatalf("kept %v, error %v", kept, err)
+			}
+		})
+		synctest.Wait()
+	})
+}
