--- /dev/null
+++ b/standin/kv/compressed_test.go
@@ -0,0 +1,82 @@
+package kv_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"tanagerspread/core/code"
+	"tanagerspread/platform/kv"
+	"tanagerspread/platform/wire"
+	standin "tanagerspread/standin/kv"
+)
+
+// meteredConn counts the bytes that a client reads and writes.
+type meteredConn struct {
+	net.Conn
+	total *atomic.Int64
+}
+
+func (c meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.total.Add(int64(n))
+	return n, err
+}
+
+func (c meteredConn) Write(p []byte) (int, error) {
+	c.total.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// TestCompressedValue guards against a configuration that travels
+// uncompressed to each node, and prints the bytes of docs/CAPACITY.md.
+func TestCompressedValue(t *testing.T) {
+	s := standin.NewStore(standin.Options{})
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	total := &atomic.Int64{}
+	client := kv.NewClient(wire.Options{
+		Address: strings.TrimPrefix(server.URL, "http://"),
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return meteredConn{conn, total}, err
+		},
+	})
+	defer client.Close()
+	value := []byte(strings.Repeat("organisation-0001 = rate=10/s burst=20 ; M. Tasker\n", 6000))
+	if _, err := s.Put(t.Context(), kv.Write{Key: "config/current", Value: value}); err != nil {
+		t.Fatal(err)
+	}
+	measured := func(name string, run func() *code.Error) int64 {
+		before := total.Load()
+		if err := run(); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: %d bytes with headers", name, total.Load()-before)
+		return total.Load() - before
+	}
+	watch := func() *code.Error {
+		changes, _, err := client.Watch(t.Context(), "config/current", 0)
+		if err == nil && string(changes[0].Entry.Value) != string(value) {
+			t.Error("the watch returned another value")
+		}
+		return err
+	}
+	read := func() *code.Error {
+		_, err := client.Get(t.Context(), "config/current")
+		return err
+	}
+	if got := measured("watch", watch); got > int64(len(value)/5) {
+		t.Errorf("a watch took %d bytes for a value of %d", got, len(value))
+	}
+	measured("first read", read)
+	measured("unchanged read", read)
+	lease, err := client.Grant(t.Context(), kv.WatchWait)
+	if err != nil {
+		t.Fatal(err)
+	}
+	measured("renewal", func() *code.Error { return client.Renew(t.Context(), lease) })
+}
--- a/standin/kv/handler.go
+++ b/standin/kv/handler.go
@@ -75,7 +75,7 @@
 		return
 	}
 	changes, revision, err := s.Watch(r.Context(), r.URL.Query().Get(kv.QueryPrefix), after)
-	wire.ReplyOr(w, kv.WatchReply{Changes: changes, Revision: revision}, err)
+	wire.ReplyLarge(w, r, kv.WatchReply{Changes: changes, Revision: revision}, err)
 }
 
 func revisionOf(w http.ResponseWriter, r *http.Request, name string) (kv.Revision, bool) {
