--- /dev/null
+++ b/node/blocks/capacity_test.go
@@ -0,0 +1,33 @@
+package blocks
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/kvcache"
+	"tanagerspread/platform/store"
+)
+
+// maxEntryBytes is the size of one block's entry in a manifest that
+// docs/CAPACITY.md counts on.
+const maxEntryBytes = 256
+
+// TestManifestBytes guards against manifests that outgrow the stores, and
+// prints the bytes of docs/CAPACITY.md.
+func TestManifestBytes(t *testing.T) {
+	var blocks []kvcache.Block
+	for i := range 10 {
+		blocks = append(blocks, kvcache.Block{Key: cachekey.Key{byte(i)}, Length: 64 << 20, Checksum: fmt.Sprintf("%064x", i), Generation: 1 << 40})
+	}
+	manifest := store.Manifest{Key: EncodeKey(blocks[9].Key), Blocks: encodeBlocks(blocks)}
+	data, err := json.Marshal(manifest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("a manifest of 10 blocks has %d bytes", len(data))
+	if len(data) > len(blocks)*maxEntryBytes {
+		t.Errorf("a manifest of 10 blocks has %d bytes, want at most %d", len(data), len(blocks)*maxEntryBytes)
+	}
+}
--- a/node/process/capacity_test.go
+++ b/node/process/capacity_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -112,7 +113,9 @@
 	go pprof.Do(ctx, pprof.Labels("part", "node"), func(ctx context.Context) { s.done <- process.Run(ctx, options) })
 	t.Cleanup(func() {
 		cancel()
-		<-s.done
+		if err := <-s.done; !errors.Is(err, context.Canceled) {
+			t.Errorf("the process ended with %v", err)
+		}
 	})
 	s.callers, s.operators = <-addresses, <-addresses
 	for ready := false; !ready; {
