membership: no allocation in a tick

Cause: each tick built two lists of the peers and sorted the sightings of all members with reflection. Change: the list of peers is built with the member list, and the sightings are sorted in a slice that is kept. TestTickAllocations fails without the change: 13 allocations a tick.

--- a/core/control/capacity_bench_test.go
+++ b/core/control/capacity_bench_test.go
@@ -32,7 +32,7 @@
 
 // fleetState is a ready node that runs with agents among 340 members, all of
 // which it has seen.
-func fleetState(b *testing.B) (*State, []VM) {
+func fleetState(b failer) (*State, []VM) {
 	b.Helper()
 	s, err := New(Options{
 		Node: benchMember(0), Charts: chart.Embedded(), Seed: 1, ServerSlots: testSlots, Agents: true, Incarnation: 1,
@@ -65,6 +65,14 @@
 	return d
 }
 
+// TestTickAllocations guards against garbage in each of 20 ticks a second.
+func TestTickAllocations(t *testing.T) {
+	s, _ := fleetState(t)
+	if got := testing.AllocsPerRun(20, func() { s.Handle(testStart, Tick{}) }); got > 0 {
+		t.Errorf("%v allocations a tick, want none", got)
+	}
+}
+
 // BenchmarkFleetTick measures one tick of a node among 340 members with 1,000
 // servers and 150 requests in progress.
 func BenchmarkFleetTick(b *testing.B) {
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -37,6 +38,10 @@
 	lists map[uint32][]string
 	ids   []uint32
 	peers map[string]*Peer
+	// listed holds the peers in the order of the member list.
+	listed []*Peer
+	// seen is the working space of MajoritySeen, which runs in each tick.
+	seen []time.Time
 }
 
 // NewTable returns a table without members.
@@ -60,6 +65,7 @@
 			delete(t.peers, id)
 		}
 	}
+	t.listPeers()
 	t.remember()
 }
 
@@ -95,15 +101,19 @@
 	return t.peers[id]
 }
 
-// Peers returns the peers in the order of the member list.
+// Peers returns the peers in the order of the member list. The caller must not
+// change the slice.
 func (t *Table) Peers() []*Peer {
-	out := make([]*Peer, 0, len(t.peers))
+	return t.listed
+}
+
+func (t *Table) listPeers() {
+	t.listed = make([]*Peer, 0, len(t.peers))
 	for _, id := range t.order {
 		if peer := t.peers[id]; peer != nil {
-			out = append(out, peer)
+			t.listed = append(t.listed, peer)
 		}
 	}
-	return out
 }
 
 // Sample returns up to count random peers for which want holds.
@@ -158,19 +168,20 @@
 // list was seen, or zero. The own entry counts as seen now when the node has
 // a configuration in force.
 func (t *Table) MajoritySeen(now time.Time, inForce bool) time.Time {
-	var seen []time.Time
-	for _, id := range t.order {
-		if id == t.self && inForce {
-			seen = append(seen, now)
-		}
-		if peer := t.peers[id]; peer != nil && !peer.Seen.IsZero() {
+	seen := t.seen[:0]
+	for _, peer := range t.listed {
+		if !peer.Seen.IsZero() {
 			seen = append(seen, peer.Seen)
 		}
 	}
+	if inForce && slices.Contains(t.order, t.self) {
+		seen = append(seen, now)
+	}
+	t.seen = seen
 	need := config.Majority(len(t.order))
 	if len(t.order) == 0 || len(seen) < need {
 		return time.Time{}
 	}
-	sort.Slice(seen, func(i, j int) bool { return seen[i].After(seen[j]) })
+	slices.SortFunc(seen, func(a, b time.Time) int { return b.Compare(a) })
 	return seen[need-1]
 }
