--- a/standin/kv/handler.go
+++ b/standin/kv/handler.go
@@ -25,7 +25,11 @@
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	entry, err := s.Get(r.Context(), r.PathValue("key"))
-	wire.ReplyOr(w, entry, err)
+	if err != nil {
+		wire.Refuse(w, err)
+		return
+	}
+	wire.ReplyTagged(w, r, entry)
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
@@ -71,7 +75,7 @@
 		return
 	}
 	changes, revision, err := s.Watch(r.Context(), r.URL.Query().Get(kv.QueryPrefix), after)
-	wire.ReplyOr(w, kv.WatchReply{Changes: changes, Revision: revision}, err)
+	wire.ReplyLarge(w, r, kv.WatchReply{Changes: changes, Revision: revision}, err)
 }
 
 func revisionOf(w http.ResponseWriter, r *http.Request, name string) (kv.Revision, bool) {
