node/control: a loop that has ended decides nothing

When the end of the context and a queued message were ready together, select took one at random, so a node that was ended could still permit a dispatch. Change: the loop checks its context before it handles a queued message.

--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -63,6 +63,10 @@
 		case <-ticker.C:
 			l.handle(envelope{message: control.Tick{}})
 		case e := <-l.inbox:
+			if ctx.Err() != nil {
+				// Both cases were ready; a loop that has ended decides nothing.
+				return
+			}
 			l.handle(e)
 		}
 	}
