core, node: carry quarantined fingerprints between nodes and the key-value service

Cause: core/control emitted PublishQuarantine and accepted QuarantineSeen, but no agent carried them, so each node learned of a crashing request by losing two servers of its own.

Quarantined fingerprints are written to quarantine/<fingerprint> under a lease of their remaining time, read before the configuration at start, and watched.

--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -182,7 +182,7 @@
 		return
 	}
 	s.budget.Credit(a.organisation)
-	s.clearSuspicion(a)
+	s.clearSuspicion(now, a)
 	s.considerExport(now, a, server)
 	a.responded = true
 	s.reply(a.ID, Deliver{Record: a.once()})
--- a/core/control/fleetmessage.go
+++ b/core/control/fleetmessage.go
@@ -165,7 +165,7 @@
 		s.peerDigest(now, m)
 	case AskDigest:
 		s.peerDigest(now, PeerDigest{Digest: m.Digest})
-		s.reply(m.ID, DigestAnswer{Digest: s.digest(now, true)})
+		s.reply(m.ID, DigestAnswer{Digest: s.answer(now, m.Digest)})
 	case AskConfig:
 		s.reply(m.ID, ConfigAnswer{Current: s.configuration.current})
 	case OrderMessage:
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -70,6 +70,7 @@
 	}
 	if !asked {
 		d.Leaving = s.leavingWords(now)
+		d.Quarantine = s.quarantineWords(now)
 		return d
 	}
 	d.List, d.Ages = s.members.Ages(now, s.takesPart())
@@ -79,6 +80,16 @@
 	return d
 }
 
+// answer is the digest for a peer that asked. A peer that starts is also told
+// the fingerprints, since it may have missed their changes.
+func (s *State) answer(now time.Time, question membership.Digest) membership.Digest {
+	d := s.digest(now, true)
+	if question.State == "starting" {
+		d.Quarantine = fingerprints(now, s.quarantine.Shared())
+	}
+	return d
+}
+
 // peerDigest takes over what a peer told. The versions come first, because a
 // sighting confirms nothing once a newer version is known.
 func (s *State) peerDigest(now time.Time, m PeerDigest) {
@@ -93,6 +104,7 @@
 		asked = now
 	}
 	s.peerWords(now, asked, d.Leaving)
+	s.peerFingerprints(now, d.Quarantine)
 	if m.Asked.IsZero() {
 		return
 	}
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -194,6 +194,9 @@
 // QuarantineSeen reports fingerprints that other nodes published.
 type QuarantineSeen struct {
 	Entries []quarantine.Entry
+	// Service is true when the entries come from the key-value service, which
+	// tells every node, and need not be passed on.
+	Service bool
 }
 
 // Drain starts the planned stop of the node.
--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -31,7 +31,7 @@
 	if len(changed) == 0 {
 		return
 	}
-	s.command(PublishQuarantine{Entries: changed})
+	s.publish(now, changed)
 	s.holdNewSuspects()
 }
 
@@ -64,22 +64,26 @@
 
 // quarantineSeen adds the entries of another node.
 func (s *State) quarantineSeen(now time.Time, m QuarantineSeen) {
-	changed := false
+	var changed []quarantine.Entry
 	for _, e := range m.Entries[:min(len(m.Entries), quarantine.MaxShared)] {
 		if s.quarantine.Seen(now, e) {
-			changed = true
+			changed = append(changed, e)
 		}
 	}
-	if changed {
-		s.holdNewSuspects()
-		s.assignQueued(now)
+	if len(changed) == 0 {
+		return
 	}
+	if !m.Service {
+		s.spread(now, changed)
+	}
+	s.holdNewSuspects()
+	s.assignQueued(now)
 }
 
 // clearSuspicion ends the suspicion against a request that ran to its end.
-func (s *State) clearSuspicion(a *active) {
+func (s *State) clearSuspicion(now time.Time, a *active) {
 	if s.quarantine.Clear(a.fingerprint) {
-		s.command(PublishQuarantine{Entries: []quarantine.Entry{{Fingerprint: a.fingerprint, Kind: quarantine.Cleared}}})
+		s.publish(now, []quarantine.Entry{{Fingerprint: a.fingerprint, Kind: quarantine.Cleared}})
 	}
 }
 
--- a/core/control/suspects_test.go
+++ b/core/control/suspects_test.go
@@ -42,7 +42,7 @@
 		if p, ok := c.(PublishQuarantine); ok {
 			for other := range x.nodes {
 				if other != node {
-					x.send(other, QuarantineSeen(p))
+					x.send(other, QuarantineSeen{Entries: p.Entries})
 				}
 			}
 		}
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/quarantine"
 )
 
 const (
@@ -13,9 +15,11 @@
 	UnknownAge uint8 = 15
 	// MaxAge is the oldest sighting that a digest carries, in seconds.
 	MaxAge = 14
-	// MaxItems bounds the quarantine and leaving lists. With two items in each
-	// list of a question and none in an answer, digests fit the allowance of
-	// 3 KB/s at 340 nodes.
+	// MaxItems bounds the quarantine and leaving lists of periodic digests.
+	// With two items in each list of a question and none in an answer, digests
+	// fit the allowance of 3 KB/s at 340 nodes. A digest that announces a change
+	// of the quarantine, and the answer to a starting node, may carry up to
+	// quarantine.MaxShared fingerprints.
 	MaxItems = 2
 	// UnknownConfirmation is the confirmation age of a node that knows of no
 	// confirmation.
@@ -45,12 +49,22 @@
 	// Ages holds the age of the last sighting of each member in whole
 	// seconds, rounded up, in the order of the member list.
 	Ages []uint8
-	// Quarantine lists fingerprints of quarantined requests.
-	Quarantine []string
+	// Quarantine lists what the node knows of fingerprints.
+	Quarantine []Fingerprint
 	// Leaving lists backend servers that said that they are leaving.
 	Leaving []Leaving
 }
 
+// Fingerprint is what a node knows of one request fingerprint.
+type Fingerprint struct {
+	ID   quarantine.Fingerprint
+	Kind quarantine.Kind
+	// Server is the backend server that the request may have crashed.
+	Server fleet.ServerID
+	// Left is the time until the entry expires.
+	Left time.Duration
+}
+
 // Leaving is the word of a backend server that is leaving.
 type Leaving struct {
 	Server  string
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"tanagerspread/core/config"
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
+	"tanagerspread/core/quarantine"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/peer"
 	"tanagerspread/platform/kv"
@@ -65,6 +67,12 @@
 	peers    chan control.Command
 	// parsed caches the rules that were parsed last.
 	parsed atomic.Pointer[parsed]
+	// quarantined holds the fingerprints that are to be stored.
+	quarantined chan quarantine.Entry
+	// quarantineRead is closed after the first attempt to read the quarantined
+	// fingerprints.
+	quarantineRead chan struct{}
+	quarantineOnce sync.Once
 }
 
 // New returns agents that do not run yet.
@@ -74,12 +82,15 @@
 		reads:    make(chan control.Command, commandQueue),
 		sessions: make(chan control.SessionCommand, commandQueue),
 		peers:    make(chan control.Command, commandQueue),
+
+		quarantined:    make(chan quarantine.Entry, quarantineQueue),
+		quarantineRead: make(chan struct{}),
 	}
 }
 
 // Run runs the agents until the context ends.
 func (a *Agents) Run(ctx context.Context) {
-	tasks := []func(context.Context){a.watchConfig, a.runReads, a.runSession, a.pollList}
+	tasks := []func(context.Context){a.watchConfig, a.runReads, a.runSession, a.pollList, a.watchQuarantine, a.storeQuarantine}
 	for range peerWorkers {
 		tasks = append(tasks, a.runPeers)
 	}
@@ -110,6 +121,12 @@
 		}
 	case control.FetchConfig:
 		offer(a, a.peers, command)
+	case control.PublishQuarantine:
+		for _, entry := range c.Entries {
+			if entry.Kind == quarantine.Banned {
+				offer(a, a.quarantined, entry)
+			}
+		}
 	default:
 		return false
 	}
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -17,7 +17,15 @@
 // watchConfig reads the configuration and then waits for changes. An empty
 // watch is followed by a read, because a service that was restored from an
 // older copy may count its revisions from a lower number.
+//
+// The quarantined fingerprints are read first, so that a node that starts does
+// not serve before it knows them, unless the service is away.
 func (a *Agents) watchConfig(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-a.quarantineRead:
+	}
 	for ctx.Err() == nil {
 		revision, err := a.readConfig(ctx)
 		if err == nil {
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -11,7 +11,9 @@
 
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
 	"tanagerspread/core/membership"
+	"tanagerspread/core/quarantine"
 )
 
 // digestBudget is the allowance for control in bytes per second.
@@ -80,7 +82,9 @@
 	d.Confirmed = membership.UnknownConfirmation
 	for i := range membership.MaxItems {
 		d.Leaving = append(d.Leaving, membership.Leaving{Server: fmt.Sprintf("engine-vm-%04d", i), Address: "10.200.100.100:8000", Age: 59 * time.Second})
-		d.Quarantine = append(d.Quarantine, fmt.Sprintf("%032d", i))
+		d.Quarantine = append(d.Quarantine, membership.Fingerprint{
+			ID: quarantine.Fingerprint{byte(i)}, Kind: quarantine.Banned, Server: fleet.ServerID(fmt.Sprintf("engine-vm-%04d", i)), Left: quarantine.QuarantineAge,
+		})
 	}
 	return d
 }
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -7,6 +7,7 @@
 
 	"tanagerspread/core/config"
 	"tanagerspread/core/membership"
+	"tanagerspread/core/quarantine"
 	"tanagerspread/node/confkv"
 )
 
@@ -51,7 +52,9 @@
 	w := digestWire{
 		Node: d.Node, Incarnation: d.Incarnation, State: d.State, Version: uint64(d.Version),
 		Away: d.Away, List: d.List, Ages: pack(d.Ages), Count: len(d.Ages),
-		Quarantine: d.Quarantine[:min(len(d.Quarantine), membership.MaxItems)],
+	}
+	for _, known := range d.Quarantine[:min(len(d.Quarantine), quarantine.MaxShared)] {
+		w.Quarantine = append(w.Quarantine, encodeFingerprint(known))
 	}
 	if d.Newest != d.Version {
 		w.Newest = uint64(d.Newest)
@@ -76,9 +79,9 @@
 	if w.ConfirmedMS != nil && *w.ConfirmedMS >= 0 {
 		d.Confirmed = time.Duration(*w.ConfirmedMS) * time.Millisecond
 	}
-	for _, item := range w.Quarantine[:min(len(w.Quarantine), membership.MaxItems)] {
-		if len(item) <= maxItemBytes {
-			d.Quarantine = append(d.Quarantine, item)
+	for _, item := range w.Quarantine[:min(len(w.Quarantine), quarantine.MaxShared)] {
+		if known, ok := decodeFingerprint(item); ok {
+			d.Quarantine = append(d.Quarantine, known)
 		}
 	}
 	for _, word := range w.Leaving[:min(len(w.Leaving), membership.MaxItems)] {
