node/runtime: servers lost for each bad request with real nodes

The reads of the configuration wait for the first read of the quarantine, also those that the control thread asks for.

--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -17,14 +17,9 @@
 // watchConfig reads the configuration and then waits for changes. An empty
 // watch is followed by a read, because a service that was restored from an
 // older copy may count its revisions from a lower number.
-//
-// The quarantined fingerprints are read first, so that a node that starts does
-// not serve before it knows them, unless the service is away.
 func (a *Agents) watchConfig(ctx context.Context) {
-	select {
-	case <-ctx.Done():
+	if !a.awaitQuarantine(ctx) {
 		return
-	case <-a.quarantineRead:
 	}
 	for ctx.Err() == nil {
 		revision, err := a.readConfig(ctx)
@@ -37,6 +32,18 @@
 	}
 }
 
+// awaitQuarantine waits for the first attempt to read the quarantined
+// fingerprints, so that a node that starts does not serve before it knows
+// them. It reports false when the context ended.
+func (a *Agents) awaitQuarantine(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-a.quarantineRead:
+		return true
+	}
+}
+
 // followConfig reports changes until a watch returns none.
 func (a *Agents) followConfig(ctx context.Context, after kv.Revision) *code.Error {
 	for ctx.Err() == nil {
@@ -72,6 +79,9 @@
 
 // runReads carries out reads and repairs.
 func (a *Agents) runReads(ctx context.Context) {
+	if !a.awaitQuarantine(ctx) {
+		return
+	}
 	for {
 		select {
 		case <-ctx.Done():
