control: let a suspicion settle before the suspect runs again

Cause: with 7 nodes an innocent request was quarantined in 2 of 120 runs of TestServersLost. A suspect ran again after a backoff of 0 to 50 ms, possibly before its node knew the suspects of the other nodes; two suspects of different nodes then met on the second server that died.

Change: a suspect waits 200 ms before its next attempt.

TestSuspicionSettles fails without the wait.

--- a/core/control/place.go
+++ b/core/control/place.go
@@ -131,7 +131,7 @@
 		return limits.Taken
 	}
 	suspect := s.quarantine.Suspect(a.fingerprint)
-	if suspect && s.suspectRuns[a.fingerprint] > 0 {
+	if suspect && s.mustWait(now, a) {
 		return limits.Skipped
 	}
 	choice := s.policy.Pick(now, s.query(a), s.view(now, a, suspect))
--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -15,6 +15,11 @@
 // that no suspect of another node may use.
 const isolationWait = 3 * time.Second
 
+// suspicionSettles is the time between the suspicion of a request and its next
+// attempt. The other nodes learn in this time which suspects there are, so
+// that suspects of two nodes do not choose the same server.
+const suspicionSettles = 200 * time.Millisecond
+
 // serverDied records the death of a server once for all requests that this
 // node had in progress there.
 func (s *State) serverDied(now time.Time, at *attempt) {
@@ -87,6 +92,13 @@
 	}
 }
 
+// mustWait reports whether a suspect may not run yet: a copy of it runs, or
+// other nodes may not know yet that it is suspect.
+func (s *State) mustWait(now time.Time, a *active) bool {
+	unsettled := s.options.Agents && now.Sub(s.quarantine.SuspectSince(a.fingerprint)) < suspicionSettles
+	return unsettled || s.suspectRuns[a.fingerprint] > 0
+}
+
 // isolate keeps one of the eligible servers for a suspect, so that suspects of
 // different nodes do not meet on a server: only the suspect with the highest
 // rendezvous weight may use a server. A suspect without such a server waits,
--- a/core/control/suspects_test.go
+++ b/core/control/suspects_test.go
@@ -266,3 +266,24 @@
 		t.Errorf("%d suspects from one message", suspects)
 	}
 }
+
+// TestSuspicionSettles guards against a suspect that runs again before other
+// nodes can know of it, where it could meet a suspect of another node.
+func TestSuspicionSettles(t *testing.T) {
+	s := newState(t, 1, vms(3, 0, 0), rulesFor(1, "least-load"))
+	s.options.Agents = true
+	r := completion("r1", 0, testStart.Add(time.Minute))
+	s.Handle(testStart, Admit{Request: r})
+	out := s.Handle(testStart, Place{Request: r.ID, PromptTokens: r.PromptTokens})
+	first := out.Replies[0].Decision.(Dispatch)
+	s.Handle(testStart, Connected{Request: r.ID, Attempt: first.Attempt})
+	s.Handle(testStart, AttemptDone{Request: r.ID, Attempt: first.Attempt, Outcome: Lost, Died: true})
+	early := s.Handle(testStart.Add(suspicionSettles-time.Millisecond), Tick{})
+	if len(early.Replies) != 0 {
+		t.Errorf("%+v before the suspicion settled", early.Replies)
+	}
+	late := s.Handle(testStart.Add(suspicionSettles), Tick{})
+	if len(late.Replies) != 1 {
+		t.Errorf("replies %+v after the suspicion settled, want a dispatch", late.Replies)
+	}
+}
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -78,6 +78,15 @@
 	return l.entries[f].Kind == Suspected
 }
 
+// SuspectSince returns when this node learned that the fingerprint is suspect,
+// or the zero time when it is not.
+func (l *List) SuspectSince(f Fingerprint) time.Time {
+	if !l.Suspect(f) {
+		return time.Time{}
+	}
+	return l.entries[f].learned
+}
+
 // Died records the death of a server that ran the given fingerprints and
 // returns the entries that changed. A single fingerprint that was suspect of
 // an earlier death is named as the cause, and the others are not blamed.
