node/runtime: a long randomised run of a fleet with faults alone and in pairs

Cause: faults were tested one at a time, each by its own test.

Shown to fail: a stream that ends early and is passed on as whole; a record key that differs between calls; a cut-off node that does not fence itself. Not shown to fail: a response of another request, which two other checks refuse as well.

--- a/node/runtime/fleet_test.go
+++ b/node/runtime/fleet_test.go
@@ -37,8 +37,9 @@
 	nodes map[string]*runtime.Node
 	stops map[string]func()
 	done  map[string]chan error
-	// recorder and rules are used by the nodes that start next.
+	// recorder, logger and rules are used by the nodes that start next.
 	recorder ingress.Recorder
+	logger   logr.Logger
 	rules    *config.Rules
 	// starts numbers the processes.
 	starts uint64
@@ -49,7 +50,7 @@
 	c := &cluster{
 		t: t, ctx: ctx, net: newNetwork(), store: kv.NewStore(kv.Options{}), list: list.New(0),
 		gates: map[string]*gate{}, nodes: map[string]*runtime.Node{}, stops: map[string]func(){}, done: map[string]chan error{},
-		recorder: ingress.NoRecorder(), rules: testRules(),
+		recorder: ingress.NoRecorder(), logger: logr.Discard(), rules: testRules(),
 	}
 	for i := range count {
 		name := fmt.Sprintf("n%d", i+1)
@@ -81,7 +82,8 @@
 		Listener:     c.net.listen(name),
 		Dial:         c.net.dialer(name),
 		Recorder:     c.recorder,
-		Logger:       logr.Discard(),
+		KeyValue:     c.gates[name],
+		Logger:       c.logger,
 		MaxBodyBytes: 1 << 20,
 		Fleet: &runtime.Fleet{
 			Service:      c.gates[name],
--- /dev/null
+++ b/node/runtime/longcalls_test.go
@@ -0,0 +1,112 @@
+package runtime_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"tanagerspread/core/cachekey"
+	"tanagerspread/core/request"
+	"tanagerspread/standin/engine"
+	"tanagerspread/standin/service"
+)
+
+// refusalOf returns the request and the class of execution of a refusal or of
+// an error event, or empty texts.
+func refusalOf(body string) (request.ID, string) {
+	at := strings.LastIndex(body, `{"error":`)
+	if at < 0 {
+		return "", ""
+	}
+	var refusal struct {
+		Error struct {
+			Execution string     `json:"execution"`
+			ID        request.ID `json:"request_id"`
+		} `json:"error"`
+	}
+	if json.NewDecoder(strings.NewReader(body[at:])).Decode(&refusal) != nil {
+		return "", ""
+	}
+	return refusal.Error.ID, refusal.Error.Execution
+}
+
+// complete sends a completion whose prompt begins with blocks that other
+// callers of both organisations use too.
+func (c *exchange) complete(stream bool) {
+	shared := strings.Repeat(string(rune('a'+c.random.IntN(4))), c.random.IntN(3)*cachekey.BlockBytes)
+	prompt := shared + " prompt " + c.id
+	tokens := 5 + c.random.IntN(100)
+	body, _ := json.Marshal(map[string]any{"model": testModel, "prompt": prompt, "max_tokens": tokens, "stream": stream})
+	single := c.l.single.Load()
+	got, _, class := c.send(http.MethodPost, "/v1/completions", string(body))
+	c.idempotent(single, class == "")
+	if class != "" {
+		return
+	}
+	if text, whole := textOf(got.body, stream); !whole || text != engine.Text(prompt, tokens) {
+		c.l.t.Errorf("request %s: response is not whole or not its own: %.200s", c.id, got.body)
+	}
+}
+
+// textOf returns the text of a response and whether it is marked as whole.
+func textOf(body string, stream bool) (string, bool) {
+	var text strings.Builder
+	lines := []string{body}
+	if stream {
+		lines = strings.Split(body, "\n\n")
+	}
+	for _, line := range lines {
+		var part struct {
+			Choices []struct{ Text string }
+		}
+		if json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &part) == nil && len(part.Choices) == 1 {
+			text.WriteString(part.Choices[0].Text)
+		}
+	}
+	return text.String(), !stream || strings.HasSuffix(body, "data: [DONE]\n\n")
+}
+
+// lookUp calls the idempotent service.
+func (c *exchange) lookUp() {
+	single := c.l.single.Load()
+	got, _, class := c.send(http.MethodPost, "/services/lookup/"+c.id, "{}")
+	c.idempotent(single, class == "")
+	var response service.Response
+	if class == "" && (json.Unmarshal([]byte(got.body), &response) != nil || response.Path != "/"+c.id || response.Service != "lookup") {
+		c.l.t.Errorf("lookup %s: response %q is not its own", c.id, got.body)
+	}
+}
+
+// lodge sends a keyed call and repeats it at other nodes, also after it
+// succeeded.
+func (c *exchange) lodge() {
+	lodged := &lodging{}
+	key := "key " + c.id
+	for range 2 + c.random.IntN(3) {
+		got, _, class := c.send(http.MethodPost, "/services/lodgement/"+c.id, "{}", "Idempotency-Key", key)
+		if class == "not-sent" {
+			break
+		}
+		c.note(key, lodged, got, class)
+		time.Sleep(time.Duration(c.random.IntN(500)) * time.Millisecond)
+	}
+}
+
+func (c *exchange) note(key string, lodged *lodging, got result, class string) {
+	c.l.seen.Lock()
+	defer c.l.seen.Unlock()
+	c.l.keys[key] = lodged
+	lodged.tries++
+	switch {
+	case class == "not-run":
+		lodged.notRun++
+	case class != "":
+	case lodged.response == "":
+		lodged.response = got.body
+	case lodged.response != got.body:
+		c.l.t.Errorf("%s: %q after %q", key, got.body, lodged.response)
+	default:
+		c.l.replays++
+	}
+}
--- a/node/runtime/network_test.go
+++ b/node/runtime/network_test.go
@@ -18,7 +18,10 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	cut       map[string]bool
-	written   atomic.Int64
+	// halves holds the addresses of one of two halves between which nothing
+	// passes.
+	halves  map[string]bool
+	written atomic.Int64
 }
 
 func newNetwork() *network {
@@ -73,13 +76,24 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, end := range ends {
-		if n.cut[end] {
+		if n.cut[end] || n.halves[end] != n.halves[ends[0]] {
 			return true
 		}
 	}
 	return false
 }
 
+// setHalves separates the given addresses from those that are not given; none
+// heals the network. Only peers may be given, since all else is in one half.
+func (n *network) setHalves(half ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.halves = map[string]bool{}
+	for _, at := range half {
+		n.halves[at] = true
+	}
+}
+
 // dialer returns the dial function of the node at an address.
 func (n *network) dialer(from string) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, _, to string) (net.Conn, error) {
@@ -137,6 +151,13 @@
 	return g.Service.Get(ctx, key)
 }
 
+func (g *gate) List(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, *code.Error) {
+	if err := g.err(); err != nil {
+		return nil, 0, err
+	}
+	return g.Service.List(ctx, prefix)
+}
+
 func (g *gate) Put(ctx context.Context, w kv.Write) (kv.Revision, *code.Error) {
 	if err := g.err(); err != nil {
 		return 0, err
