--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -15,6 +15,11 @@
 // that no suspect of another node may use.
 const isolationWait = 3 * time.Second
 
+// suspicionSettles is the time between the suspicion of a request and its next
+// attempt. The other nodes learn in this time which suspects there are, so
+// that suspects of two nodes do not choose the same server.
+const suspicionSettles = 200 * time.Millisecond
+
 // serverDied records the death of a server once for all requests that this
 // node had in progress there.
 func (s *State) serverDied(now time.Time, at *attempt) {
@@ -31,7 +36,7 @@
 	if len(changed) == 0 {
 		return
 	}
-	s.command(PublishQuarantine{Entries: changed})
+	s.publish(now, changed)
 	s.holdNewSuspects()
 }
 
@@ -64,25 +69,36 @@
 
 // quarantineSeen adds the entries of another node.
 func (s *State) quarantineSeen(now time.Time, m QuarantineSeen) {
-	changed := false
+	var changed []quarantine.Entry
 	for _, e := range m.Entries[:min(len(m.Entries), quarantine.MaxShared)] {
 		if s.quarantine.Seen(now, e) {
-			changed = true
+			changed = append(changed, e)
 		}
 	}
-	if changed {
-		s.holdNewSuspects()
-		s.assignQueued(now)
+	if len(changed) == 0 {
+		return
+	}
+	if !m.Service {
+		s.spread(now, changed)
 	}
+	s.holdNewSuspects()
+	s.assignQueued(now)
 }
 
 // clearSuspicion ends the suspicion against a request that ran to its end.
-func (s *State) clearSuspicion(a *active) {
+func (s *State) clearSuspicion(now time.Time, a *active) {
 	if s.quarantine.Clear(a.fingerprint) {
-		s.command(PublishQuarantine{Entries: []quarantine.Entry{{Fingerprint: a.fingerprint, Kind: quarantine.Cleared}}})
+		s.publish(now, []quarantine.Entry{{Fingerprint: a.fingerprint, Kind: quarantine.Cleared}})
 	}
 }
 
+// mustWait reports whether a suspect may not run yet: a copy of it runs, or
+// other nodes may not know yet that it is suspect.
+func (s *State) mustWait(now time.Time, a *active) bool {
+	unsettled := s.options.Agents && now.Sub(s.quarantine.SuspectSince(a.fingerprint)) < suspicionSettles
+	return unsettled || s.suspectRuns[a.fingerprint] > 0
+}
+
 // isolate keeps one of the eligible servers for a suspect, so that suspects of
 // different nodes do not meet on a server: only the suspect with the highest
 // rendezvous weight may use a server. A suspect without such a server waits,
