rules: one loader for nodes and operators; test a node that dies during an export

TestExporterDies finds no manifest after the node ended with two of four blocks written; with a manifest that ignores the node's end and the control thread's decision it finds all four blocks listed. The two copies of parseRules are rules.Load.

--- a/ctl/ruleforce.go
+++ b/ctl/ruleforce.go
@@ -73,7 +73,7 @@
 		c.ApplyID = uuid.NewString()
 	}
 	report, fault := ApplyRules(context.Background(), ApplyOptions{
-		Service: service, List: list, Parse: parseRules, Base: config.Version(c.Base),
+		Service: service, List: list, Parse: rules.Load, Base: config.Version(c.Base),
 		ApplyID: c.ApplyID, Author: c.Author, Text: []byte(text), Wait: c.Wait,
 	})
 	return c.report(report, fault)
@@ -94,15 +94,6 @@
 	return fmt.Errorf("apply id %s: %w", c.ApplyID, fault)
 }
 
-// parseRules returns the rules, or the first fault with its code.
-func parseRules(text []byte) (*config.Rules, *code.Error) {
-	parsed, faults := rules.Parse(string(text))
-	if len(faults) > 0 {
-		return nil, code.New(faults[0].Code, faults[0].Error())
-	}
-	return parsed, nil
-}
-
 // showCommand is rules show.
 type showCommand struct {
 	serviceOptions
--- a/node/process/platform.go
+++ b/node/process/platform.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"net"
 
-	"tanagerspread/core/code"
-	"tanagerspread/core/config"
 	"tanagerspread/node/rules"
 	"tanagerspread/node/runtime"
 	"tanagerspread/node/settings"
@@ -36,7 +34,7 @@
 	p.fleet = &runtime.Fleet{
 		Service:      p.kv,
 		List:         p.list,
-		Parse:        parseRules,
+		Parse:        rules.Load,
 		PeerListener: listener,
 		PeerDial:     (&net.Dialer{}).DialContext,
 	}
@@ -64,12 +62,3 @@
 	p.kv.Close()
 	p.list.Close()
 }
-
-// parseRules returns the rules, or the first fault with its code.
-func parseRules(text []byte) (*config.Rules, *code.Error) {
-	parsed, faults := rules.Parse(string(text))
-	if len(faults) > 0 {
-		return nil, code.New(faults[0].Code, faults[0].Error())
-	}
-	return parsed, nil
-}
--- a/node/rules/rules.go
+++ b/node/rules/rules.go
@@ -39,6 +39,16 @@
 	return rules, nil
 }
 
+// Load returns the rules of a text, or the first fault as an error with its
+// code.
+func Load(text []byte) (*config.Rules, *code.Error) {
+	rules, faults := Parse(string(text))
+	if len(faults) > 0 {
+		return nil, code.New(faults[0].Code, faults[0].Error())
+	}
+	return rules, nil
+}
+
 func empty() *config.Rules {
 	return &config.Rules{
 		Organisations: map[request.Organisation]config.Organisation{},
--- a/node/runtime/returning_test.go
+++ b/node/runtime/returning_test.go
@@ -37,6 +37,8 @@
 	client *http.Client
 	dial   wire.Dialer
 	tell   func(control.Message) bool
+	// kill ends the node at once.
+	kill context.CancelFunc
 }
 
 func startReturning(t *testing.T) *returningSite {
@@ -64,7 +66,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = node.Run(ctx) }()
+	life, kill := context.WithCancel(ctx)
+	go func() { _ = node.Run(life) }()
 	node.Control().Tell(control.Configure{Version: 1, Rules: testRules()})
 	node.Control().Tell(control.VMList{VMs: listOf(s)})
 	transport := &http.Transport{DialContext: network.Dial, DisableKeepAlives: true}
@@ -73,7 +76,7 @@
 		_ = s.Close()
 		transport.CloseIdleConnections()
 	})
-	return &returningSite{Site: s, t: t, client: &http.Client{Transport: transport}, dial: network.Dial, tell: node.Control().Tell}
+	return &returningSite{Site: s, t: t, client: &http.Client{Transport: transport}, dial: network.Dial, tell: node.Control().Tell, kill: kill}
 }
 
 func listOf(s *site.Site) []control.VM {
@@ -286,3 +289,26 @@
 		s.checkBlocks()
 	})
 }
+
+// TestExporterDies guards against blocks that an export wrote and that no
+// manifest lists because the node died before it could write one.
+func TestExporterDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startReturning(t)
+		for _, v := range s.Stores {
+			v.Store.SetLinkRate(64 << 10) // four blocks in 2 s
+		}
+		prompt, keys := promptOf(4)
+		s.send(prompt)
+		time.Sleep(1200 * time.Millisecond)
+		s.kill()
+		time.Sleep(time.Minute)
+		for _, v := range s.Stores {
+			client := platformstore.NewClient(wire.Options{Address: v.Address, Dial: s.dial})
+			if manifest, err := client.Find(t.Context(), keys); err == nil {
+				t.Errorf("store %s lists %d blocks of an export that did not end", v.ID, len(manifest.Blocks))
+			}
+			client.Close()
+		}
+	})
+}
