--- a/core/control/members.go
+++ b/core/control/members.go
@@ -44,8 +44,11 @@
 }
 
 // stateForPeers returns the state of the node, with one name for all states in
-// which it leaves.
+// which it starts or leaves.
 func (s *State) stateForPeers() string {
+	if s.life.Is(tagRefusesStarting) {
+		return membership.StateStarting
+	}
 	if s.life.Is(tagDeparts) {
 		return membership.StateLeaving
 	}
@@ -84,7 +87,7 @@
 // the fingerprints, since it may have missed their changes.
 func (s *State) answer(now time.Time, question membership.Digest) membership.Digest {
 	d := s.digest(now, true)
-	if question.State == "starting" {
+	if question.State == membership.StateStarting {
 		d.Quarantine = fingerprints(now, s.quarantine.Shared())
 	}
 	return d
--- a/core/control/spread.go
+++ b/core/control/spread.go
@@ -22,7 +22,7 @@
 	if !s.options.Agents {
 		return
 	}
-	present := func(p *membership.Peer) bool { return p.Chart.State != "dead" }
+	present := func(p *membership.Peer) bool { return !p.Chart.Is(tagDead) }
 	var targets []PeerTarget
 	for _, peer := range s.members.Sample(s.random, spreadPeers, present) {
 		targets = append(targets, PeerTarget{Node: peer.ID, Address: peer.Address})
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -26,14 +26,18 @@
 	UnknownConfirmation = time.Duration(-1)
 )
 
-// StateLeaving is the state of a node that leaves.
-const StateLeaving = "leaving"
+// The states of a node that its peers act on, whatever its chart calls them.
+const (
+	StateStarting = "starting"
+	StateLeaving  = "leaving"
+)
 
 // Digest is what a node tells a peer about itself and the fleet.
 type Digest struct {
 	Node        string
 	Incarnation uint64
-	// State is the state of the node's own chart, or StateLeaving.
+	// State is the state of the node's own chart, StateStarting or
+	// StateLeaving.
 	State string
 	// Version is the configuration in force; 0 means none.
 	Version config.Version
