--- a/node/control/loop_test.go
+++ b/node/control/loop_test.go
@@ -33,3 +33,35 @@
 		})
 	}
 }
+
+// TestFullQueue guards against a full queue that blocks the asker or hides
+// its refusal, and against new requests that take the room of those in
+// progress.
+func TestFullQueue(t *testing.T) {
+	state, err := control.New(control.Options{Node: "n1", Charts: chart.Embedded()}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop := nodecontrol.NewLoop(state, func(control.Command) {})
+	accepted, admitted := 0, -1
+	for loop.Tell(control.Tick{}) {
+		accepted++
+		if _, fault := loop.Ask(ended(t), control.Admit{}); admitted < 0 && fault.Code == code.Overloaded {
+			admitted = accepted
+		}
+	}
+	if admitted < 0 || admitted >= accepted {
+		t.Errorf("new requests are refused after %d of %d messages", admitted, accepted)
+	}
+	if _, fault := loop.Ask(t.Context(), control.Connected{}); fault == nil || fault.Code != code.Overloaded {
+		t.Errorf("a question to a full queue: error %v", fault)
+	}
+}
+
+// ended returns a context that has ended, so that an accepted question does
+// not wait for a loop that does not run.
+func ended(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return ctx
+}
