control: share the limits of an organisation between the nodes

Cause: each node admitted the whole rate of an organisation, so 7 nodes together admitted seven times what the rule says. Change: each entry VM of the VM list takes an equal part; a burst of up to 10 requests and 100,000 prompt tokens is not divided, because the load balancer does not spread a few requests evenly.

--- a/core/config/rules.go
+++ b/core/config/rules.go
@@ -26,7 +26,7 @@
 
 // Organisation limits one organisation.
 type Organisation struct {
-	// Rate is the allowed number of requests per second.
+	// Rate is the allowed number of requests per second over all nodes.
 	Rate float64
 	// Burst is the number of requests allowed at once.
 	Burst int
--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -2,15 +2,24 @@
 
 import (
 	"crypto/subtle"
+	"math"
 	"time"
 
 	"tanagerspread/core/cachekey"
 	"tanagerspread/core/code"
+	"tanagerspread/core/config"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
 )
 
+const (
+	// minBurst and minTokenBurst are the requests and prompt tokens of a burst
+	// that each node may admit, however many nodes share the limit.
+	minBurst      = 10
+	minTokenBurst = 100_000
+)
+
 // admit checks identity, route, limits and deadline of a new request.
 func (s *State) admit(now time.Time, m Admit) {
 	a := &active{Request: m.Request}
@@ -57,7 +66,7 @@
 }
 
 func (s *State) checkRates(now time.Time, a *active) *code.Error {
-	limit := s.rules.Organisations[a.organisation]
+	limit := s.shareOf(s.rules.Organisations[a.organisation])
 	if !s.rates.Allow(a.organisation, 1, limit.Rate, limit.Burst, now) {
 		return code.New(code.OrganisationLimit, "the organisation has reached its request rate")
 	}
@@ -67,6 +76,25 @@
 	return nil
 }
 
+// shareOf returns this node's part of an organisation's limits. Each entry VM
+// of the VM list takes an equal part, so that no coordinator is needed. A
+// small burst is not divided further, because the load balancer does not
+// spread a few requests evenly.
+func (s *State) shareOf(limit config.Organisation) config.Organisation {
+	nodes := s.sharingNodes()
+	if limit.Burst == 0 {
+		limit.Burst = int(math.Ceil(limit.Rate))
+	}
+	if limit.TokenBurst == 0 {
+		limit.TokenBurst = int(math.Ceil(limit.TokenRate))
+	}
+	limit.Rate /= float64(nodes)
+	limit.TokenRate /= float64(nodes)
+	limit.Burst = max(limit.Burst/nodes, min(limit.Burst, minBurst))
+	limit.TokenBurst = max(limit.TokenBurst/nodes, min(limit.TokenBurst, minTokenBurst))
+	return limit
+}
+
 // checkNode refuses requests while the node may not serve any.
 func (s *State) checkNode() *code.Error {
 	for _, refusal := range nodeRefusals {
