--- a/bench/cmd/tanagerbench/main.go
+++ b/bench/cmd/tanagerbench/main.go
@@ -31,6 +31,7 @@
 	WarmUp   time.Duration `long:"warm-up" description:"virtual time that is not measured" default:"5m"`
 	Duration time.Duration `long:"duration" description:"measured virtual time" default:"10m"`
 	Prefill  float64       `long:"prefill-rate" description:"prompt tokens per second of an engine" default:"10000"`
+	Tokens   float64       `long:"token-rate" description:"prompt tokens per second that each organisation may send; 0 means no limit"`
 	JSON     string        `long:"json" description:"file for the results as JSON"`
 	Plots    string        `long:"plots" description:"prefix of the SVG files"`
 }
@@ -105,7 +106,7 @@
 				for _, load := range o.Loads {
 					plans = append(plans, measure.Options{
 						Profile: profile, Placement: policy, Fault: fault, Seed: o.Seed, Load: load,
-						Engines: o.Engines, Nodes: o.Nodes, WarmUp: o.WarmUp, Duration: o.Duration, PrefillRate: o.Prefill,
+						Engines: o.Engines, Nodes: o.Nodes, WarmUp: o.WarmUp, Duration: o.Duration, PrefillRate: o.Prefill, TokenRate: o.Tokens,
 					})
 				}
 			}
--- a/bench/measure/options.go
+++ b/bench/measure/options.go
@@ -44,6 +44,9 @@
 	Duration time.Duration
 	// PrefillRate is the speed of the engines in prompt tokens per second.
 	PrefillRate float64
+	// TokenRate is the number of prompt tokens per second that the rules allow
+	// each organisation; 0 means no limit.
+	TokenRate float64
 }
 
 const (
@@ -51,6 +54,8 @@
 	floodFactor = 3
 	// balancerDelay is how long the load balancer sends to a dead node.
 	balancerDelay = 3 * time.Second
+	// tokenBurst is the time over which an unused token rate is saved up.
+	tokenBurst = 10 * time.Second
 	// slowLink divides the speed of a link.
 	slowLink = 10
 )
--- a/bench/measure/stage.go
+++ b/bench/measure/stage.go
@@ -166,7 +166,11 @@
 		},
 	}
 	for i := range profile.Shares {
-		rules.Organisations[organisationName(i)] = config.Organisation{}
+		rules.Organisations[organisationName(i)] = config.Organisation{
+			// The nodes list no entry VMs, so each counts as the only one.
+			TokenRate:  options.TokenRate / float64(options.Nodes),
+			TokenBurst: int(options.TokenRate / float64(options.Nodes) * tokenBurst.Seconds()),
+		}
 		rules.Tokens[sha256.Sum256([]byte(bearerToken(i)))] = config.Token{Organisation: organisationName(i)}
 	}
 	for _, class := range []workload.Class{profile.Short, profile.Long} {
