--- a/core/control/message.go
+++ b/core/control/message.go
@@ -152,7 +152,6 @@
 	// Moved counts the blocks that crossed the link, Bytes their size.
 	Moved int
 	Bytes int64
-	Took  time.Duration
 	// Failed is true when not all usable blocks are in the engine.
 	Failed bool
 	// StoreFailed is true when the store did not answer.
@@ -174,7 +173,6 @@
 	// Moved counts the blocks that crossed the link, Bytes their size.
 	Moved int
 	Bytes int64
-	Took  time.Duration
 	// StoreFailed is true when the store did not answer, StoreFull when it
 	// has no room.
 	StoreFailed bool
--- a/node/blocks/exporter.go
+++ b/node/blocks/exporter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
@@ -63,7 +62,6 @@
 // export writes the missing blocks and, last, the manifest. Without a
 // manifest no block is ever imported.
 func (e *Exporter) export(ctx context.Context, order control.ExportBlocks) {
-	began := time.Now()
 	client := e.connections.store(order.StoreAddress)
 	defer client.Close()
 	done := control.ExportDone{ID: order.ID}
@@ -77,7 +75,6 @@
 	done.Sealed = err == nil
 	done.StoreFull = err != nil && err.Code == code.StoreFull
 	done.StoreFailed = err != nil && err.Code == code.StoreAway
-	done.Took = time.Since(began)
 	e.control.Tell(done)
 }
 
--- a/node/blocks/importer.go
+++ b/node/blocks/importer.go
@@ -42,7 +42,6 @@
 // engine or the import has failed; a failure only means that the engine
 // computes the prompt itself.
 func (i *Importer) Import(ctx context.Context, order Order) {
-	began := time.Now()
 	client := i.connections.store(order.Plan.Address)
 	defer client.Close()
 	done := control.ImportDone{Request: order.Request, Attempt: order.Attempt}
@@ -52,7 +51,6 @@
 	}
 	done.Failed = err != nil
 	done.StoreFailed = err != nil && err.Code == code.StoreAway
-	done.Took = time.Since(began)
 	i.control.Tell(done)
 }
 
