--- /dev/null
+++ b/core/control/charts_orders_test.go
@@ -0,0 +1,45 @@
+package control_test
+
+import (
+	"errors"
+	"testing"
+
+	"tanagerspread/chart"
+)
+
+// TestOrderChart guards against an order that is sent again while the engine
+// may be loading it, that ends without a word of the engine before it is
+// overdue, or that is refused and then goes on.
+func TestOrderChart(t *testing.T) {
+	explore(t, "order", func(loading int, step chart.Step) (int, error) {
+		if step.Event == "accept" {
+			loading = 1
+		}
+		if step.To == "sent" && (loading == 1 || step.Event != "missing") {
+			return loading, errors.New("is sent again although the engine has it")
+		}
+		if step.Event == "read" && step.To == "failed" && step.Guard != "overdue" {
+			return loading, errors.New("is given up before it is overdue")
+		}
+		if step.To == "done" && step.Event != "complete" {
+			return loading, errors.New("counts as done without the wanted state")
+		}
+		return loading, nil
+	})
+}
+
+// TestRolloutChart guards against a rollout that settles without all engines
+// in the wanted state, and against one that stalls for good.
+func TestRolloutChart(t *testing.T) {
+	left := false
+	explore(t, "rollout", func(memory int, step chart.Step) (int, error) {
+		if step.To == "settled" && step.Event != "complete" {
+			return memory, errors.New("settles before it is complete")
+		}
+		left = left || step.From == "stalled" && step.To == "running"
+		return memory, nil
+	})
+	if !left {
+		t.Error("no event leads from stalled back to running")
+	}
+}
