node/worker: one queue offer, report and pause for all workers

Cause: node/agent and node/orders each had the same offer and tell with the same log event, and the same wait stood in node/agent, node/confkv, node/once and bench/measure. Change: node/worker has Offer, Tell and Pause; the copies are gone. Behaviour is unchanged.

--- a/bench/measure/fault.go
+++ b/bench/measure/fault.go
@@ -4,30 +4,23 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"tanagerspread/node/worker"
 )
 
 // inject applies the fault of the run and ends it again.
 func (s *stage) inject(ctx context.Context) {
 	from, to := s.options.faultFrom(), s.options.faultTo()
-	if !pause(ctx, from) {
+	if !worker.Pause(ctx, from) {
 		return
 	}
 	s.begin()
-	if !pause(ctx, to-from) {
+	if !worker.Pause(ctx, to-from) {
 		return
 	}
 	s.end()
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func (s *stage) begin() {
 	engine, store := s.site.Engines[0], s.site.Stores[0]
 	switch s.options.Fault {
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"tanagerspread/core/quarantine"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/peer"
+	"tanagerspread/node/worker"
 	"tanagerspread/platform/kv"
 	"tanagerspread/platform/vmlist"
 )
@@ -38,18 +38,13 @@
 	peerWorkers = 12
 )
 
-// Teller is the control thread as the agents see it.
-type Teller interface {
-	Tell(message control.Message) bool
-}
-
 // Parse turns a rules file into rules, or returns an error that says which
 // rule is wrong.
 type Parse func(text []byte) (*config.Rules, *code.Error)
 
 // Options configures the agents of one node.
 type Options struct {
-	Control Teller
+	Control worker.Teller
 	Service kv.Service
 	List    vmlist.Lister
 	Peers   *peer.Client
@@ -112,19 +107,19 @@
 func (a *Agents) Do(command control.Command) bool {
 	switch c := command.(type) {
 	case control.ReadConfig, control.WriteConfig:
-		offer(a, a.reads, command)
+		worker.Offer(a.options.Logger, a.reads, command)
 	case control.SessionCommand:
-		offer(a, a.sessions, c)
+		worker.Offer(a.options.Logger, a.sessions, c)
 	case control.SendDigest:
 		for _, target := range c.Targets {
-			offer(a, a.peers, control.Command(control.SendDigest{Targets: []control.PeerTarget{target}, Digest: c.Digest}))
+			worker.Offer(a.options.Logger, a.peers, control.Command(control.SendDigest{Targets: []control.PeerTarget{target}, Digest: c.Digest}))
 		}
 	case control.FetchConfig:
-		offer(a, a.peers, command)
+		worker.Offer(a.options.Logger, a.peers, command)
 	case control.PublishQuarantine:
 		for _, entry := range c.Entries {
 			if entry.Kind == quarantine.Banned {
-				offer(a, a.quarantined, entry)
+				worker.Offer(a.options.Logger, a.quarantined, entry)
 			}
 		}
 	default:
@@ -133,32 +128,10 @@
 	return true
 }
 
-func offer[T any](a *Agents, queue chan T, command T) {
-	select {
-	case queue <- command:
-	default:
-		eventlog.Write(a.options.Logger, event.QueueFull, nil, "message", fmt.Sprintf("%T", command))
-	}
-}
-
 func (a *Agents) tell(message control.Message) {
-	if !a.options.Control.Tell(message) {
-		eventlog.Write(a.options.Logger, event.QueueFull, nil, "message", fmt.Sprintf("%T", message))
-	}
+	worker.Tell(a.options.Control, a.options.Logger, message)
 }
 
 func (a *Agents) failed(call string, err *code.Error) {
 	eventlog.Write(a.options.Logger, event.ServiceCallFailed, err, "call", call, "code", int(err.Code))
 }
-
-// pause waits and reports false when the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -11,6 +11,7 @@
 	"tanagerspread/core/event"
 	"tanagerspread/node/confkv"
 	"tanagerspread/node/eventlog"
+	"tanagerspread/node/worker"
 	"tanagerspread/platform/kv"
 )
 
@@ -26,7 +27,7 @@
 		if err == nil {
 			err = a.followConfig(ctx, revision)
 		}
-		if err != nil && !pause(ctx, retryInterval) {
+		if err != nil && !worker.Pause(ctx, retryInterval) {
 			return
 		}
 	}
--- a/node/agent/quarantine.go
+++ b/node/agent/quarantine.go
@@ -9,6 +9,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/node/confkv"
+	"tanagerspread/node/worker"
 	"tanagerspread/platform/kv"
 )
 
@@ -25,7 +26,7 @@
 			return
 		case entry := <-a.quarantined:
 			for entry.Until.After(time.Now()) && !a.stored(ctx, entry) {
-				if !pause(ctx, retryInterval) {
+				if !worker.Pause(ctx, retryInterval) {
 					return
 				}
 			}
@@ -51,7 +52,7 @@
 		if err == nil {
 			err = a.followQuarantine(ctx, revision)
 		}
-		if err != nil && !pause(ctx, retryInterval) {
+		if err != nil && !worker.Pause(ctx, retryInterval) {
 			return
 		}
 	}
--- a/node/agent/vmlist.go
+++ b/node/agent/vmlist.go
@@ -7,6 +7,7 @@
 	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
 	"tanagerspread/node/eventlog"
+	"tanagerspread/node/worker"
 	"tanagerspread/platform/vmlist"
 )
 
@@ -15,7 +16,7 @@
 func (a *Agents) pollList(ctx context.Context) {
 	for {
 		a.readList(ctx)
-		if !pause(ctx, pollInterval) {
+		if !worker.Pause(ctx, pollInterval) {
 			return
 		}
 	}
--- a/node/confkv/acceptance.go
+++ b/node/confkv/acceptance.go
@@ -8,6 +8,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
+	"tanagerspread/node/worker"
 	"tanagerspread/platform/kv"
 	"tanagerspread/platform/vmlist"
 )
@@ -35,7 +36,7 @@
 		} else if ctx.Err() == nil {
 			cause = code.Wrap(code.NotAccepted, "the version is committed; the acknowledgements cannot be read", err)
 		}
-		if !pause(ctx, acceptanceInterval) {
+		if !worker.Pause(ctx, acceptanceInterval) {
 			return verdict, cause
 		}
 	}
--- a/node/confkv/apply.go
+++ b/node/confkv/apply.go
@@ -6,6 +6,7 @@
 
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
+	"tanagerspread/node/worker"
 	"tanagerspread/platform/kv"
 )
 
@@ -78,7 +79,7 @@
 		if settleErr != nil && settleErr.Code == code.VersionConflict {
 			return settleErr
 		}
-		if !pause(ctx, settleInterval) {
+		if !worker.Pause(ctx, settleInterval) {
 			break
 		}
 	}
@@ -135,7 +136,7 @@
 		if err == nil || err.Code == code.CompareFailed {
 			return nil
 		}
-		if !pause(ctx, settleInterval) {
+		if !worker.Pause(ctx, settleInterval) {
 			break
 		}
 	}
@@ -171,15 +172,3 @@
 	_ = keepHistory(ctx, service, newer)
 	return nil
 }
-
-// pause waits and reports false when the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/node/once/recorder.go
+++ b/node/once/recorder.go
@@ -16,6 +16,7 @@
 	"tanagerspread/core/request"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/ingress"
+	"tanagerspread/node/worker"
 	"tanagerspread/platform/kv"
 )
 
@@ -169,7 +170,7 @@
 			return step.Step
 		}
 		refused = err
-		if ctx.Err() != nil || !sleep(ctx, askWait) {
+		if ctx.Err() != nil || !worker.Pause(ctx, askWait) {
 			break
 		}
 	}
@@ -179,7 +180,7 @@
 
 // perform carries out one read or write.
 func (r *Recorder) perform(ctx context.Context, step once.Step, key string) once.Report {
-	if step.Delay > 0 && !sleep(ctx, step.Delay) {
+	if step.Delay > 0 && !worker.Pause(ctx, step.Delay) {
 		return once.Report{Outcome: once.Away}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callWait)
@@ -215,15 +216,3 @@
 	}
 	return once.Report{Outcome: once.Away}
 }
-
-// sleep waits and reports false when the context ends first.
-func sleep(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/orders/orders.go
+++ b/node/orders/orders.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -17,6 +16,7 @@
 	"tanagerspread/core/event"
 	"tanagerspread/core/order"
 	"tanagerspread/node/eventlog"
+	"tanagerspread/node/worker"
 	"tanagerspread/platform/kv"
 	"tanagerspread/platform/wire"
 )
@@ -33,14 +33,9 @@
 	readWorkers = 4
 )
 
-// Teller is the control thread as the workers see it.
-type Teller interface {
-	Tell(message control.Message) bool
-}
-
 // Options configures the workers of one node.
 type Options struct {
-	Control Teller
+	Control worker.Teller
 	Service kv.Service
 	// Dial opens connections to engines; nil means TCP.
 	Dial   wire.Dialer
@@ -99,11 +94,11 @@
 func (w *Workers) Do(command control.Command) bool {
 	switch c := command.(type) {
 	case control.IssuerCommand:
-		offer(w, w.leases, c)
+		worker.Offer(w.options.Logger, w.leases, c)
 	case control.SendOrder:
-		offer(w, w.sends, c)
+		worker.Offer(w.options.Logger, w.sends, c)
 	case control.ReadEngine:
-		offer(w, w.reads, c)
+		worker.Offer(w.options.Logger, w.reads, c)
 	case control.LogOrder:
 		eventlog.Write(w.options.Logger, c.Event, nil, c.Fields...)
 	default:
@@ -112,18 +107,8 @@
 	return true
 }
 
-func offer[T any](w *Workers, queue chan<- T, command T) {
-	select {
-	case queue <- command:
-	default:
-		eventlog.Write(w.options.Logger, event.QueueFull, nil, "message", fmt.Sprintf("%T", command))
-	}
-}
-
 func (w *Workers) tell(message control.Message) {
-	if !w.options.Control.Tell(message) {
-		eventlog.Write(w.options.Logger, event.QueueFull, nil, "message", fmt.Sprintf("%T", message))
-	}
+	worker.Tell(w.options.Control, w.options.Logger, message)
 }
 
 // step makes one call for the lease and reports its result.
