core: one piece for each twin, and no state that nothing reads

Cause: a re-reading of the whole change found the same logic in two places and dead state: the default burst of a limit in limits.Rates and in the control thread; the token buckets of organisations and of store links; the deadline check of admission beside active.late; five refusals that each chose a code by mayHaveRun; slices.Contains written out twice; a claimed flag and a kept refusal that nothing read, with a chart action for the flag. Change: limits.Buckets and limits.BurstOf serve both sides; active.either chooses between two codes; the rest is called or removed. No message, code, bound or chart path changed.

--- a/chart/definition.go
+++ b/chart/definition.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -97,18 +98,9 @@
 func (d *Definition) leaving(from State) []*Transition {
 	var out []*Transition
 	for i := range d.Transitions {
-		if contains(d.Transitions[i].From, from) {
+		if slices.Contains(d.Transitions[i].From, from) {
 			out = append(out, &d.Transitions[i])
 		}
 	}
 	return out
 }
-
-func contains(states []State, name State) bool {
-	for _, s := range states {
-		if s == name {
-			return true
-		}
-	}
-	return false
-}
--- a/core/control/active.go
+++ b/core/control/active.go
@@ -5,7 +5,6 @@
 
 	"tanagerspread/chart"
 	"tanagerspread/core/cachekey"
-	"tanagerspread/core/code"
 	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/placement"
@@ -24,7 +23,6 @@
 	rank         config.Class
 	scope        cachekey.Scope
 	prefix       []cachekey.Key
-	claimed      bool
 	// responded is true when the whole response is with the asker.
 	responded    bool
 	echoOptional bool
@@ -35,8 +33,6 @@
 	avoid      []fleet.ServerID
 	// backoff is the delay before the next attempt.
 	backoff time.Duration
-	// ending is the refusal that is reported once the claim is released.
-	ending *code.Error
 }
 
 // attempt is one attempt of a request at a backend server.
--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -2,12 +2,13 @@
 
 import (
 	"crypto/subtle"
-	"math"
+	"slices"
 	"time"
 
 	"tanagerspread/core/cachekey"
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
+	"tanagerspread/core/limits"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
@@ -55,12 +56,12 @@
 	if err := s.checkClass(a); err != nil {
 		return err
 	}
-	if !a.Deadline.IsZero() && !a.Deadline.After(now) {
+	if a.late(now) {
 		return code.New(code.DeadlinePassedNotRun, "the deadline passed before the request arrived")
 	}
 	a.fingerprint = quarantine.Of(a.organisation, a.Route, a.BodyDigest)
 	if s.quarantine.Quarantined(a.fingerprint) {
-		return code.New(code.Quarantined, "the request crashed backend servers and is quarantined")
+		return a.quarantined()
 	}
 	return s.checkRates(now, a)
 }
@@ -82,12 +83,8 @@
 // spread a few requests evenly.
 func (s *State) shareOf(limit config.Organisation) config.Organisation {
 	nodes := s.sharingNodes()
-	if limit.Burst == 0 {
-		limit.Burst = int(math.Ceil(limit.Rate))
-	}
-	if limit.TokenBurst == 0 {
-		limit.TokenBurst = int(math.Ceil(limit.TokenRate))
-	}
+	limit.Burst = limits.BurstOf(limit.Rate, limit.Burst)
+	limit.TokenBurst = limits.BurstOf(limit.TokenRate, limit.TokenBurst)
 	limit.Rate /= float64(nodes)
 	limit.TokenRate /= float64(nodes)
 	limit.Burst = max(limit.Burst/nodes, min(limit.Burst, minBurst))
@@ -123,7 +120,8 @@
 }
 
 func (s *State) checkRoute(a *active) *code.Error {
-	if !allowed(s.rules.Organisations[a.organisation].Models, a.Route.Name) {
+	allowed := s.rules.Organisations[a.organisation].Models
+	if len(allowed) > 0 && !slices.Contains(allowed, a.Route.Name) {
 		return code.New(code.ModelNotAllowed, "the organisation may not use this model or service")
 	}
 	if a.Route.Kind == request.Service {
@@ -170,18 +168,6 @@
 	return nil
 }
 
-func allowed(names []string, name string) bool {
-	if len(names) == 0 {
-		return true
-	}
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // claimResult goes on with a request whose at-most-once record is settled.
 func (s *State) claimResult(now time.Time, m ClaimResult) {
 	a, ok := s.requests[m.Request]
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -8,6 +8,7 @@
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
 	"tanagerspread/core/placement"
+	"tanagerspread/core/request"
 	"tanagerspread/core/retry"
 )
 
@@ -65,9 +66,9 @@
 }
 
 // current returns the request and whether the attempt is its current one.
-func (s *State) current(id messageAttempt) (*active, bool) {
-	a, ok := s.requests[id.request]
-	if !ok || a.attempt == nil || a.attempt.id != id.attempt {
+func (s *State) current(id request.ID, attempt request.AttemptID) (*active, bool) {
+	a, ok := s.requests[id]
+	if !ok || a.attempt == nil || a.attempt.id != attempt {
 		return a, false
 	}
 	return a, true
@@ -82,7 +83,7 @@
 // connected decides whether an attempt may still be sent. A refusal leaves the
 // attempt open; its end is reported by AttemptDone.
 func (s *State) connected(now time.Time, m Connected) {
-	a, ok := s.current(messageAttempt{m.Request, m.Attempt})
+	a, ok := s.current(m.Request, m.Attempt)
 	if !ok {
 		s.refuse(m.Request, code.DeadlinePassedNotRun, "the deadline passed while the connection was opened")
 		return
@@ -104,7 +105,7 @@
 }
 
 func (s *State) firstToken(now time.Time, m FirstToken) {
-	if a, ok := s.current(messageAttempt{m.Request, m.Attempt}); ok {
+	if a, ok := s.current(m.Request, m.Attempt); ok {
 		s.fireAttempt(a, "receive", now)
 		s.noteSpeed(a, m.After)
 		s.releasePrefill(a.attempt)
@@ -124,7 +125,7 @@
 
 // attemptDone ends an attempt and decides what follows.
 func (s *State) attemptDone(now time.Time, m AttemptDone) {
-	a, ok := s.current(messageAttempt{m.Request, m.Attempt})
+	a, ok := s.current(m.Request, m.Attempt)
 	if !ok {
 		s.refuseLate(a, m)
 		return
@@ -155,7 +156,7 @@
 // stopped ends a request whose attempt the node ended itself.
 func (s *State) stopped(now time.Time, a *active, cause *code.Error) {
 	if !a.mayHaveRun() {
-		cause = s.deadlineError(a)
+		cause = a.deadlineError()
 	}
 	s.attemptFailed(now, a, "expire", cause)
 }
@@ -164,7 +165,7 @@
 // claimed request that was not dispatched still has its claim to release.
 func (s *State) refuseLate(a *active, m AttemptDone) {
 	if a != nil && a.position.Is(tagReleasesClaim) {
-		s.conclude(a, s.deadlineError(a))
+		s.conclude(a, a.deadlineError())
 		return
 	}
 	if m.Unsent {
@@ -208,7 +209,7 @@
 	}
 	s.prepareRetry(a)
 	if a.late(now) {
-		s.end(now, a, "expire", s.deadlineError(a))
+		s.end(now, a, "expire", a.deadlineError())
 		return
 	}
 	s.fireRequest(a, "dial_failed", now)
@@ -217,9 +218,9 @@
 
 // attemptFailed repeats an attempt that failed after it was sent, when the
 // request's chart allows it.
-func (s *State) attemptFailed(now time.Time, a *active, event string, cause *code.Error) {
+func (s *State) attemptFailed(now time.Time, a *active, event chart.Event, cause *code.Error) {
 	s.prepareRetry(a)
-	s.fireRequest(a, eventOf(event), now)
+	s.fireRequest(a, event, now)
 	if s.quarantine.Quarantined(a.fingerprint) {
 		cause = code.New(code.QuarantinedRan, "the request crashed backend servers and is quarantined")
 	}
@@ -246,7 +247,7 @@
 }
 
 // truthful replaces a cause that claims that the request was not run when an
-// attempt was dispatched, and the other way round.
+// attempt may have run.
 func (s *State) truthful(a *active, cause *code.Error) *code.Error {
 	if a.mayHaveRun() && cause.Info().Execution == code.NotRun {
 		return code.Wrap(code.RetriesExhausted, "an earlier attempt may have run", cause)
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -88,7 +88,6 @@
 			"mark_dispatched": s.markDispatched,
 			"mark_not_run":    s.markNotRun,
 			"spend_retry":     s.spendRetry,
-			"mark_claimed":    func(a *active, _ time.Time) { a.claimed = true },
 		},
 	}
 }
--- a/core/control/ending.go
+++ b/core/control/ending.go
@@ -6,19 +6,8 @@
 	"tanagerspread/chart"
 	"tanagerspread/core/code"
 	"tanagerspread/core/invariant"
-	"tanagerspread/core/request"
 )
 
-// messageAttempt names an attempt in a message.
-type messageAttempt struct {
-	request request.ID
-	attempt request.AttemptID
-}
-
-func eventOf(name string) chart.Event {
-	return chart.Event(name)
-}
-
 // end fires the event that ends a request and answers its open question.
 func (s *State) end(now time.Time, a *active, event chart.Event, err *code.Error) {
 	s.fireRequest(a, event, now)
@@ -32,7 +21,6 @@
 	err = s.checkTruth(a, err)
 	s.journal.refuse(a.position.Entered, a, err)
 	if a.position.Is(tagReleasesClaim) {
-		a.ending = err
 		s.reply(a.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code), Release: true})
 		return
 	}
@@ -85,15 +73,14 @@
 			s.forgetFinal(a)
 			continue
 		}
-		s.conclude(a, s.deadlineError(a))
+		s.conclude(a, a.deadlineError())
 	}
 }
 
-func (s *State) deadlineError(a *active) *code.Error {
-	if a.mayHaveRun() {
-		return code.New(code.DeadlinePassed, "the deadline passed while the request ran")
-	}
-	return code.New(code.DeadlinePassedNotRun, "the deadline passed before the request was sent")
+func (a *active) deadlineError() *code.Error {
+	return a.either(
+		code.New(code.DeadlinePassedNotRun, "the deadline passed before the request was sent"),
+		code.New(code.DeadlinePassed, "the deadline passed while the request ran"))
 }
 
 func (s *State) forgetFinal(a *active) {
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -36,7 +36,7 @@
 // class.
 func (s *State) enqueue(now time.Time, a *active) {
 	if !s.canServe(a) {
-		s.end(now, a, "refuse", s.noServer(a))
+		s.end(now, a, "refuse", a.noServer())
 		return
 	}
 	ticket := s.ticket(now, a)
@@ -46,11 +46,11 @@
 		return
 	}
 	if s.waitsTooLong(now, a, ahead) {
-		s.end(now, a, "refuse", s.deadlineTooShort(a))
+		s.end(now, a, "refuse", a.deadlineTooShort())
 		return
 	}
 	if !s.queue.Push(ticket, now) {
-		s.end(now, a, "refuse", s.queueFull(a))
+		s.end(now, a, "refuse", a.queueFull())
 		return
 	}
 	waiting := s.queue.Count(a.class)
@@ -85,32 +85,36 @@
 	return !now.Add(wait).Before(a.Deadline)
 }
 
-func (s *State) deadlineTooShort(a *active) *code.Error {
+// either returns the first error when no attempt may have run, and the second
+// one otherwise.
+func (a *active) either(notRun, mayHaveRun *code.Error) *code.Error {
 	if a.mayHaveRun() {
-		return code.New(code.RetriesExhausted, "the predicted wait after a failed attempt is longer than the deadline")
+		return mayHaveRun
 	}
-	return code.New(code.DeadlineTooShort, "the predicted wait is longer than the deadline")
+	return notRun
 }
 
-func (s *State) quarantined(a *active) *code.Error {
-	if a.mayHaveRun() {
-		return code.New(code.QuarantinedRan, "the request crashed backend servers and is quarantined")
-	}
-	return code.New(code.Quarantined, "the request crashed backend servers and is quarantined")
+func (a *active) deadlineTooShort() *code.Error {
+	return a.either(
+		code.New(code.DeadlineTooShort, "the predicted wait is longer than the deadline"),
+		code.New(code.RetriesExhausted, "the predicted wait after a failed attempt is longer than the deadline"))
 }
 
-func (s *State) noServer(a *active) *code.Error {
-	if a.mayHaveRun() {
-		return code.New(code.RetriesExhausted, "no backend server can repeat the request")
-	}
-	return code.New(code.NoServer, "no backend server can take the request")
+func (a *active) quarantined() *code.Error {
+	const detail = "the request crashed backend servers and is quarantined"
+	return a.either(code.New(code.Quarantined, detail), code.New(code.QuarantinedRan, detail))
 }
 
-func (s *State) queueFull(a *active) *code.Error {
-	if a.mayHaveRun() {
-		return code.New(code.RetriesExhausted, "the queue of the class is full after a failed attempt")
-	}
-	return code.New(code.QueueFull, "the queue of the class is full")
+func (a *active) noServer() *code.Error {
+	return a.either(
+		code.New(code.NoServer, "no backend server can take the request"),
+		code.New(code.RetriesExhausted, "no backend server can repeat the request"))
+}
+
+func (a *active) queueFull() *code.Error {
+	return a.either(
+		code.New(code.QueueFull, "the queue of the class is full"),
+		code.New(code.RetriesExhausted, "the queue of the class is full after a failed attempt"))
 }
 
 // assignQueued assigns waiting requests in queue order until none fits.
@@ -127,7 +131,7 @@
 // quarantined.
 func (s *State) assign(now time.Time, a *active) limits.Verdict {
 	if s.quarantine.Quarantined(a.fingerprint) {
-		s.end(now, a, "refuse", s.quarantined(a))
+		s.end(now, a, "refuse", a.quarantined())
 		return limits.Taken
 	}
 	suspect := s.quarantine.Suspect(a.fingerprint)
--- a/core/control/transfers.go
+++ b/core/control/transfers.go
@@ -71,7 +71,7 @@
 
 // importFound decides which of the found blocks an engine may read.
 func (s *State) importFound(now time.Time, m ImportFound) {
-	a, ok := s.current(messageAttempt{m.Request, m.Attempt})
+	a, ok := s.current(m.Request, m.Attempt)
 	if !ok || a.attempt.importing == nil {
 		s.refuse(m.Request, code.BlockInvalid, "the import has ended")
 		return
@@ -108,7 +108,7 @@
 // importDone corrects the estimates of the store. A failed import only means
 // that the engine computes the prompt.
 func (s *State) importDone(now time.Time, m ImportDone) {
-	a, ok := s.current(messageAttempt{m.Request, m.Attempt})
+	a, ok := s.current(m.Request, m.Attempt)
 	if !ok || a.attempt.importing == nil {
 		return
 	}
--- a/core/kvcache/exports.go
+++ b/core/kvcache/exports.go
@@ -4,9 +4,8 @@
 	"container/list"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"tanagerspread/core/cachekey"
+	"tanagerspread/core/limits"
 )
 
 const (
@@ -27,7 +26,7 @@
 	// known lists exported blocks, the latest first.
 	known   *list.List
 	byKey   map[cachekey.Key]*list.Element
-	budgets map[string]*rate.Limiter
+	budgets *limits.Buckets[string]
 }
 
 type exported struct {
@@ -40,7 +39,7 @@
 	return &Exports{
 		known:   list.New(),
 		byKey:   map[cachekey.Key]*list.Element{},
-		budgets: map[string]*rate.Limiter{},
+		budgets: limits.NewBuckets[string](),
 	}
 }
 
@@ -63,7 +62,8 @@
 	if e.running >= maxRunning {
 		return false
 	}
-	if !e.limiter(now, store, budget).AllowN(now, bytes) {
+	burst := int(budget * budgetBurst.Seconds())
+	if !e.budgets.Take(store, bytes, budget, burst, now) {
 		return false
 	}
 	e.running++
@@ -109,17 +109,3 @@
 	element, known := e.byKey[key]
 	return known && now.Sub(element.Value.(exported).at) < memoryTime
 }
-
-func (e *Exports) limiter(now time.Time, store string, budget float64) *rate.Limiter {
-	burst := int(budget * budgetBurst.Seconds())
-	limiter, known := e.budgets[store]
-	if !known {
-		limiter = rate.NewLimiter(rate.Limit(budget), burst)
-		e.budgets[store] = limiter
-	}
-	if limiter.Limit() != rate.Limit(budget) {
-		limiter.SetLimitAt(now, rate.Limit(budget))
-		limiter.SetBurstAt(now, burst)
-	}
-	return limiter
-}
