node: no twin classification and no work done twice per request

Cause: egress had two functions that name the reason for a stopped attempt; completions and services each built the same request from the headers; the cache namespace was derived again for each attempt and import; a streamed response without a claim was also rendered whole and thrown away. Change: stoppedBy serves both; callerFields.request builds the request; the namespace is kept beside the prefix; the whole response is rendered only when it is sent or recorded.

--- a/node/egress/completion.go
+++ b/node/egress/completion.go
@@ -137,7 +137,7 @@
 func failure(ctx context.Context, err error) Result {
 	var stopped *errStopped
 	if errors.As(err, &stopped) {
-		return Result{Outcome: control.Stopped, Cause: stopCause(stopped.cause)}
+		return Result{Outcome: control.Stopped, Cause: stoppedBy(stopped.cause)}
 	}
 	if NotSent(err) {
 		return Result{Outcome: control.DialFailed, Cause: classify(err)}
@@ -153,7 +153,8 @@
 	return Result{Outcome: control.Lost, Cause: cause, Died: cause.Code == code.BackendLost}
 }
 
-// stoppedBy names the reason for which the node ended an attempt.
+// stoppedBy names the reason for which the node ended an attempt. An error
+// without a code is a failed write to the caller or the end of the context.
 func stoppedBy(err error) *code.Error {
 	var coded *code.Error
 	if errors.As(err, &coded) {
@@ -187,13 +188,3 @@
 	result.Load = &fleet.Load{Running: running, Waiting: waiting, PrefillTokens: prefill}
 	return result
 }
-
-// stopCause keeps the code of the receiver's error. An error without one is a
-// failed write to the caller.
-func stopCause(err error) *code.Error {
-	var coded *code.Error
-	if errors.As(err, &coded) {
-		return coded
-	}
-	return code.Wrap(code.CallerGone, "the caller closed the connection", err)
-}
--- a/node/ingress/completion.go
+++ b/node/ingress/completion.go
@@ -34,24 +34,12 @@
 		f.refuse(w, id, err, 0)
 		return
 	}
-	x := &exchange{front: f, request: completionRequest(id, fields, call, bodyDigest(r, body))}
+	x := &exchange{front: f, request: fields.request(id, request.Route{Kind: request.Completion, Name: call.Model}, bodyDigest(r, body))}
+	x.request.PromptTokens = len(call.Prompt) / cachekey.BytesPerToken
+	x.request.MaxTokens = call.MaxTokens
 	f.serveCompletion(w, r, x, call)
 }
 
-func completionRequest(id request.ID, fields callerFields, call completionCall, digest string) request.Request {
-	return request.Request{
-		ID:           id,
-		Route:        request.Route{Kind: request.Completion, Name: call.Model},
-		Deadline:     fields.deadline,
-		TokenDigest:  fields.tokenDigest,
-		Class:        fields.class,
-		KeyDigest:    fields.keyDigest,
-		BodyDigest:   digest,
-		PromptTokens: len(call.Prompt) / cachekey.BytesPerToken,
-		MaxTokens:    call.MaxTokens,
-	}
-}
-
 // bodyDigest binds method, path and body, so that an idempotency key cannot
 // be used for another call.
 func bodyDigest(r *http.Request, body []byte) string {
@@ -70,13 +58,16 @@
 	}
 	sink := newSink(w, x.request.ID, call, f.options.Checker)
 	x.prefix = cachekey.Chain(x.admitted.Scope, []byte(call.Prompt))
-	run := f.completionRunner(x, call, sink)
-	refused := x.run(ctx, x.prefix, run)
+	x.namespace = blocks.EncodeKey(cachekey.Root(x.admitted.Scope))
+	refused := x.run(ctx, f.completionRunner(x, call, sink))
 	if refused != nil {
 		f.refuseSink(w, x, sink, refused)
 		return
 	}
-	kept := sink.finish()
+	var kept Kept
+	if x.admitted.Claim || !call.Stream {
+		kept = sink.finish()
+	}
 	if x.admitted.Claim {
 		x.record(ctx, kept)
 	}
@@ -131,7 +122,7 @@
 	x.front.options.Importer.Import(ctx, blocks.Order{
 		Request:   x.request.ID,
 		Attempt:   dispatch.Attempt,
-		Namespace: blocks.EncodeKey(cachekey.Root(x.admitted.Scope)),
+		Namespace: x.namespace,
 		Engine:    dispatch.Address,
 		Plan:      *dispatch.Import,
 	})
@@ -147,7 +138,7 @@
 		Model:          call.Model,
 		Adapter:        x.admitted.Scope.Adapter,
 		Weights:        x.admitted.Scope.Weights,
-		CacheNamespace: blocks.EncodeKey(cachekey.Root(x.admitted.Scope)),
+		CacheNamespace: x.namespace,
 		PrefixKeys:     blocks.EncodeKeys(x.prefix),
 		Prompt:         call.Prompt,
 		MaxTokens:      call.MaxTokens,
--- a/node/ingress/exchange.go
+++ b/node/ingress/exchange.go
@@ -22,6 +22,8 @@
 	claim    Claim
 	// prefix holds the keys of the whole blocks of a prompt.
 	prefix []cachekey.Key
+	// namespace separates the engines' caches by the scope of the request.
+	namespace string
 	// caller ends when the caller leaves, but not at the deadline: the control
 	// thread decides how a request ends whose deadline has passed.
 	caller context.Context
@@ -104,10 +106,10 @@
 
 // run places the request and performs attempts until it is delivered or
 // refused. It returns nil when the response is whole.
-func (x *exchange) run(ctx context.Context, prefix []cachekey.Key, run runner) *refused {
+func (x *exchange) run(ctx context.Context, run runner) *refused {
 	decision, err := x.askGraced(control.Place{
 		Request:      x.request.ID,
-		Prefix:       prefix,
+		Prefix:       x.prefix,
 		PromptTokens: x.request.PromptTokens,
 	})
 	for err == nil {
--- a/node/ingress/header.go
+++ b/node/ingress/header.go
@@ -36,6 +36,20 @@
 	deadline    time.Time
 }
 
+// request returns the typed request of a call with these headers.
+func (c callerFields) request(id request.ID, route request.Route, bodyDigest string) request.Request {
+	return request.Request{
+		ID:          id,
+		Route:       route,
+		Deadline:    c.deadline,
+		TokenDigest: c.tokenDigest,
+		Class:       c.class,
+		KeyDigest:   c.keyDigest,
+		BodyDigest:  bodyDigest,
+	}
+}
+
+// readHeaders checks the headers of a call, or returns the code that refuses it.
 func readHeaders(header http.Header, now time.Time) (callerFields, *code.Error) {
 	var fields callerFields
 	if err := checkRepeated(header); err != nil {
--- a/node/ingress/service.go
+++ b/node/ingress/service.go
@@ -32,15 +32,8 @@
 		f.refuse(w, id, err, 0)
 		return
 	}
-	x := &exchange{front: f, request: request.Request{
-		ID:          id,
-		Route:       request.Route{Kind: request.Service, Name: r.PathValue("name")},
-		Deadline:    fields.deadline,
-		TokenDigest: fields.tokenDigest,
-		Class:       fields.class,
-		KeyDigest:   fields.keyDigest,
-		BodyDigest:  bodyDigest(r, body),
-	}}
+	route := request.Route{Kind: request.Service, Name: r.PathValue("name")}
+	x := &exchange{front: f, request: fields.request(id, route, bodyDigest(r, body))}
 	f.serveService(w, r, x, egress.ServiceCall{
 		Method:      r.Method,
 		Path:        servicePath(r),
@@ -72,7 +65,7 @@
 	call.EchoOptional = x.admitted.EchoOptional
 	call.KeyDigest = x.request.KeyDigest
 	var response egress.ServiceResponse
-	refused := x.run(ctx, nil, func(ctx context.Context, dispatch control.Dispatch, gate egress.Gate) egress.Result {
+	refused := x.run(ctx, func(ctx context.Context, dispatch control.Dispatch, gate egress.Gate) egress.Result {
 		var result egress.Result
 		call.Deadline = time.Until(x.request.Deadline)
 		response, result = f.options.Egress.Call(ctx, dispatch.Address, call, timeoutsOf(dispatch), gate)
