--- a/client/wire/wire.go
+++ b/client/wire/wire.go
@@ -39,6 +39,9 @@
 	Timeout time.Duration
 	// Away is the code of a call that got no usable response.
 	Away code.Code
+	// Refusal names the meaning of a status other than 200; nil means that the
+	// service sends a code in the body.
+	Refusal func(status int) *code.Error
 }
 
 // Client makes calls to one service. It is safe for concurrent use.
@@ -161,6 +164,9 @@
 
 // refusal decodes an error response.
 func (c *Client) refusal(status int, data []byte) *code.Error {
+	if c.options.Refusal != nil {
+		return c.options.Refusal(status)
+	}
 	var sent Error
 	if err := json.Unmarshal(data, &sent); err != nil || sent.Code == 0 {
 		return code.Newf(c.options.Away, "the service responded with status %d", status)
--- a/cmd/tanagerspread/main.go
+++ b/cmd/tanagerspread/main.go
@@ -14,9 +14,11 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"tanagerspread/core/event"
 	"tanagerspread/node/inifile"
 	"tanagerspread/node/process"
 	"tanagerspread/node/settings"
+	"tanagerspread/platform"
 )
 
 // The exit codes.
@@ -32,6 +34,10 @@
 type arguments struct {
 	Settings      string `long:"settings" value-name:"FILE" description:"run a node with the settings of FILE"`
 	CheckSettings string `long:"check-settings" value-name:"FILE" description:"print every fault of FILE and exit"`
+	Deployed      bool   `long:"deployed" description:"run a node on the users' machines, or check its settings with --check"`
+	DeployedFile  string `long:"deployed-settings" env:"TANAGERSPREAD_CONFIG" value-name:"FILE" description:"settings that the platform writes for the process"`
+	Check         bool   `long:"check" description:"with --deployed: print every fault of the settings and exit"`
+	LogLevel      string `long:"log-level" choice:"error" choice:"info" choice:"debug" default:"info" description:"with --deployed: the least severe log events"`
 	Version       bool   `long:"version" description:"print the version and exit"`
 }
 
@@ -63,8 +69,10 @@
 		return report(out, faults)
 	case given.Settings != "":
 		return serve(given.Settings, out, errOut)
+	case given.Deployed:
+		return serveDeployed(given, out, errOut)
 	}
-	_, _ = fmt.Fprintln(errOut, "usage: --settings, --check-settings or --version is required")
+	_, _ = fmt.Fprintln(errOut, "usage: --settings, --deployed, --check-settings or --version is required")
 	return exitUsage
 }
 
@@ -82,6 +90,37 @@
 		Signals:  signals,
 		Listen:   net.Listen,
 	})
+	return exitCode(err, errOut)
+}
+
+// serveDeployed runs a node on the users' machines until its planned stop or a
+// second signal.
+func serveDeployed(given arguments, out, errOut io.Writer) int {
+	checked, faults := platform.ReadSettings(given.DeployedFile)
+	for _, fault := range faults {
+		_, _ = fmt.Fprintln(errOut, fault)
+	}
+	switch {
+	case len(faults) > 0:
+		return exitFaults
+	case given.Check:
+		return exitStopped
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	return exitCode(process.RunDeployed(context.Background(), process.DeployedOptions{
+		Settings: checked,
+		Log:      out,
+		LogLevel: event.Level(given.LogLevel),
+		Signals:  signals,
+		Reloads:  reloads,
+		Reread:   func() (*platform.Settings, []platform.Fault) { return platform.ReadSettings(given.DeployedFile) },
+	}), errOut)
+}
+
+func exitCode(err error, errOut io.Writer) int {
 	switch {
 	case err == nil:
 		return exitStopped
--- a/core/code/table.go
+++ b/core/code/table.go
@@ -60,6 +60,8 @@
 	KeyMissing             Code = 1710
 	RateLimited            Code = 1711
 	BlockMissing           Code = 1712
+	HistoryGone            Code = 1713
+	EntryInvalid           Code = 1714
 	SettingUnknown         Code = 1801
 	SettingMissing         Code = 1802
 	SettingInvalid         Code = 1803
@@ -132,6 +134,8 @@
 	{KeyMissing, "key-missing", 404, NotRun, RetryNever, "the key-value service has no such key"},
 	{RateLimited, "rate-limited", 429, NotRun, RetryLater, "the platform service refused the call over its rate limit"},
 	{BlockMissing, "block-missing", 404, NotRun, RetryNever, "the store VM does not hold the block or manifest"},
+	{HistoryGone, "history-gone", 410, NotRun, RetryLater, "the key-value service has dropped the history that a watch asked for"},
+	{EntryInvalid, "entry-invalid", 422, NotRun, RetryNever, "an entry of the key-value service names nothing that can be used"},
 	{SettingUnknown, "setting-unknown", 400, NotRun, RetryNever, "a settings key or section is unknown"},
 	{SettingMissing, "setting-missing", 400, NotRun, RetryNever, "a required setting is missing"},
 	{SettingInvalid, "setting-invalid", 400, NotRun, RetryNever, "a setting has an invalid value"},
--- a/core/config/rules.go
+++ b/core/config/rules.go
@@ -19,7 +19,13 @@
 	Models        map[string]Model
 	Services      map[string]Service
 	Servers       map[string]ServerRule
-	Policy        Policy
+	// Routes selects the service of a forwarded call.
+	Routes RouteTable
+	// Pools describes the services that forwarded calls go to.
+	Pools map[string]Pool
+	// CacheStores lists the stores of KV cache, by name.
+	CacheStores []CacheStore
+	Policy      Policy
 	// Comments maps "section/key" to who asked for the rule.
 	Comments map[string]string
 }
@@ -37,6 +43,12 @@
 	TokenBurst int
 	// Models lists the models and services that it may use; empty means all.
 	Models []string
+	// Priority replaces the priority of the route of a forwarded call when it
+	// is set; 0 is the most urgent.
+	Priority *int
+	// Isolated keeps the cached parts of the organisation apart from those of
+	// all others.
+	Isolated bool
 }
 
 // Token binds a bearer token to an organisation.
--- a/core/control/active.go
+++ b/core/control/active.go
@@ -21,8 +21,11 @@
 	class        request.Class
 	fingerprint  quarantine.Fingerprint
 	rank         config.Class
-	scope        cachekey.Scope
-	prefix       []cachekey.Key
+	// route and service are set for a forwarded call.
+	route   *config.Route
+	service string
+	scope   cachekey.Scope
+	prefix  []cachekey.Key
 	// responded is true when the whole response is with the asker.
 	responded    bool
 	echoOptional bool
@@ -42,6 +45,8 @@
 	position chart.Instance
 	began    time.Time
 	choice   placement.Choice
+	// weights is the version that the server had loaded when it was chosen.
+	weights int
 	// store is the source of the planned import, or nil.
 	store *fleet.Store
 	// pending is the part of the store's PendingBytes that is due to the
--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -30,7 +30,10 @@
 		return
 	}
 	a.machine = s.charts.request
-	if a.once() {
+	switch {
+	case a.Call != nil:
+		a.machine = s.callMachine(a)
+	case a.once():
 		a.machine = s.charts.once
 	}
 	a.position = a.machine.Start(now)
@@ -40,20 +43,14 @@
 		s.fireRequest(a, "claim", now)
 	}
 	s.journal.add(now, a, "admit", "")
-	s.reply(a.ID, Admitted{Organisation: a.organisation, Class: a.class, Scope: a.scope, Claim: a.once(), EchoOptional: a.echoOptional})
+	s.reply(a.ID, Admitted{Organisation: a.organisation, Class: a.class, Scope: a.scope, Claim: a.once(), EchoOptional: a.echoOptional, Deadline: a.Deadline, Route: a.route})
 }
 
 func (s *State) checkAdmission(now time.Time, a *active) *code.Error {
 	if err := s.checkNode(); err != nil {
 		return err
 	}
-	if err := s.identify(a); err != nil {
-		return err
-	}
-	if err := s.checkRoute(a); err != nil {
-		return err
-	}
-	if err := s.checkClass(a); err != nil {
+	if err := s.checkRequest(now, a); err != nil {
 		return err
 	}
 	if a.late(now) {
@@ -63,9 +60,26 @@
 	if s.quarantine.Quarantined(a.fingerprint) {
 		return a.quarantined()
 	}
+	if a.Call != nil {
+		return nil
+	}
 	return s.checkRates(now, a)
 }
 
+// checkRequest finds the organisation, the route and the class of a request.
+func (s *State) checkRequest(now time.Time, a *active) *code.Error {
+	if a.Call != nil {
+		return s.admitCall(now, a)
+	}
+	if err := s.identify(a); err != nil {
+		return err
+	}
+	if err := s.checkRoute(a); err != nil {
+		return err
+	}
+	return s.checkClass(a)
+}
+
 func (s *State) checkRates(now time.Time, a *active) *code.Error {
 	limit := s.shareOf(s.rules.Organisations[a.organisation])
 	if !s.rates.Allow(a.organisation, 1, limit.Rate, limit.Burst, now) {
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -22,7 +22,7 @@
 
 // beginAttemptAt prepares the attempt that the chart's action then begins.
 func (s *State) beginAttemptAt(now time.Time, a *active, choice placement.Choice) {
-	a.attempt = &attempt{id: a.attempts + 1, server: choice.Server, began: now, choice: choice}
+	a.attempt = &attempt{id: a.attempts + 1, server: choice.Server, weights: choice.Server.Weights, began: now, choice: choice}
 	if choice.Plan != nil {
 		a.attempt.store = s.stores[choice.Plan.Store]
 	}
@@ -48,6 +48,7 @@
 // non-idempotent request must reach this point once.
 func (s *State) markDispatched(a *active, _ time.Time) {
 	a.dispatches++
+	s.checkOnce(a)
 	if a.once() {
 		s.options.Checker.Check(a.dispatches == 1, invariant.OneDispatch, "request %s: %d dispatches", a.ID, a.dispatches)
 	}
@@ -141,7 +142,7 @@
 		s.fireAttempt(a, a.attempt.dialEvent(), now)
 		s.dialFailed(now, a, m.Cause)
 	case Rejected:
-		s.fireAttempt(a, "drop", now)
+		s.fireAttempt(a, refusalEvent(m), now)
 		s.attemptFailed(now, a, "attempt_refused", m.Cause)
 	case Lost:
 		s.fireAttempt(a, "fail", now)
@@ -153,6 +154,15 @@
 	s.assignQueued(now)
 }
 
+// refusalEvent blames a server that is not the expected one, so that its
+// circuit opens until its entry is up to date.
+func refusalEvent(m AttemptDone) chart.Event {
+	if m.OtherServer {
+		return "fail"
+	}
+	return "drop"
+}
+
 // stopped ends a request whose attempt the node ended itself.
 func (s *State) stopped(now time.Time, a *active, cause *code.Error) {
 	if !a.mayHaveRun() {
@@ -182,7 +192,9 @@
 		s.end(now, a, "expire", code.New(code.Internal, "the response arrived in an unexpected state"))
 		return
 	}
-	s.budget.Credit(a.organisation)
+	if a.Call == nil {
+		s.budget.Credit(a.organisation)
+	}
 	s.clearSuspicion(now, a)
 	s.considerExport(now, a, server)
 	a.responded = true
@@ -234,6 +246,10 @@
 func (s *State) prepareRetry(a *active) {
 	a.avoid = append(a.avoid, a.attempt.server.ID)
 	a.backoff = retry.Backoff(s.random, int(a.attempts))
+	if a.Call != nil && a.attempts == 1 {
+		// Another server gets the first repeat, so there is nothing to wait for.
+		a.backoff = 0
+	}
 }
 
 // follow continues a request after a failed attempt according to the state
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -16,6 +16,8 @@
 type machines struct {
 	request     *chart.Machine[*active]
 	once        *chart.Machine[*active]
+	call        *chart.Machine[*active]
+	callOnce    *chart.Machine[*active]
 	attempt     *chart.Machine[*active]
 	server      *chart.Machine[*fleet.Server]
 	store       *chart.Machine[*fleet.Store]
@@ -39,6 +41,12 @@
 	if s.charts.once, err = load(files, "request-once", s.requestBindings(onceTags)); err != nil {
 		return err
 	}
+	if s.charts.call, err = load(files, "call", s.requestBindings(requestTags)); err != nil {
+		return err
+	}
+	if s.charts.callOnce, err = load(files, "call-once", s.requestBindings(requestTags)); err != nil {
+		return err
+	}
 	if s.charts.attempt, err = load(files, "attempt", s.attemptBindings()); err != nil {
 		return err
 	}
@@ -80,7 +88,13 @@
 			"may_retry_and_none_ran": func(a *active, now time.Time) bool {
 				return s.noneRan(a, now) && s.mayRetry(a, now)
 			},
-			"none_ran": s.noneRan,
+			"none_ran":   s.noneRan,
+			"may_redial": s.mayRedial,
+			"may_resend": s.mayResend,
+			"may_repeat": s.mayRepeat,
+			"may_resend_and_none_ran": func(a *active, now time.Time) bool {
+				return s.noneRan(a, now) && s.mayResend(a, now)
+			},
 		},
 		Actions: map[string]func(*active, time.Time){
 			"begin_attempt":   s.beginAttempt,
@@ -88,6 +102,7 @@
 			"mark_dispatched": s.markDispatched,
 			"mark_not_run":    s.markNotRun,
 			"spend_retry":     s.spendRetry,
+			"spend_repeat":    s.spendRepeat,
 		},
 	}
 }
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -97,6 +97,9 @@
 	s.updateServing()
 	s.syncEngines(now)
 	s.fireNode("configure", now)
+	if s.options.Unfenced {
+		s.fireNode("confirm", now)
+	}
 	s.command(ConfigInForce{Version: s.version, Author: current.Author})
 	s.assignQueued(now)
 }
--- a/core/control/decision.go
+++ b/core/control/decision.go
@@ -5,6 +5,7 @@
 
 	"tanagerspread/core/cachekey"
 	"tanagerspread/core/code"
+	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/kvcache"
 	"tanagerspread/core/placement"
@@ -28,6 +29,10 @@
 	// EchoOptional is true when the service need not name the request in its
 	// response.
 	EchoOptional bool
+	// Deadline is when the request ends at the latest.
+	Deadline time.Time
+	// Route is the route of a forwarded call.
+	Route *config.Route
 }
 
 // Proceed lets the asker go on.
@@ -53,6 +58,8 @@
 	DialTimeout   time.Duration
 	HeaderTimeout time.Duration
 	GapTimeout    time.Duration
+	// Forward is set for a forwarded call.
+	Forward *Forwarding
 }
 
 // ImportBlocks names the blocks that an engine may read from a store.
--- a/core/control/fleetmessage.go
+++ b/core/control/fleetmessage.go
@@ -34,6 +34,9 @@
 	// sent the digest unasked; its ages are unusable then, because nothing
 	// bounds the time that it was under way.
 	Asked time.Time
+	// Target names the peer that was asked. It differs from the name in the
+	// digest when only the address of the peer was known.
+	Target string
 }
 
 // AskDigest is the digest of a peer that asks for the own digest. It is
--- /dev/null
+++ b/core/control/forward.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/invariant"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/request"
+)
+
+const (
+	// maxSends bounds how often one call is assigned to a server, counting
+	// servers that refused it or could not be reached.
+	maxSends = 6
+	// waitingCalls bounds the waiting calls of one route on a node.
+	waitingCalls = 200
+	// headerWait bounds the wait for the first part of a repeatable call, after
+	// which another server gets it. It is twice the slowest target of today's
+	// routes.
+	headerWait = 2 * time.Second
+	// lowestPriority is the least urgent priority that servers know.
+	lowestPriority = 9
+)
+
+// Forwarding tells a traffic goroutine how to pass on a call.
+type Forwarding struct {
+	// Instance is the incarnation of the server that must run the call.
+	Instance fleet.ServerID
+	// Organisation is the holder of the caller's key, or empty.
+	Organisation request.Organisation
+	// Priority is 0 for the most urgent calls.
+	Priority int
+	// Model is true when a model engine runs the call; the fields below apply
+	// only then.
+	Model bool
+	// Weights is the weight version that the server must have loaded, or 0.
+	Weights int
+	// Salt separates cached parts that must not be shared.
+	Salt string
+	// FetchFrom and SaveTo name the servers or stores for the cached parts of
+	// the prompt. Entries may be empty.
+	FetchFrom []string
+	SaveTo    []string
+}
+
+// admitCall finds the route, the organisation and the deadline of a forwarded
+// call.
+func (s *State) admitCall(now time.Time, a *active) *code.Error {
+	route := s.rules.Routes.Find(a.Call.Host, a.Call.Path)
+	if route == nil {
+		return code.New(code.UnknownRoute, "no route matches the host and path")
+	}
+	a.route = route
+	a.Route.Name = route.Name
+	if err := s.identifyCall(a); err != nil {
+		return err
+	}
+	a.class = request.Class(route.Name)
+	a.rank = config.Class{Priority: s.priorityOf(a), Queue: waitingCalls, FirstToken: route.Target}
+	if limit := now.Add(route.Timeout); route.Timeout > 0 && limit.Before(a.Deadline) {
+		a.Deadline = limit
+	}
+	a.service = s.splitOf(route)
+	s.repeats.NoteFirst(a.service, now)
+	return nil
+}
+
+func (s *State) identifyCall(a *active) *code.Error {
+	if a.route.Open {
+		return nil
+	}
+	if !a.Call.Keyed {
+		return code.New(code.MissingToken, "the call has no API key")
+	}
+	return s.identify(a)
+}
+
+// priorityOf returns the priority of the organisation, or that of the route.
+func (s *State) priorityOf(a *active) int {
+	if own := s.rules.Organisations[a.organisation].Priority; own != nil {
+		return *own
+	}
+	return a.route.Priority
+}
+
+// splitOf draws a service by the weights of the route.
+func (s *State) splitOf(route *config.Route) string {
+	total := 0
+	for _, share := range route.Split {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	drawn := s.random.IntN(total)
+	for _, share := range route.Split {
+		drawn -= share.Weight
+		if drawn < 0 {
+			return share.Service
+		}
+	}
+	return ""
+}
+
+// callMachine returns the chart of a forwarded call.
+func (s *State) callMachine(a *active) *chart.Machine[*active] {
+	if a.route.Repeatable() {
+		return s.charts.call
+	}
+	return s.charts.callOnce
+}
+
+// mayRedial is the guard of an attempt after one that reached no server.
+func (s *State) mayRedial(a *active, now time.Time) bool {
+	return a.attempts < maxSends && !a.late(now) && !s.quarantine.Quarantined(a.fingerprint)
+}
+
+// mayResend is the guard of an attempt after a server said that it did not
+// run the call.
+func (s *State) mayResend(a *active, now time.Time) bool {
+	return s.mayRedial(a, now) && s.repeats.Allows(a.service, now, s.sharingNodes())
+}
+
+// mayRepeat is the guard of an attempt after one that may have run.
+func (s *State) mayRepeat(a *active, now time.Time) bool {
+	return a.dispatches < a.route.MaxAttempts && s.mayResend(a, now)
+}
+
+// spendRepeat is the action of every attempt that adds to the arrivals at a
+// service.
+func (s *State) spendRepeat(a *active, now time.Time) {
+	s.repeats.NoteRepeat(a.service, now)
+}
+
+// checkOnce finds a second run of a call that must not be repeated.
+func (s *State) checkOnce(a *active) {
+	if a.route != nil && !a.route.Repeatable() {
+		s.options.Checker.Check(a.dispatches == 1, invariant.OneDispatch, "call %s: %d dispatches", a.ID, a.dispatches)
+	}
+}
+
+// callQuery adds what a policy needs to know of a forwarded call.
+func (s *State) callQuery(a *active, query placement.Query) placement.Query {
+	if a.Call == nil {
+		return query
+	}
+	query.Parts = a.Call.Parts
+	query.Bytes = a.Call.Bytes
+	query.Target = a.route.Target
+	query.Isolation = s.isolationOf(a)
+	return query
+}
+
+// isolationOf names the organisation whose cached parts are kept apart, or
+// returns an empty text.
+func (s *State) isolationOf(a *active) string {
+	if s.rules.Organisations[a.organisation].Isolated {
+		return string(a.organisation)
+	}
+	return ""
+}
+
+// forwarding describes the attempt of a forwarded call.
+func (s *State) forwarding(a *active) *Forwarding {
+	if a.Call == nil {
+		return nil
+	}
+	at := a.attempt
+	f := &Forwarding{
+		Instance:     at.server.ID,
+		Organisation: a.organisation,
+		Priority:     min(a.rank.Priority, lowestPriority),
+		Model:        at.server.Role == fleet.RoleEngine,
+	}
+	if f.Model {
+		f.Weights = at.weights
+		f.Salt = placement.Salt(at.weights, s.isolationOf(a))
+		f.FetchFrom = at.choice.FetchFrom
+		f.SaveTo = at.choice.SaveTo
+	}
+	return f
+}
+
+// headerWaitOf bounds the wait for the response headers. A call that must not
+// be repeated waits until its deadline, because giving up gains nothing.
+func (s *State) headerWaitOf(now time.Time, a *active) time.Duration {
+	left := a.Deadline.Sub(now)
+	if a.route.Repeatable() && a.route.MaxAttempts > 1 {
+		return min(left, max(headerWait, 2*a.route.Target))
+	}
+	return left
+}
+
+// gapWaitOf bounds the wait between two parts of the response in the same way.
+func (s *State) gapWaitOf(now time.Time, a *active) time.Duration {
+	if a.route.Kind == config.Streaming {
+		return s.headerWaitOf(now, a)
+	}
+	return a.Deadline.Sub(now)
+}
+
+// noteParts records that the chosen server is about to hold the shared parts
+// of the prompt.
+func (s *State) noteParts(a *active) {
+	if a.Call == nil || len(a.Call.Parts) == 0 {
+		return
+	}
+	server := a.attempt.server
+	capacity := s.rules.Pools[server.Serves].CacheTokens
+	salt := placement.Salt(a.attempt.weights, s.isolationOf(a))
+	for _, part := range a.Call.Parts {
+		s.holdings.Note(server.ID, placement.PartKey{Salt: salt, ID: part.ID}, part.Tokens, capacity)
+	}
+}
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -97,9 +97,17 @@
 // sighting confirms nothing once a newer version is known.
 func (s *State) peerDigest(now time.Time, m PeerDigest) {
 	d := m.Digest
+	peer := s.members.Peer(d.Node)
+	if peer == nil {
+		peer = s.members.Peer(m.Target)
+	}
 	s.noteNewest(d.Newest, "")
-	s.noteNewest(d.Version, d.Node)
-	if peer := s.members.Peer(d.Node); peer != nil {
+	holder := ""
+	if peer != nil {
+		holder = peer.ID
+	}
+	s.noteNewest(d.Version, holder)
+	if peer != nil {
 		s.notePeer(now, peer, m)
 	}
 	asked := m.Asked
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -99,6 +99,11 @@
 	Unsent bool
 	// Died is true when the connection broke while the request was running.
 	Died bool
+	// OtherServer is true when another server than the expected one refused
+	// the request.
+	OtherServer bool
+	// Faulty is true when the response is a failure of the server itself.
+	Faulty bool
 }
 
 // Recorded reports that the at-most-once record of a delivered or released
@@ -128,6 +133,13 @@
 	Serves  string
 	Weights int
 	Leaving bool
+	// Model is the model that the engine serves, when Serves names a service.
+	Model string
+	// Places is the number of requests that the server runs at once, or 0.
+	Places int
+	// Born is the start of the server's process in Unix milliseconds, or 0. A
+	// server with another start is another one, also under the same name.
+	Born int64
 	// PeerAddress is the address for the nodes' own protocol; entry VMs only.
 	PeerAddress string
 }
@@ -135,6 +147,9 @@
 // VMList reports the platform's list of VMs.
 type VMList struct {
 	VMs []VM
+	// Regained is when the source of the list was last reached again after an
+	// outage, or zero. Servers may miss from the list for a moment after that.
+	Regained time.Time
 }
 
 // ImportFound reports the blocks that a store's manifest lists for the prompt
--- a/core/control/ordermessage.go
+++ b/core/control/ordermessage.go
@@ -56,6 +56,15 @@
 	Err *code.Error
 }
 
+// WeightsNamed reports the weight version that the operator wants for a model
+// whose versions are named outside the rules.
+type WeightsNamed struct {
+	Model   string
+	Weights int
+}
+
+func (WeightsNamed) message()      {}
+func (WeightsNamed) orderMessage() {}
 func (IssuerResult) message()      {}
 func (IssuerResult) orderMessage() {}
 func (EngineStatus) message()      {}
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -156,8 +156,9 @@
 	}
 	s.placements++
 	s.recent.Note(now, a.prefix, choice.Server.ID)
+	s.noteParts(a)
 	s.journal.add(now, a, "assign", string(choice.Server.ID))
-	s.reply(a.ID, s.dispatch(a))
+	s.reply(a.ID, s.dispatch(now, a))
 	return limits.Taken
 }
 
@@ -184,8 +185,8 @@
 	return limits.Blocked
 }
 
-func (s *State) dispatch(a *active) Dispatch {
-	return Dispatch{
+func (s *State) dispatch(now time.Time, a *active) Dispatch {
+	d := Dispatch{
 		Attempt:       a.attempt.id,
 		Server:        a.attempt.server.ID,
 		Address:       a.attempt.server.Address,
@@ -196,11 +197,17 @@
 		DialTimeout:   s.charts.attempt.Timeout(tagOpens),
 		HeaderTimeout: s.charts.attempt.Timeout(tagAwaitsHeaders),
 		GapTimeout:    s.charts.attempt.Timeout(tagReceives),
+		Forward:       s.forwarding(a),
 	}
+	if a.Call != nil {
+		d.HeaderTimeout = s.headerWaitOf(now, a)
+		d.GapTimeout = s.gapWaitOf(now, a)
+	}
+	return d
 }
 
 func (s *State) query(a *active) placement.Query {
-	return placement.Query{PromptTokens: a.PromptTokens, Prefix: a.prefix, Avoid: a.avoid}
+	return s.callQuery(a, placement.Query{PromptTokens: a.PromptTokens, Prefix: a.prefix, Avoid: a.avoid})
 }
 
 func (s *State) view(now time.Time, a *active, suspect bool) placement.View {
@@ -210,6 +217,9 @@
 		Recent:    s.recent,
 		Turn:      s.placements,
 		LinkPrice: s.rules.Policy.LinkPrice,
+		Domain:    s.options.Domain,
+		Holdings:  s.holdings,
+		Prices:    s.options.Prices,
 	}
 }
 
@@ -222,7 +232,7 @@
 		if suspect && server.Suspects > 0 {
 			continue
 		}
-		if server.ReceivesWork() && server.HasRoom(s.options.ServerSlots) && mayAddWork(now, a, server) {
+		if server.ReceivesWork() && server.HasRoom(s.slotsOf(server)) && mayAddWork(now, a, server) {
 			s.scratch = append(s.scratch, server)
 		}
 	}
@@ -232,6 +242,19 @@
 	return s.scratch
 }
 
+// slotsOf returns the number of attempts that this node may have at a server:
+// the places that the server named, or the node's part of its connections.
+func (s *State) slotsOf(server *fleet.Server) int {
+	if server.Places == 0 {
+		return s.options.ServerSlots
+	}
+	connections := s.rules.Pools[server.Serves].Connections
+	if connections == 0 {
+		return server.Places
+	}
+	return max(min(server.Places, connections/s.sharingNodes()), 1)
+}
+
 // mayAddWork reports whether the request may add to the prompt work of a server.
 // An engine shares its speed between all prompts, so a request that can wait
 // does so in the queue of the node, where urgent ones overtake it.
@@ -264,6 +287,9 @@
 
 // lane names the servers that can take the request.
 func (a *active) lane() fleet.GroupKey {
+	if a.Call != nil {
+		return fleet.GroupKey{Serves: a.service}
+	}
 	if a.Route.Kind == request.Service {
 		return fleet.GroupKey{Role: fleet.RoleService, Serves: a.Route.Name}
 	}
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -8,6 +8,10 @@
 	"tanagerspread/core/fleet"
 )
 
+// returnWait is how long after an outage of its source a server may be missing
+// from the list. Servers that live are back after about two seconds.
+const returnWait = 2200 * time.Millisecond
+
 // vmList takes over the platform's list of VMs. The list lags, so a server
 // that said itself that it leaves stays out until it is listed as leaving and
 // then live again.
@@ -24,9 +28,7 @@
 	s.noteMembers(now, m)
 	for id, server := range s.servers {
 		if !listed[id] {
-			s.fireServer(server, "remove", now)
-			delete(s.servers, id)
-			s.recent.Forget(id)
+			s.missed(now, server, m.Regained)
 		}
 	}
 	s.orderServers()
@@ -36,17 +38,40 @@
 	s.assignQueued(now)
 }
 
+// missed removes a server that the list lacks. Just after an outage of the
+// source of the list, a server that lives may be missing; it gets some time to
+// return.
+func (s *State) missed(now time.Time, server *fleet.Server, regained time.Time) {
+	until := regained.Add(returnWait)
+	if !regained.IsZero() && now.Before(until) {
+		server.MissingUntil = until
+		return
+	}
+	s.removeServer(now, server)
+}
+
+func (s *State) removeServer(now time.Time, server *fleet.Server) {
+	s.fireServer(server, "remove", now)
+	delete(s.servers, server.ID)
+	s.recent.Forget(server.ID)
+	s.holdings.Forget(server.ID)
+}
+
 func (s *State) noteVM(now time.Time, vm VM) {
 	server, known := s.servers[fleet.ServerID(vm.ID)]
-	if !known || server.Address != vm.Address {
+	if !known || server.Address != vm.Address || server.Born != vm.Born {
 		server = &fleet.Server{ID: fleet.ServerID(vm.ID), Chart: s.charts.server.Start(now)}
 		s.servers[server.ID] = server
 	}
+	server.MissingUntil = time.Time{}
 	server.Address = vm.Address
 	server.Domain = vm.Domain
 	server.Role = vm.Role
 	server.Serves = vm.Serves
 	server.Weights = vm.Weights
+	server.Model = vm.Model
+	server.Places = vm.Places
+	server.Born = vm.Born
 	if vm.Leaving {
 		server.ListedLeaving = true
 		s.fireServer(server, "leave", now)
@@ -106,4 +131,21 @@
 	for _, server := range s.ordered {
 		_, _ = s.charts.server.Expire(&server.Chart, server, now)
 	}
+	s.expireMissing(now)
+}
+
+// expireMissing removes servers that have not returned after an outage.
+func (s *State) expireMissing(now time.Time) {
+	removed := false
+	for _, server := range s.ordered {
+		if !server.MissingUntil.IsZero() && !now.Before(server.MissingUntil) {
+			s.removeServer(now, server)
+			removed = true
+		}
+	}
+	if removed {
+		s.orderServers()
+		s.updateServing()
+		s.syncEngines(now)
+	}
 }
--- a/core/control/serving.go
+++ b/core/control/serving.go
@@ -43,5 +43,11 @@
 
 // sameWeights reports whether a server has the weights of a request.
 func (s *State) sameWeights(a *active, server *fleet.Server) bool {
-	return server.Role != fleet.RoleEngine || server.Weights == a.scope.Weights
+	if server.Role != fleet.RoleEngine {
+		return true
+	}
+	if a.Call != nil {
+		return server.Weights == a.attempt.weights
+	}
+	return server.Weights == a.scope.Weights
 }
--- a/core/control/session.go
+++ b/core/control/session.go
@@ -49,7 +49,13 @@
 // acknowledgement. It relays the versions of peers that do not reach the
 // service and were seen within the fence time.
 func (s *State) sessionEntry(now time.Time) SessionEntry {
-	entry := SessionEntry{Node: s.options.Node, Incarnation: s.options.Incarnation, State: string(s.life.State)}
+	entry := SessionEntry{Node: s.options.Node, Incarnation: s.options.Incarnation}
+	if s.options.Unfenced {
+		// Nobody waits for the acknowledgement of a version, so the entry only
+		// says that the node exists.
+		return entry
+	}
+	entry.State = string(s.life.State)
 	if s.takesPart() {
 		entry.Version = s.version
 	}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -46,6 +46,16 @@
 	DrainDelay time.Duration
 	// Issuer is true when the node may become the issuer of orders to engines.
 	Issuer bool
+	// Unfenced is true when a node serves with the newest configuration that
+	// it knows, whether or not it can confirm that it is in force.
+	Unfenced bool
+	// Forwarding is true when the node forwards calls: servers are then found
+	// by what they serve, whatever weights they have loaded.
+	Forwarding bool
+	// Repeats bounds the repeats of forwarded calls.
+	Repeats retry.Limit
+	// Prices are what the ways to serve a forwarded call cost.
+	Prices placement.Prices
 }
 
 // State is the control state of one node.
@@ -69,11 +79,13 @@
 	// storeList lists the stores by identifier.
 	storeList  []*fleet.Store
 	recent     *placement.Recent
+	holdings   *placement.Holdings
 	placements uint64
 	queue      *limits.Queue
 	rates      *limits.Rates
 	tokenRates *limits.Rates
 	budget     *retry.Budgets
+	repeats    *retry.Windows
 	quarantine *quarantine.List
 	exports    *kvcache.Exports
 	// transfers holds the exports in progress.
@@ -104,10 +116,13 @@
 		servers:     map[fleet.ServerID]*fleet.Server{},
 		stores:      map[fleet.ServerID]*fleet.Store{},
 		recent:      placement.NewRecent(),
+		holdings:    placement.NewHoldings(),
 		queue:       limits.NewQueue(),
 		rates:       limits.NewRates(),
 		tokenRates:  limits.NewRates(),
 		budget:      retry.NewBudgets(),
+		repeats:     retry.NewWindows(options.Repeats),
+		index:       fleet.Index{ByService: options.Forwarding},
 		quarantine:  quarantine.NewList(),
 		exports:     kvcache.NewExports(),
 		transfers:   map[request.ID]*transfer{},
--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -27,6 +27,7 @@
 		return
 	}
 	s.recent.Forget(at.server.ID)
+	s.holdings.Forget(at.server.ID)
 	var runs []quarantine.Run
 	for _, a := range s.victims(at) {
 		a.attempt.deathNoted = true
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -20,6 +20,8 @@
 	NodeStopped      = add(2503, LevelInfo, "node stopped")
 	QueueFull        = add(2504, LevelError, "control queue is full; message refused", "message")
 	AdminStopped     = add(2505, LevelError, "admin listener stopped")
+	SettingsReread   = add(2506, LevelInfo, "settings were read again", "faults")
+	SettingsRejected = add(2507, LevelError, "settings have a fault; the ones in use stay", "field", "code")
 )
 
 // The events of peers.
@@ -38,6 +40,9 @@
 // The events of platform services.
 var (
 	ServiceCallFailed = add(2701, LevelInfo, "call of the key-value service failed", "call", "code")
+	EntryRejected     = add(2703, LevelError, "entry of the key-value service names nothing that can be used", "key", "revision", "code")
+	EntriesLost       = add(2704, LevelInfo, "entries of the key-value service cannot be followed; the last ones stay in use", "prefix", "code")
+	EntriesRegained   = add(2705, LevelInfo, "entries of the key-value service are followed again", "prefix")
 	VMListFailed      = add(2702, LevelInfo, "VM list did not answer; the last list stays in use", "code")
 )
 
--- a/core/fleet/group.go
+++ b/core/fleet/group.go
@@ -43,6 +43,9 @@
 
 // Index finds servers by what they serve.
 type Index struct {
+	// ByService finds servers by what they serve alone.
+	ByService bool
+
 	groups map[GroupKey]*Group
 }
 
@@ -52,7 +55,7 @@
 	old := x.groups
 	x.groups = map[GroupKey]*Group{}
 	for _, server := range servers {
-		key := KeyOf(server)
+		key := x.keyOf(server)
 		group := x.groups[key]
 		if group == nil {
 			group = &Group{Speed: &Speed{}}
@@ -75,6 +78,13 @@
 	return &Group{}
 }
 
+func (x *Index) keyOf(server *Server) GroupKey {
+	if x.ByService {
+		return GroupKey{Serves: server.Serves}
+	}
+	return KeyOf(server)
+}
+
 // KeyOf returns the key under which a server is indexed.
 func KeyOf(server *Server) GroupKey {
 	key := GroupKey{Role: server.Role, Serves: server.Serves}
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -40,6 +40,8 @@
 	Role    Role
 	// Serves is the model or service that the server offers.
 	Serves string
+	// Model is the model of an engine that is found by its service, or empty.
+	Model string
 	// Weights is the weight version that the engine has loaded.
 	Weights int
 	Load    Load
@@ -60,6 +62,11 @@
 	LastFailure time.Time
 	// Evidence is when the attempt began whose success is being reported.
 	Evidence time.Time
+	// Places is the number of requests that the server runs at once, or 0 when
+	// it did not say.
+	Places int
+	// Born is the start of the server's process in Unix milliseconds, or 0.
+	Born int64
 	// Slots bounds the attempts in flight while the server recovers.
 	Slots int
 	// ListedLeaving is true while the VM list says that the VM is leaving.
@@ -71,5 +78,7 @@
 	SaidAt time.Time
 	// ReturnedAt is when the VM list last showed the server live again.
 	ReturnedAt time.Time
-	Chart      chart.Instance
+	// MissingUntil is when a server that the list lacks counts as gone, or zero.
+	MissingUntil time.Time
+	Chart        chart.Instance
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -7,6 +7,7 @@
 
 	"tanagerspread/core/cachekey"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/request"
 )
 
 // Query is the request to be placed.
@@ -15,6 +16,14 @@
 	Prefix       []cachekey.Key
 	// Avoid lists servers that already failed an attempt of the request.
 	Avoid []fleet.ServerID
+	// Parts lists the parts of the prompt of a forwarded call, Bytes is the
+	// size of its body, Target the time in which its first part is due.
+	Parts  []request.Part
+	Bytes  int
+	Target time.Duration
+	// Isolation is the organisation whose cached parts are kept apart, or
+	// empty.
+	Isolation string
 }
 
 // View is what a policy may look at. A policy changes none of it.
@@ -28,6 +37,10 @@
 	Turn uint64
 	// LinkPrice is the time that a transferred mebibyte is worth.
 	LinkPrice time.Duration
+	// Domain is the failure domain of the node.
+	Domain   fleet.Domain
+	Holdings *Holdings
+	Prices   Prices
 }
 
 // at returns the server at a position behind the turn.
@@ -66,6 +79,10 @@
 	Source Source
 	// Plan is set when the store is asked for blocks of the prompt.
 	Plan *ImportPlan
+	// FetchFrom and SaveTo name where the cached parts of a forwarded call come
+	// from and go to.
+	FetchFrom []string
+	SaveTo    []string
 	// Prefill is the expected number of prompt tokens to compute.
 	Prefill int
 	// FirstToken is the estimated time to the first token.
@@ -83,6 +100,7 @@
 	NameRoundRobin = "round-robin"
 	NameLeastLoad  = "least-load"
 	NameSticky     = "sticky"
+	NameHome       = "home"
 )
 
 // ByName returns the policy that the rules name; the empty name selects
@@ -97,6 +115,8 @@
 		return LeastLoad{}, true
 	case NameSticky:
 		return Sticky{}, true
+	case NameHome:
+		return Home{}, true
 	}
 	return nil, false
 }
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -28,15 +28,41 @@
 	Completion Kind = iota + 1
 	// Service is a call of a plain service.
 	Service
+	// Forward is a call that is routed by host and path and passed on
+	// unchanged.
+	Forward
 )
 
 // Route says what a request asks for.
 type Route struct {
 	Kind Kind
-	// Name is the model of a completion or the name of a plain service.
+	// Name is the model of a completion or the name of a plain service. The
+	// route of a forwarded call is found by the control thread.
 	Name string
 }
 
+// Part is a part of a prompt that other requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Call describes a forwarded call.
+type Call struct {
+	// Host and Path select the route.
+	Host string
+	Path string
+	// Keyed is true when the caller sent an API key; TokenDigest is its digest.
+	Keyed bool
+	// Model is the model that the caller named, or empty.
+	Model string
+	// Parts lists the parts of the prompt in order; the last one belongs to
+	// the request alone.
+	Parts []Part
+	// Bytes is the size of the body.
+	Bytes int
+}
+
 // Request is what the decisions know of a caller's request. It holds no
 // prompt and no token.
 type Request struct {
@@ -55,4 +81,6 @@
 	PromptTokens int
 	// MaxTokens bounds the generated tokens.
 	MaxTokens int
+	// Call is set for a forwarded call.
+	Call *Call
 }
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -18,6 +18,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/quarantine"
+	"tanagerspread/node/confkv"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/peer"
 	"tanagerspread/node/worker"
@@ -46,12 +47,18 @@
 type Options struct {
 	Control worker.Teller
 	Service kv.Service
-	List    vmlist.Lister
-	Peers   *peer.Client
-	Parse   Parse
-	Logger  logr.Logger
-	// Address is where the node serves callers.
-	Address string
+	// List is the VM list, or nil when the registry takes its place.
+	List  vmlist.Lister
+	Peers *peer.Client
+	Parse Parse
+	// Source is where the configuration is stored; the zero value is the
+	// product's own place.
+	Source confkv.Source
+	Logger logr.Logger
+	// Address is where the node serves callers, PeerAddress where it serves
+	// its peers. The latter is empty when peers learn it from the VM list.
+	Address     string
+	PeerAddress string
 }
 
 // Agents are the agents of one node.
@@ -72,6 +79,9 @@
 
 // New returns agents that do not run yet.
 func New(options Options) *Agents {
+	if options.Source.Decode == nil {
+		options.Source = confkv.OwnSource()
+	}
 	return &Agents{
 		options:  options,
 		reads:    make(chan control.Command, commandQueue),
@@ -85,7 +95,10 @@
 
 // Run runs the agents until the context ends.
 func (a *Agents) Run(ctx context.Context) {
-	tasks := []func(context.Context){a.watchConfig, a.runReads, a.runSession, a.pollList, a.watchQuarantine, a.storeQuarantine}
+	tasks := []func(context.Context){a.watchConfig, a.runReads, a.runSession, a.watchQuarantine, a.storeQuarantine}
+	if a.options.List != nil {
+		tasks = append(tasks, a.pollList)
+	}
 	for range peerWorkers {
 		tasks = append(tasks, a.runPeers)
 	}
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -50,7 +50,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		watchContext, cancel := context.WithTimeout(ctx, kv.WatchWait+serviceTimeout)
-		changes, revision, err := a.options.Service.Watch(watchContext, confkv.KeyCurrent, after)
+		changes, revision, err := a.options.Service.Watch(watchContext, a.options.Source.Key, after)
 		cancel()
 		if err != nil {
 			return err
@@ -67,10 +67,10 @@
 }
 
 func (a *Agents) changeSeen(change kv.Change, began time.Time) {
-	if change.Deleted || change.Entry.Key != confkv.KeyCurrent {
+	if change.Deleted || change.Entry.Key != a.options.Source.Key {
 		return
 	}
-	current, err := confkv.Decode(change.Entry.Value)
+	current, err := a.options.Source.Decode(change.Entry.Value)
 	if err != nil {
 		a.failed("watch", err)
 		return
@@ -101,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
 	asked := time.Now()
-	current, revision, err := confkv.Read(ctx, a.options.Service)
+	current, revision, err := a.options.Source.Read(ctx, a.options.Service)
 	if err != nil {
 		a.failed("read configuration", err)
 		return revision, err
--- a/node/confkv/confkv.go
+++ b/node/confkv/confkv.go
@@ -73,17 +73,35 @@
 	return document.Current(), nil
 }
 
+// Source tells where the configuration is stored and how.
+type Source struct {
+	Key string
+	// Decode returns the stored configuration, or code.RuleMalformed.
+	Decode func(data []byte) (config.Current, *code.Error)
+}
+
+// OwnSource is the source of the product's own configurations.
+func OwnSource() Source {
+	return Source{Key: KeyCurrent, Decode: Decode}
+}
+
+// Read returns the product's current configuration and its revision. Version 0
+// and kv.Absent mean that the service holds none.
+func Read(ctx context.Context, service kv.Service) (config.Current, kv.Revision, *code.Error) {
+	return OwnSource().Read(ctx, service)
+}
+
 // Read returns the current configuration and its revision. Version 0 and
 // kv.Absent mean that the service holds none.
-func Read(ctx context.Context, service kv.Service) (config.Current, kv.Revision, *code.Error) {
-	entry, err := service.Get(ctx, KeyCurrent)
+func (s Source) Read(ctx context.Context, service kv.Service) (config.Current, kv.Revision, *code.Error) {
+	entry, err := service.Get(ctx, s.Key)
 	if err != nil && err.Code == code.KeyMissing {
 		return config.Current{}, kv.Absent, nil
 	}
 	if err != nil {
 		return config.Current{}, kv.Absent, err
 	}
-	current, err := Decode(entry.Value)
+	current, err := s.Decode(entry.Value)
 	return current, entry.Revision, err
 }
 
@@ -94,13 +112,17 @@
 	Version     uint64            `json:"version"`
 	State       string            `json:"state"`
 	Address     string            `json:"address,omitempty"`
+	PeerAddress string            `json:"peer,omitempty"`
 	Relayed     map[string]uint64 `json:"relayed,omitempty"`
 }
 
-// NewSession returns the stored form of a session entry. The address is the
-// one at which the node serves callers.
-func NewSession(e control.SessionEntry, address string) Session {
-	s := Session{Node: e.Node, Incarnation: e.Incarnation, Version: uint64(e.Version), State: e.State, Address: address}
+// NewSession returns the stored form of a session entry with the addresses at
+// which the node serves callers and peers.
+func NewSession(e control.SessionEntry, address, peerAddress string) Session {
+	s := Session{
+		Node: e.Node, Incarnation: e.Incarnation, Version: uint64(e.Version), State: e.State,
+		Address: address, PeerAddress: peerAddress,
+	}
 	for node, version := range e.Relayed {
 		if s.Relayed == nil {
 			s.Relayed = map[string]uint64{}
--- a/node/egress/completion.go
+++ b/node/egress/completion.go
@@ -27,6 +27,11 @@
 	Leaving bool
 	// Died is true when the connection broke after the request was sent.
 	Died bool
+	// OtherServer is true when another server has the address, or the server
+	// has other weights than expected.
+	OtherServer bool
+	// Faulty is true when the whole response is a failure of the server.
+	Faulty bool
 }
 
 // Complete runs one completion and passes each verified event to receive. An
--- /dev/null
+++ b/node/forward/protocol.go
@@ -0,0 +1,76 @@
+// Package forward holds what the front and the sender of forwarded calls share:
+// the typed form of a call and of a response's headers, and the interface of
+// the protocol that encodes them.
+package forward
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/request"
+)
+
+// NoEvent is the last event of a caller that does not resume a stream.
+const NoEvent int64 = -1
+
+// Call is what the headers of a call say.
+type Call struct {
+	ID request.ID
+	// Deadline is how long the caller waits.
+	Deadline     time.Duration
+	KeyDigest    request.Digest
+	PromptTokens int
+	MaxTokens    int
+	// LastEvent is the last event that the caller has, or NoEvent.
+	LastEvent int64
+	Routing   request.Call
+}
+
+// Answer is what the headers of a response say.
+type Answer struct {
+	// Own is true when the response names the attempt that it answers.
+	Own bool
+	// Sealed is true when a server vouches for the response.
+	Sealed bool
+	// NotRun is true when the server promises that it did not run the call.
+	NotRun bool
+	// OtherServer is true when another server than the expected one has the
+	// address, or the server has other weights.
+	OtherServer bool
+}
+
+// Protocol translates calls and responses. It decides nothing.
+type Protocol interface {
+	// ReadinessPath returns the path of the load balancer's check.
+	ReadinessPath() string
+	// Decode reads the headers of a call, or returns the code that refuses it.
+	Decode(r *http.Request) (Call, *code.Error)
+	// Outgoing returns the headers of an attempt at a server.
+	Outgoing(caller http.Header, plan control.Forwarding, left time.Duration, lastEvent int64) http.Header
+	// Answer tells what the headers of a response say.
+	Answer(id request.ID, response *http.Response) Answer
+}
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// EndToEnd returns a copy of the headers without those that concern one
+// connection only, and without those that the Connection header names.
+func EndToEnd(header http.Header) http.Header {
+	out := header.Clone()
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- a/node/ingress/exchange.go
+++ b/node/ingress/exchange.go
@@ -131,6 +131,9 @@
 			Leaving: result.Leaving,
 			Unsent:  x.sent.Load() == 0,
 			Died:    result.Died,
+
+			OtherServer: result.OtherServer,
+			Faulty:      result.Faulty,
 		})
 	}
 	if x.sent.Load() > 0 {
--- /dev/null
+++ b/node/ingress/forward.go
@@ -0,0 +1,222 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/request"
+	"tanagerspread/node/egress"
+	"tanagerspread/node/forward"
+)
+
+// errCallerLeft ends an attempt whose caller cannot be written to.
+var errCallerLeft = errors.New("the caller cannot be written to")
+
+// forwardHandler returns the routes of a node that forwards calls.
+func (f *Front) forwardHandler() http.Handler {
+	return http.HandlerFunc(f.forwardCall)
+}
+
+// Readiness returns the handler of the load balancer's check.
+func (f *Front) Readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+f.options.Protocol.ReadinessPath(), f.readiness)
+	return mux
+}
+
+// forwardCall serves one forwarded call.
+func (f *Front) forwardCall(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	call, err := f.options.Protocol.Decode(r)
+	if err != nil {
+		f.refuseCall(w, newID(), err, 0)
+		return
+	}
+	body, err := readBody(w, r, f.options.MaxBodyBytes)
+	if err != nil {
+		f.refuseCall(w, call.ID, err, 0)
+		return
+	}
+	call.Routing.Bytes = len(body)
+	x := &exchange{front: f, caller: r.Context(), request: request.Request{
+		ID:           call.ID,
+		Route:        request.Route{Kind: request.Forward},
+		Deadline:     arrived.Add(call.Deadline),
+		TokenDigest:  call.KeyDigest,
+		BodyDigest:   bodyDigest(r, body),
+		PromptTokens: call.PromptTokens,
+		MaxTokens:    call.MaxTokens,
+		Call:         &call.Routing,
+	}}
+	f.serveCall(r.Context(), x, &callRelay{front: f, w: w, r: r, exchange: x, body: body, lastEvent: call.LastEvent})
+}
+
+func (f *Front) serveCall(ctx context.Context, x *exchange, relay *callRelay) {
+	if end := x.admit(ctx); end != nil {
+		f.refuseCall(relay.w, x.request.ID, end.refused.err, end.refused.retryAfter)
+		return
+	}
+	x.request.Deadline = x.admitted.Deadline
+	ctx, cancel := x.context(ctx)
+	defer cancel()
+	relay.finish(x.run(ctx, relay.attempt))
+}
+
+// refuseCall logs a refusal and responds with it.
+func (f *Front) refuseCall(w http.ResponseWriter, id request.ID, err *code.Error, retryAfter time.Duration) {
+	f.noteRefused(id, err)
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set(headerCode, strconv.Itoa(int(err.Code)))
+	if retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	boundWrite(w)
+	w.WriteHeader(statusOf(err.Info()))
+	// A failed write means that the caller has left; nothing is left to do.
+	_, _ = w.Write([]byte(err.Detail + "\n"))
+}
+
+// statusOf returns a status that promises no more than the code does. Callers
+// take 408, 421, 429 and 503 as the promise that a call has not run and never
+// will, and repeat it.
+func statusOf(info code.Info) int {
+	if info.Execution == code.NotRun {
+		switch info.HTTPStatus {
+		case http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusInternalServerError, http.StatusUnprocessableEntity:
+			return http.StatusServiceUnavailable
+		}
+		return info.HTTPStatus
+	}
+	switch info.HTTPStatus {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return http.StatusBadGateway
+	}
+	return info.HTTPStatus
+}
+
+// callRelay carries the response of one forwarded call to its caller.
+type callRelay struct {
+	front    *Front
+	w        http.ResponseWriter
+	r        *http.Request
+	exchange *exchange
+	body     []byte
+	dispatch control.Dispatch
+	sent     time.Time
+	// lastEvent is the last event that the caller has, or forward.NoEvent.
+	lastEvent int64
+	// begun is true once the headers of a stream are with the caller.
+	begun bool
+	// whole is a response with its whole body, or nil.
+	whole     *http.Response
+	wholeBody []byte
+}
+
+// attempt performs one attempt.
+func (c *callRelay) attempt(ctx context.Context, dispatch control.Dispatch, gate egress.Gate) egress.Result {
+	c.dispatch = dispatch
+	c.sent = time.Now()
+	left := time.Until(c.exchange.request.Deadline)
+	call := egress.ForwardCall{
+		ID:     c.exchange.request.ID,
+		Method: c.r.Method,
+		Target: c.r.RequestURI,
+		Host:   c.r.Host,
+		Header: c.front.options.Protocol.Outgoing(c.r.Header, *dispatch.Forward, left, c.lastEvent),
+		Body:   c.body,
+	}
+	return c.front.options.Egress.Forward(ctx, dispatch.Address, c.front.options.Protocol, call, timeoutsOf(dispatch), gate, c)
+}
+
+// Whole keeps a response until the control thread has decided what follows.
+func (c *callRelay) Whole(response *http.Response, body []byte) {
+	c.whole = response
+	c.wholeBody = body
+}
+
+// Begin writes the headers of the first stream; a resumed one keeps them.
+func (c *callRelay) Begin(response *http.Response) error {
+	if c.begun {
+		return nil
+	}
+	c.begun = true
+	c.copyHeaders(response)
+	c.w.WriteHeader(response.StatusCode)
+	return nil
+}
+
+// Event writes the next event and flushes it. Events that the caller already
+// has are left out.
+func (c *callRelay) Event(event forward.Event) error {
+	if !c.sent.IsZero() {
+		c.front.options.Control.Tell(control.FirstToken{
+			Request: c.exchange.request.ID, Attempt: c.dispatch.Attempt, After: time.Since(c.sent),
+		})
+		c.sent = time.Time{}
+	}
+	if event.ID != forward.NoEvent {
+		if event.ID <= c.lastEvent {
+			return nil
+		}
+		if c.lastEvent != forward.NoEvent && event.ID != c.lastEvent+1 {
+			return code.Newf(code.AnswerTruncated, "the stream has event %d after event %d", event.ID, c.lastEvent)
+		}
+		c.lastEvent = event.ID
+	}
+	boundWrite(c.w)
+	if _, err := c.w.Write(event.Raw); err != nil {
+		return errors.Join(errCallerLeft, err)
+	}
+	return http.NewResponseController(c.w).Flush()
+}
+
+// finish ends the response. A whole response of a server is delivered even when
+// the decision was to refuse, because it is the true outcome.
+func (c *callRelay) finish(refused *refused) {
+	id := c.exchange.request.ID
+	switch {
+	case c.whole != nil && !c.begun:
+		c.front.noteDelivered(id)
+		c.writeWhole()
+	case refused == nil:
+		c.front.noteDelivered(id)
+	case c.begun:
+		// A broken connection is the only way to tell that the stream is not
+		// complete.
+		c.front.noteRefused(id, refused.err)
+		panic(http.ErrAbortHandler)
+	default:
+		c.front.refuseCall(c.w, id, refused.err, refused.retryAfter)
+	}
+}
+
+func (c *callRelay) writeWhole() {
+	c.copyHeaders(c.whole)
+	if c.r.Method != http.MethodHead {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(c.wholeBody)))
+	}
+	boundWrite(c.w)
+	c.w.WriteHeader(c.whole.StatusCode)
+	// A failed write means that the caller has left; nothing is left to do.
+	_, _ = c.w.Write(c.wholeBody)
+}
+
+// copyHeaders passes on the headers of a server without adding any.
+func (c *callRelay) copyHeaders(response *http.Response) {
+	header := c.w.Header()
+	for name, values := range forward.EndToEnd(response.Header) {
+		header[name] = values
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, set := header[name]; !set {
+			// A nil value keeps net/http from adding its own.
+			header[name] = nil
+		}
+	}
+}
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"tanagerspread/node/blocks"
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
+	"tanagerspread/node/forward"
 )
 
 // Asker is the control thread as ingress sees it.
@@ -75,6 +76,9 @@
 	Observer Observer
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
+	// Protocol is that of forwarded calls; with nil the front serves the
+	// product's own interface.
+	Protocol forward.Protocol
 }
 
 // Front serves callers.
@@ -95,6 +99,9 @@
 
 // Handler returns the routes for callers and the load balancer.
 func (f *Front) Handler() http.Handler {
+	if f.options.Protocol != nil {
+		return f.forwardHandler()
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { f.completion(w, r, false) })
 	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { f.completion(w, r, true) })
--- /dev/null
+++ b/node/process/deployed.go
@@ -0,0 +1,198 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/chart"
+	"tanagerspread/client/wire"
+	"tanagerspread/core/control"
+	"tanagerspread/core/event"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/retry"
+	"tanagerspread/node/confkv"
+	"tanagerspread/node/eventlog"
+	"tanagerspread/node/metrics"
+	"tanagerspread/node/registry"
+	"tanagerspread/node/runtime"
+	"tanagerspread/platform"
+)
+
+const (
+	// memoryShare is the part of the memory of the process that the heap may
+	// use; the rest is for stacks and for the buffers of the sockets.
+	memoryShare = 0.6
+	// maxBodyBytes bounds the body of a forwarded call.
+	maxBodyBytes = 4 << 20
+	// unreadyTime is how long a stopping node still accepts calls. The load
+	// balancer asks every second and takes a node out after two misses.
+	unreadyTime = 2500 * time.Millisecond
+	// storeTimeout bounds one call of the metadata store.
+	storeTimeout = 1500 * time.Millisecond
+	// connectTimeout bounds the opening of a connection to a server, to the
+	// store or to a peer.
+	connectTimeout = time.Second
+	// keepAliveIdle and keepAliveCount find connections whose other end is gone.
+	keepAliveIdle  = 3 * time.Second
+	keepAliveCount = 3
+)
+
+// DeployedOptions configures a process on the users' machines.
+type DeployedOptions struct {
+	Settings *platform.Settings
+	// Log receives one JSON object a line.
+	Log      io.Writer
+	LogLevel event.Level
+	// Signals delivers the first signal, which starts the planned stop, and a
+	// second one, which ends the process at once.
+	Signals <-chan os.Signal
+	// Reloads delivers the signals that the settings file has changed.
+	Reloads <-chan os.Signal
+	// Reread reads the settings file again.
+	Reread func() (*platform.Settings, []platform.Fault)
+}
+
+// deployed holds the listeners and clients of the process.
+type deployed struct {
+	callers   net.Listener
+	readiness net.Listener
+	peers     net.Listener
+	operators net.Listener
+	store     *platform.Store
+	dialer    *net.Dialer
+}
+
+// RunDeployed serves until the planned stop is complete. It returns
+// ErrInterrupted after a second signal, and an error when a listener or the
+// node cannot start.
+func RunDeployed(ctx context.Context, options DeployedOptions) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	debug.SetMemoryLimit(int64(float64(options.Settings.MemoryBytes) * memoryShare))
+	counters := metrics.New()
+	defer func() { _ = counters.Close() }()
+	logger := eventlog.New(options.Log, options.LogLevel)
+	d, err := open(options.Settings)
+	if err != nil {
+		return err
+	}
+	defer d.store.Close()
+	node, err := runtime.New(d.nodeOptions(options.Settings, logger, counters))
+	if err != nil {
+		return err
+	}
+	server := adminServer(node, counters)
+	defer func() { _ = server.Close() }()
+	go serveAdmin(server, d.operators, logger)
+	go watchSignals(ctx, cancel, options.Signals, node)
+	go watchReloads(ctx, options, logger)
+	err = node.Run(ctx)
+	if errors.Is(context.Cause(ctx), ErrInterrupted) {
+		return ErrInterrupted
+	}
+	return err
+}
+
+// open opens the listeners. The clients open connections on demand, so that a
+// node starts while the store is away.
+func open(s *platform.Settings) (*deployed, error) {
+	d := &deployed{dialer: &net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveCount},
+	}}
+	addresses := []struct {
+		name     string
+		address  string
+		listener *net.Listener
+	}{
+		{"callers", s.Callers, &d.callers},
+		{"readiness checks", s.Readiness, &d.readiness},
+		{"peers", s.Peers, &d.peers},
+		{"operators", net.JoinHostPort(s.IP, strconv.Itoa(s.LastPort)), &d.operators},
+	}
+	for _, a := range addresses {
+		listener, err := net.Listen("tcp", a.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen for %s: %w", a.name, err)
+		}
+		*a.listener = listener
+	}
+	d.store = platform.NewStore(wire.Options{Address: s.Store, Dial: d.dialer.DialContext, Timeout: storeTimeout})
+	return d, nil
+}
+
+func (d *deployed) nodeOptions(s *platform.Settings, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
+	return runtime.Options{
+		Control: control.Options{
+			Node:        s.Node,
+			Domain:      fleet.Domain(s.Domain),
+			Charts:      chart.Embedded(),
+			Seed:        uint64(time.Now().UnixNano()),
+			Incarnation: uint64(time.Now().UnixMilli()),
+			DrainDelay:  unreadyTime,
+			Unfenced:    true,
+			Forwarding:  true,
+			Repeats:     retry.Limit{Window: s.RetryWindow, Ratio: s.RetryRatio, Slack: s.RetrySlack},
+			Prices:      defaultPrices,
+		},
+		Listener:     d.callers,
+		Readiness:    d.readiness,
+		Dial:         d.dialer.DialContext,
+		KeyValue:     d.store,
+		Logger:       logger,
+		Metrics:      counters,
+		MaxBodyBytes: maxBodyBytes,
+		Protocol:     platform.Protocol{},
+		Fleet: &runtime.Fleet{
+			Service:      d.store,
+			Parse:        platform.ParseRules,
+			Source:       confkv.Source{Key: platform.KeyConfig, Decode: platform.DecodeConfig},
+			PeerListener: d.peers,
+			PeerDial:     d.dialer.DialContext,
+			PeerAddress:  s.Peers,
+			Registry: &registry.Options{
+				ServerPrefix:  platform.PrefixServers,
+				WeightsPrefix: platform.PrefixWeights,
+				DecodeServer:  platform.DecodeServer,
+				DecodeWeights: platform.DecodeWeights,
+				Seeds:         s.Seeds,
+			},
+		},
+	}
+}
+
+// defaultPrices are those of the users' sites, in parts of a request's worth.
+var defaultPrices = placement.Prices{
+	ReadToken:  1.5e-3,
+	MovedByte:  1.1e-9,
+	DomainByte: 3.3e-5,
+	LateWorth:  1.9,
+	LateToken:  0.7e-3,
+}
+
+// watchReloads reads the settings again when told to. The addresses of a
+// running process do not change, so the file is only checked.
+func watchReloads(ctx context.Context, options DeployedOptions, logger logr.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-options.Reloads:
+			_, faults := options.Reread()
+			for _, fault := range faults {
+				eventlog.Write(logger, event.SettingsRejected, fault, "field", fault.Field, "code", int(fault.Reason.Code))
+			}
+			eventlog.Write(logger, event.SettingsReread, nil, "faults", len(faults))
+		}
+	}
+}
--- a/node/process/process.go
+++ b/node/process/process.go
@@ -99,7 +99,7 @@
 	return tls.NewListener(listener, config), nil
 }
 
-func nodeOptions(s *settings.Settings, listener net.Listener, platform *platform, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
+func nodeOptions(s *settings.Settings, listener net.Listener, platform *services, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
 	return runtime.Options{
 		Control: control.Options{
 			Node:        s.Node,
--- a/node/process/platform.go
+++ b/node/process/services.go
@@ -12,8 +12,8 @@
 	"tanagerspread/node/settings"
 )
 
-// platform holds the clients of the platform's services.
-type platform struct {
+// services holds the clients of the platform's services.
+type services struct {
 	fleet *runtime.Fleet
 	kv    *kv.Client
 	list  *vmlist.Client
@@ -21,13 +21,13 @@
 
 // connect opens the peer listener and creates the clients. The clients open
 // connections on demand, so that a node starts while a service is away.
-func connect(options Options) (*platform, error) {
+func connect(options Options) (*services, error) {
 	s := options.Settings
 	listener, err := options.Listen("tcp", s.PeerListen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	p := &platform{
+	p := &services{
 		kv:   kv.NewClient(wire.Options{Address: s.KeyValue}),
 		list: vmlist.NewClient(wire.Options{Address: s.VMList}),
 	}
@@ -45,7 +45,7 @@
 	return p, nil
 }
 
-func (p *platform) secure(s *settings.Settings) error {
+func (p *services) secure(s *settings.Settings) error {
 	var err error
 	if p.fleet.PeerServerTLS, err = s.PeerTLS.Config(); err != nil {
 		return fmt.Errorf("peer TLS: %w", err)
@@ -56,7 +56,7 @@
 	return nil
 }
 
-func (p *platform) close() {
+func (p *services) close() {
 	// The process ends; a listener that cannot be closed changes nothing.
 	_ = p.fleet.PeerListener.Close()
 	p.kv.Close()
--- /dev/null
+++ b/node/registry/follow.go
@@ -0,0 +1,107 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"tanagerspread/client/kv"
+	"tanagerspread/core/code"
+	"tanagerspread/core/event"
+	"tanagerspread/node/eventlog"
+	"tanagerspread/node/worker"
+)
+
+// follower keeps the entries under one prefix up to date: it lists them and
+// then waits for changes.
+type follower struct {
+	registry *Registry
+	prefix   string
+	// apply takes over one change and reset drops all entries; both run under
+	// the lock of the registry.
+	apply func(change kv.Change)
+	reset func()
+	// outage is true when the end of an outage is reported with the entries.
+	outage bool
+	// lost is true while the service does not answer.
+	lost bool
+}
+
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		revision, err := f.list(ctx)
+		if err == nil {
+			err = f.watch(ctx, revision)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil && err.Code == code.HistoryGone {
+			continue
+		}
+		f.noteLost(err)
+		if !worker.Pause(ctx, retryInterval) {
+			return
+		}
+	}
+}
+
+// list reads all entries.
+func (f *follower) list(ctx context.Context) (kv.Revision, *code.Error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, revision, err := f.registry.options.Service.List(ctx, f.prefix)
+	if err != nil {
+		return 0, err
+	}
+	f.noteRegained()
+	f.registry.mu.Lock()
+	f.reset()
+	for _, entry := range entries {
+		f.apply(kv.Change{Entry: entry})
+	}
+	f.registry.mu.Unlock()
+	f.registry.report()
+	return revision, nil
+}
+
+// watch reports changes until a call fails.
+func (f *follower) watch(ctx context.Context, after kv.Revision) *code.Error {
+	for {
+		changes, revision, err := f.registry.options.Service.Watch(ctx, f.prefix, after)
+		if err != nil {
+			return err
+		}
+		after = revision
+		if len(changes) == 0 {
+			continue
+		}
+		f.registry.mu.Lock()
+		for _, change := range changes {
+			f.apply(change)
+		}
+		f.registry.mu.Unlock()
+		f.registry.report()
+	}
+}
+
+func (f *follower) noteLost(err *code.Error) {
+	if f.lost || err == nil {
+		return
+	}
+	f.lost = true
+	eventlog.Write(f.registry.options.Logger, event.EntriesLost, err, "prefix", f.prefix, "code", int(err.Code))
+}
+
+// noteRegained records the end of an outage, before the first list after it.
+func (f *follower) noteRegained() {
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	if f.outage {
+		f.registry.mu.Lock()
+		f.registry.regained = time.Now()
+		f.registry.mu.Unlock()
+	}
+	eventlog.Write(f.registry.options.Logger, event.EntriesRegained, nil, "prefix", f.prefix)
+}
--- a/node/runtime/fleet.go
+++ b/node/runtime/fleet.go
@@ -8,19 +8,30 @@
 	"tanagerspread/client/kv"
 	"tanagerspread/client/vmlist"
 	"tanagerspread/node/agent"
+	"tanagerspread/node/confkv"
 	"tanagerspread/node/control"
 	"tanagerspread/node/peer"
+	"tanagerspread/node/registry"
 )
 
 // Fleet is the part of the options that connects a node to the platform and
 // to its peers.
 type Fleet struct {
 	Service kv.Service
-	List    vmlist.Lister
-	Parse   agent.Parse
+	// List is the VM list, or nil.
+	List  vmlist.Lister
+	Parse agent.Parse
+	// Source is where the configuration is stored.
+	Source confkv.Source
 	// PeerListener accepts the connections of peers.
 	PeerListener net.Listener
 	PeerDial     peer.Dialer
+	// PeerAddress is published to peers; it is empty when they learn it from
+	// the VM list.
+	PeerAddress string
+	// Registry follows the entries of servers and nodes in the key-value
+	// service, where they take the place of the VM list, or is nil.
+	Registry *registry.Options
 	// PeerServerTLS and PeerClientTLS are nil for plain connections. For
 	// mutual TLS the server side requires and checks client certificates.
 	PeerServerTLS *tls.Config
@@ -33,6 +44,7 @@
 	client   *peer.Client
 	server   *peer.Server
 	listener net.Listener
+	registry *registry.Registry
 }
 
 func newFleetSide(loop *control.Loop, options Options) *fleetSide {
@@ -51,9 +63,19 @@
 		List:    f.List,
 		Peers:   side.client,
 		Parse:   f.Parse,
+		Source:  f.Source,
 		Logger:  options.Logger,
 		Address: options.Listener.Addr().String(),
+
+		PeerAddress: f.PeerAddress,
 	})
+	if f.Registry != nil {
+		follow := *f.Registry
+		follow.Control = loop
+		follow.Service = f.Service
+		follow.Logger = options.Logger
+		side.registry = registry.New(follow)
+	}
 	return side
 }
 
@@ -66,9 +88,17 @@
 		defer close(served)
 		_ = s.server.Serve(ctx, s.listener)
 	}()
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		if s.registry != nil {
+			s.registry.Run(ctx)
+		}
+	}()
 	go func() {
 		defer close(done)
 		s.agents.Run(ctx)
+		<-followed
 		s.client.Close()
 		<-served
 	}()
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -21,6 +21,7 @@
 	"tanagerspread/node/control"
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
+	"tanagerspread/node/forward"
 	"tanagerspread/node/ingress"
 	"tanagerspread/node/metrics"
 	"tanagerspread/node/once"
@@ -56,6 +57,12 @@
 	// OrderService is the key-value service through which the node may become
 	// the issuer of orders to engines; nil means that it never does.
 	OrderService kv.Service
+	// Protocol is that of forwarded calls; with nil the node serves the
+	// product's own interface.
+	Protocol forward.Protocol
+	// Readiness accepts the load balancer's checks when they have a listener of
+	// their own, or is nil.
+	Readiness net.Listener
 }
 
 // Node is one running node.
@@ -97,6 +104,7 @@
 		Observer:     options.Metrics,
 		Checker:      options.Control.Checker,
 		MaxBodyBytes: options.MaxBodyBytes,
+		Protocol:     options.Protocol,
 	})
 	if options.Fleet != nil {
 		n.fleet = newFleetSide(n.loop, options)
@@ -155,8 +163,13 @@
 		ReadTimeout:       bodyTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	served := make(chan error, 1)
+	served := make(chan error, 2)
 	go func() { served <- server.Serve(n.options.Listener) }()
+	if n.options.Readiness != nil {
+		checks := &http.Server{Handler: n.front.Readiness(), ReadHeaderTimeout: headerTimeout}
+		defer func() { _ = checks.Close() }()
+		go func() { served <- checks.Serve(n.options.Readiness) }()
+	}
 	eventlog.Write(n.options.Logger, event.NodeStarted, nil,
 		"node", n.options.Control.Node, "domain", string(n.options.Control.Domain), "listen", n.options.Listener.Addr().String())
 	select {
