orders: weights named by the operator; prompts stay at one home

Cause: servers kept their old weights; shared parts were read again at servers that other nodes did not use. Change: terms of orders are values (order.Terms), engines may count orders instead of naming them, the lease is contended on demand; the policy home keeps one home for each prompt over all domains; a server that refused a call rests; retry windows count conservatively.

--- a/chart/load.go
+++ b/chart/load.go
@@ -13,7 +13,7 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-//go:embed files/*.toml
+//go:embed files/*.toml overlays/*/*.toml
 var embedded embed.FS
 
 const fileSuffix = ".toml"
@@ -27,6 +27,16 @@
 	return files
 }
 
+// Deployed returns the chart files of a node on the users' machines, some of
+// which have other times.
+func Deployed() fs.FS {
+	files, err := fs.Sub(embedded, "overlays/deployed")
+	if err != nil {
+		panic(err)
+	}
+	return Overlay(files, Embedded())
+}
+
 // Overlay returns a file system that prefers the files of over and falls
 // back to those of base.
 func Overlay(over, base fs.FS) fs.FS {
--- a/client/wire/wire.go
+++ b/client/wire/wire.go
@@ -118,6 +118,8 @@
 
 // Response is the whole response to a Message.
 type Response struct {
+	// Status is http.StatusOK or http.StatusAccepted.
+	Status int
 	Header http.Header
 	Body   []byte
 	// NotModified is true when the service confirmed the entity tag of the
@@ -156,10 +158,10 @@
 	if response.StatusCode == http.StatusNotModified {
 		return Response{Header: response.Header, NotModified: true}, nil
 	}
-	if response.StatusCode != http.StatusOK {
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusAccepted {
 		return Response{}, c.refusal(response.StatusCode, data)
 	}
-	return Response{Header: response.Header, Body: data}, nil
+	return Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
 
 // refusal decodes an error response.
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -142,6 +142,7 @@
 		s.fireAttempt(a, a.attempt.dialEvent(), now)
 		s.dialFailed(now, a, m.Cause)
 	case Rejected:
+		s.rest(now, a.attempt.server, m)
 		s.fireAttempt(a, refusalEvent(m), now)
 		s.attemptFailed(now, a, "attempt_refused", m.Cause)
 	case Lost:
@@ -154,6 +155,17 @@
 	s.assignQueued(now)
 }
 
+// busyTime is how long a server that refused a call gets no other one. It is
+// full, or it loads weights.
+const busyTime = 250 * time.Millisecond
+
+// rest keeps forwarded calls off a server that refused one.
+func (s *State) rest(now time.Time, server *fleet.Server, m AttemptDone) {
+	if s.options.Forwarding && !m.OtherServer {
+		server.BusyUntil = now.Add(busyTime)
+	}
+}
+
 // refusalEvent blames a server that is not the expected one, so that its
 // circuit opens until its entry is up to date.
 func refusalEvent(m AttemptDone) chart.Event {
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -45,6 +45,12 @@
 	// the prompt. Entries may be empty.
 	FetchFrom []string
 	SaveTo    []string
+	// PromptTokens and Prefill are the tokens of the prompt and those that the
+	// server is expected to compute.
+	PromptTokens int
+	Prefill      int
+	// Version is the configuration that the decision followed.
+	Version config.Version
 }
 
 // admitCall finds the route, the organisation and the deadline of a forwarded
@@ -175,6 +181,9 @@
 		Organisation: a.organisation,
 		Priority:     min(a.rank.Priority, lowestPriority),
 		Model:        at.server.Role == fleet.RoleEngine,
+		PromptTokens: a.PromptTokens,
+		Prefill:      at.choice.Prefill,
+		Version:      s.version,
 	}
 	if f.Model {
 		f.Weights = at.weights
--- a/core/control/orderengines.go
+++ b/core/control/orderengines.go
@@ -20,7 +20,7 @@
 	}
 	for _, server := range s.ordered {
 		if server.Role == fleet.RoleEngine {
-			s.syncEngine(server)
+			s.syncEngine(now, server)
 		}
 	}
 	s.orders.list = s.orders.list[:0]
@@ -37,19 +37,21 @@
 
 // syncEngine notes an engine of the VM list. An engine at another address is
 // another process; the order to the old one keeps its place until it ends.
-func (s *State) syncEngine(server *fleet.Server) {
+func (s *State) syncEngine(now time.Time, server *fleet.Server) {
 	e := s.orders.engines[server.ID]
 	if e == nil || (e.Address != server.Address && e.Order == nil) {
 		e = &order.Engine{ID: server.ID, Address: server.Address}
 		s.orders.engines[server.ID] = e
+		s.readOnce(e, now)
 	}
-	e.Model = server.Serves
+	e.Model = modelOf(server)
 	e.Live = !server.Chart.Is(fleet.TagLeaves) && e.Address == server.Address
 }
 
 func (s *State) syncRollouts(now time.Time) {
 	s.orders.models = s.orders.models[:0]
-	for name, model := range s.rules.Models {
+	models := s.wantedModels()
+	for name, model := range models {
 		rollout := s.orders.rollouts[name]
 		if rollout == nil {
 			rollout = &order.Rollout{Model: name, Chart: s.charts.rollout.Start(now)}
@@ -60,15 +62,23 @@
 	}
 	sort.Strings(s.orders.models)
 	for name := range s.orders.rollouts {
-		if _, wanted := s.rules.Models[name]; !wanted {
+		if _, wanted := models[name]; !wanted {
 			delete(s.orders.rollouts, name)
 		}
 	}
 }
 
+// readOnce reads an engine that has just become known, when no sweep does.
+func (s *State) readOnce(e *order.Engine, now time.Time) {
+	if s.terms().SweepInterval == 0 {
+		s.readEngine(e, now)
+	}
+}
+
 // sweep reads the state of one engine after the other.
 func (s *State) sweep(now time.Time) {
-	if len(s.orders.list) == 0 || now.Before(s.orders.swept.Add(order.SweepInterval)) {
+	interval := s.terms().SweepInterval
+	if interval == 0 || len(s.orders.list) == 0 || now.Before(s.orders.swept.Add(interval)) {
 		return
 	}
 	s.orders.swept = now
@@ -94,7 +104,7 @@
 // of the worker was full.
 func (s *State) expireCalls(now time.Time) {
 	for _, e := range s.orders.list {
-		if e.Calling && !now.Before(e.CalledAt.Add(order.CallTimeout)) {
+		if e.Calling && !now.Before(e.CalledAt.Add(s.terms().CallTimeout)) {
 			e.Calling = false
 			e.NoteAway()
 			s.fireOrder(e, "lose", now)
--- a/core/control/ordermessage.go
+++ b/core/control/ordermessage.go
@@ -63,6 +63,22 @@
 	Weights int
 }
 
+// IssuerSeen reports what the key of the issuer shows.
+type IssuerSeen struct {
+	Held bool
+	// Node is the holder, or the last one.
+	Node string
+}
+
+// WeightsWanted announces the weight version that this node now wants.
+type WeightsWanted struct {
+	Model   string
+	Weights int
+}
+
+func (WeightsWanted) command()     {}
+func (IssuerSeen) message()        {}
+func (IssuerSeen) orderMessage()   {}
 func (WeightsNamed) message()      {}
 func (WeightsNamed) orderMessage() {}
 func (IssuerResult) message()      {}
@@ -89,6 +105,10 @@
 	Desired order.Desired
 	// Deadline is when the engine must give up the order.
 	Deadline time.Time
+	// Expected is the number of orders that the engine must have accepted, when
+	// it counts them; Instance is the engine's own name.
+	Expected uint64
+	Instance string
 	// NotAfter is when the order may no longer be sent, because the lease may
 	// have been taken over.
 	NotAfter time.Time
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -25,6 +25,10 @@
 	// adapters holds the adapter of each weight version of a model, from the
 	// configurations that this node has seen.
 	adapters map[string]map[int]string
+	// named holds the weight versions that are named outside the rules.
+	named map[string]named
+	// held is true while the key of the issuer is known to be held.
+	held bool
 	// swept is when the last engine was read, next the one to read.
 	swept time.Time
 	next  int
@@ -33,8 +37,16 @@
 	sent  uint64
 }
 
+// named is a weight version that the operator named.
+type named struct {
+	weights int
+	// at is when this node learned of it.
+	at time.Time
+}
+
 func newOrders() orders {
 	return orders{
+		named:    map[string]named{},
 		engines:  map[fleet.ServerID]*order.Engine{},
 		rollouts: map[string]*order.Rollout{},
 		serving:  map[string]int{},
@@ -51,6 +63,10 @@
 		s.issuerResult(now, m)
 	case EngineStatus:
 		s.engineStatus(now, m)
+	case IssuerSeen:
+		s.issuerSeen(now, m)
+	case WeightsNamed:
+		s.weightsNamed(now, m)
 	}
 	s.issueOrders(now)
 }
@@ -97,6 +113,20 @@
 	}
 }
 
+func (s *State) terms() order.Terms {
+	return s.orders.issuer.Terms
+}
+
+func (s *State) maxLoads() int {
+	live := 0
+	for _, e := range s.orders.list {
+		if e.Live {
+			live++
+		}
+	}
+	return s.terms().Loads(live)
+}
+
 // issueOrders sends orders until two engines load or no engine needs one.
 func (s *State) issueOrders(now time.Time) {
 	if !s.mayIssue(now) {
@@ -105,8 +135,8 @@
 	s.updateRollouts(now)
 	for _, model := range s.orders.models {
 		rollout := s.orders.rollouts[model]
-		for order.Loading(s.orders.list) < order.MaxLoads {
-			e := rollout.Next(now, s.orders.list)
+		for order.Loading(s.orders.list) < s.maxLoads() {
+			e := rollout.Next(now, s.terms(), s.orders.list)
 			if e == nil {
 				break
 			}
@@ -124,8 +154,11 @@
 		Engine:   e,
 		Fencing:  issuer.Fence,
 		Desired:  rollout.Wanted,
-		Deadline: now.Add(order.LongestOrder),
+		Deadline: now.Add(s.terms().LongestOrder),
+		Expected: e.Status.Sequence,
 		Chart:    s.charts.order.Start(now),
+
+		GraceTime: s.terms().Grace,
 	}
 	if o.Desired.Role == "" {
 		o.Desired.Role = e.Status.Current.Role
@@ -134,7 +167,7 @@
 	s.send(o, now)
 	rollout.Update(now, s.orders.list)
 	loading := order.Loading(s.orders.list)
-	s.options.Checker.Check(loading <= order.MaxLoads, invariant.LoadsBounded, "%d orders in progress", loading)
+	s.options.Checker.Check(loading <= s.maxLoads(), invariant.LoadsBounded, "%d orders in progress", loading)
 	s.log(event.OrderSent, "order", o.ID, "server", string(e.ID), "model", o.Desired.Model, "weights", o.Desired.Weights)
 }
 
@@ -147,13 +180,13 @@
 	s.beginCall(e, now)
 	s.command(SendOrder{
 		Engine: e.ID, Address: e.Address, Call: e.Call, ID: o.ID, Fencing: o.Fencing,
-		Desired: o.Desired, Deadline: o.Deadline, NotAfter: s.orders.issuer.SafeUntil,
+		Desired: o.Desired, Deadline: o.Deadline, NotAfter: s.orders.issuer.SafeUntil, Expected: o.Expected, Instance: string(e.ID),
 	})
 }
 
 func (s *State) noteFailed(o *order.Order, now time.Time) {
 	o.Engine.Failures++
-	o.Engine.NotBefore = now.Add(order.RetryDelay)
+	o.Engine.NotBefore = now.Add(s.terms().RetryDelay)
 	s.log(event.OrderFailed, "order", o.ID, "server", string(o.Engine.ID), "failures", o.Engine.Failures)
 }
 
--- a/core/control/orders_test.go
+++ b/core/control/orders_test.go
@@ -111,7 +111,7 @@
 		t.Errorf("after a higher number: %+v", s.dumpOrders())
 	}
 	s, now = issuing(t)
-	now = now.Add(order.LeaseTime)
+	now = now.Add(order.OwnTerms().LeaseTime)
 	s.Handle(now, EngineStatus{})
 	if s.inTerm() || s.mayIssue(now) {
 		t.Errorf("after the lease: %+v", s.dumpOrders())
--- a/core/control/orderterm.go
+++ b/core/control/orderterm.go
@@ -100,6 +100,9 @@
 
 func (s *State) beginTerm(_ *State, now time.Time) {
 	s.orders.issuer.Claimed = now
+	if !s.terms().OnDemand {
+		s.orders.issuer.OtherSeen = now
+	}
 	s.syncEngines(now)
 	s.log(event.IssuerSettling, "revision", s.orders.issuer.Revision)
 }
@@ -142,7 +145,7 @@
 
 // mayHold reports whether the node may become or stay the issuer.
 func (s *State) mayHold(*State, time.Time) bool {
-	return s.life.Is(tagReady) && s.rules != nil
+	return s.life.Is(tagReady) && s.rules != nil && (!s.terms().OnDemand || s.orderNeeded())
 }
 
 func (s *State) log(e event.Event, fields ...any) {
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -220,6 +220,8 @@
 		Domain:    s.options.Domain,
 		Holdings:  s.holdings,
 		Prices:    s.options.Prices,
+
+		TokenBytes: s.rules.Pools[a.service].TokenBytes,
 	}
 }
 
@@ -232,6 +234,9 @@
 		if suspect && server.Suspects > 0 {
 			continue
 		}
+		if s.outdated(now, server) || now.Before(server.BusyUntil) {
+			continue
+		}
 		if server.ReceivesWork() && server.HasRoom(s.slotsOf(server)) && mayAddWork(now, a, server) {
 			s.scratch = append(s.scratch, server)
 		}
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -92,6 +92,7 @@
 	}
 	sort.Slice(s.ordered, func(i, j int) bool { return s.ordered[i].ID < s.ordered[j].ID })
 	s.index.Rebuild(s.ordered)
+	s.markBehind()
 }
 
 func (s *State) applyServerRules(now time.Time) {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -17,6 +17,7 @@
 	"tanagerspread/core/limits"
 	"tanagerspread/core/membership"
 	"tanagerspread/core/once"
+	"tanagerspread/core/order"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
@@ -46,12 +47,18 @@
 	DrainDelay time.Duration
 	// Issuer is true when the node may become the issuer of orders to engines.
 	Issuer bool
+	// Orders bound the orders to engines; the zero value stands for the terms
+	// of the product's own engines.
+	Orders order.Terms
 	// Unfenced is true when a node serves with the newest configuration that
 	// it knows, whether or not it can confirm that it is in force.
 	Unfenced bool
 	// Forwarding is true when the node forwards calls: servers are then found
 	// by what they serve, whatever weights they have loaded.
 	Forwarding bool
+	// WeightsLimit is how long after new weights are named a request may begin
+	// on older ones; 0 means no limit.
+	WeightsLimit time.Duration
 	// Repeats bounds the repeats of forwarded calls.
 	Repeats retry.Limit
 	// Prices are what the ways to serve a forwarded call cost.
@@ -146,6 +153,15 @@
 	s.configuration.started = now
 	s.drawReadAge()
 	s.session.position = s.charts.session.Start(now)
+	s.orders.issuer.Terms = options.Orders
+	if options.Orders.LeaseTime == 0 {
+		s.orders.issuer.Terms = order.OwnTerms()
+	}
+	if options.Orders.OnDemand {
+		// A holder from before this node's start may still have an order in
+		// flight.
+		s.orders.issuer.OtherSeen = now
+	}
 	s.orders.issuer.Chart = s.charts.issuer.Start(now)
 	return s, nil
 }
--- a/core/control/tags.go
+++ b/core/control/tags.go
@@ -35,6 +35,8 @@
 	// has asked for a lease.
 	tagMayIssue    chart.Tag = "may_issue"
 	tagAwaitsLease chart.Tag = "awaits_lease"
+	// tagStandsBy marks an issuer that waits before it contends for the lease.
+	tagStandsBy chart.Tag = "stands_by"
 	// tagConfirmed marks a configuration that is known to be in force.
 	tagConfirmed chart.Tag = "confirmed"
 
@@ -74,7 +76,7 @@
 	peerTags        = []chart.Tag{tagPresent, tagDead}
 	sessionTags     = []chart.Tag{tagHeld}
 	configTags      = []chart.Tag{tagConfirmed}
-	issuerTags      = []chart.Tag{tagMayIssue, tagAwaitsLease}
+	issuerTags      = []chart.Tag{tagMayIssue, tagAwaitsLease, tagStandsBy}
 	blockImportTags = []chart.Tag{tagMayTransfer}
 	blockExportTags = []chart.Tag{tagMaySeal}
 )
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -4,6 +4,7 @@
 var (
 	RequestRefused   = add(2001, LevelInfo, "request refused", "request", "code", "execution")
 	RequestDelivered = add(2002, LevelDebug, "request delivered", "request")
+	AttemptAssigned  = add(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "weights", "prompt", "prefill", "fetch", "parts", "version")
 	AttemptFailed    = add(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
 )
 
@@ -59,6 +60,7 @@
 	RolloutComplete  = add(2759, LevelInfo, "rollout is complete", "node", "model", "weights", "live", "done", "out")
 	IssuerCallFailed = add(2760, LevelInfo, "call for the lease of the issuer failed", "step", "code")
 	EngineCallFailed = add(2761, LevelInfo, "management call of an engine failed", "server", "code")
+	WeightsWanted    = add(2762, LevelInfo, "operator named new weights", "model", "weights")
 )
 
 // The events of invariants.
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -78,6 +78,10 @@
 	SaidAt time.Time
 	// ReturnedAt is when the VM list last showed the server live again.
 	ReturnedAt time.Time
+	// Behind is true while the operator wants other weights on the server.
+	Behind bool
+	// BusyUntil is when the server may get work again after it refused some.
+	BusyUntil time.Time
 	// MissingUntil is when a server that the list lacks counts as gone, or zero.
 	MissingUntil time.Time
 	Chart        chart.Instance
--- a/core/order/engine.go
+++ b/core/order/engine.go
@@ -14,12 +14,16 @@
 	Fencing  uint64
 	Desired  Desired
 	Deadline time.Time
-	Chart    chart.Instance
+	// Expected is the number of orders that the engine had accepted before.
+	Expected uint64
+	// GraceTime is added to the deadline before the order counts as ended.
+	GraceTime time.Duration
+	Chart     chart.Instance
 }
 
 // Overdue reports whether the engine has given up the order for certain.
 func (o *Order) Overdue(now time.Time) bool {
-	return !now.Before(o.Deadline.Add(Grace))
+	return !now.Before(o.Deadline.Add(o.GraceTime))
 }
 
 // EventFor returns the event of the order's chart that a status stands for.
@@ -27,6 +31,8 @@
 	switch {
 	case o.Desired.MetBy(status.Current):
 		return "complete"
+	case status.Unnamed:
+		return o.unnamedEvent(status)
 	case status.OrderID != o.ID:
 		return "missing"
 	case status.Phase == PhaseLoading:
@@ -36,6 +42,17 @@
 	}
 }
 
+// unnamedEvent is EventFor for an engine that only counts its orders.
+func (o *Order) unnamedEvent(status Status) chart.Event {
+	switch {
+	case status.Phase == PhaseLoading:
+		return "accept"
+	case status.Sequence > o.Expected:
+		return "fail"
+	}
+	return "missing"
+}
+
 // Engine is one engine as the issuer sees it.
 type Engine struct {
 	ID      fleet.ServerID
--- a/core/order/issuer.go
+++ b/core/order/issuer.go
@@ -8,6 +8,7 @@
 
 // Issuer is this node's part in the selection of the issuer.
 type Issuer struct {
+	Terms Terms
 	Chart chart.Instance
 	// Lease is the lease of the current attempt or term.
 	Lease string
@@ -19,6 +20,8 @@
 	SafeUntil time.Time
 	// Claimed is when the key was claimed.
 	Claimed time.Time
+	// OtherSeen is when another holder may have had the key for the last time.
+	OtherSeen time.Time
 	// Revision is the revision of the claimed key.
 	Revision uint64
 	// Highest is the highest fencing number that this node has seen.
@@ -30,7 +33,7 @@
 // Confirm extends the safe time. The lease runs at least from the time at
 // which the call was made.
 func (i *Issuer) Confirm(asked time.Time) {
-	if until := asked.Add(LeaseTime - LeaseMargin); until.After(i.SafeUntil) {
+	if until := asked.Add(i.Terms.LeaseTime - i.Terms.LeaseMargin); until.After(i.SafeUntil) {
 		i.SafeUntil = until
 	}
 }
@@ -42,7 +45,7 @@
 
 // WaitedOut reports whether no order of an earlier holder can be in flight.
 func (i *Issuer) WaitedOut(now time.Time) bool {
-	return !now.Before(i.Claimed.Add(LeaseTime + LongestOrder))
+	return !now.Before(i.OtherSeen.Add(i.Terms.SettleTime))
 }
 
 // ChooseFence fixes the fencing number of the term. It is the revision of the
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -47,7 +47,7 @@
 			loaded := 0
 			for {
 				rollout.Update(now, engines)
-				e := rollout.Next(now, engines)
+				e := rollout.Next(now, OwnTerms(), engines)
 				if e == nil {
 					return loaded
 				}
@@ -58,7 +58,7 @@
 		if got := load(testStart); got != wantBefore {
 			t.Errorf("%d of %d engines before the handover", got, count)
 		}
-		if got := load(testStart.Add(HandoverTime)); got != count-wantBefore {
+		if got := load(testStart.Add(OwnTerms().HandoverTime)); got != count-wantBefore {
 			t.Errorf("%d of %d engines after the handover", got, count)
 		}
 	}
--- a/core/order/rollout.go
+++ b/core/order/rollout.go
@@ -75,11 +75,11 @@
 
 // Next returns the engine of the model to order now, or nil. It never leaves
 // the model without a server as long as it has two.
-func (r *Rollout) Next(now time.Time, engines []*Engine) *Engine {
-	if r.Counts.Out >= min(MaxOut, max(1, r.Counts.Live-1)) {
+func (r *Rollout) Next(now time.Time, terms Terms, engines []*Engine) *Engine {
+	if terms.MaxOut > 0 && r.Counts.Out >= min(terms.MaxOut, max(1, r.Counts.Live-1)) {
 		return nil
 	}
-	if r.Counts.Live > 1 && r.Counts.Free <= 1 && !r.handedOver(now) {
+	if r.Counts.Live > 1 && r.Counts.Free <= 1 && !r.handedOver(now, terms) {
 		return nil
 	}
 	var next *Engine
@@ -92,8 +92,8 @@
 }
 
 // handedOver reports whether new requests have moved to the wanted version.
-func (r *Rollout) handedOver(now time.Time) bool {
-	return !r.HalfAt.IsZero() && !now.Before(r.HalfAt.Add(HandoverTime))
+func (r *Rollout) handedOver(now time.Time, terms Terms) bool {
+	return !r.HalfAt.IsZero() && !now.Before(r.HalfAt.Add(terms.HandoverTime))
 }
 
 func (r *Rollout) mayOrder(now time.Time, e *Engine) bool {
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -28,17 +28,22 @@
 	// crossFactor is how much dearer a transfer of KV cache between failure
 	// domains is.
 	crossFactor = 2.0
-	// awayRank is the share of the price of reading that is expected to be lost
-	// at a server that is not the home of a prompt, because the next call of the
-	// prompt goes to its home.
-	awayRank = 0.5
+	// homeShare is the part of a prompt's shared tokens that its home is
+	// expected to hold when this node has not sent the prompt there.
+	homeShare = 0.7
+	// evictShare is the part of the price of reading that a second copy costs,
+	// because it takes the place of other parts.
+	evictShare = 0.1
+	// behindShare is the part of the worth that a call loses on weights that
+	// are to be replaced.
+	behindShare = 0.2
 	// placeCost is the cost of a plain call at a server whose places are all
 	// taken, as a share of LateWorth.
 	placeCost = 0.5
 )
 
-// Home sends the calls of one prompt to the same server of the own failure
-// domain, and moves cached parts instead of computing them again.
+// Home sends the calls of one prompt to the same server, and moves cached parts
+// from there instead of computing them again elsewhere.
 type Home struct{}
 
 // Pick chooses the server with the lowest expected cost: bytes between failure
@@ -72,10 +77,10 @@
 		taken := server.Requests(now) / float64(max(server.Places, 1))
 		return Choice{Server: server, Source: Recompute}, cost + taken*placeCost*worth
 	}
-	choice, price := cached(query, view, server)
+	choice, price := cached(query, view, server, home)
 	cost += price
-	if server != home {
-		cost += awayRank * float64(sharedTokens(query.Parts)) * view.Prices.ReadToken
+	if server.Behind {
+		cost += behindShare * worth
 	}
 	choice.FirstToken = server.QueueTime(now) + server.Speed.Time(float64(choice.Prefill))
 	return choice, cost + worth*lateness(choice.FirstToken, query.Target)
@@ -91,19 +96,52 @@
 	return share * share
 }
 
-// cached decides where the shared parts of the prompt come from at a server.
-func cached(query Query, view View, server *fleet.Server) (Choice, float64) {
+// cached decides where the shared parts of the prompt come from at a server,
+// and what they are expected to cost there.
+func cached(query Query, view View, server, home *fleet.Server) (Choice, float64) {
 	salt := Salt(server.Weights, query.Isolation)
 	shared := sharedParts(query.Parts)
 	count, held := view.Holdings.Leading(server.ID, salt, shared)
 	choice := Choice{Server: server, Source: Warm, Prefill: max(query.PromptTokens-held, 0)}
-	missing := shared[count:]
-	if len(missing) == 0 {
+	missing := sharedTokens(query.Parts) - held
+	if missing == 0 {
 		return choice, 0
 	}
 	choice.Source = Recompute
-	tokens := sharedTokens(query.Parts) - held
-	return choice, float64(tokens) * view.Prices.ReadToken
+	price := float64(missing) * view.Prices.ReadToken
+	if server == home {
+		// Other nodes send the prompt here too, so that the server often has
+		// the parts although this node does not know it.
+		choice.Prefill -= int(homeShare * float64(missing))
+		return choice, (1 - homeShare) * price
+	}
+	if home == nil || home.Weights != server.Weights {
+		return choice, price
+	}
+	moved := float64(missing) * float64(view.TokenBytes) * view.Prices.MovedByte * distance(server.Domain, home.Domain)
+	_, atHome := view.Holdings.Leading(home.ID, salt, shared)
+	found := float64(max(atHome-held, 0)) / float64(missing)
+	choice.Prefill -= int(found * float64(missing))
+	choice.FetchFrom = fetchList(query.Parts, count, home.Address)
+	return choice, moved + (1-found+evictShare)*price
+}
+
+// distance is how much dearer a transfer is between two failure domains.
+func distance(a, b fleet.Domain) float64 {
+	if a == b {
+		return 1
+	}
+	return crossFactor
+}
+
+// fetchList names the source of each part behind the held ones. The last part
+// belongs to the call alone and has no source.
+func fetchList(parts []request.Part, held int, address string) []string {
+	list := make([]string, len(parts))
+	for i := held; i < len(parts)-1; i++ {
+		list[i] = address
+	}
+	return list
 }
 
 // sharedParts returns the parts that other calls may use. The last part
@@ -120,8 +158,9 @@
 	return tokens
 }
 
-// homeOf returns the server of the own failure domain, or of all when it has
-// none, with the highest rendezvous weight for the prompt.
+// homeOf returns the server with the highest rendezvous weight for the prompt,
+// so that all nodes send it to the same server. Servers whose weights are to be
+// replaced come last.
 func homeOf(query Query, view View) *fleet.Server {
 	if len(query.Parts) < 2 {
 		return nil
@@ -131,9 +170,8 @@
 	var highest uint64
 	for _, server := range view.Servers {
 		weight := partWeight(anchor, server.ID)
-		if server.Domain != view.Domain {
-			weight >>= 1
-		} else {
+		weight >>= 1
+		if !server.Behind {
 			weight |= 1 << 63
 		}
 		if best == nil || weight > highest {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -41,6 +41,8 @@
 	Domain   fleet.Domain
 	Holdings *Holdings
 	Prices   Prices
+	// TokenBytes is the size of a cached token.
+	TokenBytes int64
 }
 
 // at returns the server at a position behind the turn.
--- a/core/placement/rendezvous.go
+++ b/core/placement/rendezvous.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"strconv"
+
 	"github.com/cespare/xxhash/v2"
 
 	"tanagerspread/core/cachekey"
@@ -89,3 +91,11 @@
 	input = append(input, id...)
 	return xxhash.Sum64(input)
 }
+
+// MemberWeight is the rendezvous hash of a turn and a member.
+func MemberWeight(turn int, member string) uint64 {
+	var space [hashInputBytes]byte
+	input := strconv.AppendInt(space[:0], int64(turn), 10)
+	input = append(input, member...)
+	return xxhash.Sum64(input)
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -7,6 +7,10 @@
 // length.
 const windowSlots = 10
 
+// ownShare is the part of the limit that the nodes use, since they count the
+// requests and each other a little differently than the servers do.
+const ownShare = 0.9
+
 // Limit bounds the repeats of one service.
 type Limit struct {
 	// Window is the time over which repeats are counted.
@@ -58,7 +62,10 @@
 		return true
 	}
 	at := w.at(service, now)
-	allowed := w.limit.Ratio*float64(sum(at.first)) + w.limit.Slack/float64(max(nodes, 1))
+	// The oldest part may be outside the window, so it counts for the repeats
+	// but allows none.
+	first := sum(at.first) - at.first[(at.part+1)%(windowSlots+1)]
+	allowed := ownShare * (w.limit.Ratio*float64(first) + w.limit.Slack/float64(max(nodes, 1)))
 	return float64(sum(at.repeats)+1) <= allowed
 }
 
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -9,8 +9,10 @@
 
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
+	"tanagerspread/core/event"
 	"tanagerspread/core/request"
 	"tanagerspread/node/egress"
+	"tanagerspread/node/eventlog"
 	"tanagerspread/node/forward"
 )
 
@@ -123,6 +125,7 @@
 	c.dispatch = dispatch
 	c.sent = time.Now()
 	left := time.Until(c.exchange.request.Deadline)
+	c.logAssigned(dispatch)
 	call := egress.ForwardCall{
 		ID:     c.exchange.request.ID,
 		Method: c.r.Method,
@@ -134,6 +137,14 @@
 	return c.front.options.Egress.Forward(ctx, dispatch.Address, c.front.options.Protocol, call, timeoutsOf(dispatch), gate, c)
 }
 
+func (c *callRelay) logAssigned(dispatch control.Dispatch) {
+	plan := dispatch.Forward
+	eventlog.Write(c.front.options.Logger, event.AttemptAssigned, nil,
+		"request", c.exchange.request.ID, "attempt", int(dispatch.Attempt), "server", string(dispatch.Server),
+		"weights", plan.Weights, "prompt", plan.PromptTokens, "prefill", plan.Prefill, "fetch", len(plan.FetchFrom) > 0,
+		"parts", len(c.exchange.request.Call.Parts), "anchor", func() string { p := c.exchange.request.Call.Parts; if len(p) < 2 { return "" }; return p[len(p)-2].ID + ":" + strconv.Itoa(p[len(p)-2].Tokens) }(), "org", string(c.exchange.admitted.Organisation), "salt", plan.Salt, "version", uint64(plan.Version))
+}
+
 // Whole keeps a response until the control thread has decided what follows.
 func (c *callRelay) Whole(response *http.Response, body []byte) {
 	c.whole = response
--- a/node/orders/engine.go
+++ b/node/orders/engine.go
@@ -11,29 +11,39 @@
 	"tanagerspread/core/order"
 )
 
-// sendOrder sends an order with the time that is left for it. The call ends
-// before the lease can be taken over, so that a process that was paused sends
-// nothing afterwards.
+// sendOrder sends an order. The call ends before the lease can be taken over,
+// so that a process that was paused sends nothing afterwards.
 func (w *Workers) sendOrder(ctx context.Context, command control.SendOrder) (order.Status, *code.Error) {
-	left := time.Until(command.Deadline)
-	if left <= 0 || time.Until(command.NotAfter) <= 0 {
+	if time.Until(command.Deadline) <= 0 || time.Until(command.NotAfter) <= 0 {
 		return order.Status{}, code.New(code.EngineAway, "the order was not sent because its time or the lease has ended")
 	}
 	ctx, cancel := context.WithDeadline(ctx, command.NotAfter)
 	defer cancel()
-	client := w.client(command.Address)
+	return w.options.Engines.Order(ctx, command)
+}
+
+// OwnEngines makes the management calls of the product's own engines.
+type OwnEngines struct {
+	// Dial opens connections to engines; nil means TCP.
+	Dial wire.Dialer
+}
+
+// Order sends an order with the time that is left for it.
+func (o OwnEngines) Order(ctx context.Context, command control.SendOrder) (order.Status, *code.Error) {
+	client := o.client(command.Address)
 	defer client.Close()
 	status, err := client.Order(ctx, engine.Order{
 		ID:         command.ID,
 		Fencing:    command.Fencing,
-		DeadlineMS: left.Milliseconds(),
+		DeadlineMS: time.Until(command.Deadline).Milliseconds(),
 		Desired:    engine.Desired(command.Desired),
 	})
 	return decode(status), err
 }
 
-func (w *Workers) readStatus(ctx context.Context, address string) (order.Status, *code.Error) {
-	client := w.client(address)
+// Status reads the state of an engine.
+func (o OwnEngines) Status(ctx context.Context, command control.ReadEngine) (order.Status, *code.Error) {
+	client := o.client(command.Address)
 	defer client.Close()
 	status, err := client.Status(ctx)
 	return decode(status), err
@@ -41,8 +51,8 @@
 
 // client returns a client of its own for each call, which keeps the call off
 // connections that have gone silent.
-func (w *Workers) client(address string) *engine.Client {
-	return engine.NewClient(wire.Options{Address: address, Dial: w.options.Dial})
+func (o OwnEngines) client(address string) *engine.Client {
+	return engine.NewClient(wire.Options{Address: address, Dial: o.Dial})
 }
 
 func decode(status engine.Status) order.Status {
--- a/node/orders/lease.go
+++ b/node/orders/lease.go
@@ -9,7 +9,6 @@
 	"tanagerspread/client/kv"
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
-	"tanagerspread/core/order"
 )
 
 const (
@@ -57,7 +56,7 @@
 func (w *Workers) grant(ctx context.Context) control.IssuerResult {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	lease, err := w.options.Service.Grant(ctx, order.LeaseTime)
+	lease, err := w.options.Service.Grant(ctx, w.options.LeaseTime)
 	return control.IssuerResult{Lease: string(lease), Err: err}
 }
 
@@ -122,3 +121,12 @@
 	defer cancel()
 	return w.options.Service.Renew(ctx, kv.LeaseID(command.Lease))
 }
+
+// HolderOf returns the node that an entry of KeyIssuer names, or an empty text.
+func HolderOf(entry kv.Entry) string {
+	var found holder
+	if json.Unmarshal(entry.Value, &found) != nil {
+		return ""
+	}
+	return found.Node
+}
--- a/node/orders/orders.go
+++ b/node/orders/orders.go
@@ -12,7 +12,6 @@
 	"github.com/google/uuid"
 
 	"tanagerspread/client/kv"
-	"tanagerspread/client/wire"
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
@@ -27,19 +26,30 @@
 	// engineQueue bounds the commands that wait for the workers of a kind.
 	engineQueue = 64
 	// sendWorkers is the number of orders that are sent at a time.
-	sendWorkers = order.MaxLoads
+	sendWorkers = 4
 	// readWorkers is the number of engines that are read at a time. Reads of
 	// silent engines occupy a worker for the whole call timeout.
-	readWorkers = 4
+	readWorkers = 8
 )
 
 // Options configures the workers of one node.
 type Options struct {
 	Control worker.Teller
 	Service kv.Service
-	// Dial opens connections to engines; nil means TCP.
-	Dial   wire.Dialer
-	Logger logr.Logger
+	// LeaseTime is the time to live of the issuer's lease.
+	LeaseTime time.Duration
+	// Engines makes the management calls of engines.
+	Engines Engines
+	Logger  logr.Logger
+}
+
+// Engines makes the management calls of engines.
+type Engines interface {
+	// Order sends an order. It returns code.OrderRefused for an old fencing
+	// number, and code.EngineAway when the engine may have taken the order.
+	Order(ctx context.Context, command control.SendOrder) (order.Status, *code.Error)
+	// Status reads the state of an engine.
+	Status(ctx context.Context, command control.ReadEngine) (order.Status, *code.Error)
 }
 
 // Workers carry out the commands of one node.
@@ -133,7 +143,7 @@
 
 func (w *Workers) read(ctx context.Context, command control.ReadEngine) {
 	result := control.EngineStatus{Engine: command.Engine, Call: command.Call}
-	result.Status, result.Err = w.readStatus(ctx, command.Address)
+	result.Status, result.Err = w.options.Engines.Status(ctx, command)
 	w.report(result)
 }
 
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -18,6 +18,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/order"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/retry"
 	"tanagerspread/node/confkv"
@@ -39,6 +40,11 @@
 	unreadyTime = 2500 * time.Millisecond
 	// storeTimeout bounds one call of the metadata store.
 	storeTimeout = 1500 * time.Millisecond
+	// weightsMargin is how long before the limit no request begins on older
+	// weights, since the operator counts from its own write.
+	weightsMargin = time.Second
+	// loadShare is the part of the live engines that load weights at once.
+	loadShare = 1.0 / 3
 	// connectTimeout bounds the opening of a connection to a server, to the
 	// store or to a peer.
 	connectTimeout = time.Second
@@ -136,7 +142,7 @@
 		Control: control.Options{
 			Node:        s.Node,
 			Domain:      fleet.Domain(s.Domain),
-			Charts:      chart.Embedded(),
+			Charts:      chart.Deployed(),
 			Seed:        uint64(time.Now().UnixNano()),
 			Incarnation: uint64(time.Now().UnixMilli()),
 			DrainDelay:  unreadyTime,
@@ -144,11 +150,17 @@
 			Forwarding:  true,
 			Repeats:     retry.Limit{Window: s.RetryWindow, Ratio: s.RetryRatio, Slack: s.RetrySlack},
 			Prices:      defaultPrices,
+
+			WeightsLimit: max(s.WeightsTime-weightsMargin, 0),
+			Issuer:       true,
+			Orders:       orderTerms(s),
 		},
 		Listener:     d.callers,
 		Readiness:    d.readiness,
 		Dial:         d.dialer.DialContext,
 		KeyValue:     d.store,
+		OrderService: d.store,
+		Engines:      platform.Engines{Dial: d.dialer.DialContext, Holder: s.Node},
 		Logger:       logger,
 		Metrics:      counters,
 		MaxBodyBytes: maxBodyBytes,
@@ -171,6 +183,23 @@
 	}
 }
 
+// orderTerms are the terms of orders to servers that check fencing numbers and
+// load weights in about a second, slower while more than a sixth of them do.
+func orderTerms(s *platform.Settings) order.Terms {
+	return order.Terms{
+		LeaseTime:    s.LeaseTime,
+		LeaseMargin:  time.Second,
+		SettleTime:   s.LeaseTime,
+		LongestOrder: 4 * time.Second,
+		Grace:        500 * time.Millisecond,
+		MaxLoads:     2,
+		LoadShare:    loadShare,
+		RetryDelay:   500 * time.Millisecond,
+		CallTimeout:  1500 * time.Millisecond,
+		OnDemand:     true,
+	}
+}
+
 // defaultPrices are those of the users' sites, in parts of a request's worth.
 var defaultPrices = placement.Prices{
 	ReadToken:  1.5e-3,
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -19,6 +19,7 @@
 	"tanagerspread/core/fleet"
 	"tanagerspread/node/confkv"
 	"tanagerspread/node/eventlog"
+	"tanagerspread/node/orders"
 	"tanagerspread/node/worker"
 )
 
@@ -55,6 +56,8 @@
 	servers  map[string]control.VM
 	nodes    map[string]control.VM
 	regained time.Time
+	// holder is the node that was last seen to hold the key of the issuer.
+	holder string
 	// rejected holds the revision of each unusable entry, so that it is logged
 	// once.
 	rejected map[string]kv.Revision
@@ -76,6 +79,7 @@
 	followers := []follower{
 		{registry: r, prefix: r.options.ServerPrefix, apply: r.applyServer, reset: func() { clear(r.servers) }, outage: true},
 		{registry: r, prefix: confkv.PrefixNodes, apply: r.applyNode, reset: func() { clear(r.nodes) }},
+		{registry: r, prefix: orders.KeyIssuer, apply: r.applyIssuer, reset: r.resetIssuer},
 		{registry: r, prefix: r.options.WeightsPrefix, apply: r.applyWeights, reset: func() {}},
 	}
 	var group sync.WaitGroup
@@ -148,6 +152,23 @@
 	worker.Tell(r.options.Control, r.options.Logger, control.Message(named))
 }
 
+// applyIssuer reports the holder of the issuer's key.
+func (r *Registry) applyIssuer(change kv.Change) {
+	if !change.Deleted {
+		r.holder = orders.HolderOf(change.Entry)
+	}
+	r.tellIssuer(!change.Deleted)
+}
+
+// resetIssuer reports that the key is free, before a list that may show it.
+func (r *Registry) resetIssuer() {
+	r.tellIssuer(false)
+}
+
+func (r *Registry) tellIssuer(held bool) {
+	worker.Tell(r.options.Control, r.options.Logger, control.Message(control.IssuerSeen{Held: held, Node: r.holder}))
+}
+
 func (r *Registry) reject(entry kv.Entry, err *code.Error) {
 	if r.rejected[entry.Key] == entry.Revision {
 		return
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -17,6 +17,7 @@
 	corecontrol "tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/invariant"
+	"tanagerspread/core/order"
 	"tanagerspread/node/blocks"
 	"tanagerspread/node/control"
 	"tanagerspread/node/egress"
@@ -57,6 +58,9 @@
 	// OrderService is the key-value service through which the node may become
 	// the issuer of orders to engines; nil means that it never does.
 	OrderService kv.Service
+	// Engines makes the management calls of engines; nil means that of the
+	// product's own engines.
+	Engines orders.Engines
 	// Protocol is that of forwarded calls; with nil the node serves the
 	// product's own interface.
 	Protocol forward.Protocol
@@ -109,15 +113,29 @@
 	if options.Fleet != nil {
 		n.fleet = newFleetSide(n.loop, options)
 	}
-	n.orders = orders.New(orders.Options{
-		Control: n.loop,
-		Service: options.OrderService,
-		Dial:    wire.Dialer(options.Dial),
-		Logger:  options.Logger,
-	})
+	n.orders = newOrders(n.loop, options)
+
 	return n, nil
 }
 
+func newOrders(loop *control.Loop, options Options) *orders.Workers {
+	terms := options.Control.Orders
+	if terms.LeaseTime == 0 {
+		terms = order.OwnTerms()
+	}
+	engines := options.Engines
+	if engines == nil {
+		engines = orders.OwnEngines{Dial: wire.Dialer(options.Dial)}
+	}
+	return orders.New(orders.Options{
+		Control:   loop,
+		Service:   options.OrderService,
+		LeaseTime: terms.LeaseTime,
+		Engines:   engines,
+		Logger:    options.Logger,
+	})
+}
+
 // newRecorder returns a recorder over the key-value service. Its work in the
 // background ends when the node has run.
 func (n *Node) newRecorder() ingress.Recorder {
@@ -195,6 +213,8 @@
 		if !n.exporter.Offer(c) {
 			n.loop.Tell(corecontrol.ExportDone{ID: c.ID})
 		}
+	case corecontrol.WeightsWanted:
+		eventlog.Write(n.options.Logger, event.WeightsWanted, nil, "model", c.Model, "weights", c.Weights)
 	case corecontrol.ConfigInForce:
 		eventlog.Write(n.options.Logger, event.ConfigInForce, nil, "version", uint64(c.Version), "author", c.Author)
 	default:
