placement: parts are saved to the stores of KV cache and fetched from there

Cause: the engines hold fewer shared parts than are asked for, so parts were read again. Change: each node follows the events of the stores; a part that a server computes is saved to one store, and a server that lacks it fetches it; a fetch ends by a time on the servers' clock, and nothing is saved for a while after a store starts, so that no fetch meets a part that is being written.

--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -21,6 +21,7 @@
 	attempt     *chart.Machine[*active]
 	server      *chart.Machine[*fleet.Server]
 	store       *chart.Machine[*fleet.Store]
+	cacheStore  *chart.Machine[*fleet.CacheStore]
 	issuer      *chart.Machine[*State]
 	order       *chart.Machine[*order.Order]
 	rollout     *chart.Machine[*order.Rollout]
@@ -56,6 +57,9 @@
 	if s.charts.store, err = load(files, "store", chart.Bindings[*fleet.Store]{Tags: []chart.Tag{fleet.TagReadable, fleet.TagWritable}}); err != nil {
 		return err
 	}
+	if s.charts.cacheStore, err = load(files, "cache-store", s.cacheBindings()); err != nil {
+		return err
+	}
 	if err = s.loadOrderCharts(files); err != nil {
 		return err
 	}
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -94,6 +94,7 @@
 	s.journal.version = s.version
 	s.applyServerRules(now)
 	s.noteAdapters()
+	s.syncCaches(now)
 	s.updateServing()
 	s.syncEngines(now)
 	s.fireNode("configure", now)
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -45,6 +45,9 @@
 	// the prompt. Entries may be empty.
 	FetchFrom []string
 	SaveTo    []string
+	// FetchUntil is when a fetch must have ended, on the servers' clock in
+	// milliseconds, or 0.
+	FetchUntil int64
 	// PromptTokens and Prefill are the tokens of the prompt and those that the
 	// server is expected to compute.
 	PromptTokens int
@@ -190,6 +193,7 @@
 		f.Salt = placement.Salt(at.weights, s.isolationOf(a))
 		f.FetchFrom = at.choice.FetchFrom
 		f.SaveTo = at.choice.SaveTo
+		f.FetchUntil = at.choice.FetchUntil
 	}
 	return f
 }
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -221,6 +221,7 @@
 		Holdings:  s.holdings,
 		Prices:    s.options.Prices,
 
+		Caches:     s.cacheList,
 		TokenBytes: s.rules.Pools[a.service].TokenBytes,
 	}
 }
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -84,9 +84,14 @@
 	scratch []*fleet.Server
 	stores  map[fleet.ServerID]*fleet.Store
 	// storeList lists the stores by identifier.
-	storeList  []*fleet.Store
-	recent     *placement.Recent
-	holdings   *placement.Holdings
+	storeList []*fleet.Store
+	recent    *placement.Recent
+	holdings  *placement.Holdings
+	// caches holds the stores of KV cache by name, cacheList in order, and
+	// followed those whose events are followed.
+	caches     map[string]*fleet.CacheStore
+	cacheList  []*fleet.CacheStore
+	followed   []CacheTarget
 	placements uint64
 	queue      *limits.Queue
 	rates      *limits.Rates
@@ -124,6 +129,7 @@
 		stores:      map[fleet.ServerID]*fleet.Store{},
 		recent:      placement.NewRecent(),
 		holdings:    placement.NewHoldings(),
+		caches:      map[string]*fleet.CacheStore{},
 		queue:       limits.NewQueue(),
 		rates:       limits.NewRates(),
 		tokenRates:  limits.NewRates(),
@@ -203,6 +209,8 @@
 		s.exportWritten(now, m)
 	case ExportDone:
 		s.exportDone(now, m)
+	case CacheEvents:
+		s.cacheEvents(now, m)
 	case StoreReport:
 		s.storeReport(now, m)
 	case QuarantineSeen:
@@ -233,6 +241,7 @@
 	s.tickFleet(now)
 	s.expireServers(now)
 	s.expireStores(now)
+	s.expireCaches(now)
 	s.tickOrders(now)
 	s.expireTransfers(now)
 	s.quarantine.Expire(now)
--- a/core/placement/holdings.go
+++ b/core/placement/holdings.go
@@ -82,6 +82,14 @@
 	return at != nil && at.parts[key] != nil
 }
 
+// Tokens returns the tokens that a server is believed to keep.
+func (h *Holdings) Tokens(id fleet.ServerID) int {
+	if at := h.places[id]; at != nil {
+		return at.tokens
+	}
+	return 0
+}
+
 // Leading returns the number of leading parts that a server is believed to
 // keep and their tokens. A part is of use only when all parts before it are
 // there.
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -77,7 +77,7 @@
 		taken := server.Requests(now) / float64(max(server.Places, 1))
 		return Choice{Server: server, Source: Recompute}, cost + taken*placeCost*worth
 	}
-	choice, price := cached(query, view, server, home)
+	choice, price := cached(now, query, view, server, home)
 	cost += price
 	if server.Behind {
 		cost += behindShare * worth
@@ -98,32 +98,85 @@
 
 // cached decides where the shared parts of the prompt come from at a server,
 // and what they are expected to cost there.
-func cached(query Query, view View, server, home *fleet.Server) (Choice, float64) {
+func cached(now time.Time, query Query, view View, server, home *fleet.Server) (Choice, float64) {
 	salt := Salt(server.Weights, query.Isolation)
 	shared := sharedParts(query.Parts)
 	count, held := view.Holdings.Leading(server.ID, salt, shared)
 	choice := Choice{Server: server, Source: Warm, Prefill: max(query.PromptTokens-held, 0)}
-	missing := sharedTokens(query.Parts) - held
-	if missing == 0 {
+	missing := shared[count:]
+	if len(missing) == 0 {
 		return choice, 0
 	}
 	choice.Source = Recompute
-	price := float64(missing) * view.Prices.ReadToken
+	fetched, price := choice.fetch(now, query, view, count, home)
+	choice.Prefill -= fetched
+	left := float64(sharedTokens(query.Parts) - held - fetched)
 	if server == home {
 		// Other nodes send the prompt here too, so that the server often has
 		// the parts although this node does not know it.
-		choice.Prefill -= int(homeShare * float64(missing))
-		return choice, (1 - homeShare) * price
-	}
-	if home == nil || home.Weights != server.Weights {
-		return choice, price
-	}
-	moved := float64(missing) * float64(view.TokenBytes) * view.Prices.MovedByte * distance(server.Domain, home.Domain)
-	_, atHome := view.Holdings.Leading(home.ID, salt, shared)
-	found := float64(max(atHome-held, 0)) / float64(missing)
-	choice.Prefill -= int(found * float64(missing))
-	choice.FetchFrom = fetchList(query.Parts, count, home.Address)
-	return choice, moved + (1-found+evictShare)*price
+		choice.Prefill -= int(homeShare * left)
+		return choice, price + (1-homeShare)*left*view.Prices.ReadToken
+	}
+	evicted := evictShare * (left + float64(fetched))
+	return choice, price + (left+evicted)*view.Prices.ReadToken
+}
+
+// fetch plans the transfer of the parts behind the held ones and returns their
+// tokens and the price. The parts behind one without a source are computed and
+// saved, because a part is of use only when all parts before it are there.
+func (c *Choice) fetch(now time.Time, query Query, view View, held int, home *fleet.Server) (tokens int, price float64) {
+	salt := Salt(c.Server.Weights, query.Isolation)
+	list := make([]string, len(query.Parts))
+	next := held
+	for ; next < len(query.Parts)-1; next++ {
+		part := query.Parts[next]
+		from, found := sourceOf(now, view, PartKey{Salt: salt, ID: part.ID}, c.Server, home)
+		if !found {
+			break
+		}
+		list[next] = from.address
+		c.limitFetch(from.until)
+		tokens += part.Tokens
+		price += float64(part.Tokens) * float64(view.TokenBytes) * view.Prices.MovedByte * distance(c.Server.Domain, from.domain)
+	}
+	if tokens > 0 {
+		c.FetchFrom = list
+	}
+	c.save(query, view, next)
+	return tokens, price
+}
+
+// limitFetch keeps the earliest end of the fetches.
+func (c *Choice) limitFetch(until int64) {
+	if until != 0 && (c.FetchUntil == 0 || until < c.FetchUntil) {
+		c.FetchUntil = until
+	}
+}
+
+// save names the store for each shared part that the server computes.
+func (c *Choice) save(query Query, view View, from int) {
+	for i := from; i < len(query.Parts)-1; i++ {
+		store := savePlace(view, query.Parts[i])
+		if store == nil {
+			continue
+		}
+		if c.SaveTo == nil {
+			c.SaveTo = make([]string, len(query.Parts))
+		}
+		c.SaveTo[i] = store.Address
+	}
+}
+
+// sourceOf returns where a server can fetch a part: from a store, or from the
+// home of the prompt.
+func sourceOf(now time.Time, view View, key PartKey, server, home *fleet.Server) (source, bool) {
+	if from, found := storeOf(now, view, key, server); found {
+		return from, true
+	}
+	if home == nil || home == server || !view.Holdings.Holds(home.ID, key) {
+		return source{}, false
+	}
+	return source{address: home.Address, domain: home.Domain}, true
 }
 
 // distance is how much dearer a transfer is between two failure domains.
@@ -134,16 +187,6 @@
 	return crossFactor
 }
 
-// fetchList names the source of each part behind the held ones. The last part
-// belongs to the call alone and has no source.
-func fetchList(parts []request.Part, held int, address string) []string {
-	list := make([]string, len(parts))
-	for i := held; i < len(parts)-1; i++ {
-		list[i] = address
-	}
-	return list
-}
-
 // sharedParts returns the parts that other calls may use. The last part
 // belongs to the call alone.
 func sharedParts(parts []request.Part) []request.Part {
@@ -159,18 +202,22 @@
 }
 
 // homeOf returns the server with the highest rendezvous weight for the prompt,
-// so that all nodes send it to the same server. Servers whose weights are to be
-// replaced come last.
+// so that all nodes of a failure domain send it to the same server. Without a
+// store for the prompt it is the same server for all nodes. Servers whose
+// weights are to be replaced come last.
 func homeOf(query Query, view View) *fleet.Server {
 	if len(query.Parts) < 2 {
 		return nil
 	}
-	anchor := query.Parts[len(query.Parts)-2].ID
+	anchor := query.Parts[len(query.Parts)-2]
+	stored := isStored(query, view, anchor)
 	var best *fleet.Server
 	var highest uint64
 	for _, server := range view.Servers {
-		weight := partWeight(anchor, server.ID)
-		weight >>= 1
+		weight := partWeight(anchor.ID, server.ID) >> 2
+		if stored && server.Domain == view.Domain {
+			weight |= 1 << 62
+		}
 		if !server.Behind {
 			weight |= 1 << 63
 		}
@@ -182,6 +229,26 @@
 	return best
 }
 
+// isStored reports whether a store has a part or has room for it.
+func isStored(query Query, view View, part request.Part) bool {
+	if savePlace(view, part) != nil {
+		return true
+	}
+	for _, server := range view.Servers {
+		if server.Behind {
+			continue
+		}
+		key := PartKey{Salt: Salt(server.Weights, query.Isolation), ID: part.ID}
+		for _, store := range view.Caches {
+			if store.Fetchable() && view.Holdings.Holds(store.ID, key) {
+				return true
+			}
+		}
+		return false
+	}
+	return false
+}
+
 // partWeight is the rendezvous hash of a part and a server.
 func partWeight(part string, id fleet.ServerID) uint64 {
 	var space [hashInputBytes]byte
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -41,6 +41,8 @@
 	Domain   fleet.Domain
 	Holdings *Holdings
 	Prices   Prices
+	// Caches lists the stores of KV cache for forwarded calls, by name.
+	Caches []*fleet.CacheStore
 	// TokenBytes is the size of a cached token.
 	TokenBytes int64
 }
@@ -85,6 +87,9 @@
 	// from and go to.
 	FetchFrom []string
 	SaveTo    []string
+	// FetchUntil is when a fetch must have ended, on the servers' clock in
+	// milliseconds, or 0.
+	FetchUntil int64
 	// Prefill is the expected number of prompt tokens to compute.
 	Prefill int
 	// FirstToken is the estimated time to the first token.
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -142,7 +142,13 @@
 	eventlog.Write(c.front.options.Logger, event.AttemptAssigned, nil,
 		"request", c.exchange.request.ID, "attempt", int(dispatch.Attempt), "server", string(dispatch.Server),
 		"weights", plan.Weights, "prompt", plan.PromptTokens, "prefill", plan.Prefill, "fetch", len(plan.FetchFrom) > 0,
-		"parts", len(c.exchange.request.Call.Parts), "anchor", func() string { p := c.exchange.request.Call.Parts; if len(p) < 2 { return "" }; return p[len(p)-2].ID + ":" + strconv.Itoa(p[len(p)-2].Tokens) }(), "org", string(c.exchange.admitted.Organisation), "salt", plan.Salt, "version", uint64(plan.Version))
+		"parts", len(c.exchange.request.Call.Parts), "anchor", func() string {
+			p := c.exchange.request.Call.Parts
+			if len(p) < 2 {
+				return ""
+			}
+			return p[len(p)-2].ID + ":" + strconv.Itoa(p[len(p)-2].Tokens)
+		}(), "org", string(c.exchange.admitted.Organisation), "salt", plan.Salt, "version", uint64(plan.Version))
 }
 
 // Whole keeps a response until the control thread has decided what follows.
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -21,6 +21,7 @@
 	"tanagerspread/core/order"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/retry"
+	"tanagerspread/node/caches"
 	"tanagerspread/node/confkv"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/metrics"
@@ -165,6 +166,9 @@
 		Metrics:      counters,
 		MaxBodyBytes: maxBodyBytes,
 		Protocol:     platform.Protocol{},
+		Caches: func(address string) caches.Client {
+			return platform.NewCacheClient(address, d.dialer.DialContext)
+		},
 		Fleet: &runtime.Fleet{
 			Service:      d.store,
 			Parse:        platform.ParseRules,
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -19,6 +19,7 @@
 	"tanagerspread/core/invariant"
 	"tanagerspread/core/order"
 	"tanagerspread/node/blocks"
+	"tanagerspread/node/caches"
 	"tanagerspread/node/control"
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
@@ -61,6 +62,8 @@
 	// Engines makes the management calls of engines; nil means that of the
 	// product's own engines.
 	Engines orders.Engines
+	// Caches connects to the stores of KV cache for forwarded calls, or is nil.
+	Caches func(address string) caches.Client
 	// Protocol is that of forwarded calls; with nil the node serves the
 	// product's own interface.
 	Protocol forward.Protocol
@@ -76,6 +79,7 @@
 	front    *ingress.Front
 	exporter *blocks.Exporter
 	orders   *orders.Workers
+	caches   *caches.Followers
 	stopped  chan struct{}
 	fleet    *fleetSide
 	// endWrites ends the writes of at-most-once records in the background.
@@ -114,6 +118,7 @@
 		n.fleet = newFleetSide(n.loop, options)
 	}
 	n.orders = newOrders(n.loop, options)
+	n.caches = caches.New(caches.Options{Control: n.loop, Logger: options.Logger, Connect: options.Caches})
 
 	return n, nil
 }
@@ -175,6 +180,7 @@
 		}()
 	}
 	go n.orders.Run(ctx)
+	go n.caches.Run(ctx)
 	server := &http.Server{
 		Handler:           n.front.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -213,6 +219,8 @@
 		if !n.exporter.Offer(c) {
 			n.loop.Tell(corecontrol.ExportDone{ID: c.ID})
 		}
+	case corecontrol.FollowCaches:
+		n.caches.Follow(c)
 	case corecontrol.WeightsWanted:
 		eventlog.Write(n.options.Logger, event.WeightsWanted, nil, "model", c.Model, "weights", c.Weights)
 	case corecontrol.ConfigInForce:
