--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -52,6 +52,10 @@
 	// server is expected to compute.
 	PromptTokens int
 	Prefill      int
+	// Queue is the expected time until the server starts the prompt, and LoadAge
+	// the age of the load that the server reported last.
+	Queue   time.Duration
+	LoadAge time.Duration
 	// Version is the configuration that the decision followed.
 	Version config.Version
 }
@@ -174,7 +178,7 @@
 }
 
 // forwarding describes the attempt of a forwarded call.
-func (s *State) forwarding(a *active) *Forwarding {
+func (s *State) forwarding(now time.Time, a *active) *Forwarding {
 	if a.Call == nil {
 		return nil
 	}
@@ -187,6 +191,8 @@
 		PromptTokens: a.PromptTokens,
 		Prefill:      at.choice.Prefill,
 		Version:      s.version,
+		Queue:        at.server.QueueTime(now),
+		LoadAge:      now.Sub(at.began),
 	}
 	if f.Model {
 		f.Weights = at.weights
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -197,7 +197,7 @@
 		DialTimeout:   s.charts.attempt.Timeout(tagOpens),
 		HeaderTimeout: s.charts.attempt.Timeout(tagAwaitsHeaders),
 		GapTimeout:    s.charts.attempt.Timeout(tagReceives),
-		Forward:       s.forwarding(a),
+		Forward:       s.forwarding(now, a),
 	}
 	if a.Call != nil {
 		d.HeaderTimeout = s.headerWaitOf(now, a)
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -4,7 +4,8 @@
 var (
 	RequestRefused   = add(2001, LevelInfo, "request refused", "request", "code", "execution")
 	RequestDelivered = add(2002, LevelDebug, "request delivered", "request")
-	AttemptAssigned  = add(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "weights", "prompt", "prefill", "fetch", "parts", "version")
+	CallAnswered     = add(2003, LevelInfo, "response of a forwarded call is whole", "request", "attempt", "server", "status", "first_ms", "total_ms")
+	AttemptAssigned  = add(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "route", "weights", "prompt", "prefill", "fetch", "save", "queue_ms", "load_age_ms", "version")
 	AttemptFailed    = add(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
 )
 
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -42,6 +42,11 @@
 	placeCost = 0.5
 )
 
+// worth estimates what a response on time is worth.
+func (p Prices) worth(query Query) float64 {
+	return p.LateWorth + p.LateToken*float64(query.PromptTokens)
+}
+
 // Home sends the calls of one prompt to the same server, and moves cached parts
 // from there instead of computing them again elsewhere.
 type Home struct{}
@@ -51,13 +56,17 @@
 func (Home) Pick(now time.Time, query Query, view View) Choice {
 	var best Choice
 	lowest := 0.0
-	home := homeOf(query, view)
+	lanes := lanesOf(view.Servers)
+	home := homeOf(query, view, lanes)
 	for i := range view.Servers {
 		server := view.at(i)
 		if avoided(query, server) {
 			continue
 		}
 		next, cost := appraise(now, query, view, server, home)
+		if len(query.Parts) > 0 {
+			cost += lanes.misplaced(server, query.PromptTokens, view.Prices.worth(query))
+		}
 		if best.Server == nil || cost < lowest {
 			best = next
 			lowest = cost
@@ -72,7 +81,7 @@
 	if server.Domain != view.Domain {
 		cost += float64(query.Bytes) * view.Prices.DomainByte
 	}
-	worth := view.Prices.LateWorth + view.Prices.LateToken*float64(query.PromptTokens)
+	worth := view.Prices.worth(query)
 	if len(query.Parts) == 0 {
 		taken := server.Requests(now) / float64(max(server.Places, 1))
 		return Choice{Server: server, Source: Recompute}, cost + taken*placeCost*worth
@@ -205,7 +214,7 @@
 // so that all nodes of a failure domain send it to the same server. Without a
 // store for the prompt it is the same server for all nodes. Servers whose
 // weights are to be replaced come last.
-func homeOf(query Query, view View) *fleet.Server {
+func homeOf(query Query, view View, lanes lanes) *fleet.Server {
 	if len(query.Parts) < 2 {
 		return nil
 	}
@@ -214,8 +223,11 @@
 	var best *fleet.Server
 	var highest uint64
 	for _, server := range view.Servers {
-		weight := partWeight(anchor.ID, server.ID) >> 2
+		weight := partWeight(anchor.ID, server.ID) >> 3
 		if stored && server.Domain == view.Domain {
+			weight |= 1 << 61
+		}
+		if lanes.fits(server, query.PromptTokens) {
 			weight |= 1 << 62
 		}
 		if !server.Behind {
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -55,7 +55,7 @@
 		MaxTokens:    call.MaxTokens,
 		Call:         &call.Routing,
 	}}
-	f.serveCall(r.Context(), x, &callRelay{front: f, w: w, r: r, exchange: x, body: body, lastEvent: call.LastEvent})
+	f.serveCall(r.Context(), x, &callRelay{front: f, w: w, r: r, exchange: x, body: body, lastEvent: call.LastEvent, arrived: arrived})
 }
 
 func (f *Front) serveCall(ctx context.Context, x *exchange, relay *callRelay) {
@@ -110,7 +110,11 @@
 	exchange *exchange
 	body     []byte
 	dispatch control.Dispatch
-	sent     time.Time
+	// arrived, sent and first are when the call arrived, when its attempt
+	// began, and when the first part of the response came.
+	arrived time.Time
+	sent    time.Time
+	first   time.Time
 	// lastEvent is the last event that the caller has, or forward.NoEvent.
 	lastEvent int64
 	// begun is true once the headers of a stream are with the caller.
@@ -137,24 +141,41 @@
 	return c.front.options.Egress.Forward(ctx, dispatch.Address, c.front.options.Protocol, call, timeoutsOf(dispatch), gate, c)
 }
 
+// logAssigned says where the call goes and what decided it.
 func (c *callRelay) logAssigned(dispatch control.Dispatch) {
 	plan := dispatch.Forward
 	eventlog.Write(c.front.options.Logger, event.AttemptAssigned, nil,
 		"request", c.exchange.request.ID, "attempt", int(dispatch.Attempt), "server", string(dispatch.Server),
-		"weights", plan.Weights, "prompt", plan.PromptTokens, "prefill", plan.Prefill, "fetch", len(plan.FetchFrom) > 0,
-		"parts", len(c.exchange.request.Call.Parts), "anchor", func() string {
-			p := c.exchange.request.Call.Parts
-			if len(p) < 2 {
-				return ""
-			}
-			return p[len(p)-2].ID + ":" + strconv.Itoa(p[len(p)-2].Tokens)
-		}(), "org", string(c.exchange.admitted.Organisation), "salt", plan.Salt, "version", uint64(plan.Version))
+		"route", c.exchange.admitted.Route.Name, "weights", plan.Weights, "prompt", plan.PromptTokens,
+		"prefill", plan.Prefill, "fetch", count(plan.FetchFrom), "save", count(plan.SaveTo),
+		"queue_ms", plan.Queue.Milliseconds(), "load_age_ms", plan.LoadAge.Milliseconds(), "version", uint64(plan.Version))
+}
+
+// count returns the number of addresses in a list.
+func count(addresses []string) int {
+	found := 0
+	for _, address := range addresses {
+		if address != "" {
+			found++
+		}
+	}
+	return found
+}
+
+// noteAnswered logs a response that is whole with the caller.
+func (c *callRelay) noteAnswered(status int) {
+	c.front.options.Observer.Outcome(nil)
+	now := time.Now()
+	eventlog.Write(c.front.options.Logger, event.CallAnswered, nil,
+		"request", c.exchange.request.ID, "attempt", int(c.dispatch.Attempt), "server", string(c.dispatch.Server),
+		"status", status, "first_ms", c.first.Sub(c.arrived).Milliseconds(), "total_ms", now.Sub(c.arrived).Milliseconds())
 }
 
 // Whole keeps a response until the control thread has decided what follows.
 func (c *callRelay) Whole(response *http.Response, body []byte) {
 	c.whole = response
 	c.wholeBody = body
+	c.first = time.Now()
 }
 
 // Begin writes the headers of the first stream; a resumed one keeps them.
@@ -171,12 +192,7 @@
 // Event writes the next event and flushes it. Events that the caller already
 // has are left out.
 func (c *callRelay) Event(event forward.Event) error {
-	if !c.sent.IsZero() {
-		c.front.options.Control.Tell(control.FirstToken{
-			Request: c.exchange.request.ID, Attempt: c.dispatch.Attempt, After: time.Since(c.sent),
-		})
-		c.sent = time.Time{}
-	}
+	c.noteFirst()
 	if event.ID != forward.NoEvent {
 		if event.ID <= c.lastEvent {
 			return nil
@@ -193,16 +209,31 @@
 	return http.NewResponseController(c.w).Flush()
 }
 
+// noteFirst reports the first event of an attempt.
+func (c *callRelay) noteFirst() {
+	if c.sent.IsZero() {
+		return
+	}
+	now := time.Now()
+	if c.first.IsZero() {
+		c.first = now
+	}
+	c.front.options.Control.Tell(control.FirstToken{
+		Request: c.exchange.request.ID, Attempt: c.dispatch.Attempt, After: now.Sub(c.sent),
+	})
+	c.sent = time.Time{}
+}
+
 // finish ends the response. A whole response of a server is delivered even when
 // the decision was to refuse, because it is the true outcome.
 func (c *callRelay) finish(refused *refused) {
 	id := c.exchange.request.ID
 	switch {
 	case c.whole != nil && !c.begun:
-		c.front.noteDelivered(id)
+		c.noteAnswered(c.whole.StatusCode)
 		c.writeWhole()
 	case refused == nil:
-		c.front.noteDelivered(id)
+		c.noteAnswered(http.StatusOK)
 	case c.begun:
 		// A broken connection is the only way to tell that the stream is not
 		// complete.
