placement: held parts have a source too

Cause: a server may have evicted a part that a node believes it to hold; the part was then read again. Change: the store is named for all shared parts.

--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -48,6 +48,8 @@
 	// FetchUntil is when a fetch must have ended, on the servers' clock in
 	// milliseconds, or 0.
 	FetchUntil int64
+	// Prefix is the last shared part of the prompt, or empty.
+	Prefix string
 	// PromptTokens and Prefill are the tokens of the prompt and those that the
 	// server is expected to compute.
 	PromptTokens int
@@ -188,6 +190,7 @@
 		Organisation: a.organisation,
 		Priority:     min(a.rank.Priority, lowestPriority),
 		Model:        at.server.Role == fleet.RoleEngine,
+		Prefix:       placement.LastShared(a.Call.Parts).ID,
 		PromptTokens: a.PromptTokens,
 		Prefill:      at.choice.Prefill,
 		Version:      s.version,
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -5,7 +5,7 @@
 	RequestRefused   = add(2001, LevelInfo, "request refused", "request", "code", "execution")
 	RequestDelivered = add(2002, LevelDebug, "request delivered", "request")
 	CallAnswered     = add(2003, LevelInfo, "response of a forwarded call is whole", "request", "attempt", "server", "status", "first_ms", "total_ms")
-	AttemptAssigned  = add(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "route", "weights", "prompt", "prefill", "fetch", "save", "queue_ms", "load_age_ms", "version")
+	AttemptAssigned  = add(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "route", "weights", "prefix", "prompt", "prefill", "fetch", "save", "queue_ms", "load_age_ms", "version")
 	AttemptFailed    = add(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
 )
 
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -112,11 +112,9 @@
 	shared := sharedParts(query.Parts)
 	count, held := view.Holdings.Leading(server.ID, salt, shared)
 	choice := Choice{Server: server, Source: Warm, Prefill: max(query.PromptTokens-held, 0)}
-	missing := shared[count:]
-	if len(missing) == 0 {
-		return choice, 0
+	if count < len(shared) {
+		choice.Source = Recompute
 	}
-	choice.Source = Recompute
 	fetched, price := choice.fetch(now, query, view, count, home)
 	choice.Prefill -= fetched
 	left := float64(sharedTokens(query.Parts) - held - fetched)
@@ -130,27 +128,29 @@
 	return choice, price + (left+evicted)*view.Prices.ReadToken
 }
 
-// fetch plans the transfer of the parts behind the held ones and returns their
-// tokens and the price. The parts behind one without a source are computed and
-// saved, because a part is of use only when all parts before it are there.
+// fetch plans the transfer of the shared parts and returns the tokens and the
+// price of those behind the held ones. Held parts have a source too, because
+// the server may have evicted them; it fetches only what it lacks. The parts
+// behind one without a source are computed and saved, because a part is of use
+// only when all parts before it are there.
 func (c *Choice) fetch(now time.Time, query Query, view View, held int, home *fleet.Server) (tokens int, price float64) {
 	salt := Salt(c.Server.Weights, query.Isolation)
 	list := make([]string, len(query.Parts))
-	next := held
+	next := 0
 	for ; next < len(query.Parts)-1; next++ {
 		part := query.Parts[next]
 		from, found := sourceOf(now, view, PartKey{Salt: salt, ID: part.ID}, c.Server, home)
-		if !found {
+		if !found && next >= held {
 			break
 		}
 		list[next] = from.address
 		c.limitFetch(from.until)
-		tokens += part.Tokens
-		price += float64(part.Tokens) * float64(view.TokenBytes) * view.Prices.MovedByte * distance(c.Server.Domain, from.domain)
-	}
-	if tokens > 0 {
-		c.FetchFrom = list
+		if next >= held {
+			tokens += part.Tokens
+			price += float64(part.Tokens) * float64(view.TokenBytes) * view.Prices.MovedByte * distance(c.Server.Domain, from.domain)
+		}
 	}
+	c.FetchFrom = list
 	c.save(query, view, next)
 	return tokens, price
 }
@@ -202,6 +202,15 @@
 	return parts[:len(parts)-1]
 }
 
+// LastShared returns the last part that other calls may use. Its ID is empty when
+// there is none.
+func LastShared(parts []request.Part) request.Part {
+	if len(parts) < 2 {
+		return request.Part{}
+	}
+	return parts[len(parts)-2]
+}
+
 func sharedTokens(parts []request.Part) int {
 	tokens := 0
 	for _, part := range sharedParts(parts) {
@@ -215,10 +224,10 @@
 // store for the prompt it is the same server for all nodes. Servers whose
 // weights are to be replaced come last.
 func homeOf(query Query, view View, lanes lanes) *fleet.Server {
-	if len(query.Parts) < 2 {
+	anchor := LastShared(query.Parts)
+	if anchor.ID == "" {
 		return nil
 	}
-	anchor := query.Parts[len(query.Parts)-2]
 	stored := isStored(query, view, anchor)
 	var best *fleet.Server
 	var highest uint64
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -146,7 +146,7 @@
 	plan := dispatch.Forward
 	eventlog.Write(c.front.options.Logger, event.AttemptAssigned, nil,
 		"request", c.exchange.request.ID, "attempt", int(dispatch.Attempt), "server", string(dispatch.Server),
-		"route", c.exchange.admitted.Route.Name, "weights", plan.Weights, "prompt", plan.PromptTokens,
+		"route", c.exchange.admitted.Route.Name, "weights", plan.Weights, "prefix", plan.Prefix, "prompt", plan.PromptTokens,
 		"prefill", plan.Prefill, "fetch", count(plan.FetchFrom), "save", count(plan.SaveTo),
 		"queue_ms", plan.Queue.Milliseconds(), "load_age_ms", plan.LoadAge.Milliseconds(), "version", uint64(plan.Version))
 }
