placement: parts move between engines; short parts have stores of their own

Cause: the links of the two large stores were the bottleneck of fetches, and short parts waited behind long ones. Change: nodes follow the events of engines, a part comes from an engine that used it just now, else from a store; short parts are saved to the small stores.

--- a/core/control/cachestores.go
+++ b/core/control/cachestores.go
@@ -19,12 +19,13 @@
 	Tokens int
 }
 
-// CacheEvents reports what a store of KV cache said.
+// CacheEvents reports what a store of KV cache, or an engine, said.
 type CacheEvents struct {
-	Store string
-	// Epoch changes when the store starts again.
+	// Target names the store or the engine.
+	Target string
+	// Epoch changes when it starts again.
 	Epoch uint64
-	// Whole is true when the events are all parts of the store.
+	// Whole is true when the events are all parts that it keeps.
 	Whole  bool
 	Events []PartEvent
 	// Clock is the servers' clock in milliseconds when the store answered.
@@ -34,17 +35,23 @@
 	Received time.Time
 }
 
-// CacheTarget names a store whose events are followed.
+// CacheTarget names a store or an engine whose events are followed.
 type CacheTarget struct {
 	Name    string
 	Address string
+	// Pause is the time between two calls.
+	Pause time.Duration
 }
 
-// FollowCaches tells which stores are followed from now on.
+// FollowCaches tells whose events are followed from now on.
 type FollowCaches struct {
-	Stores []CacheTarget
+	Targets []CacheTarget
 }
 
+// enginePause is the time between two calls for the events of an engine. Their
+// bytes between failure domains are priced, and a late event costs little.
+const enginePause = 700 * time.Millisecond
+
 func (CacheEvents) message()  {}
 func (FollowCaches) command() {}
 
@@ -99,24 +106,62 @@
 // listCaches orders the stores and has their events followed.
 func (s *State) listCaches() {
 	s.cacheList = s.cacheList[:0]
-	var targets []CacheTarget
 	for _, store := range s.caches {
 		s.cacheList = append(s.cacheList, store)
-		targets = append(targets, CacheTarget{Name: store.Name, Address: store.Address})
 	}
 	sort.Slice(s.cacheList, func(i, j int) bool { return s.cacheList[i].Name < s.cacheList[j].Name })
-	sort.Slice(targets, func(i, j int) bool { return targets[i].Name < targets[j].Name })
+	s.followCaches()
+}
+
+// followCaches has the events of the stores and engines followed.
+func (s *State) followCaches() {
+	if !s.options.Forwarding || s.rules == nil {
+		return
+	}
+	var targets []CacheTarget
+	for _, store := range s.cacheList {
+		targets = append(targets, CacheTarget{Name: store.Name, Address: store.Address})
+	}
+	for _, server := range s.ordered {
+		if server.Role == fleet.RoleEngine && s.followsEngine(server) {
+			targets = append(targets, CacheTarget{Name: string(server.ID), Address: server.Address, Pause: enginePause})
+		}
+	}
 	if !slices.Equal(targets, s.followed) {
 		s.followed = targets
-		s.command(FollowCaches{Stores: targets})
+		s.command(FollowCaches{Targets: targets})
 	}
 }
 
-// cacheEvents takes over what a store said. A message that is older than a
-// store's word may be trusted changes nothing.
+// followsEngine reports whether the events of an engine are worth their bytes.
+// Short prompts change the parts of an engine often, and are not fetched from
+// another failure domain.
+func (s *State) followsEngine(server *fleet.Server) bool {
+	return server.Domain == s.options.Domain || !s.lanes.Short(server)
+}
+
+// cacheEvents takes over what a store or an engine said.
 func (s *State) cacheEvents(now time.Time, m CacheEvents) {
-	store := s.caches[m.Store]
-	if store == nil || now.Sub(m.Asked) >= s.charts.cacheStore.Timeout(fleet.TagFetchable) {
+	if store := s.caches[m.Target]; store != nil {
+		s.storeEvents(now, store, m)
+		return
+	}
+	server := s.servers[fleet.ServerID(m.Target)]
+	if server == nil {
+		return
+	}
+	if m.Epoch != server.CacheEpoch || m.Whole {
+		s.holdings.Forget(server.ID)
+		server.CacheEpoch = m.Epoch
+	}
+	s.applyParts(now, server.ID, m.Events, s.rules.Pools[server.Serves].CacheTokens)
+}
+
+// storeEvents takes over what a store said. A message that is older than a
+// store's word may be trusted changes nothing.
+func (s *State) storeEvents(now time.Time, store *fleet.CacheStore, m CacheEvents) {
+	trusted := s.charts.cacheStore.Timeout(fleet.TagFetchable)
+	if now.Sub(m.Asked) >= trusted {
 		return
 	}
 	if m.Epoch != store.Epoch || m.Whole {
@@ -126,20 +171,24 @@
 		store.Epoch = m.Epoch
 		store.SettlesAt = now.Add(fleet.SettleTime)
 	}
-	for _, e := range m.Events {
-		key := placement.PartKey{Salt: e.Salt, ID: e.ID}
-		if e.Added {
-			s.holdings.Note(store.ID, key, e.Tokens, 0)
-			continue
-		}
-		s.holdings.Drop(store.ID, key)
-	}
+	s.applyParts(now, store.ID, m.Events, 0)
 	store.Clock = m.Clock
 	store.ClockAt = m.Received
 	s.fireCache(store, "hear", now)
 	// The word of the store counts from the call, since it may have been long
 	// under way.
-	store.Chart.Deadline = m.Asked.Add(s.charts.cacheStore.Timeout(fleet.TagFetchable))
+	store.Chart.Deadline = m.Asked.Add(trusted)
+}
+
+func (s *State) applyParts(now time.Time, id fleet.ServerID, events []PartEvent, capacity int) {
+	for _, e := range events {
+		key := placement.PartKey{Salt: e.Salt, ID: e.ID}
+		if e.Added {
+			s.holdings.Note(now, id, key, e.Tokens, capacity)
+			continue
+		}
+		s.holdings.Drop(id, key)
+	}
 }
 
 func (s *State) expireCaches(now time.Time) {
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -227,7 +227,7 @@
 
 // noteParts records that the chosen server is about to hold the shared parts
 // of the prompt.
-func (s *State) noteParts(a *active) {
+func (s *State) noteParts(now time.Time, a *active) {
 	if a.Call == nil || len(a.Call.Parts) == 0 {
 		return
 	}
@@ -235,6 +235,6 @@
 	capacity := s.rules.Pools[server.Serves].CacheTokens
 	salt := placement.Salt(a.attempt.weights, s.isolationOf(a))
 	for _, part := range a.Call.Parts {
-		s.holdings.Note(server.ID, placement.PartKey{Salt: salt, ID: part.ID}, part.Tokens, capacity)
+		s.holdings.Note(now, server.ID, placement.PartKey{Salt: salt, ID: part.ID}, part.Tokens, capacity)
 	}
 }
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -156,7 +156,7 @@
 	}
 	s.placements++
 	s.recent.Note(now, a.prefix, choice.Server.ID)
-	s.noteParts(a)
+	s.noteParts(now, a)
 	s.journal.add(now, a, "assign", string(choice.Server.ID))
 	s.reply(a.ID, s.dispatch(now, a))
 	return limits.Taken
@@ -221,6 +221,8 @@
 		Holdings:  s.holdings,
 		Prices:    s.options.Prices,
 
+		Lanes:      s.lanes,
+		Engines:    s.group(a).Servers,
 		Caches:     s.cacheList,
 		TokenBytes: s.rules.Pools[a.service].TokenBytes,
 	}
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -6,6 +6,7 @@
 
 	"tanagerspread/chart"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/placement"
 )
 
 // returnWait is how long after an outage of its source a server may be missing
@@ -32,6 +33,7 @@
 		}
 	}
 	s.orderServers()
+	s.followCaches()
 	s.applyServerRules(now)
 	s.updateServing()
 	s.syncEngines(now)
@@ -93,6 +95,7 @@
 	sort.Slice(s.ordered, func(i, j int) bool { return s.ordered[i].ID < s.ordered[j].ID })
 	s.index.Rebuild(s.ordered)
 	s.markBehind()
+	s.lanes = placement.LanesOf(s.ordered)
 }
 
 func (s *State) applyServerRules(now time.Time) {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -89,9 +89,11 @@
 	holdings  *placement.Holdings
 	// caches holds the stores of KV cache by name, cacheList in order, and
 	// followed those whose events are followed.
-	caches     map[string]*fleet.CacheStore
-	cacheList  []*fleet.CacheStore
-	followed   []CacheTarget
+	caches    map[string]*fleet.CacheStore
+	cacheList []*fleet.CacheStore
+	followed  []CacheTarget
+	// lanes divides the engines between short and long calls.
+	lanes      placement.Lanes
 	placements uint64
 	queue      *limits.Queue
 	rates      *limits.Rates
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -45,7 +45,7 @@
 	EntryRejected     = add(2703, LevelError, "entry of the key-value service names nothing that can be used", "key", "revision", "code")
 	EntriesLost       = add(2704, LevelInfo, "entries of the key-value service cannot be followed; the last ones stay in use", "prefix", "code")
 	EntriesRegained   = add(2705, LevelInfo, "entries of the key-value service are followed again", "prefix")
-	CacheStoreLost    = add(2706, LevelInfo, "events of a store of KV cache cannot be followed", "store", "code")
+	CacheStoreLost    = add(2706, LevelInfo, "events of a store of KV cache or of an engine cannot be followed", "target", "code")
 	VMListFailed      = add(2702, LevelInfo, "VM list did not answer; the last list stays in use", "code")
 )
 
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -78,6 +78,8 @@
 	SaidAt time.Time
 	// ReturnedAt is when the VM list last showed the server live again.
 	ReturnedAt time.Time
+	// CacheEpoch changes when the server starts again and keeps no part.
+	CacheEpoch uint64
 	// Behind is true while the operator wants other weights on the server.
 	Behind bool
 	// BusyUntil is when the server may get work again after it refused some.
--- a/core/placement/caches.go
+++ b/core/placement/caches.go
@@ -11,6 +11,10 @@
 // save that finds no room is lost, and others may be under way.
 const storeShare = 0.95
 
+// preferredStore is the factor by which a store of the right size outweighs all
+// others.
+const preferredStore = 1e6
+
 // source is where a server can fetch a part.
 type source struct {
 	address string
@@ -38,8 +42,14 @@
 }
 
 // savePlace returns the store to which a part is saved, or nil when none has
-// room. All nodes choose the same store.
+// room. All nodes choose the same store. Short parts go to the small stores as
+// long as these have room, so that they do not wait behind long ones.
 func savePlace(view View, part request.Part) *fleet.CacheStore {
+	largest := 0
+	for _, store := range view.Caches {
+		largest = max(largest, store.Capacity)
+	}
+	short := part.Tokens < longPrompt
 	var best *fleet.CacheStore
 	highest := 0.0
 	for _, store := range view.Caches {
@@ -48,6 +58,9 @@
 			continue
 		}
 		weight := float64(partWeight(part.ID, store.ID)>>1) * float64(store.Capacity)
+		if short == (2*store.Capacity <= largest) {
+			weight *= preferredStore
+		}
 		if best == nil || weight > highest {
 			best = store
 			highest = weight
--- a/core/placement/holdings.go
+++ b/core/placement/holdings.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/request"
@@ -33,6 +34,8 @@
 type heldPart struct {
 	key    PartKey
 	tokens int
+	// noted is when the part was last made or used, as far as the node knows.
+	noted time.Time
 }
 
 // NewHoldings returns an empty record.
@@ -43,7 +46,7 @@
 // Note records that a server keeps a part or has used it. The least recently
 // used parts are forgotten when the server's parts exceed the capacity in
 // tokens; 0 means no limit.
-func (h *Holdings) Note(id fleet.ServerID, key PartKey, tokens, capacity int) {
+func (h *Holdings) Note(now time.Time, id fleet.ServerID, key PartKey, tokens, capacity int) {
 	at := h.places[id]
 	if at == nil {
 		at = &holding{parts: map[PartKey]*list.Element{}, recent: list.New()}
@@ -51,9 +54,10 @@
 	}
 	if element := at.parts[key]; element != nil {
 		at.recent.MoveToFront(element)
+		element.Value = heldPart{key: key, tokens: element.Value.(heldPart).tokens, noted: now}
 		return
 	}
-	at.parts[key] = at.recent.PushFront(heldPart{key: key, tokens: tokens})
+	at.parts[key] = at.recent.PushFront(heldPart{key: key, tokens: tokens, noted: now})
 	at.tokens += tokens
 	for capacity > 0 && at.tokens > capacity || len(at.parts) > maxHeldParts {
 		at.drop(at.recent.Back())
@@ -82,6 +86,16 @@
 	return at != nil && at.parts[key] != nil
 }
 
+// HeldSince reports whether a server is believed to keep a part that was made or
+// used at the given time or later.
+func (h *Holdings) HeldSince(id fleet.ServerID, key PartKey, since time.Time) bool {
+	at := h.places[id]
+	if at == nil || at.parts[key] == nil {
+		return false
+	}
+	return !at.parts[key].Value.(heldPart).noted.Before(since)
+}
+
 // Tokens returns the tokens that a server is believed to keep.
 func (h *Holdings) Tokens(id fleet.ServerID) int {
 	if at := h.places[id]; at != nil {
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -37,6 +37,13 @@
 	// behindShare is the part of the worth that a call loses on weights that
 	// are to be replaced.
 	behindShare = 0.2
+	// spareTokens is the length of a part from which a source is named even when
+	// the server is believed to hold it. Shorter ones would wait for the link
+	// longer than they take to compute.
+	spareTokens = 2048
+	// freshPart is how long after its last use an engine is trusted to still hold
+	// a part.
+	freshPart = 3 * time.Second
 	// placeCost is the cost of a plain call at a server whose places are all
 	// taken, as a share of LateWorth.
 	placeCost = 0.5
@@ -56,7 +63,7 @@
 func (Home) Pick(now time.Time, query Query, view View) Choice {
 	var best Choice
 	lowest := 0.0
-	lanes := lanesOf(view.Servers)
+	lanes := view.Lanes
 	home := homeOf(query, view, lanes)
 	for i := range view.Servers {
 		server := view.at(i)
@@ -115,7 +122,7 @@
 	if count < len(shared) {
 		choice.Source = Recompute
 	}
-	fetched, price := choice.fetch(now, query, view, count, home)
+	fetched, price := choice.fetch(now, query, view, count)
 	choice.Prefill -= fetched
 	left := float64(sharedTokens(query.Parts) - held - fetched)
 	if server == home {
@@ -129,32 +136,46 @@
 }
 
 // fetch plans the transfer of the shared parts and returns the tokens and the
-// price of those behind the held ones. Held parts have a source too, because
-// the server may have evicted them; it fetches only what it lacks. The parts
-// behind one without a source are computed and saved, because a part is of use
-// only when all parts before it are there.
-func (c *Choice) fetch(now time.Time, query Query, view View, held int, home *fleet.Server) (tokens int, price float64) {
+// price of those behind the held ones. The parts behind one without a source
+// are computed and saved, because a part is of use only when all parts before
+// it are there.
+func (c *Choice) fetch(now time.Time, query Query, view View, held int) (tokens int, price float64) {
 	salt := Salt(c.Server.Weights, query.Isolation)
 	list := make([]string, len(query.Parts))
 	next := 0
 	for ; next < len(query.Parts)-1; next++ {
 		part := query.Parts[next]
-		from, found := sourceOf(now, view, PartKey{Salt: salt, ID: part.ID}, c.Server, home)
-		if !found && next >= held {
+		key := PartKey{Salt: salt, ID: part.ID}
+		if next < held {
+			list[next] = c.spare(now, view, key, part)
+			continue
+		}
+		from, found := sourceOf(now, view, key, c.Server)
+		if !found {
 			break
 		}
 		list[next] = from.address
 		c.limitFetch(from.until)
-		if next >= held {
-			tokens += part.Tokens
-			price += float64(part.Tokens) * float64(view.TokenBytes) * view.Prices.MovedByte * distance(c.Server.Domain, from.domain)
-		}
+		tokens += part.Tokens
+		price += float64(part.Tokens) * float64(view.TokenBytes) * view.Prices.MovedByte * distance(c.Server.Domain, from.domain)
 	}
 	c.FetchFrom = list
 	c.save(query, view, next)
 	return tokens, price
 }
 
+// spare returns the source of a long part that the server is believed to hold,
+// or an empty text. The server may have evicted it; it fetches only what it
+// lacks.
+func (c *Choice) spare(now time.Time, view View, key PartKey, part request.Part) string {
+	if part.Tokens < spareTokens {
+		return ""
+	}
+	from, _ := storeOf(now, view, key, c.Server)
+	c.limitFetch(from.until)
+	return from.address
+}
+
 // limitFetch keeps the earliest end of the fetches.
 func (c *Choice) limitFetch(until int64) {
 	if until != 0 && (c.FetchUntil == 0 || until < c.FetchUntil) {
@@ -176,16 +197,35 @@
 	}
 }
 
-// sourceOf returns where a server can fetch a part: from a store, or from the
-// home of the prompt.
-func sourceOf(now time.Time, view View, key PartKey, server, home *fleet.Server) (source, bool) {
+// sourceOf returns where a server can fetch a part: from an engine that used it
+// just now, whose link is fast, or from a store, or from any engine that may
+// still have it.
+func sourceOf(now time.Time, view View, key PartKey, server *fleet.Server) (source, bool) {
+	if from, found := engineOf(view, key, server, now.Add(-freshPart)); found {
+		return from, true
+	}
 	if from, found := storeOf(now, view, key, server); found {
 		return from, true
 	}
-	if home == nil || home == server || !view.Holdings.Holds(home.ID, key) {
+	return engineOf(view, key, server, time.Time{})
+}
+
+// engineOf returns the nearest engine that used a part at the given time or
+// later.
+func engineOf(view View, key PartKey, server *fleet.Server, since time.Time) (source, bool) {
+	var best *fleet.Server
+	for _, other := range view.Engines {
+		if other == server || !other.ReceivesWork() || !view.Holdings.HeldSince(other.ID, key, since) {
+			continue
+		}
+		if best == nil || best.Domain != server.Domain && other.Domain == server.Domain {
+			best = other
+		}
+	}
+	if best == nil {
 		return source{}, false
 	}
-	return source{address: home.Address, domain: home.Domain}, true
+	return source{address: best.Address, domain: best.Domain}, true
 }
 
 // distance is how much dearer a transfer is between two failure domains.
@@ -223,7 +263,7 @@
 // so that all nodes of a failure domain send it to the same server. Without a
 // store for the prompt it is the same server for all nodes. Servers whose
 // weights are to be replaced come last.
-func homeOf(query Query, view View, lanes lanes) *fleet.Server {
+func homeOf(query Query, view View, lanes Lanes) *fleet.Server {
 	anchor := LastShared(query.Parts)
 	if anchor.ID == "" {
 		return nil
--- a/core/placement/lanes.go
+++ b/core/placement/lanes.go
@@ -24,20 +24,23 @@
 	longMisplaced = 0.3
 )
 
-// lanes tells servers for short calls from those for long ones. All nodes
+// Lanes tells servers for short calls from those for long ones. All nodes
 // divide the servers in the same way without speaking to each other.
-type lanes struct {
+type Lanes struct {
 	short map[fleet.ServerID]bool
 }
 
-// lanesOf divides the engines of each failure domain. A domain with one engine
+// LanesOf divides the engines of each failure domain. A domain with one engine
 // keeps it for all calls.
-func lanesOf(servers []*fleet.Server) lanes {
+func LanesOf(servers []*fleet.Server) Lanes {
 	domains := map[fleet.Domain][]*fleet.Server{}
 	for _, server := range servers {
+		if server.Role != fleet.RoleEngine {
+			continue
+		}
 		domains[server.Domain] = append(domains[server.Domain], server)
 	}
-	l := lanes{short: map[fleet.ServerID]bool{}}
+	l := Lanes{short: map[fleet.ServerID]bool{}}
 	for _, members := range domains {
 		l.divide(members)
 	}
@@ -45,7 +48,7 @@
 }
 
 // divide marks the members with the lowest hashes.
-func (l lanes) divide(members []*fleet.Server) {
+func (l Lanes) divide(members []*fleet.Server) {
 	count := 0
 	if len(members) > 1 {
 		count = max(int(math.Round(shortShare*float64(len(members)))), 1)
@@ -65,14 +68,19 @@
 	return xxhash.Sum64String(string(server.ID))
 }
 
+// Short reports whether a server is kept for short calls.
+func (l Lanes) Short(server *fleet.Server) bool {
+	return l.short[server.ID]
+}
+
 // fits reports whether a server is kept for calls of this length.
-func (l lanes) fits(server *fleet.Server, promptTokens int) bool {
+func (l Lanes) fits(server *fleet.Server, promptTokens int) bool {
 	return l.short[server.ID] == (promptTokens < longPrompt)
 }
 
 // misplaced returns the expected loss of a call at a server that is kept for
 // others.
-func (l lanes) misplaced(server *fleet.Server, promptTokens int, worth float64) float64 {
+func (l Lanes) misplaced(server *fleet.Server, promptTokens int, worth float64) float64 {
 	if l.fits(server, promptTokens) {
 		return 0
 	}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -41,6 +41,10 @@
 	Domain   fleet.Domain
 	Holdings *Holdings
 	Prices   Prices
+	// Lanes divides the engines, and Engines lists those of the service, also
+	// the ones that may not receive the request now.
+	Lanes   Lanes
+	Engines []*fleet.Server
 	// Caches lists the stores of KV cache for forwarded calls, by name.
 	Caches []*fleet.CacheStore
 	// TokenBytes is the size of a cached token.
--- a/node/caches/caches.go
+++ b/node/caches/caches.go
@@ -1,5 +1,5 @@
-// Package caches follows the events of the stores of KV cache and reports them
-// to the control thread. It decides nothing.
+// Package caches follows the events of stores of KV cache and of engines and
+// reports them to the control thread. It decides nothing.
 package caches
 
 import (
@@ -19,7 +19,7 @@
 // retryInterval is the time before a failed call is repeated.
 const retryInterval = 500 * time.Millisecond
 
-// Client reads the events of one store.
+// Client reads the events of one store or engine.
 type Client interface {
 	// Events waits for events from a position on and returns the position of
 	// the next call, and whether events before the returned ones are gone.
@@ -34,11 +34,11 @@
 type Options struct {
 	Control worker.Teller
 	Logger  logr.Logger
-	// Connect returns the client of the store at an address.
+	// Connect returns the client of the store or engine at an address.
 	Connect func(address string) Client
 }
 
-// Followers follow the stores that the control thread names.
+// Followers follow what the control thread names.
 type Followers struct {
 	options Options
 	targets chan []control.CacheTarget
@@ -49,11 +49,11 @@
 	return &Followers{options: options, targets: make(chan []control.CacheTarget, 1)}
 }
 
-// Follow replaces the followed stores without blocking.
+// Follow replaces what is followed without blocking.
 func (f *Followers) Follow(command control.FollowCaches) {
 	for {
 		select {
-		case f.targets <- command.Stores:
+		case f.targets <- command.Targets:
 			return
 		default:
 		}
@@ -65,7 +65,7 @@
 	}
 }
 
-// Run follows the stores until the context ends.
+// Run follows them until the context ends.
 func (f *Followers) Run(ctx context.Context) {
 	running := map[control.CacheTarget]context.CancelFunc{}
 	var group sync.WaitGroup
@@ -95,7 +95,7 @@
 	}
 }
 
-// follow reports the events of one store until the context ends.
+// follow reports the events of one target until the context ends.
 func (f *Followers) follow(ctx context.Context, target control.CacheTarget) {
 	client := f.options.Connect(target.Address)
 	defer client.Close()
@@ -108,10 +108,13 @@
 		}
 		if err == nil {
 			failed = false
+			if target.Pause > 0 && !worker.Pause(ctx, target.Pause) {
+				return
+			}
 			continue
 		}
 		if !failed {
-			eventlog.Write(f.options.Logger, event.CacheStoreLost, err, "store", target.Name, "code", int(err.Code))
+			eventlog.Write(f.options.Logger, event.CacheStoreLost, err, "target", target.Name, "code", int(err.Code))
 		}
 		failed = true
 		if !worker.Pause(ctx, retryInterval) {
@@ -120,13 +123,13 @@
 	}
 }
 
-// position is how far the events of a store are known.
+// position is how far the events are known.
 type position struct {
 	epoch uint64
 	next  uint64
 }
 
-// step makes one call. After a restart of the store, or when events are lost,
+// step makes one call. After a restart, or when events are lost,
 // it reads all parts.
 func (f *Followers) step(ctx context.Context, client Client, target control.CacheTarget, at *position) *code.Error {
 	events, next, lost, err := client.Events(ctx, at.next)
@@ -141,7 +144,7 @@
 	}
 	at.epoch = events.Epoch
 	at.next = next
-	events.Store = target.Name
+	events.Target = target.Name
 	worker.Tell(f.options.Control, f.options.Logger, control.Message(events))
 	return nil
 }
