placement: each held part has a spare source; engines must have told of a part

Cause: a short first part that is evicted makes all parts behind it useless, and an engine does not hold a part that is still being read there. Change: every part has a spare source at a store; a part is fetched from an engine only when the engine told of it.

--- a/core/control/cachestores.go
+++ b/core/control/cachestores.go
@@ -184,7 +184,7 @@
 	for _, e := range events {
 		key := placement.PartKey{Salt: e.Salt, ID: e.ID}
 		if e.Added {
-			s.holdings.Note(now, id, key, e.Tokens, capacity)
+			s.holdings.Confirm(now, id, key, e.Tokens, capacity)
 			continue
 		}
 		s.holdings.Drop(id, key)
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -235,6 +235,6 @@
 	capacity := s.rules.Pools[server.Serves].CacheTokens
 	salt := placement.Salt(a.attempt.weights, s.isolationOf(a))
 	for _, part := range a.Call.Parts {
-		s.holdings.Note(now, server.ID, placement.PartKey{Salt: salt, ID: part.ID}, part.Tokens, capacity)
+		s.holdings.Expect(now, server.ID, placement.PartKey{Salt: salt, ID: part.ID}, part.Tokens, capacity)
 	}
 }
--- a/core/placement/holdings.go
+++ b/core/placement/holdings.go
@@ -34,8 +34,9 @@
 type heldPart struct {
 	key    PartKey
 	tokens int
-	// noted is when the part was last made or used, as far as the node knows.
-	noted time.Time
+	// confirmed is when the server last told that it has the part, or when this
+	// node last used it after that; zero while it is only expected.
+	confirmed time.Time
 }
 
 // NewHoldings returns an empty record.
@@ -43,10 +44,20 @@
 	return &Holdings{places: map[fleet.ServerID]*holding{}}
 }
 
-// Note records that a server keeps a part or has used it. The least recently
+// Confirm records that a server told that it keeps a part.
+func (h *Holdings) Confirm(now time.Time, id fleet.ServerID, key PartKey, tokens, capacity int) {
+	h.Expect(now, id, key, tokens, capacity)
+	if element := h.places[id].parts[key]; element != nil {
+		part := element.Value.(heldPart)
+		part.confirmed = now
+		element.Value = part
+	}
+}
+
+// Expect records that a server is about to make a part or to use it. The least recently
 // used parts are forgotten when the server's parts exceed the capacity in
 // tokens; 0 means no limit.
-func (h *Holdings) Note(now time.Time, id fleet.ServerID, key PartKey, tokens, capacity int) {
+func (h *Holdings) Expect(now time.Time, id fleet.ServerID, key PartKey, tokens, capacity int) {
 	at := h.places[id]
 	if at == nil {
 		at = &holding{parts: map[PartKey]*list.Element{}, recent: list.New()}
@@ -54,10 +65,14 @@
 	}
 	if element := at.parts[key]; element != nil {
 		at.recent.MoveToFront(element)
-		element.Value = heldPart{key: key, tokens: element.Value.(heldPart).tokens, noted: now}
+		part := element.Value.(heldPart)
+		if !part.confirmed.IsZero() {
+			part.confirmed = now
+			element.Value = part
+		}
 		return
 	}
-	at.parts[key] = at.recent.PushFront(heldPart{key: key, tokens: tokens, noted: now})
+	at.parts[key] = at.recent.PushFront(heldPart{key: key, tokens: tokens})
 	at.tokens += tokens
 	for capacity > 0 && at.tokens > capacity || len(at.parts) > maxHeldParts {
 		at.drop(at.recent.Back())
@@ -86,14 +101,15 @@
 	return at != nil && at.parts[key] != nil
 }
 
-// HeldSince reports whether a server is believed to keep a part that was made or
-// used at the given time or later.
+// HeldSince reports whether a server told that it keeps a part, and the part was
+// made or used at the given time or later.
 func (h *Holdings) HeldSince(id fleet.ServerID, key PartKey, since time.Time) bool {
 	at := h.places[id]
 	if at == nil || at.parts[key] == nil {
 		return false
 	}
-	return !at.parts[key].Value.(heldPart).noted.Before(since)
+	confirmed := at.parts[key].Value.(heldPart).confirmed
+	return !confirmed.IsZero() && !confirmed.Before(since)
 }
 
 // Tokens returns the tokens that a server is believed to keep.
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -37,10 +37,6 @@
 	// behindShare is the part of the worth that a call loses on weights that
 	// are to be replaced.
 	behindShare = 0.2
-	// spareTokens is the length of a part from which a source is named even when
-	// the server is believed to hold it. Shorter ones would wait for the link
-	// longer than they take to compute.
-	spareTokens = 2048
 	// freshPart is how long after its last use an engine is trusted to still hold
 	// a part.
 	freshPart = 3 * time.Second
@@ -147,7 +143,7 @@
 		part := query.Parts[next]
 		key := PartKey{Salt: salt, ID: part.ID}
 		if next < held {
-			list[next] = c.spare(now, view, key, part)
+			list[next] = c.spare(now, view, key)
 			continue
 		}
 		from, found := sourceOf(now, view, key, c.Server)
@@ -164,13 +160,9 @@
 	return tokens, price
 }
 
-// spare returns the source of a long part that the server is believed to hold,
-// or an empty text. The server may have evicted it; it fetches only what it
-// lacks.
-func (c *Choice) spare(now time.Time, view View, key PartKey, part request.Part) string {
-	if part.Tokens < spareTokens {
-		return ""
-	}
+// spare returns the source of a part that the server is believed to hold, or an
+// empty text. The server may have evicted it; it fetches only what it lacks.
+func (c *Choice) spare(now time.Time, view View, key PartKey) string {
 	from, _ := storeOf(now, view, key, c.Server)
 	c.limitFetch(from.until)
 	return from.address
