calls: failures of a server are repeated for idempotent calls; short waits for connections

Change: the response of a failed idempotent call is kept while another server is tried; a call waits a quarter of its time for a connection.

--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -137,6 +137,11 @@
 	}
 	switch m.Outcome {
 	case Succeeded:
+		if s.repeatsFaulty(now, a, m) {
+			s.fireAttempt(a, "fail", now)
+			s.attemptFailed(now, a, "attempt_failed", code.New(code.BackendLost, "the backend server failed"))
+			break
+		}
 		s.answered(now, a)
 	case DialFailed:
 		s.fireAttempt(a, a.attempt.dialEvent(), now)
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -22,6 +22,12 @@
 	// which another server gets it. It is twice the slowest target of today's
 	// routes.
 	headerWait = 2 * time.Second
+	// dialShare is the part of its time that a call waits for a connection: a
+	// lost opening packet is sent again only after a second.
+	dialShare = 4
+	// minDial is the least wait for a connection, some round trips between
+	// failure domains.
+	minDial = 100 * time.Millisecond
 	// lowestPriority is the least urgent priority that servers know.
 	lowestPriority = 9
 )
@@ -145,6 +151,12 @@
 	return a.dispatches < a.route.MaxAttempts && s.mayResend(a, now)
 }
 
+// repeatsFaulty reports whether a call whose response is a failure of the server
+// goes to another server.
+func (s *State) repeatsFaulty(now time.Time, a *active, m AttemptDone) bool {
+	return m.Faulty && a.Call != nil && a.route.Kind == config.Idempotent && s.mayRepeat(a, now)
+}
+
 // spendRepeat is the action of every attempt that adds to the arrivals at a
 // service.
 func (s *State) spendRepeat(a *active, now time.Time) {
