peers: nodes of a failure domain tell each other their prompt work

Change: changed prompt work is sent to the peers of the own domain over jsonrpc2, at most every tick, and counts in the expected queue.

--- a/core/control/capacity_bench_test.go
+++ b/core/control/capacity_bench_test.go
@@ -190,9 +190,9 @@
 		fillQuarantine(list, count)
 		quarantined := heap()
 		members := membership.NewTable(benchMember(0))
-		addresses := map[string]string{}
+		addresses := map[string]membership.Place{}
 		for i := range benchMembers {
-			addresses[benchMember(i)] = benchMember(i)
+			addresses[benchMember(i)] = membership.Place{Address: benchMember(i)}
 		}
 		members.SetMembers(addresses, func() chart.Instance { return chart.Instance{} })
 		peers := heap()
--- a/core/control/fleetmessage.go
+++ b/core/control/fleetmessage.go
@@ -169,6 +169,8 @@
 	case AskDigest:
 		s.peerDigest(now, PeerDigest{Digest: m.Digest})
 		s.reply(m.ID, DigestAnswer{Digest: s.answer(now, m.Digest)})
+	case PeerWork:
+		s.peerWork(now, m)
 	case AskConfig:
 		s.reply(m.ID, ConfigAnswer{Current: s.configuration.current})
 	case OrderMessage:
@@ -190,5 +192,6 @@
 	s.expirePeers(now)
 	s.tickSession(now)
 	s.tickDigests(now)
+	s.tickWork(now)
 	s.tickReads(now)
 }
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -28,6 +28,9 @@
 	// minDial is the least wait for a connection, some round trips between
 	// failure domains.
 	minDial = 100 * time.Millisecond
+	// maxDial is the longest wait for a connection of a call with a long
+	// deadline.
+	maxDial = 250 * time.Millisecond
 	// lowestPriority is the least urgent priority that servers know.
 	lowestPriority = 9
 )
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -34,13 +34,13 @@
 // noteMembers takes the member list from the VM list: the entry VMs,
 // including those that leave, since they still serve.
 func (s *State) noteMembers(now time.Time, m VMList) {
-	addresses := map[string]string{}
+	places := map[string]membership.Place{}
 	for _, vm := range m.VMs {
 		if vm.Role == fleet.RoleEntry {
-			addresses[vm.ID] = vm.PeerAddress
+			places[vm.ID] = membership.Place{Address: vm.PeerAddress, Domain: string(vm.Domain)}
 		}
 	}
-	s.members.SetMembers(addresses, func() chart.Instance { return s.charts.peer.Start(now) })
+	s.members.SetMembers(places, func() chart.Instance { return s.charts.peer.Start(now) })
 }
 
 // stateForPeers returns the state of the node, with one name for all states in
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -200,7 +200,7 @@
 		Forward:       s.forwarding(now, a),
 	}
 	if a.Call != nil {
-		d.DialTimeout = min(d.DialTimeout, max(a.Deadline.Sub(now)/dialShare, minDial))
+		d.DialTimeout = max(min(a.Deadline.Sub(now)/dialShare, maxDial), minDial)
 		d.HeaderTimeout = s.headerWaitOf(now, a)
 		d.GapTimeout = s.gapWaitOf(now, a)
 	}
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -37,7 +37,8 @@
 // Backlog estimates the prompt tokens that the server has not computed yet.
 func (s *Server) Backlog(now time.Time) float64 {
 	others := max(s.Load.PrefillTokens-s.OwnAtReport, 0)
-	return float64(s.PrefillTokens) + float64(others)*freshness(now.Sub(s.Load.ReportedAt))
+	own := float64(s.PrefillTokens + s.PeerTokens(now))
+	return own + float64(others)*freshness(now.Sub(s.Load.ReportedAt))
 }
 
 // Requests estimates the number of requests that the server has.
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -87,4 +87,8 @@
 	// MissingUntil is when a server that the list lacks counts as gone, or zero.
 	MissingUntil time.Time
 	Chart        chart.Instance
+	// peers holds what peers told of their prompt work, told what this node
+	// told.
+	peers map[string]peerWork
+	told  toldWork
 }
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -18,7 +18,9 @@
 type Peer struct {
 	ID      string
 	Address string
-	Chart   chart.Instance
+	// Domain is the failure domain of the peer, or empty when it is not known.
+	Domain string
+	Chart  chart.Instance
 	// Incarnation grows with each start of the peer's process.
 	Incarnation uint64
 	// Version is the configuration that the peer has in force.
@@ -49,19 +51,25 @@
 	return &Table{self: self, lists: map[uint32][]string{}, peers: map[string]*Peer{}}
 }
 
-// SetMembers takes over the member list with the peers' addresses. Start
-// returns the position of a new peer.
-func (t *Table) SetMembers(addresses map[string]string, start func() chart.Instance) {
+// Place is where a member is found.
+type Place struct {
+	Address string
+	Domain  string
+}
+
+// SetMembers takes over the member list with the peers' places. Start returns
+// the position of a new peer.
+func (t *Table) SetMembers(places map[string]Place, start func() chart.Instance) {
 	t.order = t.order[:0:0]
-	for id, address := range addresses {
+	for id, place := range places {
 		t.order = append(t.order, id)
 		if id != t.self {
-			t.keep(id, address, start)
+			t.keep(id, place, start)
 		}
 	}
 	sort.Strings(t.order)
 	for id := range t.peers {
-		if _, listed := addresses[id]; !listed {
+		if _, listed := places[id]; !listed {
 			delete(t.peers, id)
 		}
 	}
@@ -69,13 +77,14 @@
 	t.remember()
 }
 
-func (t *Table) keep(id, address string, start func() chart.Instance) {
+func (t *Table) keep(id string, place Place, start func() chart.Instance) {
 	peer, known := t.peers[id]
 	if !known {
 		peer = &Peer{ID: id, Chart: start()}
 		t.peers[id] = peer
 	}
-	peer.Address = address
+	peer.Address = place.Address
+	peer.Domain = place.Domain
 }
 
 func (t *Table) remember() {
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -35,6 +35,11 @@
 	retryInterval = time.Second
 	// commandQueue bounds the commands that wait for one agent.
 	commandQueue = 16
+	// workQueue bounds the messages about prompt work that wait.
+	workQueue = 64
+	// workWorkers is the number of messages about prompt work that are sent at
+	// a time.
+	workWorkers = 4
 	// peerWorkers is the number of peer calls that run at a time.
 	peerWorkers = 12
 )
@@ -59,6 +64,8 @@
 	// its peers. The latter is empty when peers learn it from the VM list.
 	Address     string
 	PeerAddress string
+	// Domain is published with PeerAddress.
+	Domain string
 }
 
 // Agents are the agents of one node.
@@ -67,6 +74,7 @@
 	reads    chan control.Command
 	sessions chan control.SessionCommand
 	peers    chan control.Command
+	work     chan control.SendWork
 	// parsed caches the rules that were parsed last.
 	parsed atomic.Pointer[parsed]
 	// quarantined holds the fingerprints that are to be stored.
@@ -87,6 +95,7 @@
 		reads:    make(chan control.Command, commandQueue),
 		sessions: make(chan control.SessionCommand, commandQueue),
 		peers:    make(chan control.Command, commandQueue),
+		work:     make(chan control.SendWork, workQueue),
 
 		quarantined:    make(chan quarantine.Entry, quarantineQueue),
 		quarantineRead: make(chan struct{}),
@@ -102,6 +111,9 @@
 	for range peerWorkers {
 		tasks = append(tasks, a.runPeers)
 	}
+	for range workWorkers {
+		tasks = append(tasks, a.runWork)
+	}
 	done := make(chan struct{})
 	for _, task := range tasks {
 		go func() {
@@ -127,6 +139,10 @@
 		for _, target := range c.Targets {
 			worker.Offer(a.options.Logger, a.peers, control.Command(control.SendDigest{Targets: []control.PeerTarget{target}, Digest: c.Digest}))
 		}
+	case control.SendWork:
+		for _, target := range c.Targets {
+			worker.Offer(a.options.Logger, a.work, control.SendWork{Targets: []control.PeerTarget{target}, Node: c.Node, Work: c.Work})
+		}
 	case control.FetchConfig:
 		worker.Offer(a.options.Logger, a.peers, command)
 	case control.PublishQuarantine:
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -56,3 +56,19 @@
 func (a *Agents) peerFailed(target control.PeerTarget, err *code.Error) {
 	eventlog.Write(a.options.Logger, event.PeerFailed, err, "peer", target.Node, "code", int(err.Code))
 }
+
+// runWork tells peers the prompt work of this node. A message that fails is not
+// repeated, because the next one replaces it.
+func (a *Agents) runWork(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-a.work:
+			target := command.Targets[0]
+			if err := a.options.Peers.Work(ctx, target.Address, command.Node, command.Work); err != nil {
+				a.peerFailed(target, err)
+			}
+		}
+	}
+}
--- a/node/agent/session.go
+++ b/node/agent/session.go
@@ -59,7 +59,7 @@
 // writeSession replaces the entry of this node, also one that an earlier
 // process on the VM left behind.
 func (a *Agents) writeSession(ctx context.Context, command control.SessionCommand) *code.Error {
-	data, err := json.Marshal(confkv.NewSession(command.Entry, a.options.Address, a.options.PeerAddress))
+	data, err := json.Marshal(confkv.NewSession(command.Entry, a.options.Address, a.options.PeerAddress, a.options.Domain))
 	if err != nil {
 		return code.Wrap(code.Internal, "the session entry cannot be encoded", err)
 	}
--- a/node/confkv/confkv.go
+++ b/node/confkv/confkv.go
@@ -113,15 +113,16 @@
 	State       string            `json:"state"`
 	Address     string            `json:"address,omitempty"`
 	PeerAddress string            `json:"peer,omitempty"`
+	Domain      string            `json:"domain,omitempty"`
 	Relayed     map[string]uint64 `json:"relayed,omitempty"`
 }
 
 // NewSession returns the stored form of a session entry with the addresses at
-// which the node serves callers and peers.
-func NewSession(e control.SessionEntry, address, peerAddress string) Session {
+// which the node serves callers and peers, and its failure domain.
+func NewSession(e control.SessionEntry, address, peerAddress, domain string) Session {
 	s := Session{
 		Node: e.Node, Incarnation: e.Incarnation, Version: uint64(e.Version), State: e.State,
-		Address: address, PeerAddress: peerAddress,
+		Address: address, PeerAddress: peerAddress, Domain: domain,
 	}
 	for node, version := range e.Relayed {
 		if s.Relayed == nil {
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -13,6 +13,7 @@
 
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
+	"tanagerspread/core/control"
 	"tanagerspread/core/membership"
 )
 
@@ -63,6 +64,22 @@
 	return fromWire(wire), nil
 }
 
+// Work tells a peer the prompt work of this node, without an answer. It returns
+// code.PeerAway when no connection could be opened.
+func (c *Client) Work(ctx context.Context, address, node string, work []control.ServerWork) *code.Error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := c.connection(ctx, address)
+	if err != nil {
+		return code.Wrap(code.PeerAway, "no connection to the peer could be opened", err)
+	}
+	if err := conn.Notify(ctx, methodWork, workToWire(node, work)); err != nil {
+		c.drop(address, conn)
+		return code.Wrap(code.PeerAway, "the peer did not take the message", err)
+	}
+	return nil
+}
+
 // Ping checks a connection and replaces a silent one. It returns
 // code.PeerAway when a new connection does not answer either.
 func (c *Client) Ping(ctx context.Context, address string) *code.Error {
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -79,6 +79,8 @@
 		return struct{}{}, nil
 	case methodDigest:
 		return s.digest(ctx, r)
+	case methodWork:
+		return s.work(r)
 	case methodConfig:
 		return s.config(ctx)
 	}
@@ -101,6 +103,16 @@
 	return toWire(answer.Digest), nil
 }
 
+func (s *Server) work(r *jsonrpc2.Request) (any, error) {
+	var wire workWire
+	if r.Params == nil || json.Unmarshal(*r.Params, &wire) != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed work"}
+	}
+	// A message that finds the queue full is replaced by the next one.
+	s.control.Tell(workFromWire(wire))
+	return struct{}{}, nil
+}
+
 func (s *Server) config(ctx context.Context) (any, error) {
 	decision, err := s.ask(ctx, control.AskConfig{ID: newID()})
 	if err != nil {
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/core/fleet"
 	"tanagerspread/core/membership"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/node/confkv"
@@ -16,6 +18,7 @@
 	methodDigest = "peer.digest"
 	methodConfig = "peer.config"
 	methodPing   = "peer.ping"
+	methodWork   = "peer.work"
 )
 
 // maxItemBytes bounds one string in a list of a digest.
@@ -44,6 +47,35 @@
 	AgeMS   int64  `json:"a"`
 }
 
+// workWire is the encoded form of a node's prompt work.
+type workWire struct {
+	Node    string   `json:"n"`
+	Servers []string `json:"s"`
+	Prefill []int    `json:"p"`
+}
+
+// maxWork bounds the servers of one message.
+const maxWork = 1024
+
+func workToWire(node string, work []control.ServerWork) workWire {
+	w := workWire{Node: node}
+	for _, one := range work[:min(len(work), maxWork)] {
+		w.Servers = append(w.Servers, string(one.Server))
+		w.Prefill = append(w.Prefill, one.Prefill)
+	}
+	return w
+}
+
+// workFromWire returns the typed message. Servers over the bound or without a
+// number are dropped.
+func workFromWire(w workWire) control.PeerWork {
+	m := control.PeerWork{Node: w.Node}
+	for i := range min(len(w.Servers), len(w.Prefill), maxWork) {
+		m.Work = append(m.Work, control.ServerWork{Server: fleet.ServerID(w.Servers[i]), Prefill: w.Prefill[i]})
+	}
+	return m
+}
+
 type configWire struct {
 	Document confkv.Document `json:"document"`
 }
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -137,6 +137,7 @@
 	}
 	r.nodes[change.Entry.Key] = control.VM{
 		ID: session.Node, Address: session.Address, Role: fleet.RoleEntry, PeerAddress: session.PeerAddress,
+		Domain: fleet.Domain(session.Domain),
 	}
 }
 
--- a/node/runtime/fleet.go
+++ b/node/runtime/fleet.go
@@ -68,6 +68,7 @@
 		Address: options.Listener.Addr().String(),
 
 		PeerAddress: f.PeerAddress,
+		Domain:      string(options.Control.Domain),
 	})
 	if f.Registry != nil {
 		follow := *f.Registry
