registry: turns to read all entries; news of versions and leaving servers at once

Entries carry their revision, so that a read and a watch may overtake each other. Ruled out: the watch was not cut; it ended with status 410 five seconds later.

--- a/core/control/config.go
+++ b/core/control/config.go
@@ -100,6 +100,7 @@
 	s.fireNode("configure", now)
 	if s.options.Unfenced {
 		s.fireNode("confirm", now)
+		s.spread(now, nil)
 	}
 	s.command(ConfigInForce{Version: s.version, Author: current.Author})
 	s.assignQueued(now)
--- a/core/control/fleetmessage.go
+++ b/core/control/fleetmessage.go
@@ -193,5 +193,7 @@
 	s.tickSession(now)
 	s.tickDigests(now)
 	s.tickWork(now)
+	s.tickRefresh(now)
+	s.tickLeaving(now)
 	s.tickReads(now)
 }
--- a/core/control/leaving.go
+++ b/core/control/leaving.go
@@ -21,6 +21,24 @@
 	}
 }
 
+// spreadLeaving tells peers of a server that the list shows as leaving, since
+// their own lists may be behind.
+func (s *State) spreadLeaving(server *fleet.Server, now time.Time) {
+	if !s.options.Forwarding || server.ListedLeaving || !server.SaidAt.IsZero() {
+		return
+	}
+	server.SaidAt = now
+	s.leavingNews = true
+}
+
+// tickLeaving sends the news of leaving servers at once.
+func (s *State) tickLeaving(now time.Time) {
+	if s.leavingNews {
+		s.leavingNews = false
+		s.spread(now, nil)
+	}
+}
+
 // peerWords takes over what a peer heard from leaving servers.
 func (s *State) peerWords(now, asked time.Time, words []membership.Leaving) {
 	for _, word := range words {
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -75,6 +75,7 @@
 	server.Places = vm.Places
 	server.Born = vm.Born
 	if vm.Leaving {
+		s.spreadLeaving(server, now)
 		server.ListedLeaving = true
 		s.fireServer(server, "leave", now)
 	} else if server.ListedLeaving {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -92,6 +92,10 @@
 	caches    map[string]*fleet.CacheStore
 	cacheList []*fleet.CacheStore
 	followed  []CacheTarget
+	// leavingNews is true when peers are to be told of a leaving server.
+	leavingNews bool
+	// refreshed is the last slot in which the turn to read was checked.
+	refreshed int64
 	// lanes divides the engines between short and long calls.
 	lanes      placement.Lanes
 	placements uint64
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -53,6 +53,7 @@
 		changes, revision, err := a.options.Service.Watch(watchContext, a.options.Source.Key, after)
 		cancel()
 		if err != nil {
+			a.failed("watch configuration", err)
 			return err
 		}
 		if len(changes) == 0 {
@@ -66,6 +67,11 @@
 	return nil
 }
 
+// ConfigRead takes a configuration that another reader of the service found.
+func (a *Agents) ConfigRead(entry kv.Entry, asked time.Time) {
+	a.changeSeen(kv.Change{Entry: entry}, asked)
+}
+
 func (a *Agents) changeSeen(change kv.Change, began time.Time) {
 	if change.Deleted || change.Entry.Key != a.options.Source.Key {
 		return
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -179,6 +179,7 @@
 			Registry: &registry.Options{
 				ServerPrefix:  platform.PrefixServers,
 				WeightsPrefix: platform.PrefixWeights,
+				ConfigKey:     platform.KeyConfig,
 				DecodeServer:  platform.DecodeServer,
 				DecodeWeights: platform.DecodeWeights,
 				Seeds:         s.Seeds,
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -16,10 +16,6 @@
 type follower struct {
 	registry *Registry
 	prefix   string
-	// apply takes over one change and reset drops all entries; both run under
-	// the lock of the registry.
-	apply func(change kv.Change)
-	reset func()
 	// outage is true when the end of an outage is reported with the entries.
 	outage bool
 	// lost is true while the service does not answer.
@@ -35,7 +31,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil && err.Code == code.HistoryGone {
+		if err.Code == code.HistoryGone {
 			continue
 		}
 		f.noteLost(err)
@@ -54,13 +50,9 @@
 		return 0, err
 	}
 	f.noteRegained()
-	f.registry.mu.Lock()
-	f.reset()
-	for _, entry := range entries {
-		f.apply(kv.Change{Entry: entry})
+	if f.registry.replace(f.prefix, entries, revision) {
+		f.registry.report()
 	}
-	f.registry.mu.Unlock()
-	f.registry.report()
 	return revision, nil
 }
 
@@ -72,20 +64,24 @@
 			return err
 		}
 		after = revision
-		if len(changes) == 0 {
-			continue
+		if f.applyAll(changes) {
+			f.registry.report()
 		}
-		f.registry.mu.Lock()
-		for _, change := range changes {
-			f.apply(change)
-		}
-		f.registry.mu.Unlock()
-		f.registry.report()
 	}
 }
 
+func (f *follower) applyAll(changes []kv.Change) bool {
+	f.registry.mu.Lock()
+	defer f.registry.mu.Unlock()
+	changed := false
+	for _, change := range changes {
+		changed = f.registry.apply(change) || changed
+	}
+	return changed
+}
+
 func (f *follower) noteLost(err *code.Error) {
-	if f.lost || err == nil {
+	if f.lost {
 		return
 	}
 	f.lost = true
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,14 +36,18 @@
 	Control worker.Teller
 	Service kv.Service
 	Logger  logr.Logger
-	// ServerPrefix and WeightsPrefix are where the entries are.
+	// ServerPrefix and WeightsPrefix are where the entries are, ConfigKey is
+	// where the configuration is.
 	ServerPrefix  string
 	WeightsPrefix string
+	ConfigKey     string
 	// DecodeServer returns the server of an entry, or code.EntryInvalid.
 	DecodeServer func(key string, value []byte) (control.VM, *code.Error)
 	// DecodeWeights returns the named weights of an entry, or
 	// code.EntryInvalid.
 	DecodeWeights func(value []byte) (control.WeightsNamed, *code.Error)
+	// ConfigRead takes a configuration that a read of all entries found.
+	ConfigRead func(entry kv.Entry, asked time.Time)
 	// Seeds are the addresses of peers that may be asked before the entries of
 	// the nodes are known.
 	Seeds []string
@@ -51,10 +56,12 @@
 // Registry follows the entries.
 type Registry struct {
 	options Options
+	refresh chan struct{}
 	// mu guards the entries, which several watches fill.
 	mu       sync.Mutex
 	servers  map[string]control.VM
 	nodes    map[string]control.VM
+	versions versions
 	regained time.Time
 	// holder is the node that was last seen to hold the key of the issuer.
 	holder string
@@ -67,8 +74,10 @@
 func New(options Options) *Registry {
 	return &Registry{
 		options:  options,
+		refresh:  make(chan struct{}, 1),
 		servers:  map[string]control.VM{},
 		nodes:    map[string]control.VM{},
+		versions: versions{},
 		rejected: map[string]kv.Revision{},
 	}
 }
@@ -77,18 +86,96 @@
 func (r *Registry) Run(ctx context.Context) {
 	r.report()
 	followers := []follower{
-		{registry: r, prefix: r.options.ServerPrefix, apply: r.applyServer, reset: func() { clear(r.servers) }, outage: true},
-		{registry: r, prefix: confkv.PrefixNodes, apply: r.applyNode, reset: func() { clear(r.nodes) }},
-		{registry: r, prefix: orders.KeyIssuer, apply: r.applyIssuer, reset: r.resetIssuer},
-		{registry: r, prefix: r.options.WeightsPrefix, apply: r.applyWeights, reset: func() {}},
+		{registry: r, prefix: r.options.ServerPrefix, outage: true},
+		{registry: r, prefix: confkv.PrefixNodes},
+		{registry: r, prefix: orders.KeyIssuer},
+		{registry: r, prefix: r.options.WeightsPrefix},
 	}
 	var group sync.WaitGroup
 	for i := range followers {
 		group.Go(func() { followers[i].run(ctx) })
 	}
+	group.Go(func() { r.runRefresh(ctx) })
 	group.Wait()
 }
 
+// Refresh reads all entries once, beside the watches. It does not block.
+func (r *Registry) Refresh() {
+	select {
+	case r.refresh <- struct{}{}:
+	default:
+		// A read is already due.
+	}
+}
+
+func (r *Registry) runRefresh(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.refresh:
+			r.readAll(ctx)
+		}
+	}
+}
+
+// readAll reads all entries. A failure is left to the watches to report.
+func (r *Registry) readAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := time.Now()
+	entries, at, err := r.options.Service.List(ctx, "")
+	if err != nil {
+		eventlog.Write(r.options.Logger, event.ServiceCallFailed, err, "call", "read all entries", "code", int(err.Code))
+		return
+	}
+	if r.replace("", entries, at) {
+		r.report()
+	}
+	for _, entry := range entries {
+		if entry.Key == r.options.ConfigKey {
+			r.options.ConfigRead(entry, asked)
+		}
+	}
+}
+
+// replace takes over all entries under a prefix as they were at a revision,
+// and reports whether any differs from what is known.
+func (r *Registry) replace(prefix string, entries []kv.Entry, at kv.Revision) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	listed := map[string]bool{}
+	for _, entry := range entries {
+		listed[entry.Key] = true
+		changed = r.apply(kv.Change{Entry: entry}) || changed
+	}
+	for _, key := range r.versions.missing(prefix, listed, at) {
+		changed = r.apply(kv.Change{Entry: kv.Entry{Key: key, Revision: at}, Deleted: true}) || changed
+	}
+	return changed
+}
+
+// apply takes over one change and reports whether it is newer than what is
+// known of its key. The lock is held.
+func (r *Registry) apply(change kv.Change) bool {
+	if !r.versions.newer(change) {
+		return false
+	}
+	key := change.Entry.Key
+	switch {
+	case strings.HasPrefix(key, r.options.ServerPrefix):
+		r.applyServer(change)
+	case strings.HasPrefix(key, confkv.PrefixNodes):
+		r.applyNode(change)
+	case strings.HasPrefix(key, r.options.WeightsPrefix):
+		r.applyWeights(change)
+	case key == orders.KeyIssuer:
+		r.applyIssuer(change)
+	}
+	return true
+}
+
 // report tells the control thread all known servers and nodes.
 func (r *Registry) report() {
 	r.mu.Lock()
@@ -112,13 +199,12 @@
 }
 
 func (r *Registry) applyServer(change kv.Change) {
+	delete(r.servers, change.Entry.Key)
 	if change.Deleted {
-		delete(r.servers, change.Entry.Key)
 		return
 	}
 	vm, err := r.options.DecodeServer(change.Entry.Key, change.Entry.Value)
 	if err != nil {
-		delete(r.servers, change.Entry.Key)
 		r.reject(change.Entry, err)
 		return
 	}
@@ -126,8 +212,8 @@
 }
 
 func (r *Registry) applyNode(change kv.Change) {
+	delete(r.nodes, change.Entry.Key)
 	if change.Deleted {
-		delete(r.nodes, change.Entry.Key)
 		return
 	}
 	var session confkv.Session
@@ -158,16 +244,8 @@
 	if !change.Deleted {
 		r.holder = orders.HolderOf(change.Entry)
 	}
-	r.tellIssuer(!change.Deleted)
-}
-
-// resetIssuer reports that the key is free, before a list that may show it.
-func (r *Registry) resetIssuer() {
-	r.tellIssuer(false)
-}
-
-func (r *Registry) tellIssuer(held bool) {
-	worker.Tell(r.options.Control, r.options.Logger, control.Message(control.IssuerSeen{Held: held, Node: r.holder}))
+	seen := control.IssuerSeen{Held: !change.Deleted, Node: r.holder}
+	worker.Tell(r.options.Control, r.options.Logger, control.Message(seen))
 }
 
 func (r *Registry) reject(entry kv.Entry, err *code.Error) {
--- a/node/runtime/fleet.go
+++ b/node/runtime/fleet.go
@@ -7,6 +7,7 @@
 
 	"tanagerspread/client/kv"
 	"tanagerspread/client/vmlist"
+	corecontrol "tanagerspread/core/control"
 	"tanagerspread/node/agent"
 	"tanagerspread/node/confkv"
 	"tanagerspread/node/control"
@@ -75,6 +76,7 @@
 		follow.Control = loop
 		follow.Service = f.Service
 		follow.Logger = options.Logger
+		follow.ConfigRead = side.agents.ConfigRead
 		side.registry = registry.New(follow)
 	}
 	return side
@@ -105,3 +107,14 @@
 	}()
 	return done
 }
+
+// do hands a command to the registry or to its agent.
+func (s *fleetSide) do(command corecontrol.Command) {
+	if _, ok := command.(corecontrol.RefreshEntries); ok {
+		if s.registry != nil {
+			s.registry.Refresh()
+		}
+		return
+	}
+	s.agents.Do(command)
+}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -227,7 +227,7 @@
 		eventlog.Write(n.options.Logger, event.ConfigInForce, nil, "version", uint64(c.Version), "author", c.Author)
 	default:
 		if n.fleet != nil {
-			n.fleet.agents.Do(command)
+			n.fleet.do(command)
 		}
 	}
 }
