standin/deployed: store and servers of the users' machines; tests of the whole path

Change: small stand-ins with lost answers, deaf watches, dropped history, refusals, broken and crossed answers, hangs; tests in virtual time of forwarding, true outcomes, resumed streams, configuration, deaf watches, nodes that the store turns away, entries, weights and the planned stop.

--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -67,6 +67,9 @@
 	Reloads <-chan os.Signal
 	// Reread reads the settings file again.
 	Reread func() (*platform.Settings, []platform.Fault)
+	// Listen and Dial replace those of TCP in tests; nil means TCP.
+	Listen func(network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // deployed holds the listeners and clients of the process.
@@ -76,7 +79,7 @@
 	peers     net.Listener
 	operators net.Listener
 	store     *platform.Store
-	dialer    *net.Dialer
+	dial      func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // RunDeployed serves until the planned stop is complete. It returns
@@ -89,7 +92,7 @@
 	counters := metrics.New()
 	defer func() { _ = counters.Close() }()
 	logger := eventlog.New(options.Log, options.LogLevel)
-	d, err := open(options.Settings)
+	d, err := open(options)
 	if err != nil {
 		return err
 	}
@@ -112,11 +115,19 @@
 
 // open opens the listeners. The clients open connections on demand, so that a
 // node starts while the store is away.
-func open(s *platform.Settings) (*deployed, error) {
-	d := &deployed{dialer: &net.Dialer{
-		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveCount},
-	}}
+func open(options DeployedOptions) (*deployed, error) {
+	s := options.Settings
+	d := &deployed{dial: options.Dial}
+	if d.dial == nil {
+		d.dial = (&net.Dialer{
+			Timeout:         connectTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveCount},
+		}).DialContext
+	}
+	listen := options.Listen
+	if listen == nil {
+		listen = net.Listen
+	}
 	addresses := []struct {
 		name     string
 		address  string
@@ -128,13 +139,13 @@
 		{"operators", net.JoinHostPort(s.IP, strconv.Itoa(s.LastPort)), &d.operators},
 	}
 	for _, a := range addresses {
-		listener, err := net.Listen("tcp", a.address)
+		listener, err := listen("tcp", a.address)
 		if err != nil {
 			return nil, fmt.Errorf("listen for %s: %w", a.name, err)
 		}
 		*a.listener = listener
 	}
-	d.store = platform.NewStore(wire.Options{Address: s.Store, Dial: d.dialer.DialContext, Timeout: storeTimeout})
+	d.store = platform.NewStore(wire.Options{Address: s.Store, Dial: d.dial, Timeout: storeTimeout})
 	return d, nil
 }
 
@@ -158,23 +169,23 @@
 		},
 		Listener:     d.callers,
 		Readiness:    d.readiness,
-		Dial:         d.dialer.DialContext,
+		Dial:         d.dial,
 		KeyValue:     d.store,
 		OrderService: d.store,
-		Engines:      platform.Engines{Dial: d.dialer.DialContext, Holder: s.Node},
+		Engines:      platform.Engines{Dial: d.dial, Holder: s.Node},
 		Logger:       logger,
 		Metrics:      counters,
 		MaxBodyBytes: maxBodyBytes,
 		Protocol:     platform.Protocol{},
 		Caches: func(address string) caches.Client {
-			return platform.NewCacheClient(address, d.dialer.DialContext)
+			return platform.NewCacheClient(address, d.dial)
 		},
 		Fleet: &runtime.Fleet{
 			Service:      d.store,
 			Parse:        platform.ParseRules,
 			Source:       confkv.Source{Key: platform.KeyConfig, Decode: platform.DecodeConfig},
 			PeerListener: d.peers,
-			PeerDial:     d.dialer.DialContext,
+			PeerDial:     d.dial,
 			PeerAddress:  s.Peers,
 			Registry: &registry.Options{
 				ServerPrefix:  platform.PrefixServers,
--- /dev/null
+++ b/node/process/deployed_site_test.go
@@ -0,0 +1,232 @@
+package process_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/core/event"
+	"tanagerspread/node/process"
+	"tanagerspread/platform"
+	"tanagerspread/standin/deployed"
+	"tanagerspread/standin/pipe"
+)
+
+const (
+	storeAddress = "10.0.0.1:1"
+	testHost     = "calls.example"
+	testKey      = "secret-key-marker"
+)
+
+// deployedSite is a store, some servers and some nodes in memory and virtual
+// time.
+type deployedSite struct {
+	t       *testing.T
+	network *pipe.Network
+	store   *deployed.Store
+	// plan tells the servers what to do.
+	plan    *deployed.Plan
+	version int
+	mu      sync.Mutex
+	// away holds the nodes that do not reach the store.
+	away map[string]bool
+	ends []func()
+}
+
+// runDeployed runs a test at a site whose configuration is not written yet.
+func runDeployed(t *testing.T, test func(*deployedSite)) {
+	synctest.Test(t, func(t *testing.T) {
+		site := &deployedSite{t: t, network: pipe.NewNetwork(), store: deployed.NewStore(), plan: &deployed.Plan{}, away: map[string]bool{}}
+		site.serve(storeAddress, site.store.Handler())
+		test(site)
+		for _, end := range site.ends {
+			end()
+		}
+	})
+}
+
+func (s *deployedSite) serve(address string, handler http.Handler) {
+	server := &http.Server{Handler: handler}
+	listener := s.network.Listen(address)
+	go func() { _ = server.Serve(listener) }()
+	s.ends = append(s.ends, func() { _ = server.Close() })
+}
+
+// route is one route of the test configuration.
+type route struct {
+	Name        string `json:"name"`
+	Host        string `json:"host"`
+	PathPrefix  string `json:"path_prefix"`
+	Kind        string `json:"kind"`
+	TimeoutMS   int    `json:"timeout_ms"`
+	TargetMS    int    `json:"target_latency_ms"`
+	Service     string `json:"service"`
+	MaxAttempts int    `json:"max_attempts"`
+	Resumable   bool   `json:"resumable"`
+}
+
+// configure writes the next version with all kinds of routes, and returns when
+// the store has acknowledged it.
+func (s *deployedSite) configure(keys ...string) {
+	s.version += 3
+	routes := []route{
+		{Name: "lookup", PathPrefix: "/lookup/", Kind: "idempotent", Service: "desk", MaxAttempts: 2},
+		{Name: "charge", PathPrefix: "/charge/", Kind: "non_idempotent", Service: "desk", MaxAttempts: 1},
+		{Name: "review", PathPrefix: "/review/", Kind: "streaming", Service: "models", MaxAttempts: 2, Resumable: true},
+		{Name: "caption", PathPrefix: "/caption/", Kind: "streaming", Service: "models", MaxAttempts: 1},
+	}
+	for i := range routes {
+		routes[i].Host, routes[i].TimeoutMS, routes[i].TargetMS = testHost, 5000, 500
+	}
+	s.store.Put("op/config", map[string]any{
+		"version": s.version, "routes": routes,
+		"services": []map[string]any{
+			{"name": "desk", "max_conns": 100},
+			{"name": "models", "max_conns": 100, "engine": map[string]any{"kv_capacity_tokens": 60000, "kv_token_bytes": 18432}},
+		},
+		"tenants": []map[string]any{{"name": "derwent", "api_keys": keys}},
+	})
+}
+
+// server starts a server and writes its entry.
+func (s *deployedSite) server(id string, events int) *deployed.Server {
+	server := deployed.NewServer(id, events)
+	server.Plan = s.plan
+	address := fmt.Sprintf("10.0.1.%d:1", len(s.ends))
+	s.serve(address, server.Handler())
+	s.store.Put("servers/"+id, entryOf(id, address, events, "ready"))
+	return server
+}
+
+func entryOf(id, address string, events int, state string) map[string]any {
+	entry := map[string]any{"service": "desk", "address": address, "zone": "a", "slots": 6, "state": state, "born": 1700000000000}
+	if events > 0 {
+		entry["service"] = "models"
+		entry["models"] = []map[string]any{{"name": "m", "version": 1}}
+	}
+	return entry
+}
+
+// deployedNode is one running node.
+type deployedNode struct {
+	site    *deployedSite
+	address string
+	ready   string
+	signals chan os.Signal
+	done    chan error
+	log     *lockedLog
+}
+
+// lockedLog keeps the log of a node.
+type lockedLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write appends to the log.
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// node starts a node. Seeds are the peer addresses of others.
+func (s *deployedSite) node(name string, seeds ...string) *deployedNode {
+	n := &deployedNode{
+		site: s, address: name + ":callers", ready: name + ":ready",
+		signals: make(chan os.Signal, 2), done: make(chan error, 1), log: &lockedLog{},
+	}
+	settings := &platform.Settings{
+		Node: name, Domain: "a", IP: name, Callers: n.address, Readiness: n.ready, Peers: name + ":peers", LastPort: 7715,
+		Seeds: seeds, Store: storeAddress, MemoryBytes: 1 << 30, LeaseTime: 3 * time.Second,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, WeightsTime: 12 * time.Second,
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	options := process.DeployedOptions{
+		Settings: settings, Log: n.log, LogLevel: event.LevelInfo, Signals: n.signals,
+		Reread: func() (*platform.Settings, []platform.Fault) { return settings, nil },
+		Listen: func(_, address string) (net.Listener, error) { return s.network.Listen(address), nil },
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if address == storeAddress && s.isAway(name) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return s.network.Dial(ctx, network, address)
+		},
+	}
+	go func() { n.done <- process.RunDeployed(ctx, options) }()
+	s.ends = append([]func(){func() {
+		cancel()
+		<-n.done
+	}}, s.ends...)
+	return n
+}
+
+func (s *deployedSite) setAway(node string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away[node] = away
+}
+
+func (s *deployedSite) isAway(node string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away[node]
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// broken is true when the response is not whole.
+	broken bool
+}
+
+// call sends one call with a key on a connection of its own.
+func (n *deployedNode) call(method, path string, header http.Header, body string) reply {
+	n.site.t.Helper()
+	transport := &http.Transport{DialContext: n.site.network.Dial, DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(n.site.t.Context(), method, "http://x"+path, strings.NewReader(body))
+	if err != nil {
+		n.site.t.Fatal(err)
+	}
+	transport.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return n.site.network.Dial(ctx, network, n.address)
+	}
+	request.Host = testHost
+	request.Header.Set("Request-Attempt-Id", "attempt-1")
+	request.Header.Set("Api-Key", testKey)
+	request.Header.Set("Deadline-Ms", "3000")
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), broken: err != nil}
+}
+
+// settle lets the nodes learn what the store holds.
+func settle() {
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
--- /dev/null
+++ b/node/process/deployed_test.go
@@ -0,0 +1,388 @@
+package process_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tanagerspread/standin/deployed"
+)
+
+// TestForwardedCall guards against a call that is changed on its way, a key
+// that is passed on, and headers of the system that a caller sets.
+func TestForwardedCall(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		server := s.server("i-1", 0)
+		s.configure(testKey)
+		n := s.node("n1")
+		settle()
+		got := n.call("POST", "/lookup/x%2Fy/?q=%20a", http.Header{
+			"X-Caller": {"kept"}, "Tenant": {"another"}, "Cache-Salt": {"stolen"}, "Hold": {"1"}, "Kv-From": {"1.2.3.4:5/6"},
+		}, "the body")
+		if got.status != http.StatusOK || got.body != "answer of i-1" || got.header.Get("Server-Seal") != "seal-i-1" {
+			t.Fatalf("got %+v", got)
+		}
+		received := server.Received()
+		if len(received) != 1 {
+			t.Fatalf("the server received %d calls", len(received))
+		}
+		r := received[0]
+		if r.Method != "POST" || r.URI != "/lookup/x%2Fy/?q=%20a" || r.Host != testHost || r.Body != "the body" {
+			t.Errorf("received %+v", r)
+		}
+		want := map[string]string{
+			"X-Caller": "kept", "Tenant": "derwent", "Expect-Instance": "i-1", "Request-Attempt-Id": "attempt-1",
+			"Api-Key": "", "Cache-Salt": "", "Hold": "", "Kv-From": "",
+		}
+		for name, value := range want {
+			if r.Header.Get(name) != value {
+				t.Errorf("header %s is %q, want %q", name, r.Header.Get(name), value)
+			}
+		}
+		if strings.Contains(n.log.String(), testKey) {
+			t.Error("the log shows the key")
+		}
+	})
+}
+
+// TestOutcomeIsTrue guards against a second run of a call that must not be
+// repeated, and against a promise of not having run that is false.
+func TestOutcomeIsTrue(t *testing.T) {
+	cases := []struct {
+		path string
+		does deployed.Behaviour
+		// status is the caller's status when the first server behaves so, runs
+		// the number of calls that servers get.
+		status, runs int
+	}{
+		{"/charge/", deployed.Shed, 200, 2},
+		{"/charge/", deployed.Break, 502, 1},
+		{"/charge/", deployed.Cross, 502, 1},
+		{"/charge/", deployed.Hang, 504, 1},
+		{"/charge/", deployed.Fault, 500, 1},
+		{"/charge/", deployed.Unframed, 200, 1},
+		{"/lookup/", deployed.Shed, 200, 2},
+		{"/lookup/", deployed.Break, 200, 2},
+		{"/lookup/", deployed.Cross, 200, 2},
+		{"/lookup/", deployed.Hang, 200, 2},
+		{"/lookup/", deployed.Fault, 200, 2},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%s %d", strings.Trim(c.path, "/"), c.does), func(t *testing.T) {
+			runDeployed(t, func(s *deployedSite) {
+				servers := []*deployed.Server{s.server("i-1", 0), s.server("i-2", 0)}
+				s.configure(testKey)
+				n := s.node("n1")
+				settle()
+				first := n.call("GET", "/lookup/", nil, "")
+				if first.status != http.StatusOK {
+					t.Fatalf("the first call got %+v", first)
+				}
+				before := runs(servers)
+				s.plan.Do(c.does)
+				got := n.call("POST", c.path, nil, "x")
+				if got.status != c.status || got.broken {
+					t.Errorf("got %+v, want status %d", got, c.status)
+				}
+				if made := runs(servers) - before; made != c.runs {
+					t.Errorf("%d calls reached a server, want %d", made, c.runs)
+				}
+			})
+		})
+	}
+}
+
+func runs(servers []*deployed.Server) int {
+	count := 0
+	for _, server := range servers {
+		count += len(server.Received())
+	}
+	return count
+}
+
+// TestStreamResumes guards against a resumed stream with a piece missing or
+// twice, and against a broken stream that looks complete.
+func TestStreamResumes(t *testing.T) {
+	const events = 5
+	for path, resumed := range map[string]bool{"/review/": true, "/caption/": false} {
+		runDeployed(t, func(s *deployedSite) {
+			servers := []*deployed.Server{s.server("i-1", events), s.server("i-2", events)}
+			for _, server := range servers {
+				server.BreakAfter = 2
+			}
+			s.configure(testKey)
+			n := s.node("n1")
+			settle()
+			s.plan.Do(deployed.Break)
+			got := n.call("POST", path, nil, "x")
+			if !resumed {
+				if !got.broken || runs(servers) != 1 {
+					t.Errorf("%s: got %+v after %d calls, want a broken response after one", path, got, runs(servers))
+				}
+				return
+			}
+			want := ""
+			for i := range events {
+				want += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i+1, i+1)
+			}
+			if got.broken || got.body != want {
+				t.Errorf("%s: got %q", path, got.body)
+			}
+			var last []string
+			for _, server := range servers {
+				for _, r := range server.Received() {
+					last = append(last, r.Header.Get("Last-Event-Id"))
+				}
+			}
+			slices.Sort(last)
+			if !slices.Equal(last, []string{"", "2"}) {
+				t.Errorf("%s: resumed behind %q", path, last)
+			}
+		})
+	}
+}
+
+// TestConfigurationFromStore guards against refusals that a node without a
+// configuration must not give, and against a revoked key that is still served.
+func TestConfigurationFromStore(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		s.server("i-1", 0)
+		n := s.node("n1")
+		settle()
+		if got := n.call("GET", "/nowhere/", nil, ""); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("without a configuration: %+v", got)
+		}
+		s.configure(testKey, "other")
+		settle()
+		for path, status := range map[string]int{"/lookup/": 200, "/nowhere/": 404} {
+			if got := n.call("GET", path, nil, ""); got.status != status {
+				t.Errorf("%s: got %d, want %d", path, got.status, status)
+			}
+		}
+		s.configure("other")
+		settle()
+		if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusUnauthorized {
+			t.Errorf("with a revoked key: %d", got.status)
+		}
+	})
+}
+
+// TestDeafWatch guards against a node that keeps an old configuration or a
+// leaving server while the watches of the store say nothing.
+func TestDeafWatch(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		server := s.server("i-1", 0)
+		s.server("i-2", 0)
+		s.configure(testKey, "other")
+		nodes := []*deployedNode{s.node("n1"), s.node("n2"), s.node("n3")}
+		settle()
+		settle()
+		s.store.SetDeaf(true)
+		s.store.Put("servers/i-1", entryOf("i-1", "10.0.1.1:1", 0, "draining"))
+		time.Sleep(1900 * time.Millisecond)
+		for _, n := range nodes {
+			for range 4 {
+				n.call("GET", "/lookup/", nil, "")
+			}
+		}
+		if got := len(server.Received()); got != 0 {
+			t.Errorf("the leaving server got %d calls", got)
+		}
+		s.configure("other")
+		time.Sleep(1900 * time.Millisecond)
+		for i, n := range nodes {
+			if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusUnauthorized {
+				t.Errorf("node %d: got %d with a revoked key", i+1, got.status)
+			}
+		}
+	})
+}
+
+// TestNodeTurnedAway guards against a node that the store turns away and that
+// does not learn from its peers, also when it starts so.
+func TestNodeTurnedAway(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		s.server("i-1", 0)
+		s.configure(testKey)
+		n1 := s.node("n1", "n2:peers")
+		n2 := s.node("n2", "n1:peers")
+		settle()
+		settle()
+		s.setAway("n2", true)
+		s.store.Fail(0)
+		s.configure("other")
+		time.Sleep(3 * time.Second)
+		for _, n := range []*deployedNode{n1, n2} {
+			if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusUnauthorized {
+				t.Errorf("%s: got %d with a revoked key", n.address, got.status)
+			}
+		}
+		s.setAway("n3", true)
+		n3 := s.node("n3", "n1:peers")
+		time.Sleep(3 * time.Second)
+		if got := n3.call("GET", "/nowhere/", nil, ""); got.status != http.StatusNotFound {
+			t.Errorf("a node that starts without the store: got %d", got.status)
+		}
+	})
+}
+
+// TestHistoryDropped guards against a node that does not list again when the
+// store has dropped the history of its watch.
+func TestHistoryDropped(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		s.server("i-1", 0)
+		s.configure(testKey, "other")
+		n := s.node("n1")
+		settle()
+		s.configure("other")
+		s.store.DropHistory()
+		settle()
+		settle()
+		if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusUnauthorized {
+			t.Errorf("with a revoked key: %d", got.status)
+		}
+	})
+}
+
+// TestServerEntries guards against work for servers that have left or that an
+// unusable entry names, and against servers that are forgotten during an outage
+// of the store.
+func TestServerEntries(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		first := s.server("i-1", 0)
+		s.server("i-2", 0)
+		s.store.PutBytes("servers/i-3", []byte("\xff not JSON"))
+		s.store.Put("servers/i-4", map[string]any{"service": "desk", "state": "odd", "address": 7})
+		s.configure(testKey)
+		n := s.node("n1")
+		settle()
+		serves := func() int {
+			ok := 0
+			for range 6 {
+				if n.call("GET", "/lookup/", nil, "").status == http.StatusOK {
+					ok++
+				}
+			}
+			return ok
+		}
+		if got := serves(); got != 6 {
+			t.Errorf("%d of 6 calls served beside unusable entries", got)
+		}
+		s.store.Remove("servers/i-1")
+		settle()
+		before := len(first.Received())
+		serves()
+		if got := len(first.Received()); got != before {
+			t.Error("a server whose entry is removed gets calls")
+		}
+		s.store.Fail(http.StatusServiceUnavailable)
+		time.Sleep(5 * time.Second)
+		if got := serves(); got != 6 {
+			t.Errorf("%d of 6 calls served during an outage of the store", got)
+		}
+	})
+}
+
+// TestMissingAfterOutage guards against a server that is taken as gone before
+// it had time to return after an outage, and against one that never is.
+func TestMissingAfterOutage(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		server := s.server("i-1", 0)
+		s.configure(testKey)
+		n := s.node("n1")
+		settle()
+		s.store.Fail(http.StatusServiceUnavailable)
+		time.Sleep(4 * time.Second)
+		s.store.Remove("servers/i-1")
+		s.store.Fail(0)
+		time.Sleep(1500 * time.Millisecond)
+		if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusOK {
+			t.Errorf("shortly after the outage: %+v", got)
+		}
+		time.Sleep(4 * time.Second)
+		before := len(server.Received())
+		n.call("GET", "/lookup/", nil, "")
+		if got := len(server.Received()); got != before {
+			t.Error("a server that did not return still gets calls")
+		}
+	})
+}
+
+// TestWeightsNamed guards against servers that keep old weights, orders from
+// two holders, and cached parts that are shared between versions.
+func TestWeightsNamed(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		var servers []*deployed.Server
+		for i := range 4 {
+			servers = append(servers, s.server(fmt.Sprintf("i-%d", i), 2))
+		}
+		s.configure(testKey)
+		nodes := []*deployedNode{s.node("n1"), s.node("n2"), s.node("n3")}
+		settle()
+		s.store.LoseWrites(1)
+		s.store.Put("op/version/m", map[string]any{"model": "m", "version": 2})
+		time.Sleep(12 * time.Second)
+		for i, server := range servers {
+			if version, orders := server.Weights(); version != 2 || orders != 1 {
+				t.Errorf("server %d has version %d after %d orders", i, version, orders)
+			}
+			address := fmt.Sprintf("10.0.1.%d:1", i+1)
+			entry := entryOf("", address, 2, "ready")
+			entry["models"] = []map[string]any{{"name": "m", "version": 2}}
+			s.store.Put(fmt.Sprintf("servers/i-%d", i), entry)
+		}
+		settle()
+		nodes[0].call("POST", "/review/", http.Header{"Prompt-Prefix": {"aa:3000,bb:10"}, "Token-Count": {"3010,20"}}, "x")
+		for _, server := range servers {
+			for _, r := range server.Received() {
+				if r.Header.Get("Expect-Version") != "2" || !strings.HasPrefix(r.Header.Get("Cache-Salt"), "w2/") {
+					t.Errorf("expects version %q with salt %q", r.Header.Get("Expect-Version"), r.Header.Get("Cache-Salt"))
+				}
+			}
+		}
+	})
+}
+
+// TestDeployedStop guards against a planned stop that breaks off a call, or that
+// stays ready.
+func TestDeployedStop(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		s.server("i-1", 0)
+		s.configure(testKey)
+		n := s.node("n1")
+		settle()
+		if got := readiness(n); got != http.StatusOK {
+			t.Errorf("readiness %d", got)
+		}
+		s.plan.Do(deployed.Hang)
+		ended := make(chan reply, 1)
+		go func() { ended <- n.call("POST", "/charge/", nil, "x") }()
+		synctest.Wait()
+		n.signals <- syscall.SIGTERM
+		time.Sleep(time.Second)
+		if got := readiness(n); got != http.StatusServiceUnavailable {
+			t.Errorf("readiness %d after the signal", got)
+		}
+		if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusOK {
+			t.Errorf("a call before the load balancer noticed: %+v", got)
+		}
+		if got := <-ended; got.status != http.StatusGatewayTimeout {
+			t.Errorf("the call in progress got %+v", got)
+		}
+		if err := <-n.done; err != nil {
+			t.Error(err)
+		}
+		n.done <- nil
+	})
+}
+
+func readiness(n *deployedNode) int {
+	check := *n
+	check.address = n.ready
+	return check.call("GET", "/readiness", nil, "").status
+}
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"tanagerspread/client/kv"
 	"tanagerspread/core/code"
@@ -16,8 +15,6 @@
 type follower struct {
 	registry *Registry
 	prefix   string
-	// outage is true when the end of an outage is reported with the entries.
-	outage bool
 	// lost is true while the service does not answer.
 	lost bool
 }
@@ -46,6 +43,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entries, revision, err := f.registry.options.Service.List(ctx, f.prefix)
+	f.registry.noteCall(err)
 	if err != nil {
 		return 0, err
 	}
@@ -85,19 +83,15 @@
 		return
 	}
 	f.lost = true
+	f.registry.noteCall(err)
 	eventlog.Write(f.registry.options.Logger, event.EntriesLost, err, "prefix", f.prefix, "code", int(err.Code))
 }
 
-// noteRegained records the end of an outage, before the first list after it.
+// noteRegained logs the end of an outage.
 func (f *follower) noteRegained() {
 	if !f.lost {
 		return
 	}
 	f.lost = false
-	if f.outage {
-		f.registry.mu.Lock()
-		f.registry.regained = time.Now()
-		f.registry.mu.Unlock()
-	}
 	eventlog.Write(f.registry.options.Logger, event.EntriesRegained, nil, "prefix", f.prefix)
 }
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -62,6 +62,9 @@
 	servers  map[string]control.VM
 	nodes    map[string]control.VM
 	versions versions
+	// away is true after a failed call, and regained is when a call succeeded
+	// after one.
+	away     bool
 	regained time.Time
 	// holder is the node that was last seen to hold the key of the issuer.
 	holder string
@@ -86,7 +89,7 @@
 func (r *Registry) Run(ctx context.Context) {
 	r.report()
 	followers := []follower{
-		{registry: r, prefix: r.options.ServerPrefix, outage: true},
+		{registry: r, prefix: r.options.ServerPrefix},
 		{registry: r, prefix: confkv.PrefixNodes},
 		{registry: r, prefix: orders.KeyIssuer},
 		{registry: r, prefix: r.options.WeightsPrefix},
@@ -125,6 +128,7 @@
 	defer cancel()
 	asked := time.Now()
 	entries, at, err := r.options.Service.List(ctx, "")
+	r.noteCall(err)
 	if err != nil {
 		eventlog.Write(r.options.Logger, event.ServiceCallFailed, err, "call", "read all entries", "code", int(err.Code))
 		return
@@ -139,6 +143,20 @@
 	}
 }
 
+// noteCall records whether the service is away. The end of an outage is noted
+// before the entries that the first good call returned are taken over.
+func (r *Registry) noteCall(err *code.Error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err != nil:
+		r.away = true
+	case r.away:
+		r.away = false
+		r.regained = time.Now()
+	}
+}
+
 // replace takes over all entries under a prefix as they were at a revision,
 // and reports whether any differs from what is known.
 func (r *Registry) replace(prefix string, entries []kv.Entry, at kv.Revision) bool {
--- /dev/null
+++ b/standin/deployed/server.go
@@ -0,0 +1,233 @@
+package deployed
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Request is what a server received.
+type Request struct {
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   string
+}
+
+// Behaviour is what a server does with a call. The zero value answers it.
+type Behaviour int
+
+// The behaviours of a server.
+const (
+	// Answer runs the call and answers it whole.
+	Answer Behaviour = iota
+	// Shed refuses the call and says that it did not run.
+	Shed
+	// Break runs the call and closes the connection in the middle of the
+	// answer, after BreakAfter events of a stream.
+	Break
+	// Cross answers with the identifier of another attempt.
+	Cross
+	// Hang runs the call and never answers.
+	Hang
+	// Fault runs the call and answers with a failure of its own.
+	Fault
+	// Unframed answers with a body that ends with the connection.
+	Unframed
+)
+
+// Plan tells servers what they do with their next calls, one after the other,
+// whichever of them gets the call. After them a server answers.
+type Plan struct {
+	mu   sync.Mutex
+	does []Behaviour
+}
+
+// Do sets what the servers do next.
+func (p *Plan) Do(behaviours ...Behaviour) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.does = behaviours
+}
+
+func (p *Plan) next() Behaviour {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.does) == 0 {
+		return Answer
+	}
+	does := p.does[0]
+	p.does = p.does[1:]
+	return does
+}
+
+// Server is one server of a service. Its methods may be called by any
+// goroutine.
+type Server struct {
+	// ID is the name of the incarnation, Events the events of a stream; 0 means
+	// a plain service.
+	ID     string
+	Events int
+	// BreakAfter is the number of events before a break.
+	BreakAfter int
+	// Plan may be shared by several servers.
+	Plan *Plan
+
+	mu       sync.Mutex
+	received []Request
+	weights  int
+	sequence uint64
+	fence    uint64
+	orders   int
+}
+
+// NewServer returns a server that answers.
+func NewServer(id string, events int) *Server {
+	return &Server{ID: id, Events: events, Plan: &Plan{}, weights: 1}
+}
+
+// Received returns the calls that reached the server.
+func (s *Server) Received() []Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Request(nil), s.received...)
+}
+
+// Weights returns the loaded version and the number of accepted orders.
+func (s *Server) Weights() (version, orders int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.weights, s.orders
+}
+
+// Handler returns the routes of the server.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", s.report)
+	mux.HandleFunc("POST /order", s.order)
+	mux.HandleFunc("GET /kv-events", func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(time.Second):
+			answer(w, map[string]any{"boot_epoch": 1, "next": 0, "events": [][]any{}})
+		}
+	})
+	mux.HandleFunc("/", s.call)
+	return mux
+}
+
+func (s *Server) next(r *http.Request) Behaviour {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received = append(s.received, Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body)})
+	return s.Plan.next()
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	does := s.next(r)
+	if expected := r.Header.Get("Expect-Instance"); expected != s.ID {
+		w.Header().Set("Instance-Id", s.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := r.Header.Get("Request-Attempt-Id")
+	switch does {
+	case Shed:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Cross:
+		id = "another"
+	case Hang:
+		<-r.Context().Done()
+		return
+	}
+	w.Header().Set("Request-Attempt-Id", id)
+	w.Header().Set("Server-Seal", "seal-"+s.ID)
+	switch {
+	case does == Fault:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case s.Events > 0:
+		s.stream(w, r, does)
+	default:
+		s.plain(w, does)
+	}
+}
+
+func (s *Server) plain(w http.ResponseWriter, does Behaviour) {
+	body := "answer of " + s.ID
+	switch does {
+	case Break:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+		_, _ = io.WriteString(w, body)
+		panic(http.ErrAbortHandler)
+	case Unframed:
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, does Behaviour) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		from = last + 1
+	}
+	controller := http.NewResponseController(w)
+	for i := from; i <= s.Events; i++ {
+		if does == Break && i > s.BreakAfter {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
+			_ = controller.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_ = controller.Flush()
+	}
+}
+
+func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer(w, map[string]any{
+		"stage": "both", "busy": false, "sequence": s.sequence,
+		"models": []map[string]any{{"name": "m", "version": s.weights, "adapters": []string{}}},
+	})
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var call struct {
+		Version      int    `json:"version"`
+		FencingToken uint64 `json:"fencing_token"`
+		Expected     uint64 `json:"expected"`
+	}
+	if json.NewDecoder(r.Body).Decode(&call) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case call.FencingToken < s.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	case call.Expected != s.sequence:
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.fence = call.FencingToken
+	s.sequence++
+	s.orders++
+	s.weights = call.Version
+	w.WriteHeader(http.StatusAccepted)
+}
