--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -25,7 +25,7 @@
 	}
 	s.orders.named[m.Model] = named{weights: m.Weights, at: now}
 	s.markBehind()
-	s.command(WeightsWanted{Model: m.Model, Weights: m.Weights})
+	s.command(WeightsWanted(m))
 	if s.rules != nil {
 		s.syncEngines(now)
 	}
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -171,7 +171,8 @@
 	go func() { n.done <- process.RunDeployed(ctx, options) }()
 	s.ends = append([]func(){func() {
 		cancel()
-		<-n.done
+		// The node ends with the error of its context.
+		_ = <-n.done
 	}}, s.ends...)
 	return n
 }
