calls: the last attempt waits until its deadline; old weights end before the limit

Change: a call that no other server may get waits until its deadline, others for 2.5 times the target; no call is sent to old weights in the last two seconds before the limit.

--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -18,10 +18,10 @@
 	maxSends = 6
 	// waitingCalls bounds the waiting calls of one route on a node.
 	waitingCalls = 200
-	// headerWait bounds the wait for the first part of a repeatable call, after
-	// which another server gets it. It is twice the slowest target of today's
-	// routes.
-	headerWait = 2 * time.Second
+	// headerWait is the least wait for the first part of a call before another
+	// server gets it, headerTargets the wait as a multiple of the route's target.
+	headerWait    = 2 * time.Second
+	headerTargets = 2.5
 	// dialShare is the part of its time that a call waits for a connection: a
 	// lost opening packet is sent again only after a second.
 	dialShare = 4
@@ -222,12 +222,12 @@
 	return f
 }
 
-// headerWaitOf bounds the wait for the response headers. A call that must not
-// be repeated waits until its deadline, because giving up gains nothing.
+// headerWaitOf bounds the wait for the response headers. A call that no other
+// server may get waits until its deadline, because giving up gains nothing.
 func (s *State) headerWaitOf(now time.Time, a *active) time.Duration {
 	left := a.Deadline.Sub(now)
-	if a.route.Repeatable() && a.route.MaxAttempts > 1 {
-		return min(left, max(headerWait, 2*a.route.Target))
+	if a.route.Repeatable() && a.dispatches+1 < a.route.MaxAttempts {
+		return min(left, max(headerWait, time.Duration(headerTargets*float64(a.route.Target))))
 	}
 	return left
 }
--- /dev/null
+++ b/core/control/forward_test.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/invariant"
+	"tanagerspread/core/placement"
+	"tanagerspread/core/request"
+	"tanagerspread/core/retry"
+)
+
+const testWeightsLimit = 11 * time.Second
+
+// forwardRules returns rules with one route of each kind.
+func forwardRules() *config.Rules {
+	route := func(name string, kind config.RouteKind, resumable bool, service string, attempts int) *config.Route {
+		return &config.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, Open: true,
+			Split: []config.Share{{Service: service, Weight: 1}}, Timeout: 10 * time.Second, Target: time.Second, MaxAttempts: attempts,
+		}
+	}
+	return &config.Rules{
+		Routes: config.NewRouteTable([]*config.Route{
+			route("lookup", config.Idempotent, false, "desk", 2),
+			route("charge", config.NonIdempotent, false, "desk", 1),
+			route("review", config.Streaming, true, "models", 2),
+		}),
+		Pools: map[string]config.Pool{
+			"desk":   {Connections: 100, Role: fleet.RoleService},
+			"models": {Connections: 100, Role: fleet.RoleEngine, TokenBytes: 18432, CacheTokens: 60000},
+		},
+		Policy: config.Policy{Placement: placement.NameHome},
+	}
+}
+
+func forwardServers(count int, weights int) []VM {
+	var out []VM
+	for i := range count {
+		out = append(out,
+			VM{ID: fmt.Sprintf("d%d", i), Address: fmt.Sprintf("d%d", i), Role: fleet.RoleService, Serves: "desk", Places: 6},
+			VM{ID: fmt.Sprintf("m%d", i), Address: fmt.Sprintf("m%d", i), Role: fleet.RoleEngine, Serves: "models", Model: "m", Weights: weights, Places: 64})
+	}
+	return out
+}
+
+func forwardState(t failer, servers int) *State {
+	t.Helper()
+	s, err := New(Options{
+		Node: "n1", Charts: chart.Deployed(), Seed: 1, Unfenced: true, Forwarding: true, WeightsLimit: testWeightsLimit,
+		Repeats: retry.Limit{Window: 10 * time.Second, Ratio: 0.2, Slack: 10},
+		Checker: invariant.NewChecker(func(v *invariant.Violation) { t.Fatal(v) }),
+	}, testStart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Handle(testStart, Configure{Version: 1, Rules: forwardRules()})
+	s.Handle(testStart, VMList{VMs: forwardServers(servers, 1)})
+	return s
+}
+
+// callTo admits and places a call and returns the last decision.
+func callTo(s *State, now time.Time, id request.ID, route string) Decision {
+	call := &request.Call{Host: "h", Path: "/" + route + "/x"}
+	out := s.Handle(now, Admit{Request: request.Request{
+		ID: id, Route: request.Route{Kind: request.Forward}, Deadline: now.Add(5 * time.Second), Call: call, BodyDigest: string(id),
+	}})
+	if _, ok := out.Replies[0].Decision.(Admitted); !ok {
+		return out.Replies[0].Decision
+	}
+	return decisionOf(s, now, Place{Request: id})
+}
+
+func decisionOf(s *State, now time.Time, m Message) Decision {
+	out := s.Handle(now, m)
+	if len(out.Replies) == 0 {
+		return nil
+	}
+	return out.Replies[0].Decision
+}
+
+// TestOldWeightsEnd guards against a call that begins on old weights after the
+// time in which all servers must have the new ones, because it waited at the
+// server.
+func TestOldWeightsEnd(t *testing.T) {
+	s := forwardState(t, 1)
+	named := testStart.Add(time.Second)
+	s.Handle(named, WeightsNamed{Model: "m", Weights: 2})
+	if _, ok := callTo(s, named.Add(testWeightsLimit-beginWait-time.Second), "a", "review").(Dispatch); !ok {
+		t.Error("a call before the limit is not sent")
+	}
+	if got := callTo(s, named.Add(testWeightsLimit-beginWait), "b", "review"); got != nil {
+		t.Errorf("a call that may begin after the limit: %+v", got)
+	}
+}
+
+// TestLastAttemptWaits guards against an answer that is broken off although no
+// other server may get the call.
+func TestLastAttemptWaits(t *testing.T) {
+	s := forwardState(t, 2)
+	first, ok := callTo(s, testStart, "a", "review").(Dispatch)
+	if !ok || first.HeaderTimeout > 3*time.Second {
+		t.Fatalf("first attempt: %+v", first)
+	}
+	decisionOf(s, testStart, Connected{Request: "a", Attempt: first.Attempt})
+	later := testStart.Add(2 * time.Second)
+	second, ok := decisionOf(s, later, AttemptDone{Request: "a", Attempt: first.Attempt, Outcome: Lost}).(Dispatch)
+	if !ok || second.HeaderTimeout != 3*time.Second || second.GapTimeout != 3*time.Second {
+		t.Errorf("last attempt with 3 s left: %+v", second)
+	}
+}
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -17,6 +17,10 @@
 	maxContendStep = 4 * time.Second
 )
 
+// beginWait is how long a call may wait at a server before it begins to run: a
+// loading server holds its calls back for about two seconds.
+const beginWait = 2 * time.Second
+
 // weightsNamed takes over a weight version that the operator named. Versions
 // only increase.
 func (s *State) weightsNamed(now time.Time, m WeightsNamed) {
@@ -120,5 +124,5 @@
 // long that no new request may use them.
 func (s *State) outdated(now time.Time, server *fleet.Server) bool {
 	limit := s.options.WeightsLimit
-	return limit > 0 && server.Behind && now.Sub(s.orders.named[modelOf(server)].at) >= limit
+	return limit > 0 && server.Behind && now.Sub(s.orders.named[modelOf(server)].at) >= limit-beginWait
 }
