--- a/core/placement/lanes.go
+++ b/core/placement/lanes.go
@@ -1,7 +1,10 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,9 +16,8 @@
 	// long. An engine computes long prompts in several steps, during which short
 	// ones wait.
 	longPrompt = 2048
-	// shortShare is the part of the servers of a failure domain that is kept
-	// for short calls.
-	shortShare = 1.0 / 3
+	// shortShare is the part of the engines that is kept for short calls.
+	shortShare = 0.22
 	// shortMisplaced is the part of its worth that a short call is expected to
 	// lose behind the long calls of other nodes.
 	shortMisplaced = 0.15
@@ -30,38 +32,41 @@
 	short map[fleet.ServerID]bool
 }
 
-// LanesOf divides the engines of each failure domain. A domain with one engine
-// keeps it for all calls.
+// LanesOf divides the engines. The short lane takes one engine of each failure
+// domain in turn, the largest domain first, so that short calls find one nearby.
 func LanesOf(servers []*fleet.Server) Lanes {
 	domains := map[fleet.Domain][]*fleet.Server{}
+	total := 0
 	for _, server := range servers {
-		if server.Role != fleet.RoleEngine {
-			continue
+		if server.Role == fleet.RoleEngine {
+			domains[server.Domain] = append(domains[server.Domain], server)
+			total++
 		}
-		domains[server.Domain] = append(domains[server.Domain], server)
 	}
 	l := Lanes{short: map[fleet.ServerID]bool{}}
-	for _, members := range domains {
-		l.divide(members)
+	names := bySize(domains)
+	for _, name := range names {
+		slices.SortFunc(domains[name], func(a, b *fleet.Server) int { return cmp.Compare(laneHash(a), laneHash(b)) })
 	}
-	return l
-}
-
-// divide marks the members with the lowest hashes.
-func (l Lanes) divide(members []*fleet.Server) {
-	count := 0
-	if len(members) > 1 {
-		count = max(int(math.Round(shortShare*float64(len(members)))), 1)
-	}
-	for range count {
-		var lowest *fleet.Server
-		for _, server := range members {
-			if !l.short[server.ID] && (lowest == nil || laneHash(server) < laneHash(lowest)) {
-				lowest = server
+	left := int(math.Round(shortShare * float64(total)))
+	for round := 0; left > 0; round++ {
+		for _, name := range names {
+			if left > 0 && round < len(domains[name]) {
+				l.short[domains[name][round].ID] = true
+				left--
 			}
 		}
-		l.short[lowest.ID] = true
 	}
+	return l
+}
+
+// bySize lists the domains, the one with most engines first.
+func bySize(domains map[fleet.Domain][]*fleet.Server) []fleet.Domain {
+	names := slices.Collect(maps.Keys(domains))
+	slices.SortFunc(names, func(a, b fleet.Domain) int {
+		return cmp.Or(cmp.Compare(len(domains[b]), len(domains[a])), cmp.Compare(a, b))
+	})
+	return names
 }
 
 func laneHash(server *fleet.Server) uint64 {
