--- a/core/config/routes.go
+++ b/core/config/routes.go
@@ -65,6 +65,8 @@
 	// one engine's cache.
 	TokenBytes  int64
 	CacheTokens int
+	// Followers bounds the nodes that may follow the events of one engine.
+	Followers int
 }
 
 // CacheStore is a store that keeps the KV cache of engines.
@@ -75,6 +77,8 @@
 	Capacity int
 	// Managed is true when the store drops nothing on its own.
 	Managed bool
+	// Followers bounds the nodes that may follow the events of the store.
+	Followers int
 }
 
 // RouteTable finds routes by host and longest path prefix.
--- a/core/control/cachestores.go
+++ b/core/control/cachestores.go
@@ -93,7 +93,9 @@
 		Address:  store.Address,
 		Domain:   store.Domain,
 		Capacity: store.Capacity,
-		Chart:    s.charts.cacheStore.Start(now),
+
+		Followers: store.Followers,
+		Chart:     s.charts.cacheStore.Start(now),
 	}
 }
 
@@ -119,11 +121,19 @@
 		return
 	}
 	var targets []CacheTarget
+	all := s.members.Members()
 	for _, store := range s.cacheList {
-		targets = append(targets, CacheTarget{Name: store.Name, Address: store.Address})
+		if s.mayFollow(store.Name, store.Followers, all) {
+			targets = append(targets, CacheTarget{Name: store.Name, Address: store.Address})
+		}
 	}
+	near := s.nearMembers()
 	for _, server := range s.ordered {
-		if server.Role == fleet.RoleEngine && s.followsEngine(server) {
+		if server.Role != fleet.RoleEngine {
+			continue
+		}
+		members, pays := s.engineFollowers(server, all, near)
+		if pays && s.mayFollow(string(server.ID), s.rules.Pools[server.Serves].Followers, members) {
 			targets = append(targets, CacheTarget{Name: string(server.ID), Address: server.Address, Pause: enginePause})
 		}
 	}
@@ -133,11 +143,46 @@
 	}
 }
 
-// followsEngine reports whether the events of an engine are worth their bytes.
-// Short prompts change the parts of an engine often, and are not fetched from
-// another failure domain.
-func (s *State) followsEngine(server *fleet.Server) bool {
-	return server.Domain == s.options.Domain || !s.lanes.Short(server)
+// engineFollowers returns the members that share the calls for the events of an
+// engine, and whether its events are worth their bytes to this node. Short
+// prompts change the parts of an engine often, and are not fetched from another
+// failure domain. A large fleet follows only the engines nearby.
+func (s *State) engineFollowers(server *fleet.Server, all, near []string) ([]string, bool) {
+	if server.Domain == s.options.Domain {
+		return near, true
+	}
+	return all, !s.lanes.Short(server) && len(all) <= s.rules.Pools[server.Serves].Followers
+}
+
+// nearMembers lists the members of the own failure domain.
+func (s *State) nearMembers() []string {
+	near := []string{s.options.Node}
+	for _, peer := range s.members.Peers() {
+		if peer.Domain == string(s.options.Domain) {
+			near = append(near, peer.ID)
+		}
+	}
+	return near
+}
+
+// spareCalls is the part of the allowed event calls of a target that stays
+// free, because nodes know the members at different times.
+const spareCalls = 0.25
+
+// mayFollow reports whether this node is among the members that may follow a
+// target. All nodes rank the members of a target in the same way.
+func (s *State) mayFollow(target string, limit int, members []string) bool {
+	if limit == 0 {
+		return true
+	}
+	before := 0
+	own := placement.FollowWeight(target, s.options.Node)
+	for _, member := range members {
+		if placement.FollowWeight(target, member) > own {
+			before++
+		}
+	}
+	return before < max(int(float64(limit)*(1-spareCalls)), 1)
 }
 
 // cacheEvents takes over what a store or an engine said.
--- a/core/control/forward_test.go
+++ b/core/control/forward_test.go
@@ -113,3 +113,25 @@
 		t.Errorf("last attempt with 3 s left: %+v", second)
 	}
 }
+
+// TestFollowersShared guards against more waiting event calls at a store than
+// it takes, and against a store that no node follows.
+func TestFollowersShared(t *testing.T) {
+	const nodes, limit = 40, 12
+	members := make([]string, nodes)
+	for i := range members {
+		members[i] = fmt.Sprintf("n%d", i)
+	}
+	for target := range 20 {
+		following := 0
+		for _, member := range members {
+			s := &State{options: Options{Node: member}}
+			if s.mayFollow(fmt.Sprintf("store-%d", target), limit, members) {
+				following++
+			}
+		}
+		if following == 0 || following > limit {
+			t.Errorf("target %d has %d followers", target, following)
+		}
+	}
+}
--- a/core/fleet/cachestore.go
+++ b/core/fleet/cachestore.go
@@ -30,6 +30,8 @@
 	Address  string
 	Domain   Domain
 	Capacity int
+	// Followers bounds the nodes that may follow the events of the store.
+	Followers int
 	// Epoch changes when the store starts again and holds nothing.
 	Epoch uint64
 	// SettlesAt is when parts may be saved after a start.
--- a/core/placement/rendezvous.go
+++ b/core/placement/rendezvous.go
@@ -99,3 +99,12 @@
 	input = append(input, member...)
 	return xxhash.Sum64(input)
 }
+
+// FollowWeight is the rendezvous hash of a followed target and a member.
+func FollowWeight(target, member string) uint64 {
+	var space [hashInputBytes]byte
+	input := append(space[:0], target...)
+	input = append(input, 0)
+	input = append(input, member...)
+	return xxhash.Sum64(input)
+}
