deployed: bounded log, call histograms, checked prices

Cause: a slow standard output would have blocked decisions' log lines; prices stood in the code; times of calls were only in the log.

--- a/cmd/tanagerspread/main.go
+++ b/cmd/tanagerspread/main.go
@@ -36,6 +36,7 @@
 	CheckSettings string `long:"check-settings" value-name:"FILE" description:"print every fault of FILE and exit"`
 	Deployed      bool   `long:"deployed" description:"run a node on the users' machines, or check its settings with --check"`
 	DeployedFile  string `long:"deployed-settings" env:"TANAGERSPREAD_CONFIG" value-name:"FILE" description:"settings that the platform writes for the process"`
+	Tuning        string `long:"tuning" value-name:"FILE" description:"with --deployed: prices of the ways to serve a call"`
 	Check         bool   `long:"check" description:"with --deployed: print every fault of the settings and exit"`
 	LogLevel      string `long:"log-level" choice:"error" choice:"info" choice:"debug" default:"info" description:"with --deployed: the least severe log events"`
 	Version       bool   `long:"version" description:"print the version and exit"`
@@ -100,8 +101,10 @@
 	for _, fault := range faults {
 		_, _ = fmt.Fprintln(errOut, fault)
 	}
+	tuning, tuningFaults := readTuning(given.Tuning)
+	code := report(errOut, tuningFaults)
 	switch {
-	case len(faults) > 0:
+	case len(faults) > 0 || code != exitStopped:
 		return exitFaults
 	case given.Check:
 		return exitStopped
@@ -112,6 +115,7 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	return exitCode(process.RunDeployed(context.Background(), process.DeployedOptions{
 		Settings: checked,
+		Tuning:   tuning,
 		Log:      out,
 		LogLevel: event.Level(given.LogLevel),
 		Signals:  signals,
@@ -120,6 +124,14 @@
 	}), errOut)
 }
 
+// readTuning reads the tuning settings, or returns the defaults without a file.
+func readTuning(path string) (settings.Tuning, []inifile.Fault) {
+	if path == "" {
+		return settings.DefaultTuning(), nil
+	}
+	return settings.ReadTuning(path)
+}
+
 func exitCode(err error, errOut io.Writer) int {
 	switch {
 	case err == nil:
--- a/core/config/routes.go
+++ b/core/config/routes.go
@@ -20,6 +20,19 @@
 	Streaming
 )
 
+// String returns the name of the kind for logs and metrics.
+func (k RouteKind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case NonIdempotent:
+		return "non-idempotent"
+	case Streaming:
+		return "streaming"
+	}
+	return "unknown"
+}
+
 // Route tells where calls of one host and path prefix go.
 type Route struct {
 	Name string
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -24,6 +24,7 @@
 	AdminStopped     = add(2505, LevelError, "admin listener stopped")
 	SettingsReread   = add(2506, LevelInfo, "settings were read again", "faults")
 	SettingsRejected = add(2507, LevelError, "settings have a fault; the ones in use stay", "field", "code")
+	LogDropped       = add(2508, LevelError, "log lines were dropped because the output was slow", "lines")
 )
 
 // The events of peers.
--- /dev/null
+++ b/node/eventlog/queue_test.go
@@ -0,0 +1,40 @@
+package eventlog_test
+
+import (
+	"strings"
+	"testing"
+
+	"tanagerspread/node/eventlog"
+)
+
+// blocked is a writer that waits until it is released.
+type blocked struct {
+	release chan struct{}
+	text    strings.Builder
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return b.text.Write(p)
+}
+
+// TestQueue guards against a process that waits for its log, and against
+// dropped lines that nobody counts.
+func TestQueue(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	q := eventlog.NewQueue(out, 2)
+	line := []byte("line\n")
+	for range 10 {
+		if n, err := q.Write(line); n != len(line) || err != nil {
+			t.Fatalf("write: %d, %v", n, err)
+		}
+	}
+	line[0] = 'x'
+	dropped := q.Dropped()
+	close(out.release)
+	q.Close()
+	written := strings.Count(out.text.String(), "line\n")
+	if written < 2 || int64(written)+dropped != 10 {
+		t.Errorf("%d lines written and %d dropped of 10", written, dropped)
+	}
+}
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -166,6 +166,7 @@
 func (c *callRelay) noteAnswered(status int) {
 	c.front.options.Observer.Outcome(nil)
 	now := time.Now()
+	c.front.options.Observer.Answered(c.exchange.admitted.Route.Kind, c.first.Sub(c.arrived), now.Sub(c.arrived))
 	eventlog.Write(c.front.options.Logger, event.CallAnswered, nil,
 		"request", c.exchange.request.ID, "attempt", int(c.dispatch.Attempt), "server", string(c.dispatch.Server),
 		"status", status, "first_ms", c.first.Sub(c.arrived).Milliseconds(), "total_ms", now.Sub(c.arrived).Milliseconds())
--- a/node/ingress/harness_test.go
+++ b/node/ingress/harness_test.go
@@ -139,6 +139,8 @@
 
 func (unobserved) Outcome(*code.Error) {}
 
+func (unobserved) Answered(config.RouteKind, time.Duration, time.Duration) {}
+
 // world is a set of nodes and backend servers in one synctest bubble.
 type world struct {
 	t     *testing.T
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"tanagerspread/core/code"
+	"tanagerspread/core/config"
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/invariant"
@@ -61,6 +62,9 @@
 	// Outcome takes the error of a refused request, or nil when the whole
 	// response was delivered.
 	Outcome(err *code.Error)
+	// Answered takes the times to the first part and to the end of a forwarded
+	// call's response.
+	Answered(kind config.RouteKind, first, total time.Duration)
 }
 
 // Options configures a front.
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -14,6 +14,7 @@
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"tanagerspread/core/code"
+	"tanagerspread/core/config"
 	"tanagerspread/core/control"
 )
 
@@ -94,6 +95,16 @@
 	m.count("requests", "outcome", outcome)
 }
 
+// Answered records the times of a forwarded call's whole response.
+func (m *Metrics) Answered(kind config.RouteKind, first, total time.Duration) {
+	if m == nil {
+		return
+	}
+	scope := m.scope.Tagged(map[string]string{"kind": kind.String()})
+	scope.Histogram("call_first_part_seconds", firstTokenBuckets).RecordDuration(first)
+	scope.Histogram("call_seconds", firstTokenBuckets).RecordDuration(total)
+}
+
 // Violated counts one failed invariant.
 func (m *Metrics) Violated() {
 	if m != nil {
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -19,7 +19,6 @@
 	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/order"
-	"tanagerspread/core/placement"
 	"tanagerspread/core/retry"
 	"tanagerspread/node/caches"
 	"tanagerspread/node/confkv"
@@ -27,10 +26,14 @@
 	"tanagerspread/node/metrics"
 	"tanagerspread/node/registry"
 	"tanagerspread/node/runtime"
+	"tanagerspread/node/settings"
 	"tanagerspread/platform"
 )
 
 const (
+	// logLines is the number of log lines that wait for standard output; more
+	// are dropped.
+	logLines = 4096
 	// memoryShare is the part of the memory of the process that the heap may
 	// use; the rest is for stacks and for the buffers of the sockets.
 	memoryShare = 0.6
@@ -57,6 +60,7 @@
 // DeployedOptions configures a process on the users' machines.
 type DeployedOptions struct {
 	Settings *platform.Settings
+	Tuning   settings.Tuning
 	// Log receives one JSON object a line.
 	Log      io.Writer
 	LogLevel event.Level
@@ -91,13 +95,16 @@
 	debug.SetMemoryLimit(int64(float64(options.Settings.MemoryBytes) * memoryShare))
 	counters := metrics.New()
 	defer func() { _ = counters.Close() }()
-	logger := eventlog.New(options.Log, options.LogLevel)
+	queue := eventlog.NewQueue(options.Log, logLines)
+	defer logDropped(options.Log, queue)
+	defer queue.Close()
+	logger := eventlog.New(queue, options.LogLevel)
 	d, err := open(options)
 	if err != nil {
 		return err
 	}
 	defer d.store.Close()
-	node, err := runtime.New(d.nodeOptions(options.Settings, logger, counters))
+	node, err := runtime.New(d.nodeOptions(options, logger, counters))
 	if err != nil {
 		return err
 	}
@@ -149,7 +156,8 @@
 	return d, nil
 }
 
-func (d *deployed) nodeOptions(s *platform.Settings, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
+func (d *deployed) nodeOptions(options DeployedOptions, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
+	s := options.Settings
 	return runtime.Options{
 		Control: control.Options{
 			Node:        s.Node,
@@ -161,7 +169,7 @@
 			Unfenced:    true,
 			Forwarding:  true,
 			Repeats:     retry.Limit{Window: s.RetryWindow, Ratio: s.RetryRatio, Slack: s.RetrySlack},
-			Prices:      defaultPrices,
+			Prices:      options.Tuning.Prices,
 
 			WeightsLimit: max(s.WeightsTime-weightsMargin, 0),
 			Issuer:       true,
@@ -216,15 +224,6 @@
 	}
 }
 
-// defaultPrices are those of the users' sites, in parts of a request's worth.
-var defaultPrices = placement.Prices{
-	ReadToken:  1.5e-3,
-	MovedByte:  1.1e-9,
-	DomainByte: 3.3e-5,
-	LateWorth:  1.9,
-	LateToken:  0.7e-3,
-}
-
 // watchReloads reads the settings again when told to. The addresses of a
 // running process do not change, so the file is only checked.
 func watchReloads(ctx context.Context, options DeployedOptions, logger logr.Logger) {
@@ -241,3 +240,10 @@
 		}
 	}
 }
+
+// logDropped reports lines that were lost because standard output was slow.
+func logDropped(out io.Writer, queue *eventlog.Queue) {
+	if dropped := queue.Dropped(); dropped > 0 {
+		eventlog.Write(eventlog.New(out, event.LevelInfo), event.LogDropped, nil, "lines", dropped)
+	}
+}
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -15,6 +15,7 @@
 
 	"tanagerspread/core/event"
 	"tanagerspread/node/process"
+	"tanagerspread/node/settings"
 	"tanagerspread/platform"
 	"tanagerspread/standin/deployed"
 	"tanagerspread/standin/pipe"
@@ -150,15 +151,15 @@
 		site: s, address: name + ":callers", ready: name + ":ready",
 		signals: make(chan os.Signal, 2), done: make(chan error, 1), log: &lockedLog{},
 	}
-	settings := &platform.Settings{
+	site := &platform.Settings{
 		Node: name, Domain: "a", IP: name, Callers: n.address, Readiness: n.ready, Peers: name + ":peers", LastPort: 7715,
 		Seeds: seeds, Store: storeAddress, MemoryBytes: 1 << 30, LeaseTime: 3 * time.Second,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, WeightsTime: 12 * time.Second,
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	options := process.DeployedOptions{
-		Settings: settings, Log: n.log, LogLevel: event.LevelInfo, Signals: n.signals,
-		Reread: func() (*platform.Settings, []platform.Fault) { return settings, nil },
+		Settings: site, Tuning: settings.DefaultTuning(), Log: n.log, LogLevel: event.LevelInfo, Signals: n.signals,
+		Reread: func() (*platform.Settings, []platform.Fault) { return site, nil },
 		Listen: func(_, address string) (net.Listener, error) { return s.network.Listen(address), nil },
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if address == storeAddress && s.isAway(name) {
--- /dev/null
+++ b/node/settings/tuning.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"cmp"
+	"os"
+	"slices"
+	"strconv"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/placement"
+	"tanagerspread/node/inifile"
+)
+
+// Tuning are the settings of a node on the users' machines that the platform
+// does not write: what the ways to serve a call cost.
+type Tuning struct {
+	Prices placement.Prices
+}
+
+// tuningRow is one setting of the section prices.
+type tuningRow struct {
+	Key     string
+	Default float64
+	// Help says what the number is.
+	Help  string
+	field func(*Tuning) *float64
+}
+
+// tuningSection is the section of the tuning settings.
+const tuningSection = "prices"
+
+var tuningTable = []tuningRow{
+	{"read-token", 1.5e-3, "price of a shared prompt token that is computed again", func(t *Tuning) *float64 { return &t.Prices.ReadToken }},
+	{"moved-byte", 1.1e-9, "price of a transferred byte of KV cache", func(t *Tuning) *float64 { return &t.Prices.MovedByte }},
+	{"domain-byte", 2e-5, "price of a byte between two failure domains", func(t *Tuning) *float64 { return &t.Prices.DomainByte }},
+	{"late-worth", 1.9, "what a late response loses, whatever its size", func(t *Tuning) *float64 { return &t.Prices.LateWorth }},
+	{"late-token", 0.7e-3, "what a late response loses for each prompt token", func(t *Tuning) *float64 { return &t.Prices.LateToken }},
+}
+
+// DefaultTuning returns the settings of a node without a file.
+func DefaultTuning() Tuning {
+	var t Tuning
+	for _, row := range tuningTable {
+		*row.field(&t) = row.Default
+	}
+	return t
+}
+
+// ReadTuning reads and checks a file. It returns every fault, ordered by line.
+func ReadTuning(path string) (Tuning, []inifile.Fault) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Tuning{}, []inifile.Fault{{Code: code.SettingsUnreadable, Reason: err.Error()}}
+	}
+	if len(text) > maxBytes {
+		return Tuning{}, []inifile.Fault{{Code: code.SettingsUnreadable, Reason: "the file is larger than 64 KiB"}}
+	}
+	return ParseTuning(string(text))
+}
+
+// ParseTuning checks the text of a file. It returns every fault, ordered by
+// line.
+func ParseTuning(text string) (Tuning, []inifile.Fault) {
+	t := DefaultTuning()
+	entries, faults := inifile.Parse(text, inifile.Codes{Malformed: code.SettingInvalid, Repeated: code.SettingRepeated})
+	for _, e := range entries {
+		if fault := t.set(e); fault != nil {
+			faults = append(faults, *fault)
+		}
+	}
+	slices.SortStableFunc(faults, func(a, b inifile.Fault) int { return cmp.Compare(a.Line, b.Line) })
+	return t, faults
+}
+
+func (t *Tuning) set(e inifile.Entry) *inifile.Fault {
+	fault := inifile.Fault{Line: e.Line, Section: e.Section, Key: e.Key}
+	index := slices.IndexFunc(tuningTable, func(row tuningRow) bool { return row.Key == e.Key })
+	if e.Section != tuningSection || index < 0 {
+		fault.Code, fault.Reason = code.SettingUnknown, "the setting is unknown"
+		return &fault
+	}
+	value, err := strconv.ParseFloat(e.Value, 64)
+	if err != nil || value < 0 || value > 1e6 {
+		fault.Code, fault.Reason = code.SettingInvalid, "the value is not a number from 0 to 1000000"
+		return &fault
+	}
+	*tuningTable[index].field(t) = value
+	return nil
+}
