log: refusals, states of servers and stores say what decided them

Cause: a refused call was logged with its code only, and the change of a server's circuit was not logged. Change: event 2004 names status, detail, advised delay and configuration; 2311 and 2312 name each new state of a server or store with its cause; refused calls are told to come back after half of the route's target.

--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -26,7 +26,7 @@
 	a := &active{Request: m.Request}
 	if err := s.checkAdmission(now, a); err != nil {
 		s.journal.refuse(now, a, err)
-		s.reply(m.Request.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code)})
+		s.reply(m.Request.ID, s.refusal(a, err, false))
 		return
 	}
 	a.machine = s.charts.request
--- a/core/control/cachestores.go
+++ b/core/control/cachestores.go
@@ -7,6 +7,7 @@
 
 	"tanagerspread/chart"
 	"tanagerspread/core/config"
+	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/placement"
 )
@@ -238,11 +239,27 @@
 
 func (s *State) expireCaches(now time.Time) {
 	for _, store := range s.cacheList {
-		_, _ = s.charts.cacheStore.Expire(&store.Chart, store, now)
+		before := store.Chart.State
+		if expired, _ := s.charts.cacheStore.Expire(&store.Chart, store, now); expired {
+			s.noteCacheState(store, before)
+		}
+	}
+}
+
+// noteCacheState logs a new state of a store.
+func (s *State) noteCacheState(store *fleet.CacheStore, before chart.State) {
+	if store.Chart.State == before {
+		return
 	}
+	s.command(LogEvent{Event: event.CacheStoreChanged, Fields: []any{
+		"store", store.Name, "from", string(before), "to", string(store.Chart.State), "epoch", store.Epoch,
+		"tokens", s.holdings.Tokens(store.ID),
+	}})
 }
 
-func (s *State) fireCache(store *fleet.CacheStore, event chart.Event, now time.Time) {
+func (s *State) fireCache(store *fleet.CacheStore, fired chart.Event, now time.Time) {
+	before := store.Chart.State
 	// An event that the chart refuses changes nothing.
-	_ = s.charts.cacheStore.Fire(&store.Chart, store, event, now)
+	_ = s.charts.cacheStore.Fire(&store.Chart, store, fired, now)
+	s.noteCacheState(store, before)
 }
--- a/core/control/decision.go
+++ b/core/control/decision.go
@@ -79,6 +79,8 @@
 	Err *code.Error
 	// RetryAfter is the advised delay before a repeat.
 	RetryAfter time.Duration
+	// Version is the configuration that was in force.
+	Version config.Version
 	// Release is true when the at-most-once claim must be released and
 	// reported by Recorded.
 	Release bool
--- a/core/control/ending.go
+++ b/core/control/ending.go
@@ -21,10 +21,10 @@
 	err = s.checkTruth(a, err)
 	s.journal.refuse(a.position.Entered, a, err)
 	if a.position.Is(tagReleasesClaim) {
-		s.reply(a.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code), Release: true})
+		s.reply(a.ID, s.refusal(a, err, true))
 		return
 	}
-	s.reply(a.ID, Refusal{Err: err, RetryAfter: retryAfter(err.Code)})
+	s.reply(a.ID, s.refusal(a, err, false))
 	s.forgetFinal(a)
 }
 
@@ -94,6 +94,19 @@
 	delete(s.requests, a.ID)
 }
 
+// refusal describes the end of a request without a response. The request is nil
+// when the node does not keep it.
+func (s *State) refusal(a *active, err *code.Error, release bool) Refusal {
+	r := Refusal{Err: err, RetryAfter: retryAfter(err.Code), Version: s.version, Release: release}
+	if a != nil && a.route != nil && r.RetryAfter > 0 {
+		r.RetryAfter = min(max(a.route.Target/2, minRetryAfter), r.RetryAfter)
+	}
+	return r
+}
+
+// minRetryAfter is the least advised delay before a refused call is repeated.
+const minRetryAfter = 50 * time.Millisecond
+
 // retryAfter is the advised delay before a refused request is repeated.
 func retryAfter(c code.Code) time.Duration {
 	if code.Lookup(c).Retry != code.RetryLater {
--- a/core/control/ordermessage.go
+++ b/core/control/ordermessage.go
@@ -121,8 +121,8 @@
 	Call    uint64
 }
 
-// LogOrder logs an event of the issuer.
-type LogOrder struct {
+// LogEvent logs an event with its fields.
+type LogEvent struct {
 	Event  event.Event
 	Fields []any
 }
@@ -130,4 +130,4 @@
 func (IssuerCommand) command() {}
 func (SendOrder) command()     {}
 func (ReadEngine) command()    {}
-func (LogOrder) command()      {}
+func (LogEvent) command()      {}
--- a/core/control/orderterm.go
+++ b/core/control/orderterm.go
@@ -149,5 +149,5 @@
 }
 
 func (s *State) log(e event.Event, fields ...any) {
-	s.command(LogOrder{Event: e, Fields: append([]any{"node", s.options.Node}, fields...)})
+	s.command(LogEvent{Event: e, Fields: append([]any{"node", s.options.Node}, fields...)})
 }
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -36,7 +36,7 @@
 // class.
 func (s *State) enqueue(now time.Time, a *active) {
 	if !s.canServe(a) {
-		s.end(now, a, "refuse", a.noServer())
+		s.end(now, a, "refuse", s.noServer(a))
 		return
 	}
 	ticket := s.ticket(now, a)
@@ -105,10 +105,11 @@
 	return a.either(code.New(code.Quarantined, detail), code.New(code.QuarantinedRan, detail))
 }
 
-func (a *active) noServer() *code.Error {
+func (s *State) noServer(a *active) *code.Error {
+	known := len(s.group(a).Servers)
 	return a.either(
-		code.New(code.NoServer, "no backend server can take the request"),
-		code.New(code.RetriesExhausted, "no backend server can repeat the request"))
+		code.Newf(code.NoServer, "no backend server can take the request; %d are known", known),
+		code.Newf(code.RetriesExhausted, "no backend server can repeat the request; %d are known", known))
 }
 
 func (a *active) queueFull() *code.Error {
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tanagerspread/chart"
+	eventlist "tanagerspread/core/event"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/placement"
 )
@@ -114,12 +115,25 @@
 func (s *State) fireServer(server *fleet.Server, event chart.Event, now time.Time) {
 	// An event that the chart refuses changes nothing, for example a second
 	// "leave" of a leaving server.
+	before := server.Chart.State
 	_ = s.charts.server.Fire(&server.Chart, server, event, now)
+	s.noteServerState(server, before, event)
 	if server.Chart.Is(fleet.TagRests) && server.Chart.Entered.Equal(now) {
 		s.spreadProbe(server)
 	}
 }
 
+// noteServerState logs a new state of a server with the event that led to it.
+func (s *State) noteServerState(server *fleet.Server, before chart.State, event chart.Event) {
+	if server.Chart.State == before || !s.options.Forwarding {
+		return
+	}
+	s.command(LogEvent{Event: eventlist.ServerStateChanged, Fields: []any{
+		"server", string(server.ID), "serves", server.Serves, "from", string(before), "to", string(server.Chart.State),
+		"cause", string(event), "failures", server.Failures, "in_flight", server.InFlight,
+	}})
+}
+
 // spreadProbe delays the probe by a random time, so that the nodes that saw
 // the same failure do not all probe at once.
 func (s *State) spreadProbe(server *fleet.Server) {
@@ -134,7 +148,10 @@
 
 func (s *State) expireServers(now time.Time) {
 	for _, server := range s.ordered {
-		_, _ = s.charts.server.Expire(&server.Chart, server, now)
+		before := server.Chart.State
+		if expired, _ := s.charts.server.Expire(&server.Chart, server, now); expired {
+			s.noteServerState(server, before, "timeout")
+		}
 	}
 	s.expireMissing(now)
 }
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -238,7 +238,7 @@
 
 // refuse answers a request that the node does not keep.
 func (s *State) refuse(to request.ID, c code.Code, detail string) {
-	s.reply(to, Refusal{Err: code.New(c, detail), RetryAfter: retryAfter(c)})
+	s.reply(to, s.refusal(nil, code.New(c, detail), false))
 }
 
 // tick fires the timeouts of all charts.
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -5,10 +5,17 @@
 	RequestRefused   = add(2001, LevelInfo, "request refused", "request", "code", "execution")
 	RequestDelivered = add(2002, LevelDebug, "request delivered", "request")
 	CallAnswered     = add(2003, LevelInfo, "response of a forwarded call is whole", "request", "attempt", "server", "status", "first_ms", "total_ms")
+	CallRefused      = add(2004, LevelInfo, "forwarded call ends without a whole response", "request", "code", "execution", "status", "detail", "retry_after_ms", "version")
 	AttemptAssigned  = add(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "route", "weights", "prefix", "prompt", "prefill", "fetch", "save", "queue_ms", "load_age_ms", "version")
 	AttemptFailed    = add(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
 )
 
+// The events of backend servers and stores of KV cache.
+var (
+	ServerStateChanged = add(2311, LevelInfo, "backend server changed its state", "server", "serves", "from", "to", "cause", "failures", "in_flight")
+	CacheStoreChanged  = add(2312, LevelInfo, "store of KV cache changed its state", "store", "from", "to", "epoch", "tokens")
+)
+
 // The events of at-most-once records.
 var (
 	ReleaseFailed  = add(2201, LevelError, "claim of an unsent request could not be released", "request")
--- a/node/ingress/exchange.go
+++ b/node/ingress/exchange.go
@@ -7,6 +7,7 @@
 
 	"tanagerspread/core/cachekey"
 	"tanagerspread/core/code"
+	"tanagerspread/core/config"
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/request"
@@ -48,6 +49,9 @@
 type refused struct {
 	err        *code.Error
 	retryAfter time.Duration
+	// version is the configuration that was in force, or 0 when the control
+	// thread did not decide.
+	version config.Version
 }
 
 // ended is how an exchange ends when no attempt is needed or possible.
@@ -201,7 +205,7 @@
 	if refusal.Release {
 		x.release(ctx)
 	}
-	return &refused{err: refusal.Err, retryAfter: refusal.RetryAfter}
+	return &refused{err: refusal.Err, retryAfter: refusal.RetryAfter, version: refusal.Version}
 }
 
 // release gives up the claim of a request that was not sent.
@@ -235,7 +239,7 @@
 	if !ok {
 		return &refused{err: code.New(code.Internal, "the control thread gave an unexpected decision")}
 	}
-	return &refused{err: refusal.Err, retryAfter: refusal.RetryAfter}
+	return &refused{err: refusal.Err, retryAfter: refusal.RetryAfter, version: refusal.Version}
 }
 
 // notRun gives an error of a request that was not sent the execution class
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -36,12 +36,12 @@
 	arrived := time.Now()
 	call, err := f.options.Protocol.Decode(r)
 	if err != nil {
-		f.refuseCall(w, newID(), err, 0)
+		f.refuseCall(w, newID(), &refused{err: err})
 		return
 	}
 	body, err := readBody(w, r, f.options.MaxBodyBytes)
 	if err != nil {
-		f.refuseCall(w, call.ID, err, 0)
+		f.refuseCall(w, call.ID, &refused{err: err})
 		return
 	}
 	call.Routing.Bytes = len(body)
@@ -60,7 +60,7 @@
 
 func (f *Front) serveCall(ctx context.Context, x *exchange, relay *callRelay) {
 	if end := x.admit(ctx); end != nil {
-		f.refuseCall(relay.w, x.request.ID, end.refused.err, end.refused.retryAfter)
+		f.refuseCall(relay.w, x.request.ID, end.refused)
 		return
 	}
 	x.request.Deadline = x.admitted.Deadline
@@ -70,8 +70,10 @@
 }
 
 // refuseCall logs a refusal and responds with it.
-func (f *Front) refuseCall(w http.ResponseWriter, id request.ID, err *code.Error, retryAfter time.Duration) {
-	f.noteRefused(id, err)
+func (f *Front) refuseCall(w http.ResponseWriter, id request.ID, end *refused) {
+	err, retryAfter := end.err, end.retryAfter
+	status := statusOf(err.Info())
+	f.noteCallRefused(id, end, status)
 	header := w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set(headerCode, strconv.Itoa(int(err.Code)))
@@ -79,11 +81,20 @@
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	boundWrite(w)
-	w.WriteHeader(statusOf(err.Info()))
+	w.WriteHeader(status)
 	// A failed write means that the caller has left; nothing is left to do.
 	_, _ = w.Write([]byte(err.Detail + "\n"))
 }
 
+// noteCallRefused counts and logs a call that ends without a whole response. The
+// status is 0 when a stream is broken off.
+func (f *Front) noteCallRefused(id request.ID, end *refused, status int) {
+	f.options.Observer.Outcome(end.err)
+	eventlog.Write(f.options.Logger, event.CallRefused, end.err.Cause,
+		"request", id, "code", int(end.err.Code), "execution", string(end.err.Info().Execution), "status", status,
+		"detail", end.err.Detail, "retry_after_ms", end.retryAfter.Milliseconds(), "version", uint64(end.version))
+}
+
 // statusOf returns a status that promises no more than the code does. Callers
 // take 408, 421, 429 and 503 as the promise that a call has not run and never
 // will, and repeat it.
@@ -238,10 +249,10 @@
 	case c.begun:
 		// A broken connection is the only way to tell that the stream is not
 		// complete.
-		c.front.noteRefused(id, refused.err)
+		c.front.noteCallRefused(id, refused, 0)
 		panic(http.ErrAbortHandler)
 	default:
-		c.front.refuseCall(c.w, id, refused.err, refused.retryAfter)
+		c.front.refuseCall(c.w, id, refused)
 	}
 }
 
--- a/node/orders/orders.go
+++ b/node/orders/orders.go
@@ -109,8 +109,6 @@
 		worker.Offer(w.options.Logger, w.sends, c)
 	case control.ReadEngine:
 		worker.Offer(w.options.Logger, w.reads, c)
-	case control.LogOrder:
-		eventlog.Write(w.options.Logger, c.Event, nil, c.Fields...)
 	default:
 		return false
 	}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -213,12 +213,14 @@
 	switch c := command.(type) {
 	case corecontrol.NodeState:
 		n.nodeState(c)
-	case corecontrol.IssuerCommand, corecontrol.SendOrder, corecontrol.ReadEngine, corecontrol.LogOrder:
+	case corecontrol.IssuerCommand, corecontrol.SendOrder, corecontrol.ReadEngine:
 		n.orders.Do(command)
 	case corecontrol.ExportBlocks:
 		if !n.exporter.Offer(c) {
 			n.loop.Tell(corecontrol.ExportDone{ID: c.ID})
 		}
+	case corecontrol.LogEvent:
+		eventlog.Write(n.options.Logger, c.Event, nil, c.Fields...)
 	case corecontrol.FollowCaches:
 		n.caches.Follow(c)
 	case corecontrol.WeightsWanted:
