--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -63,10 +63,9 @@
 	// server is expected to compute.
 	PromptTokens int
 	Prefill      int
-	// Queue is the expected time until the server starts the prompt, and LoadAge
-	// the age of the load that the server reported last.
-	Queue   time.Duration
-	LoadAge time.Duration
+	// Queue is the expected time until the server starts the prompt, by the work
+	// of this node and of its peers.
+	Queue time.Duration
 	// Version is the configuration that the decision followed.
 	Version config.Version
 }
@@ -154,6 +153,21 @@
 	return a.dispatches < a.route.MaxAttempts && s.mayResend(a, now)
 }
 
+// restsUntil returns when the first server of a call gets work again, or the zero
+// time when one gets work now.
+func (s *State) restsUntil(a *active) time.Time {
+	var first time.Time
+	for _, server := range s.group(a).Servers {
+		if !server.Chart.Is(fleet.TagRests) {
+			return time.Time{}
+		}
+		if first.IsZero() || server.Chart.Deadline.Before(first) {
+			first = server.Chart.Deadline
+		}
+	}
+	return first
+}
+
 // repeatsFaulty reports whether a call whose response is a failure of the server
 // goes to another server.
 func (s *State) repeatsFaulty(now time.Time, a *active, m AttemptDone) bool {
@@ -210,7 +224,6 @@
 		Prefill:      at.choice.Prefill,
 		Version:      s.version,
 		Queue:        at.server.QueueTime(now),
-		LoadAge:      now.Sub(at.began),
 	}
 	if f.Model {
 		f.Weights = at.weights
--- a/core/control/forward_test.go
+++ b/core/control/forward_test.go
@@ -135,3 +135,28 @@
 		}
 	}
 }
+
+// TestRestingServersRefuse guards against a call that is held until its deadline
+// while no server can take it.
+func TestRestingServersRefuse(t *testing.T) {
+	s := forwardState(t, 1)
+	for i := range fleet.FailureLimit {
+		id := request.ID(fmt.Sprintf("c%d", i))
+		d, ok := callTo(s, testStart, id, "charge").(Dispatch)
+		if !ok {
+			t.Fatalf("call %d is not sent", i)
+		}
+		decisionOf(s, testStart, Connected{Request: id, Attempt: d.Attempt})
+		decisionOf(s, testStart, AttemptDone{Request: id, Attempt: d.Attempt, Outcome: Lost})
+	}
+	call := &request.Call{Host: "h", Path: "/charge/"}
+	s.Handle(testStart, Admit{Request: request.Request{
+		ID: "short", Route: request.Route{Kind: request.Forward}, Deadline: testStart.Add(600 * time.Millisecond), Call: call,
+	}})
+	if got, ok := decisionOf(s, testStart, Place{Request: "short"}).(Refusal); !ok || got.RetryAfter == 0 {
+		t.Errorf("got %+v, want a refusal at once", got)
+	}
+	if got := callTo(s, testStart, "long", "charge"); got != nil {
+		t.Errorf("a call with time left got %+v, want to wait", got)
+	}
+}
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -45,6 +45,10 @@
 	if !delayed && ahead == 0 && s.assign(now, a) == limits.Taken {
 		return
 	}
+	if a.Call != nil && s.restsUntil(a).After(a.Deadline) {
+		s.end(now, a, "refuse", s.noServer(a))
+		return
+	}
 	if s.waitsTooLong(now, a, ahead) {
 		s.end(now, a, "refuse", a.deadlineTooShort())
 		return
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -6,7 +6,7 @@
 	RequestDelivered = add(2002, LevelDebug, "request delivered", "request")
 	CallAnswered     = add(2003, LevelInfo, "response of a forwarded call is whole", "request", "attempt", "server", "status", "first_ms", "total_ms")
 	CallRefused      = add(2004, LevelInfo, "forwarded call ends without a whole response", "request", "code", "execution", "status", "detail", "retry_after_ms", "version")
-	AttemptAssigned  = add(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "route", "weights", "prefix", "prompt", "prefill", "fetch", "save", "queue_ms", "load_age_ms", "version")
+	AttemptAssigned  = add(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "route", "weights", "prefix", "prompt", "prefill", "fetch", "save", "queue_ms", "version")
 	AttemptFailed    = add(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
 )
 
--- a/node/confkv/confkv.go
+++ b/node/confkv/confkv.go
@@ -91,8 +91,8 @@
 	return OwnSource().Read(ctx, service)
 }
 
-// Read returns the current configuration and its revision. Version 0 and
-// kv.Absent mean that the service holds none.
+// Read returns the current configuration and the revision from which a watch
+// continues. Version 0 and kv.Absent mean that the service holds none.
 func (s Source) Read(ctx context.Context, service kv.Service) (config.Current, kv.Revision, *code.Error) {
 	entry, err := service.Get(ctx, s.Key)
 	if err != nil && err.Code == code.KeyMissing {
@@ -102,7 +102,9 @@
 		return config.Current{}, kv.Absent, err
 	}
 	current, err := s.Decode(entry.Value)
-	return current, entry.Revision, err
+	// The history of a key that has not changed for long is gone, so a watch
+	// continues from the revision of the read.
+	return current, max(entry.Revision, entry.At), err
 }
 
 // Session is the stored form of a session entry.
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -159,7 +159,7 @@
 		"request", c.exchange.request.ID, "attempt", int(dispatch.Attempt), "server", string(dispatch.Server),
 		"route", c.exchange.admitted.Route.Name, "weights", plan.Weights, "prefix", plan.Prefix, "prompt", plan.PromptTokens,
 		"prefill", plan.Prefill, "fetch", count(plan.FetchFrom), "save", count(plan.SaveTo),
-		"queue_ms", plan.Queue.Milliseconds(), "load_age_ms", plan.LoadAge.Milliseconds(), "version", uint64(plan.Version))
+		"queue_ms", plan.Queue.Milliseconds(), "version", uint64(plan.Version))
 }
 
 // count returns the number of addresses in a list.
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -249,6 +249,25 @@
 	})
 }
 
+// TestOldConfiguration guards against a node that reads an unchanged
+// configuration again and again once its history is gone.
+func TestOldConfiguration(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		s.server("i-1", 0)
+		s.configure(testKey)
+		s.store.Put("servers/i-9", "later")
+		s.node("n1")
+		settle()
+		s.store.DropHistory()
+		settle()
+		before := s.store.Calls("/kv-key")
+		time.Sleep(20 * time.Second)
+		if got := s.store.Calls("/kv-key") - before; got > 8 {
+			t.Errorf("%d reads of single keys in 20 s", got)
+		}
+	})
+}
+
 // TestServerEntries guards against work for servers that have left or that an
 // unusable entry names, and against servers that are forgotten during an outage
 // of the store.
--- a/standin/deployed/store.go
+++ b/standin/deployed/store.go
@@ -207,7 +207,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	answer(w, item)
+	answer(w, struct {
+		Item
+		At uint64 `json:"at"`
+	}{item, s.revision})
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
