clock: a suspended machine sends no late first byte and no late order

Cause: the steady clock stands still while a machine is suspended, so deadlines and leases seemed to have time left. Change: node/clock compares it with CLOCK_BOOTTIME just before the first byte of a call and before an order.

--- a/node/egress/guard.go
+++ b/node/egress/guard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerspread/core/code"
+	"tanagerspread/node/clock"
 )
 
 // guardedConn refuses the first byte after the deadline, because the process
@@ -15,20 +16,23 @@
 type guardedConn struct {
 	net.Conn
 	deadline time.Time
-	wait     time.Duration
-	begun    bool
+	// mark is when the request arrived; the machine may have been suspended
+	// since.
+	mark  clock.Mark
+	wait  time.Duration
+	begun bool
 }
 
 func newGuardedConn(ctx context.Context, conn net.Conn, wait time.Duration) *guardedConn {
 	deadline, _ := ctx.Deadline()
-	return &guardedConn{Conn: conn, deadline: deadline, wait: wait}
+	return &guardedConn{Conn: conn, deadline: deadline, mark: clock.From(ctx), wait: wait}
 }
 
 // Write writes to the connection. It returns code.DeadlinePassed when the
 // first byte would be sent after the deadline.
 func (c *guardedConn) Write(p []byte) (int, error) {
 	now := time.Now()
-	if !c.begun && !c.deadline.IsZero() && !now.Before(c.deadline) {
+	if !c.begun && !c.deadline.IsZero() && !now.Add(c.mark.Suspended()).Before(c.deadline) {
 		return 0, code.New(code.DeadlinePassed, "the deadline passed before the first byte was sent")
 	}
 	c.begun = true
--- a/node/egress/guard_test.go
+++ b/node/egress/guard_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tanagerspread/core/code"
+	"tanagerspread/node/clock"
 )
 
 // TestFirstByteAfterDeadline guards against a process that was paused after
@@ -36,3 +37,20 @@
 		}
 	})
 }
+
+// TestSuspendedMachine guards against a first byte after the deadline when the
+// steady clock stood still meanwhile.
+func TestSuspendedMachine(t *testing.T) {
+	now := time.Hour
+	defer clock.Replace(func() time.Duration { return now })()
+	ctx, cancel := context.WithTimeout(clock.With(t.Context()), time.Minute)
+	defer cancel()
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	conn := newGuardedConn(ctx, near, time.Second)
+	now += time.Hour
+	var coded *code.Error
+	if _, err := conn.Write([]byte("x")); !errors.As(err, &coded) || coded.Code != code.DeadlinePassed {
+		t.Errorf("got %v", err)
+	}
+}
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -11,6 +11,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/request"
+	"tanagerspread/node/clock"
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/forward"
@@ -34,6 +35,7 @@
 // forwardCall serves one forwarded call.
 func (f *Front) forwardCall(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	ctx := clock.With(r.Context())
 	call, err := f.options.Protocol.Decode(r)
 	if err != nil {
 		f.refuseCall(w, newID(), &refused{err: err})
@@ -55,7 +57,7 @@
 		MaxTokens:    call.MaxTokens,
 		Call:         &call.Routing,
 	}}
-	f.serveCall(r.Context(), x, &callRelay{front: f, w: w, r: r, exchange: x, body: body, lastEvent: call.LastEvent, arrived: arrived})
+	f.serveCall(ctx, x, &callRelay{front: f, w: w, r: r, exchange: x, body: body, lastEvent: call.LastEvent, arrived: arrived})
 }
 
 func (f *Front) serveCall(ctx context.Context, x *exchange, relay *callRelay) {
--- a/node/orders/engine.go
+++ b/node/orders/engine.go
@@ -9,6 +9,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/core/order"
+	"tanagerspread/node/clock"
 )
 
 // sendOrder sends an order. The call ends before the lease can be taken over,
@@ -17,6 +18,10 @@
 	if time.Until(command.Deadline) <= 0 || time.Until(command.NotAfter) <= 0 {
 		return order.Status{}, code.New(code.EngineAway, "the order was not sent because its time or the lease has ended")
 	}
+	// The lease runs on while the machine is suspended.
+	if mark, known := w.confirmed.Load().(clock.Mark); known && mark.Suspended() >= time.Until(command.NotAfter) {
+		return order.Status{}, code.New(code.EngineAway, "the order was not sent because the machine was suspended")
+	}
 	ctx, cancel := context.WithDeadline(ctx, command.NotAfter)
 	defer cancel()
 	return w.options.Engines.Order(ctx, command)
--- a/node/orders/orders.go
+++ b/node/orders/orders.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -16,6 +17,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/order"
+	"tanagerspread/node/clock"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/worker"
 )
@@ -58,9 +60,11 @@
 	// process tells the claims of this process from those of an earlier one
 	// of the same node.
 	process string
-	leases  chan control.IssuerCommand
-	sends   chan control.SendOrder
-	reads   chan control.ReadEngine
+	// confirmed is when the lease was last confirmed, a clock.Mark.
+	confirmed atomic.Value
+	leases    chan control.IssuerCommand
+	sends     chan control.SendOrder
+	reads     chan control.ReadEngine
 }
 
 // New returns workers that do not run yet.
@@ -122,7 +126,11 @@
 // step makes one call for the lease and reports its result.
 func (w *Workers) step(ctx context.Context, command control.IssuerCommand) {
 	asked := time.Now()
+	mark := clock.Now()
 	result := w.call(ctx, command)
+	if result.Err == nil {
+		w.confirmed.Store(mark)
+	}
 	result.Step = command.Step
 	result.Attempt = command.Attempt
 	result.Asked = asked
