--- a/core/control/cachestores.go
+++ b/core/control/cachestores.go
@@ -94,6 +94,7 @@
 		Address:  store.Address,
 		Domain:   store.Domain,
 		Capacity: store.Capacity,
+		Managed:  store.Managed,
 
 		Followers: store.Followers,
 		Chart:     s.charts.cacheStore.Start(now),
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -227,7 +227,7 @@
 	}
 	if f.Model {
 		f.Weights = at.weights
-		f.Salt = placement.Salt(at.weights, s.isolationOf(a))
+		f.Salt = placement.Salt(at.server.Model, at.weights, s.isolationOf(a))
 		f.FetchFrom = at.choice.FetchFrom
 		f.SaveTo = at.choice.SaveTo
 		f.FetchUntil = at.choice.FetchUntil
@@ -261,7 +261,7 @@
 	}
 	server := a.attempt.server
 	capacity := s.rules.Pools[server.Serves].CacheTokens
-	salt := placement.Salt(a.attempt.weights, s.isolationOf(a))
+	salt := placement.Salt(server.Model, a.attempt.weights, s.isolationOf(a))
 	for _, part := range a.Call.Parts {
 		s.holdings.Expect(now, server.ID, placement.PartKey{Salt: salt, ID: part.ID}, part.Tokens, capacity)
 	}
--- a/core/control/forward_test.go
+++ b/core/control/forward_test.go
@@ -160,3 +160,56 @@
 		t.Errorf("a call with time left got %+v, want to wait", got)
 	}
 }
+
+// TestNewestNamedKeepsLimit guards against a limit that begins anew when
+// further weights are named.
+func TestNewestNamedKeepsLimit(t *testing.T) {
+	s := forwardState(t, 1)
+	s.Handle(testStart, WeightsNamed{Model: "m", Weights: 2})
+	s.Handle(testStart.Add(5*time.Second), WeightsNamed{Model: "m", Weights: 3})
+	if got := callTo(s, testStart.Add(testWeightsLimit-beginWait), "a", "review"); got != nil {
+		t.Errorf("a call to the oldest weights: %+v", got)
+	}
+}
+
+// TestOldPartsFreed guards against parts of weights in use that are freed, and
+// against parts of old weights that stay for good.
+func TestOldPartsFreed(t *testing.T) {
+	s := forwardState(t, 2)
+	rules := forwardRules()
+	rules.CacheStores = []config.CacheStore{{Name: "kept", Address: "kept", Capacity: 1000, Managed: true}}
+	s.Handle(testStart, Configure{Version: 2, Rules: rules})
+	now := testStart
+	tell := func() {
+		s.Handle(now, CacheEvents{Target: "kept", Epoch: 1, Asked: now, Received: now, Events: []PartEvent{
+			{Added: true, Salt: placement.Salt("m", 1, ""), ID: "old", Tokens: 10},
+			{Added: true, Salt: placement.Salt("m", 2, ""), ID: "new", Tokens: 10},
+		}})
+	}
+	freed := func() []placement.PartKey {
+		tell()
+		s.out.Commands = nil
+		s.freeParts(now)
+		for _, command := range s.out.Commands {
+			if free, ok := command.(FreeParts); ok {
+				return free.Parts
+			}
+		}
+		return nil
+	}
+	tell()
+	now = now.Add(fleet.SettleTime)
+	s.Handle(now, WeightsNamed{Model: "m", Weights: 2})
+	if got := freed(); got != nil {
+		t.Errorf("freed %v while engines have old weights", got)
+	}
+	s.Handle(now, VMList{VMs: forwardServers(2, 2)})
+	now = now.Add(freeWait - time.Second)
+	if got := freed(); got != nil {
+		t.Errorf("freed %v while fetches may be under way", got)
+	}
+	now = now.Add(time.Second)
+	if got := freed(); len(got) != 1 || got[0].ID != "old" {
+		t.Errorf("freed %v, want the old part", got)
+	}
+}
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -37,11 +37,26 @@
 	sent  uint64
 }
 
-// named is a weight version that the operator named.
+// named is the newest weight version that the operator named for a model.
 type named struct {
 	weights int
-	// at is when this node learned of it.
-	at time.Time
+	// times tells when this node learned of each version.
+	times []namedAt
+}
+
+type namedAt struct {
+	weights int
+	at      time.Time
+}
+
+// after returns when the first version newer than the given one was named.
+func (n named) after(weights int) time.Time {
+	for _, one := range n.times {
+		if one.weights > weights {
+			return one.at
+		}
+	}
+	return time.Time{}
 }
 
 func newOrders() orders {
--- a/core/control/refresh.go
+++ b/core/control/refresh.go
@@ -34,4 +34,5 @@
 		return
 	}
 	s.command(RefreshEntries{})
+	s.freeParts(now)
 }
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -54,6 +54,7 @@
 }
 
 func (s *State) removeServer(now time.Time, server *fleet.Server) {
+	s.noteBehind(now, server)
 	s.fireServer(server, "remove", now)
 	delete(s.servers, server.ID)
 	s.recent.Forget(server.ID)
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -92,6 +92,8 @@
 	caches    map[string]*fleet.CacheStore
 	cacheList []*fleet.CacheStore
 	followed  []CacheTarget
+	// lastBehind is when an engine last had older weights than named.
+	lastBehind time.Time
 	// leavingNews is true when peers are to be told of a leaving server.
 	leavingNews bool
 	// refreshed is the last slot in which the turn to read was checked.
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -24,10 +24,11 @@
 // weightsNamed takes over a weight version that the operator named. Versions
 // only increase.
 func (s *State) weightsNamed(now time.Time, m WeightsNamed) {
-	if m.Weights <= s.orders.named[m.Model].weights {
+	before := s.orders.named[m.Model]
+	if m.Weights <= before.weights {
 		return
 	}
-	s.orders.named[m.Model] = named{weights: m.Weights, at: now}
+	s.orders.named[m.Model] = named{weights: m.Weights, times: append(before.times, namedAt{weights: m.Weights, at: now})}
 	s.markBehind()
 	s.command(WeightsWanted(m))
 	if s.rules != nil {
@@ -124,5 +125,8 @@
 // long that no new request may use them.
 func (s *State) outdated(now time.Time, server *fleet.Server) bool {
 	limit := s.options.WeightsLimit
-	return limit > 0 && server.Behind && now.Sub(s.orders.named[modelOf(server)].at) >= limit-beginWait
+	if limit == 0 || !server.Behind {
+		return false
+	}
+	return now.Sub(s.orders.named[modelOf(server)].after(server.Weights)) >= limit-beginWait
 }
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -14,6 +14,8 @@
 var (
 	ServerStateChanged = add(2311, LevelInfo, "backend server changed its state", "server", "serves", "from", "to", "cause", "failures", "in_flight")
 	CacheStoreChanged  = add(2312, LevelInfo, "store of KV cache changed its state", "store", "from", "to", "epoch", "tokens")
+	PartsFreed         = add(2313, LevelInfo, "parts of old weights were freed at a store", "store", "parts")
+	PartsNotFreed      = add(2314, LevelInfo, "parts of old weights could not be freed", "store", "parts", "code")
 )
 
 // The events of at-most-once records.
--- a/core/fleet/cachestore.go
+++ b/core/fleet/cachestore.go
@@ -30,6 +30,8 @@
 	Address  string
 	Domain   Domain
 	Capacity int
+	// Managed is true when the store drops nothing on its own.
+	Managed bool
 	// Followers bounds the nodes that may follow the events of the store.
 	Followers int
 	// Epoch changes when the store starts again and holds nothing.
--- a/core/placement/holdings.go
+++ b/core/placement/holdings.go
@@ -134,6 +134,22 @@
 	return count, tokens
 }
 
+// Select returns up to limit parts that a server is believed to keep and that
+// fit, the least recently used ones first.
+func (h *Holdings) Select(id fleet.ServerID, limit int, fits func(PartKey) bool) []PartKey {
+	at := h.places[id]
+	if at == nil {
+		return nil
+	}
+	var keys []PartKey
+	for element := at.recent.Back(); element != nil && len(keys) < limit; element = element.Prev() {
+		if key := element.Value.(heldPart).key; fits(key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 func (at *holding) drop(element *list.Element) {
 	part := element.Value.(heldPart)
 	at.recent.Remove(element)
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -111,7 +111,7 @@
 // cached decides where the shared parts of the prompt come from at a server,
 // and what they are expected to cost there.
 func cached(now time.Time, query Query, view View, server, home *fleet.Server) (Choice, float64) {
-	salt := Salt(server.Weights, query.Isolation)
+	salt := saltOf(server, query)
 	shared := sharedParts(query.Parts)
 	count, held := view.Holdings.Leading(server.ID, salt, shared)
 	choice := Choice{Server: server, Source: Warm, Prefill: max(query.PromptTokens-held, 0)}
@@ -136,7 +136,7 @@
 // are computed and saved, because a part is of use only when all parts before
 // it are there.
 func (c *Choice) fetch(now time.Time, query Query, view View, held int) (tokens int, price float64) {
-	salt := Salt(c.Server.Weights, query.Isolation)
+	salt := saltOf(c.Server, query)
 	list := make([]string, len(query.Parts))
 	next := 0
 	for ; next < len(query.Parts)-1; next++ {
@@ -228,6 +228,11 @@
 	return crossFactor
 }
 
+// saltOf returns the salt of a call at a server.
+func saltOf(server *fleet.Server, query Query) string {
+	return Salt(server.Model, server.Weights, query.Isolation)
+}
+
 // sharedParts returns the parts that other calls may use. The last part
 // belongs to the call alone.
 func sharedParts(parts []request.Part) []request.Part {
@@ -291,7 +296,7 @@
 		if server.Behind {
 			continue
 		}
-		key := PartKey{Salt: Salt(server.Weights, query.Isolation), ID: part.ID}
+		key := PartKey{Salt: saltOf(server, query), ID: part.ID}
 		for _, store := range view.Caches {
 			if store.Fetchable() && view.Holdings.Holds(store.ID, key) {
 				return true
--- a/node/caches/caches.go
+++ b/node/caches/caches.go
@@ -16,6 +16,9 @@
 	"tanagerspread/node/worker"
 )
 
+// freeQueue bounds the calls that free parts and wait.
+const freeQueue = 32
+
 // retryInterval is the time before a failed call is repeated.
 const retryInterval = 500 * time.Millisecond
 
@@ -26,6 +29,8 @@
 	Events(ctx context.Context, since uint64) (events control.CacheEvents, next uint64, lost bool, err *code.Error)
 	// List returns all parts and the position of the next events.
 	List(ctx context.Context) (events control.CacheEvents, next uint64, err *code.Error)
+	// Free frees parts, or returns code.CompareFailed.
+	Free(ctx context.Context, command control.FreeParts) *code.Error
 	// Close closes the connections.
 	Close()
 }
@@ -42,11 +47,12 @@
 type Followers struct {
 	options Options
 	targets chan []control.CacheTarget
+	frees   chan control.FreeParts
 }
 
 // New returns followers that do not run yet.
 func New(options Options) *Followers {
-	return &Followers{options: options, targets: make(chan []control.CacheTarget, 1)}
+	return &Followers{options: options, targets: make(chan []control.CacheTarget, 1), frees: make(chan control.FreeParts, freeQueue)}
 }
 
 // Follow replaces what is followed without blocking.
@@ -65,11 +71,39 @@
 	}
 }
 
+// Free hands a call to its worker without blocking.
+func (f *Followers) Free(command control.FreeParts) {
+	worker.Offer(f.options.Logger, f.frees, command)
+}
+
+func (f *Followers) runFrees(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-f.frees:
+			f.free(ctx, command)
+		}
+	}
+}
+
+// free makes one call. One that fails is repeated in a later turn.
+func (f *Followers) free(ctx context.Context, command control.FreeParts) {
+	client := f.options.Connect(command.Address)
+	defer client.Close()
+	if err := client.Free(ctx, command); err != nil {
+		eventlog.Write(f.options.Logger, event.PartsNotFreed, err, "store", command.Store, "parts", len(command.Parts), "code", int(err.Code))
+		return
+	}
+	eventlog.Write(f.options.Logger, event.PartsFreed, nil, "store", command.Store, "parts", len(command.Parts))
+}
+
 // Run follows them until the context ends.
 func (f *Followers) Run(ctx context.Context) {
 	running := map[control.CacheTarget]context.CancelFunc{}
 	var group sync.WaitGroup
 	defer group.Wait()
+	group.Go(func() { f.runFrees(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -221,6 +221,8 @@
 		}
 	case corecontrol.LogEvent:
 		eventlog.Write(n.options.Logger, c.Event, nil, c.Fields...)
+	case corecontrol.FreeParts:
+		n.caches.Free(c)
 	case corecontrol.FollowCaches:
 		n.caches.Follow(c)
 	case corecontrol.WeightsWanted:
