--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -44,6 +44,11 @@
 	unreadyTime = 2500 * time.Millisecond
 	// storeTimeout bounds one call of the metadata store.
 	storeTimeout = 1500 * time.Millisecond
+	// leaseMargin is how long before the end of its lease a holder sends its last
+	// order. The next holder waits for the rest of the lease time after the key
+	// is gone, and settleMargin longer.
+	leaseMargin  = time.Second
+	settleMargin = 100 * time.Millisecond
 	// weightsMargin is how long before the limit no request begins on older
 	// weights, since the operator counts from its own write.
 	weightsMargin = time.Second
@@ -212,8 +217,8 @@
 func orderTerms(s *platform.Settings) order.Terms {
 	return order.Terms{
 		LeaseTime:    s.LeaseTime,
-		LeaseMargin:  time.Second,
-		SettleTime:   s.LeaseTime,
+		LeaseMargin:  leaseMargin,
+		SettleTime:   s.LeaseTime - leaseMargin + settleMargin,
 		LongestOrder: 4 * time.Second,
 		Grace:        500 * time.Millisecond,
 		MaxLoads:     2,
--- a/node/settings/page.go
+++ b/node/settings/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -17,6 +18,18 @@
 		}
 		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", row.Key, row.Form, defaultText(row), row.Meaning)
 	}
+	b.WriteString(tuningPage())
+	return b.String()
+}
+
+// tuningPage renders the settings of a node on the users' machines.
+func tuningPage() string {
+	var b strings.Builder
+	b.WriteString("\n# Settings on the users' machines\n\nThe platform writes the settings of a process. `tanagerspread --deployed --tuning FILE` reads prices from a further file, by default `deploy/node.ini`; `--check` prints every fault of both. Prices are in parts of the worth of requests, as the deployment's sheet states them.\n")
+	fmt.Fprintf(&b, "\n## [%s]\n\n| key | value | default | meaning |\n|---|---|---|---|\n", tuningSection)
+	for _, row := range tuningTable {
+		fmt.Fprintf(&b, "| %s | number, 0 to 1000000 | `%s` | %s |\n", row.Key, strconv.FormatFloat(row.Default, 'f', -1, 64), row.Help)
+	}
 	return b.String()
 }
 
