mirror: two nodes of a failure domain watch the store, the others copy

Change: node/mirror keeps the entries in memory, filled by one watch of all keys, or by a peer of the own domain over jsonrpc2 (peer.copy); registry and agents read it; a peer that does not answer, or is not up to date, is replaced by the store itself. The registry's own revisions and reads went into the mirror. TestEntriesCopied.

--- a/core/control/config.go
+++ b/core/control/config.go
@@ -211,7 +211,9 @@
 func (s *State) tickReads(now time.Time) {
 	c := &s.configuration
 	behind := c.newest > s.version
-	if (behind || now.Sub(c.confirmed) >= c.readAge) && !now.Before(c.nextRead) {
+	// A node that needs no confirmation reads only what it misses.
+	unsure := !s.options.Unfenced && now.Sub(c.confirmed) >= c.readAge
+	if (behind || unsure) && !now.Before(c.nextRead) {
 		c.nextRead = now.Add(readInterval)
 		s.drawReadAge()
 		s.command(ReadConfig{})
--- a/core/control/fleetmessage.go
+++ b/core/control/fleetmessage.go
@@ -195,5 +195,6 @@
 	s.tickWork(now)
 	s.tickRefresh(now)
 	s.tickLeaving(now)
+	s.chooseSource()
 	s.tickReads(now)
 }
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -92,6 +92,9 @@
 	caches    map[string]*fleet.CacheStore
 	cacheList []*fleet.CacheStore
 	followed  []CacheTarget
+	// source is the peer from which the entries of the key-value service are
+	// copied.
+	source PeerTarget
 	// lastBehind is when an engine last had older weights than named.
 	lastBehind time.Time
 	// leavingNews is true when peers are to be told of a leaving server.
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -67,11 +67,6 @@
 	return nil
 }
 
-// ConfigRead takes a configuration that another reader of the service found.
-func (a *Agents) ConfigRead(entry kv.Entry, asked time.Time) {
-	a.changeSeen(kv.Change{Entry: entry}, asked)
-}
-
 func (a *Agents) changeSeen(change kv.Change, began time.Time) {
 	if change.Deleted || change.Entry.Key != a.options.Source.Key {
 		return
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"tanagerspread/client/kv"
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
 	"tanagerspread/core/control"
@@ -80,6 +81,17 @@
 	return nil
 }
 
+// Copy returns the changes of the peer's entries of the key-value service after
+// a revision, or all entries when whole is true. It returns code.PeerAway.
+func (c *Client) Copy(ctx context.Context, address string, after kv.Revision, wait time.Duration) (changes []kv.Change, at kv.Revision, whole bool, _ *code.Error) {
+	call := copyCall{After: uint64(after), WaitMS: wait.Milliseconds()}
+	var wire copyWire
+	if err := c.call(ctx, address, methodCopy, wait+callTimeout, call, &wire); err != nil {
+		return nil, 0, false, err
+	}
+	return wire.Changes, kv.Revision(wire.At), wire.Whole, nil
+}
+
 // Ping checks a connection and replaces a silent one. It returns
 // code.PeerAway when a new connection does not answer either.
 func (c *Client) Ping(ctx context.Context, address string) *code.Error {
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"net"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"tanagerspread/client/kv"
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/core/request"
@@ -25,9 +27,22 @@
 
 // Server answers the calls of peers.
 type Server struct {
+	// Entries holds the entries of the key-value service that peers may copy; nil
+	// means none.
+	Entries Entries
+
 	control Asker
 }
 
+// Entries is a copy of the key-value service.
+type Entries interface {
+	// Copy returns what a copy lacks after a revision, or code.KeyValueAway.
+	Copy(ctx context.Context, after kv.Revision, wait time.Duration) (changes []kv.Change, at kv.Revision, whole bool, err *code.Error)
+}
+
+// maxCopyWait bounds how long a peer may wait for a change.
+const maxCopyWait = 30 * time.Second
+
 // NewServer returns a server that asks the control thread for its answers.
 func NewServer(asker Asker) *Server {
 	return &Server{control: asker}
@@ -65,7 +80,7 @@
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	stream := jsonrpc2.NewBufferedStream(boundedConn{conn}, boundedCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed(), quiet())
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()), quiet())
 	select {
 	case <-ctx.Done():
 		_ = rpc.Close()
@@ -81,6 +96,8 @@
 		return s.digest(ctx, r)
 	case methodWork:
 		return s.work(r)
+	case methodCopy:
+		return s.copy(ctx, r)
 	case methodConfig:
 		return s.config(ctx)
 	}
@@ -113,6 +130,19 @@
 	return struct{}{}, nil
 }
 
+func (s *Server) copy(ctx context.Context, r *jsonrpc2.Request) (any, error) {
+	var call copyCall
+	if s.Entries == nil || r.Params == nil || json.Unmarshal(*r.Params, &call) != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed call, or no entries"}
+	}
+	wait := min(time.Duration(call.WaitMS)*time.Millisecond, maxCopyWait)
+	changes, at, whole, err := s.Entries.Copy(ctx, kv.Revision(call.After), wait)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: int64(err.Code), Message: err.Detail}
+	}
+	return copyWire{Changes: changes, At: uint64(at), Whole: whole}, nil
+}
+
 func (s *Server) config(ctx context.Context) (any, error) {
 	decision, err := s.ask(ctx, control.AskConfig{ID: newID()})
 	if err != nil {
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"tanagerspread/client/kv"
 	"tanagerspread/core/config"
 	"tanagerspread/core/control"
 	"tanagerspread/core/fleet"
@@ -19,6 +20,7 @@
 	methodConfig = "peer.config"
 	methodPing   = "peer.ping"
 	methodWork   = "peer.work"
+	methodCopy   = "peer.copy"
 )
 
 // maxItemBytes bounds one string in a list of a digest.
@@ -76,6 +78,19 @@
 	return m
 }
 
+// copyCall asks for the changes of the entries of the key-value service.
+type copyCall struct {
+	After  uint64 `json:"a"`
+	WaitMS int64  `json:"w"`
+}
+
+// copyWire is the answer to copyCall.
+type copyWire struct {
+	Changes []kv.Change `json:"c,omitempty"`
+	At      uint64      `json:"r"`
+	Whole   bool        `json:"h,omitempty"`
+}
+
 type configWire struct {
 	Document confkv.Document `json:"document"`
 }
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -203,7 +203,6 @@
 			Registry: &registry.Options{
 				ServerPrefix:  platform.PrefixServers,
 				WeightsPrefix: platform.PrefixWeights,
-				ConfigKey:     platform.KeyConfig,
 				DecodeServer:  platform.DecodeServer,
 				DecodeWeights: platform.DecodeWeights,
 				Seeds:         s.Seeds,
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -405,3 +405,30 @@
 	check.address = n.ready
 	return check.call("GET", "/readiness", nil, "").status
 }
+
+// TestEntriesCopied guards against calls of the store that grow with the fleet,
+// and against nodes that do not learn from those that watch it.
+func TestEntriesCopied(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		s.server("i-1", 0)
+		s.configure(testKey, "other")
+		var nodes []*deployedNode
+		for i := range 6 {
+			nodes = append(nodes, s.node(fmt.Sprintf("n%d", i)))
+		}
+		time.Sleep(5 * time.Second)
+		before := s.store.Calls("/kv-watch")
+		time.Sleep(time.Minute)
+		// Two nodes watch; a watch lasts 30 s and ends early for each change.
+		if got := s.store.Calls("/kv-watch") - before; got > 8 {
+			t.Errorf("%d watches of 6 nodes in a minute", got)
+		}
+		s.configure("other")
+		time.Sleep(500 * time.Millisecond)
+		for i, n := range nodes {
+			if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusUnauthorized {
+				t.Errorf("node %d: got %d with a revoked key", i, got.status)
+			}
+		}
+	})
+}
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -15,8 +15,6 @@
 type follower struct {
 	registry *Registry
 	prefix   string
-	// lost is true while the service does not answer.
-	lost bool
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -28,10 +26,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err.Code == code.HistoryGone {
-			continue
-		}
-		f.noteLost(err)
+		eventlog.Write(f.registry.options.Logger, event.ServiceCallFailed, err, "call", "follow "+f.prefix, "code", int(err.Code))
 		if !worker.Pause(ctx, retryInterval) {
 			return
 		}
@@ -43,14 +38,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entries, revision, err := f.registry.options.Service.List(ctx, f.prefix)
-	f.registry.noteCall(err)
 	if err != nil {
 		return 0, err
 	}
-	f.noteRegained()
-	if f.registry.replace(f.prefix, entries, revision) {
-		f.registry.report()
-	}
+	f.registry.replace(f.prefix, entries)
+	f.registry.report()
 	return revision, nil
 }
 
@@ -62,36 +54,14 @@
 			return err
 		}
 		after = revision
-		if f.applyAll(changes) {
-			f.registry.report()
+		if len(changes) == 0 {
+			continue
 		}
+		f.registry.mu.Lock()
+		for _, change := range changes {
+			f.registry.apply(change)
+		}
+		f.registry.mu.Unlock()
+		f.registry.report()
 	}
 }
-
-func (f *follower) applyAll(changes []kv.Change) bool {
-	f.registry.mu.Lock()
-	defer f.registry.mu.Unlock()
-	changed := false
-	for _, change := range changes {
-		changed = f.registry.apply(change) || changed
-	}
-	return changed
-}
-
-func (f *follower) noteLost(err *code.Error) {
-	if f.lost {
-		return
-	}
-	f.lost = true
-	f.registry.noteCall(err)
-	eventlog.Write(f.registry.options.Logger, event.EntriesLost, err, "prefix", f.prefix, "code", int(err.Code))
-}
-
-// noteRegained logs the end of an outage.
-func (f *follower) noteRegained() {
-	if !f.lost {
-		return
-	}
-	f.lost = false
-	eventlog.Write(f.registry.options.Logger, event.EntriesRegained, nil, "prefix", f.prefix)
-}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -36,18 +36,17 @@
 	Control worker.Teller
 	Service kv.Service
 	Logger  logr.Logger
-	// ServerPrefix and WeightsPrefix are where the entries are, ConfigKey is
-	// where the configuration is.
+	// ServerPrefix and WeightsPrefix are where the entries are.
 	ServerPrefix  string
 	WeightsPrefix string
-	ConfigKey     string
+	// Regained returns when the entries were reached again after an outage, or
+	// zero.
+	Regained func() time.Time
 	// DecodeServer returns the server of an entry, or code.EntryInvalid.
 	DecodeServer func(key string, value []byte) (control.VM, *code.Error)
 	// DecodeWeights returns the named weights of an entry, or
 	// code.EntryInvalid.
 	DecodeWeights func(value []byte) (control.WeightsNamed, *code.Error)
-	// ConfigRead takes a configuration that a read of all entries found.
-	ConfigRead func(entry kv.Entry, asked time.Time)
 	// Seeds are the addresses of peers that may be asked before the entries of
 	// the nodes are known.
 	Seeds []string
@@ -56,16 +55,10 @@
 // Registry follows the entries.
 type Registry struct {
 	options Options
-	refresh chan struct{}
 	// mu guards the entries, which several watches fill.
-	mu       sync.Mutex
-	servers  map[string]control.VM
-	nodes    map[string]control.VM
-	versions versions
-	// away is true after a failed call, and regained is when a call succeeded
-	// after one.
-	away     bool
-	regained time.Time
+	mu      sync.Mutex
+	servers map[string]control.VM
+	nodes   map[string]control.VM
 	// holder is the node that was last seen to hold the key of the issuer.
 	holder string
 	// rejected holds the revision of each unusable entry, so that it is logged
@@ -77,10 +70,8 @@
 func New(options Options) *Registry {
 	return &Registry{
 		options:  options,
-		refresh:  make(chan struct{}, 1),
 		servers:  map[string]control.VM{},
 		nodes:    map[string]control.VM{},
-		versions: versions{},
 		rejected: map[string]kv.Revision{},
 	}
 }
@@ -98,88 +89,32 @@
 	for i := range followers {
 		group.Go(func() { followers[i].run(ctx) })
 	}
-	group.Go(func() { r.runRefresh(ctx) })
 	group.Wait()
 }
 
-// Refresh reads all entries once, beside the watches. It does not block.
-func (r *Registry) Refresh() {
-	select {
-	case r.refresh <- struct{}{}:
-	default:
-		// A read is already due.
-	}
-}
-
-func (r *Registry) runRefresh(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.refresh:
-			r.readAll(ctx)
-		}
-	}
-}
-
-// readAll reads all entries. A failure is left to the watches to report.
-func (r *Registry) readAll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	asked := time.Now()
-	entries, at, err := r.options.Service.List(ctx, "")
-	r.noteCall(err)
-	if err != nil {
-		eventlog.Write(r.options.Logger, event.ServiceCallFailed, err, "call", "read all entries", "code", int(err.Code))
-		return
-	}
-	if r.replace("", entries, at) {
-		r.report()
-	}
-	for _, entry := range entries {
-		if entry.Key == r.options.ConfigKey {
-			r.options.ConfigRead(entry, asked)
-		}
-	}
-}
-
-// noteCall records whether the service is away. The end of an outage is noted
-// before the entries that the first good call returned are taken over.
-func (r *Registry) noteCall(err *code.Error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case err != nil:
-		r.away = true
-	case r.away:
-		r.away = false
-		r.regained = time.Now()
-	}
-}
-
-// replace takes over all entries under a prefix as they were at a revision,
-// and reports whether any differs from what is known.
-func (r *Registry) replace(prefix string, entries []kv.Entry, at kv.Revision) bool {
+// replace takes over all entries under a prefix.
+func (r *Registry) replace(prefix string, entries []kv.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := false
 	listed := map[string]bool{}
 	for _, entry := range entries {
 		listed[entry.Key] = true
-		changed = r.apply(kv.Change{Entry: entry}) || changed
+		r.apply(kv.Change{Entry: entry})
 	}
-	for _, key := range r.versions.missing(prefix, listed, at) {
-		changed = r.apply(kv.Change{Entry: kv.Entry{Key: key, Revision: at}, Deleted: true}) || changed
+	for _, known := range []map[string]control.VM{r.servers, r.nodes} {
+		for key := range known {
+			if strings.HasPrefix(key, prefix) && !listed[key] {
+				r.apply(kv.Change{Entry: kv.Entry{Key: key}, Deleted: true})
+			}
+		}
+	}
+	if prefix == orders.KeyIssuer && len(entries) == 0 {
+		r.applyIssuer(kv.Change{Deleted: true})
 	}
-	return changed
 }
 
-// apply takes over one change and reports whether it is newer than what is
-// known of its key. The lock is held.
-func (r *Registry) apply(change kv.Change) bool {
-	if !r.versions.newer(change) {
-		return false
-	}
+// apply takes over one change. The lock is held.
+func (r *Registry) apply(change kv.Change) {
 	key := change.Entry.Key
 	switch {
 	case strings.HasPrefix(key, r.options.ServerPrefix):
@@ -191,13 +126,12 @@
 	case key == orders.KeyIssuer:
 		r.applyIssuer(change)
 	}
-	return true
 }
 
 // report tells the control thread all known servers and nodes.
 func (r *Registry) report() {
 	r.mu.Lock()
-	message := control.VMList{Regained: r.regained}
+	message := control.VMList{Regained: r.options.Regained()}
 	known := map[string]bool{}
 	for _, vm := range r.servers {
 		message.VMs = append(message.VMs, vm)
--- a/node/runtime/fleet.go
+++ b/node/runtime/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
 
 	"tanagerspread/client/kv"
 	"tanagerspread/client/vmlist"
@@ -11,6 +12,7 @@
 	"tanagerspread/node/agent"
 	"tanagerspread/node/confkv"
 	"tanagerspread/node/control"
+	"tanagerspread/node/mirror"
 	"tanagerspread/node/peer"
 	"tanagerspread/node/registry"
 )
@@ -46,6 +48,9 @@
 	server   *peer.Server
 	listener net.Listener
 	registry *registry.Registry
+	// entries keeps the mirror that the registry and the agents read, when there
+	// is a registry.
+	entries *mirror.Follower
 }
 
 func newFleetSide(loop *control.Loop, options Options) *fleetSide {
@@ -58,9 +63,13 @@
 	if f.PeerServerTLS != nil {
 		side.listener = tls.NewListener(f.PeerListener, f.PeerServerTLS)
 	}
+	service := f.Service
+	if f.Registry != nil {
+		service = side.mirror(loop, options)
+	}
 	side.agents = agent.New(agent.Options{
 		Control: loop,
-		Service: f.Service,
+		Service: service,
 		List:    f.List,
 		Peers:   side.client,
 		Parse:   f.Parse,
@@ -71,17 +80,26 @@
 		PeerAddress: f.PeerAddress,
 		Domain:      string(options.Control.Domain),
 	})
-	if f.Registry != nil {
-		follow := *f.Registry
-		follow.Control = loop
-		follow.Service = f.Service
-		follow.Logger = options.Logger
-		follow.ConfigRead = side.agents.ConfigRead
-		side.registry = registry.New(follow)
-	}
 	return side
 }
 
+// mirror sets up the mirror and the registry over it, and returns the service
+// that reads the mirror.
+func (s *fleetSide) mirror(loop *control.Loop, options Options) kv.Service {
+	f := options.Fleet
+	copied := mirror.New()
+	s.server.Entries = copied
+	s.entries = mirror.NewFollower(mirror.Options{Mirror: copied, Service: f.Service, Peer: s.client, Logger: options.Logger})
+	service := mirror.Service{Service: f.Service, Mirror: copied, Local: f.Source.Key}
+	follow := *f.Registry
+	follow.Control = loop
+	follow.Service = service
+	follow.Logger = options.Logger
+	follow.Regained = copied.Regained
+	s.registry = registry.New(follow)
+	return service
+}
+
 // start runs the agents and the peer server until the context ends. The
 // returned channel is closed when all of them have ended.
 func (s *fleetSide) start(ctx context.Context) <-chan struct{} {
@@ -94,9 +112,7 @@
 	followed := make(chan struct{})
 	go func() {
 		defer close(followed)
-		if s.registry != nil {
-			s.registry.Run(ctx)
-		}
+		s.follow(ctx)
 	}()
 	go func() {
 		defer close(done)
@@ -108,13 +124,25 @@
 	return done
 }
 
-// do hands a command to the registry or to its agent.
+// do hands a command to the mirror or to its agent.
 func (s *fleetSide) do(command corecontrol.Command) {
-	if _, ok := command.(corecontrol.RefreshEntries); ok {
-		if s.registry != nil {
-			s.registry.Refresh()
-		}
+	switch c := command.(type) {
+	case corecontrol.RefreshEntries:
+		s.entries.Refresh()
+	case corecontrol.CopyEntries:
+		s.entries.SetSource(c.Source)
+	default:
+		s.agents.Do(command)
+	}
+}
+
+// follow runs the mirror and the registry until the context ends.
+func (s *fleetSide) follow(ctx context.Context) {
+	if s.registry == nil {
 		return
 	}
-	s.agents.Do(command)
+	var group sync.WaitGroup
+	group.Go(func() { s.entries.Run(ctx) })
+	group.Go(func() { s.registry.Run(ctx) })
+	group.Wait()
 }
