caches: nodes of a failure domain copy the events of stores and engines from each other

Cause: in a large fleet a store takes the event calls of a few nodes only; the others knew nothing of its parts. Change: the nodes of a domain rank each other for each store and engine; the first of them follow it and keep a board, the others copy it (peer.parts). Ages count from before the call, so that copied events never look newer than they are.

--- a/core/control/cachestores.go
+++ b/core/control/cachestores.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -9,6 +10,7 @@
 	"tanagerspread/core/config"
 	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/membership"
 	"tanagerspread/core/placement"
 )
 
@@ -42,6 +44,8 @@
 	Address string
 	// Pause is the time between two calls.
 	Pause time.Duration
+	// Source is the peer whose copy is followed; empty means the target itself.
+	Source PeerTarget
 }
 
 // FollowCaches tells whose events are followed from now on.
@@ -123,21 +127,24 @@
 		return
 	}
 	var targets []CacheTarget
-	all := s.members.Members()
+	near := s.nearPeers()
 	for _, store := range s.cacheList {
-		if s.mayFollow(store.Name, store.Followers, all) {
-			targets = append(targets, CacheTarget{Name: store.Name, Address: store.Address})
-		}
+		source := s.followSource(store.Name, max(allowed(store.Followers)/s.domains(), 1), near)
+		targets = append(targets, CacheTarget{Name: store.Name, Address: store.Address, Source: source})
 	}
-	near := s.nearMembers()
 	for _, server := range s.ordered {
 		if server.Role != fleet.RoleEngine {
 			continue
 		}
-		members, pays := s.engineFollowers(server, all, near)
-		if pays && s.mayFollow(string(server.ID), s.rules.Pools[server.Serves].Followers, members) {
-			targets = append(targets, CacheTarget{Name: string(server.ID), Address: server.Address, Pause: enginePause})
+		limit := allowed(s.rules.Pools[server.Serves].Followers)
+		if !s.followsEngine(server, limit) {
+			continue
+		}
+		target := CacheTarget{Name: string(server.ID), Address: server.Address, Pause: enginePause}
+		if server.Domain == s.options.Domain {
+			target.Source = s.followSource(target.Name, limit, near)
 		}
+		targets = append(targets, target)
 	}
 	if !slices.Equal(targets, s.followed) {
 		s.followed = targets
@@ -145,46 +152,72 @@
 	}
 }
 
-// engineFollowers returns the members that share the calls for the events of an
-// engine, and whether its events are worth their bytes to this node. Short
-// prompts change the parts of an engine often, and are not fetched from another
-// failure domain. A large fleet follows only the engines nearby.
-func (s *State) engineFollowers(server *fleet.Server, all, near []string) ([]string, bool) {
+// followsEngine reports whether the events of an engine are worth their bytes.
+// Short prompts change the parts of an engine often, and are not fetched from
+// another failure domain. A large fleet follows only the engines nearby.
+func (s *State) followsEngine(server *fleet.Server, limit int) bool {
 	if server.Domain == s.options.Domain {
-		return near, true
+		return true
 	}
-	return all, !s.lanes.Short(server) && len(all) <= s.rules.Pools[server.Serves].Followers
+	return !s.lanes.Short(server) && len(s.members.Members()) <= limit
 }
 
-// nearMembers lists the members of the own failure domain.
-func (s *State) nearMembers() []string {
-	near := []string{s.options.Node}
+// nearPeers lists the present peers of the own failure domain.
+func (s *State) nearPeers() []*membership.Peer {
+	var near []*membership.Peer
 	for _, peer := range s.members.Peers() {
-		if peer.Domain == string(s.options.Domain) {
-			near = append(near, peer.ID)
+		if peer.Domain == string(s.options.Domain) && peer.Chart.Is(tagPresent) {
+			near = append(near, peer)
 		}
 	}
 	return near
 }
 
-// spareCalls is the part of the allowed event calls of a target that stays
-// free, because nodes know the members at different times.
-const spareCalls = 0.25
+// domains counts the failure domains with members.
+func (s *State) domains() int {
+	seen := map[string]bool{string(s.options.Domain): true}
+	for _, peer := range s.members.Peers() {
+		if peer.Domain != "" {
+			seen[peer.Domain] = true
+		}
+	}
+	return len(seen)
+}
+
+const (
+	// spareCalls is the part of the allowed event calls of a target that stays
+	// free, because nodes know the members at different times.
+	spareCalls = 0.25
+	// unlimitedCalls stands for a target without a limit.
+	unlimitedCalls = 1 << 20
+)
 
-// mayFollow reports whether this node is among the members that may follow a
-// target. All nodes rank the members of a target in the same way.
-func (s *State) mayFollow(target string, limit int, members []string) bool {
+// allowed returns the number of nodes that follow a target.
+func allowed(limit int) int {
 	if limit == 0 {
-		return true
+		return unlimitedCalls
 	}
-	before := 0
+	return max(int(float64(limit)*(1-spareCalls)), 1)
+}
+
+// followSource returns the peer to copy a target's events from, or nothing when
+// this node is among those of its domain that follow the target itself. All
+// nodes of a domain rank each other for a target in the same way.
+func (s *State) followSource(target string, limit int, near []*membership.Peer) PeerTarget {
 	own := placement.FollowWeight(target, s.options.Node)
-	for _, member := range members {
-		if placement.FollowWeight(target, member) > own {
-			before++
+	var ahead []PeerTarget
+	for _, peer := range near {
+		if placement.FollowWeight(target, peer.ID) > own {
+			ahead = append(ahead, PeerTarget{Node: peer.ID, Address: peer.Address})
 		}
 	}
-	return before < max(int(float64(limit)*(1-spareCalls)), 1)
+	if len(ahead) < limit {
+		return PeerTarget{}
+	}
+	slices.SortFunc(ahead, func(a, b PeerTarget) int {
+		return cmp.Compare(placement.FollowWeight(target, b.Node), placement.FollowWeight(target, a.Node))
+	})
+	return ahead[own%uint64(limit)]
 }
 
 // cacheEvents takes over what a store or an engine said.
--- a/node/caches/caches.go
+++ b/node/caches/caches.go
@@ -16,6 +16,9 @@
 	"tanagerspread/node/worker"
 )
 
+// copyWait is how long a peer may wait for events before it answers.
+const copyWait = 400 * time.Millisecond
+
 // freeQueue bounds the calls that free parts and wait.
 const freeQueue = 32
 
@@ -41,18 +44,32 @@
 	Logger  logr.Logger
 	// Connect returns the client of the store or engine at an address.
 	Connect func(address string) Client
+	// Peers copies the boards of peers.
+	Peers Peers
+}
+
+// Peers copies the boards of peers.
+type Peers interface {
+	// Parts copies the board of a target at a peer, or returns code.PeerAway.
+	Parts(ctx context.Context, address, target string, epoch, since uint64, wait time.Duration) (Copied, *code.Error)
 }
 
 // Followers follow what the control thread names.
 type Followers struct {
 	options Options
+	boards  *Boards
 	targets chan []control.CacheTarget
 	frees   chan control.FreeParts
 }
 
 // New returns followers that do not run yet.
 func New(options Options) *Followers {
-	return &Followers{options: options, targets: make(chan []control.CacheTarget, 1), frees: make(chan control.FreeParts, freeQueue)}
+	return &Followers{options: options, boards: NewBoards(), targets: make(chan []control.CacheTarget, 1), frees: make(chan control.FreeParts, freeQueue)}
+}
+
+// Boards returns what this node follows itself, for peers to copy.
+func (f *Followers) Boards() *Boards {
+	return f.boards
 }
 
 // Follow replaces what is followed without blocking.
@@ -133,10 +150,11 @@
 func (f *Followers) follow(ctx context.Context, target control.CacheTarget) {
 	client := f.options.Connect(target.Address)
 	defer client.Close()
+	defer f.boards.forget(target.Name)
 	position := position{}
 	failed := false
 	for ctx.Err() == nil {
-		err := f.step(ctx, client, target, &position)
+		err := f.next(ctx, client, target, &position)
 		if ctx.Err() != nil {
 			return
 		}
@@ -157,13 +175,38 @@
 	}
 }
 
+// copy makes one call of the peer that follows the target.
+func (f *Followers) copy(ctx context.Context, target control.CacheTarget, at *position) *code.Error {
+	asked := time.Now()
+	copied, err := f.options.Peers.Parts(ctx, target.Source.Address, target.Name, at.epoch, at.next, copyWait)
+	if err != nil {
+		return err
+	}
+	at.epoch = copied.Events.Epoch
+	at.next = copied.Next
+	// Both times count from before the call, so that a slow answer never makes
+	// the events look newer than they are.
+	copied.Events.Asked = asked.Add(-copied.Age)
+	copied.Events.Received = time.Now().Add(-copied.ClockAge)
+	worker.Tell(f.options.Control, f.options.Logger, control.Message(copied.Events))
+	return nil
+}
+
 // position is how far the events are known.
 type position struct {
 	epoch uint64
 	next  uint64
 }
 
-// step makes one call. After a restart, or when events are lost,
+// next makes one call of the target, or of the peer that follows it.
+func (f *Followers) next(ctx context.Context, client Client, target control.CacheTarget, at *position) *code.Error {
+	if target.Source.Address != "" {
+		return f.copy(ctx, target, at)
+	}
+	return f.step(ctx, client, target, at)
+}
+
+// step makes one call of the target. After a restart, or when events are lost,
 // it reads all parts.
 func (f *Followers) step(ctx context.Context, client Client, target control.CacheTarget, at *position) *code.Error {
 	events, next, lost, err := client.Events(ctx, at.next)
@@ -179,6 +222,7 @@
 	at.epoch = events.Epoch
 	at.next = next
 	events.Target = target.Name
+	f.boards.record(events)
 	worker.Tell(f.options.Control, f.options.Logger, control.Message(events))
 	return nil
 }
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -16,6 +17,7 @@
 	"tanagerspread/core/config"
 	"tanagerspread/core/control"
 	"tanagerspread/core/membership"
+	"tanagerspread/node/caches"
 )
 
 const (
@@ -92,6 +94,17 @@
 	return wire.Changes, kv.Revision(wire.At), wire.Whole, nil
 }
 
+// Parts copies what a peer knows of a store or engine that it follows, or
+// returns code.PeerAway.
+func (c *Client) Parts(ctx context.Context, address, target string, epoch, since uint64, wait time.Duration) (caches.Copied, *code.Error) {
+	call := partsCall{Target: target, Epoch: epoch, Since: since, WaitMS: wait.Milliseconds()}
+	var wire partsWire
+	if err := c.call(ctx, address, methodParts, wait+callTimeout, call, &wire); err != nil {
+		return caches.Copied{}, err
+	}
+	return partsFromWire(target, wire), nil
+}
+
 // Ping checks a connection and replaces a silent one. It returns
 // code.PeerAway when a new connection does not answer either.
 func (c *Client) Ping(ctx context.Context, address string) *code.Error {
@@ -126,7 +139,10 @@
 		return code.Wrap(code.PeerAway, "no connection to the peer could be opened", err)
 	}
 	if err := conn.Call(ctx, method, params, result); err != nil {
-		c.drop(address, conn)
+		var answered *jsonrpc2.Error
+		if !errors.As(err, &answered) {
+			c.drop(address, conn)
+		}
 		return code.Wrap(code.PeerAway, "the peer did not answer", err)
 	}
 	return nil
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -13,6 +13,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/core/request"
+	"tanagerspread/node/caches"
 	"tanagerspread/node/confkv"
 )
 
@@ -30,6 +31,8 @@
 	// Entries holds the entries of the key-value service that peers may copy; nil
 	// means none.
 	Entries Entries
+	// Boards holds what this node follows itself; nil means nothing.
+	Boards *caches.Boards
 
 	control Asker
 }
@@ -98,6 +101,8 @@
 		return s.work(r)
 	case methodCopy:
 		return s.copy(ctx, r)
+	case methodParts:
+		return s.parts(ctx, r)
 	case methodConfig:
 		return s.config(ctx)
 	}
@@ -143,6 +148,19 @@
 	return copyWire{Changes: changes, At: uint64(at), Whole: whole}, nil
 }
 
+func (s *Server) parts(ctx context.Context, r *jsonrpc2.Request) (any, error) {
+	var call partsCall
+	if s.Boards == nil || r.Params == nil || json.Unmarshal(*r.Params, &call) != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed call, or no boards"}
+	}
+	wait := min(time.Duration(call.WaitMS)*time.Millisecond, maxCopyWait)
+	copied, err := s.Boards.Copy(ctx, call.Target, call.Epoch, call.Since, wait)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: int64(err.Code), Message: err.Detail}
+	}
+	return partsToWire(copied), nil
+}
+
 func (s *Server) config(ctx context.Context) (any, error) {
 	decision, err := s.ask(ctx, control.AskConfig{ID: newID()})
 	if err != nil {
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -11,6 +11,7 @@
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/membership"
 	"tanagerspread/core/quarantine"
+	"tanagerspread/node/caches"
 	"tanagerspread/node/confkv"
 )
 
@@ -21,6 +22,7 @@
 	methodPing   = "peer.ping"
 	methodWork   = "peer.work"
 	methodCopy   = "peer.copy"
+	methodParts  = "peer.parts"
 )
 
 // maxItemBytes bounds one string in a list of a digest.
@@ -91,6 +93,59 @@
 	Whole   bool        `json:"h,omitempty"`
 }
 
+// partsCall asks for the parts of a store or engine that the peer follows.
+type partsCall struct {
+	Target string `json:"t"`
+	Epoch  uint64 `json:"e"`
+	Since  uint64 `json:"s"`
+	WaitMS int64  `json:"w"`
+}
+
+// partsWire is the answer to partsCall. A part that is gone has -1 tokens.
+type partsWire struct {
+	Epoch      uint64   `json:"e"`
+	Next       uint64   `json:"n"`
+	Whole      bool     `json:"h,omitempty"`
+	Salts      []string `json:"s,omitempty"`
+	IDs        []string `json:"i,omitempty"`
+	Tokens     []int    `json:"k,omitempty"`
+	Clock      int64    `json:"c"`
+	AgeMS      int64    `json:"a"`
+	ClockAgeMS int64    `json:"g"`
+}
+
+// goneTokens marks a part that is gone.
+const goneTokens = -1
+
+func partsToWire(c caches.Copied) partsWire {
+	w := partsWire{
+		Epoch: c.Events.Epoch, Next: c.Next, Whole: c.Events.Whole, Clock: c.Events.Clock,
+		AgeMS: ceilMS(c.Age), ClockAgeMS: c.ClockAge.Milliseconds(),
+	}
+	for _, e := range c.Events.Events {
+		tokens := e.Tokens
+		if !e.Added {
+			tokens = goneTokens
+		}
+		w.Salts = append(w.Salts, e.Salt)
+		w.IDs = append(w.IDs, e.ID)
+		w.Tokens = append(w.Tokens, tokens)
+	}
+	return w
+}
+
+func partsFromWire(target string, w partsWire) caches.Copied {
+	c := caches.Copied{
+		Next: w.Next, Age: time.Duration(w.AgeMS) * time.Millisecond, ClockAge: time.Duration(w.ClockAgeMS) * time.Millisecond,
+		Events: control.CacheEvents{Target: target, Epoch: w.Epoch, Whole: w.Whole, Clock: w.Clock},
+	}
+	for i := range min(len(w.Salts), len(w.IDs), len(w.Tokens)) {
+		added := w.Tokens[i] != goneTokens
+		c.Events.Events = append(c.Events.Events, control.PartEvent{Added: added, Salt: w.Salts[i], ID: w.IDs[i], Tokens: max(w.Tokens[i], 0)})
+	}
+	return c
+}
+
 type configWire struct {
 	Document confkv.Document `json:"document"`
 }
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -114,15 +114,28 @@
 		MaxBodyBytes: options.MaxBodyBytes,
 		Protocol:     options.Protocol,
 	})
+	n.orders = newOrders(n.loop, options)
 	if options.Fleet != nil {
 		n.fleet = newFleetSide(n.loop, options)
 	}
-	n.orders = newOrders(n.loop, options)
-	n.caches = caches.New(caches.Options{Control: n.loop, Logger: options.Logger, Connect: options.Caches})
+	n.followCaches()
 
 	return n, nil
 }
 
+// followCaches sets up the followers of stores and engines, whose boards peers
+// may copy.
+func (n *Node) followCaches() {
+	options := caches.Options{Control: n.loop, Logger: n.options.Logger, Connect: n.options.Caches}
+	if n.fleet != nil {
+		options.Peers = n.fleet.client
+	}
+	n.caches = caches.New(options)
+	if n.fleet != nil {
+		n.fleet.server.Boards = n.caches.Boards()
+	}
+}
+
 func newOrders(loop *control.Loop, options Options) *orders.Workers {
 	terms := options.Control.Orders
 	if terms.LeaseTime == 0 {
