--- a/cmd/tanagerspread/main.go
+++ b/cmd/tanagerspread/main.go
@@ -30,6 +30,10 @@
 	exitInterrupted = 4
 )
 
+// heapShare is the part of the memory of the process that the heap may use; the
+// rest is for stacks and for the buffers of the sockets.
+const heapShare = 0.6
+
 // arguments are the command-line options.
 type arguments struct {
 	Settings      string `long:"settings" value-name:"FILE" description:"run a node with the settings of FILE"`
@@ -109,6 +113,7 @@
 	case given.Check:
 		return exitStopped
 	}
+	debug.SetMemoryLimit(int64(float64(checked.MemoryBytes) * heapShare))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	reloads := make(chan os.Signal, 1)
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -74,3 +74,12 @@
 	}
 	return out
 }
+
+// Target returns path and query of a call as the caller sent them. A call in
+// absolute form loses its scheme and host.
+func Target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -41,9 +41,10 @@
 		f.refuseCall(w, newID(), &refused{err: err})
 		return
 	}
-	body, err := readBody(w, r, f.options.MaxBodyBytes)
+	body, release, err := f.holdBody(w, r)
+	defer release()
 	if err != nil {
-		f.refuseCall(w, call.ID, &refused{err: err})
+		f.refuseCall(w, call.ID, &refused{err: err, retryAfter: pendingRetry})
 		return
 	}
 	call.Routing.Bytes = len(body)
@@ -60,6 +61,26 @@
 	f.serveCall(ctx, x, &callRelay{front: f, w: w, r: r, exchange: x, body: body, lastEvent: call.LastEvent, arrived: arrived})
 }
 
+// pendingRetry is the advised delay after a call was refused because the bodies
+// in progress take too much memory.
+const pendingRetry = 200 * time.Millisecond
+
+// holdBody reads the body of a call and counts its bytes until release is
+// called. A body whose length is known is refused before it is read.
+func (f *Front) holdBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), _ *code.Error) {
+	held := max(r.ContentLength, 0)
+	release = func() { f.pending.Add(-held) }
+	if total := f.pending.Add(held); f.options.MaxPendingBytes > 0 && total > f.options.MaxPendingBytes {
+		return nil, release, code.New(code.Overloaded, "the bodies of the calls in progress take too much memory")
+	}
+	body, err := readBody(w, r, f.options.MaxBodyBytes)
+	if extra := int64(len(body)) - held; extra > 0 {
+		held += extra
+		f.pending.Add(extra)
+	}
+	return body, release, err
+}
+
 func (f *Front) serveCall(ctx context.Context, x *exchange, relay *callRelay) {
 	if end := x.admit(ctx); end != nil {
 		f.refuseCall(relay.w, x.request.ID, end.refused)
@@ -146,7 +167,7 @@
 	call := egress.ForwardCall{
 		ID:     c.exchange.request.ID,
 		Method: c.r.Method,
-		Target: c.r.RequestURI,
+		Target: forward.Target(c.r),
 		Host:   c.r.Host,
 		Header: c.front.options.Protocol.Outgoing(c.r.Header, *dispatch.Forward, left, c.lastEvent),
 		Body:   c.body,
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -80,6 +80,9 @@
 	Observer Observer
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
+	// MaxPendingBytes bounds the bodies of all forwarded calls in progress; 0
+	// means no bound.
+	MaxPendingBytes int64
 	// Protocol is that of forwarded calls; with nil the front serves the
 	// product's own interface.
 	Protocol forward.Protocol
@@ -89,6 +92,8 @@
 type Front struct {
 	options Options
 	ready   atomic.Bool
+	// pending counts the bytes of the bodies of forwarded calls in progress.
+	pending atomic.Int64
 }
 
 // NewFront returns a front that is not ready yet.
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"os"
-	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -34,9 +33,9 @@
 	// logLines is the number of log lines that wait for standard output; more
 	// are dropped.
 	logLines = 4096
-	// memoryShare is the part of the memory of the process that the heap may
-	// use; the rest is for stacks and for the buffers of the sockets.
-	memoryShare = 0.6
+	// bodyShare is the part of the memory of the process that the bodies of calls
+	// in progress may take.
+	bodyShare = 0.2
 	// maxBodyBytes bounds the body of a forwarded call.
 	maxBodyBytes = 4 << 20
 	// unreadyTime is how long a stopping node still accepts calls. The load
@@ -97,7 +96,6 @@
 func RunDeployed(ctx context.Context, options DeployedOptions) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	debug.SetMemoryLimit(int64(float64(options.Settings.MemoryBytes) * memoryShare))
 	counters := metrics.New()
 	defer func() { _ = counters.Close() }()
 	queue := eventlog.NewQueue(options.Log, logLines)
@@ -189,7 +187,9 @@
 		Logger:       logger,
 		Metrics:      counters,
 		MaxBodyBytes: maxBodyBytes,
-		Protocol:     platform.Protocol{},
+		// Bodies in progress are kept for a repeat.
+		MaxPendingBytes: int64(float64(s.MemoryBytes) * bodyShare),
+		Protocol:        platform.Protocol{},
 		Caches: func(address string) caches.Client {
 			return platform.NewCacheClient(address, d.dial)
 		},
@@ -211,10 +211,10 @@
 	}
 }
 
-// orderTerms are the terms of orders to servers that check fencing numbers and
-// load weights in about a second, slower while more than a sixth of them do.
+// orderTerms are the terms of orders to servers that load weights in about a
+// second, slower while more than a sixth of them do.
 func orderTerms(s *platform.Settings) order.Terms {
-	return order.Terms{
+	terms := order.Terms{
 		LeaseTime:    s.LeaseTime,
 		LeaseMargin:  leaseMargin,
 		SettleTime:   s.LeaseTime - leaseMargin + settleMargin,
@@ -226,6 +226,11 @@
 		CallTimeout:  1500 * time.Millisecond,
 		OnDemand:     true,
 	}
+	if !s.ServersFence {
+		// An order of an earlier holder may still be carried out.
+		terms.SettleTime = s.LeaseTime + terms.LongestOrder
+	}
+	return terms
 }
 
 // watchReloads reads the settings again when told to. The addresses of a
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -39,13 +39,15 @@
 	mu      sync.Mutex
 	// away holds the nodes that do not reach the store.
 	away map[string]bool
-	ends []func()
+	// memory is that of the nodes in bytes.
+	memory int64
+	ends   []func()
 }
 
 // runDeployed runs a test at a site whose configuration is not written yet.
 func runDeployed(t *testing.T, test func(*deployedSite)) {
 	synctest.Test(t, func(t *testing.T) {
-		site := &deployedSite{t: t, network: pipe.NewNetwork(), store: deployed.NewStore(), plan: &deployed.Plan{}, away: map[string]bool{}}
+		site := &deployedSite{t: t, network: pipe.NewNetwork(), store: deployed.NewStore(), plan: &deployed.Plan{}, away: map[string]bool{}, memory: 1 << 30}
 		site.serve(storeAddress, site.store.Handler())
 		test(site)
 		for _, end := range site.ends {
@@ -153,8 +155,8 @@
 	}
 	site := &platform.Settings{
 		Node: name, Domain: "a", IP: name, Callers: n.address, Readiness: n.ready, Peers: name + ":peers", LastPort: 7715,
-		Seeds: seeds, Store: storeAddress, MemoryBytes: 1 << 30, LeaseTime: 3 * time.Second,
-		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, WeightsTime: 12 * time.Second,
+		Seeds: seeds, Store: storeAddress, MemoryBytes: s.memory, LeaseTime: 3 * time.Second,
+		ServersFence: true, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, WeightsTime: 12 * time.Second,
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	options := process.DeployedOptions{
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -432,3 +432,30 @@
 		}
 	})
 }
+
+// TestBodiesBounded guards against bodies in progress that exceed the memory of
+// the process.
+func TestBodiesBounded(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		s.server("i-1", 0)
+		s.configure(testKey)
+		s.memory = 1 << 20
+		n := s.node("n1")
+		settle()
+		s.plan.Do(deployed.Hang)
+		ended := make(chan reply, 1)
+		half := strings.Repeat("x", 150<<10)
+		go func() { ended <- n.call("POST", "/charge/", nil, half) }()
+		synctest.Wait()
+		if got := n.call("POST", "/lookup/", nil, half); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("a second large body got %+v", got)
+		}
+		if got := n.call("POST", "/lookup/", nil, "small"); got.status != http.StatusOK {
+			t.Errorf("a small body got %+v", got)
+		}
+		<-ended
+		if got := n.call("POST", "/lookup/", nil, half); got.status != http.StatusOK {
+			t.Errorf("a large body after the first one ended got %+v", got)
+		}
+	})
+}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -53,6 +53,9 @@
 	Metrics *metrics.Metrics
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64
+	// MaxPendingBytes bounds the bodies of all forwarded calls in progress; 0
+	// means no bound.
+	MaxPendingBytes int64
 	// Fleet connects the node to the platform and to its peers. Without it
 	// the node serves with the configuration that it is told.
 	Fleet *Fleet
@@ -113,6 +116,8 @@
 		Checker:      options.Control.Checker,
 		MaxBodyBytes: options.MaxBodyBytes,
 		Protocol:     options.Protocol,
+
+		MaxPendingBytes: options.MaxPendingBytes,
 	})
 	n.orders = newOrders(n.loop, options)
 	if options.Fleet != nil {
