--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -174,8 +175,9 @@
 	go func() { n.done <- process.RunDeployed(ctx, options) }()
 	s.ends = append([]func(){func() {
 		cancel()
-		// The node ends with the error of its context.
-		_ = <-n.done
+		if err := <-n.done; err != nil && !errors.Is(err, context.Canceled) {
+			s.t.Errorf("node %s: %v", name, err)
+		}
 	}}, s.ends...)
 	return n
 }
