soak: real processes against stand-ins, faults from outside, promises checked

Change: tanagersoak starts three nodes against a store and six servers behind loopback proxies, and injects kills, planned stops, pauses, reloads, delayed, silent, one-way and reset connections, a store that fails, loses answers or history, servers that misbehave, new weights, configurations and drains. It checks at-most-once runs, true refusals, own and whole answers, tenants, salts, weights, revoked keys, planned stops and recovery.

--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -24,7 +24,7 @@
 		got := n.call("POST", "/lookup/x%2Fy/?q=%20a", http.Header{
 			"X-Caller": {"kept"}, "Tenant": {"another"}, "Cache-Salt": {"stolen"}, "Hold": {"1"}, "Kv-From": {"1.2.3.4:5/6"},
 		}, "the body")
-		if got.status != http.StatusOK || got.body != "answer of i-1" || got.header.Get("Server-Seal") != "seal-i-1" {
+		if got.status != http.StatusOK || got.body != "answer of i-1 to attempt-1" || got.header.Get("Server-Seal") != "seal-i-1" {
 			t.Fatalf("got %+v", got)
 		}
 		received := server.Received()
--- /dev/null
+++ b/soak/callers.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// callerCount is the number of callers that send at a time.
+const callerCount = 8
+
+// callDeadline is how long a caller waits.
+const callDeadline = 4 * time.Second
+
+// paths are the kinds of calls.
+var paths = []string{"/charge/", "/lookup/", "/review/", "/caption/"}
+
+// outcome is what a caller saw of one attempt.
+type outcome struct {
+	id     string
+	path   string
+	key    string
+	node   *node
+	sent   time.Time
+	ended  time.Time
+	status int
+	body   string
+	// whole is true when the response is complete.
+	whole bool
+}
+
+// promises reports whether the status says that the call has not run and never
+// will.
+func (o outcome) promises() bool {
+	switch o.status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// callers send calls until they are stopped. Each keeps its connection to a node
+// until that one is gone.
+type callers struct {
+	site *site
+	mu   sync.Mutex
+	seen []outcome
+}
+
+func (c *callers) run(ctx context.Context, seed uint64) {
+	var group sync.WaitGroup
+	for i := range callerCount {
+		group.Go(func() { c.caller(ctx, i, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	group.Wait()
+}
+
+func (c *callers) caller(ctx context.Context, number int, random *rand.Rand) {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		n := c.site.nodes[(number+i/20)%len(c.site.nodes)]
+		id := fmt.Sprintf("c%d-%d", number, i)
+		c.note(call(ctx, client, n, id, paths[random.IntN(len(paths))], keyKept))
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(random.IntN(30)) * time.Millisecond):
+		}
+	}
+}
+
+func (c *callers) note(o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen = append(c.seen, o)
+}
+
+func newClient() *http.Transport {
+	return &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression: true,
+	}
+}
+
+// call makes one attempt. The parts of its prompt are shared by many calls.
+func call(ctx context.Context, client *http.Transport, n *node, id, path, key string) outcome {
+	o := outcome{id: id, path: path, key: key, node: n, sent: time.Now()}
+	defer func() { o.ended = time.Now() }()
+	ctx, cancel := context.WithTimeout(ctx, callDeadline)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.callers+path+id, strings.NewReader("body of "+id))
+	if err != nil {
+		return o
+	}
+	request.GetBody = nil
+	request.Host = soakHost
+	request.Header = http.Header{
+		"Request-Attempt-Id": {id}, "Api-Key": {key}, "Deadline-Ms": {fmt.Sprint(callDeadline.Milliseconds())},
+		"Tenant": {"forged"}, "Cache-Salt": {"forged"},
+	}
+	if path == "/review/" || path == "/caption/" {
+		request.Header.Set("Model", "m")
+		request.Header.Set("Token-Count", "3010,20")
+		request.Header.Set("Prompt-Prefix", fmt.Sprintf("aa%d:3000,%x:10", len(id)%4, id))
+	}
+	response, err := client.RoundTrip(request)
+	if err != nil {
+		return o
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	o.status = response.StatusCode
+	o.body = string(body)
+	o.whole = err == nil
+	return o
+}
--- /dev/null
+++ b/soak/site.go
@@ -0,0 +1,250 @@
+// Package soak runs the real programs as separate processes against stand-ins
+// on loopback, injects faults from outside, and checks what callers and servers
+// see.
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"tanagerspread/standin/deployed"
+)
+
+const (
+	nodeCount  = 3
+	plainCount = 3
+	modelCount = 3
+	// streamEvents is the number of events of each stream.
+	streamEvents = 6
+	soakHost     = "soak.example"
+	soakTenant   = "tenant"
+	keyKept      = "key-kept"
+)
+
+// site is the store, the servers and the nodes of one run.
+type site struct {
+	dir     string
+	binary  string
+	store   *deployed.Store
+	plan    *deployed.Plan
+	servers []*server
+	nodes   []*node
+	// storeProxies holds one proxy for each node before the store.
+	storeProxies []*Proxy
+	version      int
+	weights      int
+	closers      []func()
+}
+
+// server is one server behind a proxy.
+type server struct {
+	*deployed.Server
+	proxy  *Proxy
+	events int
+}
+
+// node is one process of the program.
+type node struct {
+	name     string
+	settings string
+	callers  string
+	ready    string
+	log      *os.File
+
+	mu      sync.Mutex
+	process *os.Process
+	// stopping is true from the signal to stop on.
+	stopping bool
+}
+
+func newSite(binary, dir string) (*site, error) {
+	s := &site{dir: dir, binary: binary, store: deployed.NewStore(), plan: &deployed.Plan{}, weights: 1}
+	storeAddress, err := s.serve(s.store.Handler())
+	if err != nil {
+		return nil, err
+	}
+	s.configure(keyKept)
+	s.store.Put("op/version/m", map[string]any{"model": "m", "version": s.weights})
+	for i := range plainCount + modelCount {
+		events := 0
+		if i >= plainCount {
+			events = streamEvents
+		}
+		if err := s.addServer(fmt.Sprintf("i-%d", i), events); err != nil {
+			return nil, err
+		}
+	}
+	for i := range nodeCount {
+		if err := s.addNode(fmt.Sprintf("node-%d", i), storeAddress); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *site) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	s.closers = append(s.closers, func() { _ = server.Close() })
+	return listener.Addr().String(), nil
+}
+
+// configure writes the next configuration and returns its acknowledgement time.
+func (s *site) configure(keys ...string) time.Time {
+	s.version += 2
+	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": soakHost, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000,
+			"target_latency_ms": 300, "service": service, "max_attempts": attempts, "resumable": resumable,
+		}
+	}
+	s.store.Put("op/config", map[string]any{
+		"version": s.version,
+		"routes": []map[string]any{
+			route("lookup", "idempotent", "desk", 2, false), route("charge", "non_idempotent", "desk", 1, false),
+			route("review", "streaming", "models", 2, true), route("caption", "streaming", "models", 1, false),
+		},
+		"services": []map[string]any{
+			{"name": "desk", "max_conns": 100},
+			{"name": "models", "max_conns": 100, "engine": map[string]any{"kv_capacity_tokens": 60000, "kv_token_bytes": 18432}},
+		},
+		"tenants": []map[string]any{{"name": soakTenant, "api_keys": keys}},
+	})
+	return time.Now()
+}
+
+func (s *site) addServer(id string, events int) error {
+	added := &server{Server: deployed.NewServer(id, events), events: events}
+	added.Plan = s.plan
+	added.BreakAfter = 2
+	address, err := s.serve(added.Handler())
+	if err != nil {
+		return err
+	}
+	if added.proxy, err = NewProxy(address); err != nil {
+		return err
+	}
+	s.closers = append(s.closers, added.proxy.Close)
+	s.servers = append(s.servers, added)
+	s.announce(added, "ready")
+	return nil
+}
+
+// announce writes the entry of a server.
+func (s *site) announce(added *server, state string) {
+	entry := map[string]any{
+		"service": "desk", "address": added.proxy.Address(), "zone": "a", "slots": 16, "state": state, "born": 1700000000000,
+	}
+	if added.events > 0 {
+		version, _ := added.Weights()
+		entry["service"] = "models"
+		entry["models"] = []map[string]any{{"name": "m", "version": version}}
+	}
+	s.store.Put("servers/"+added.ID, entry)
+}
+
+func (s *site) addNode(name, storeAddress string) error {
+	proxy, err := NewProxy(storeAddress)
+	if err != nil {
+		return err
+	}
+	s.closers = append(s.closers, proxy.Close)
+	s.storeProxies = append(s.storeProxies, proxy)
+	ports, err := freePorts(4)
+	if err != nil {
+		return err
+	}
+	n := &node{name: name, callers: address(ports[0]), ready: address(ports[1]), settings: filepath.Join(s.dir, name+".yaml")}
+	text := fmt.Sprintf(`node: %q
+zone: "a"
+ip: "127.0.0.1"
+listen: {front: %q, ready: %q, control: %q}
+port_range: [%d, %d]
+limits: {memory_mb: 300}
+bounds: {lease_ms: 3000, version_ms: 12000, retry_budget_ratio: 0.2, budget_window_s: 10, retry_slack: 50, fencing_required: true}
+platform: {address: %q}
+`, name, n.callers, n.ready, address(ports[2]), ports[3], ports[3], proxy.Address())
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	if n.log, err = os.Create(filepath.Join(s.dir, name+".log")); err != nil {
+		return err
+	}
+	s.nodes = append(s.nodes, n)
+	return n.start(s.binary)
+}
+
+func address(port int) string {
+	return fmt.Sprintf("127.0.0.1:%d", port)
+}
+
+// freePorts returns ports that were free a moment ago.
+func freePorts(count int) ([]int, error) {
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+// start starts the process of a node.
+func (n *node) start(binary string) error {
+	process, err := os.StartProcess(binary, []string{binary, "--deployed", "--deployed-settings", n.settings}, &os.ProcAttr{
+		Files: []*os.File{nil, n.log, n.log},
+	})
+	if err != nil {
+		return fmt.Errorf("start %s: %w", n.name, err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.process = process
+	n.stopping = false
+	return nil
+}
+
+// signal sends a signal to the present process of the node.
+func (n *node) signal(sig syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if sig == syscall.SIGTERM {
+		n.stopping = true
+	}
+	// A process that has ended gets no signal.
+	_ = n.process.Signal(sig)
+}
+
+// wait waits until the present process has ended.
+func (n *node) wait() {
+	n.mu.Lock()
+	process := n.process
+	n.mu.Unlock()
+	// The process may have been waited for already.
+	_, _ = process.Wait()
+}
+
+func (s *site) close() {
+	for _, n := range s.nodes {
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGKILL)
+		n.wait()
+		_ = n.log.Close()
+	}
+	for _, closer := range s.closers {
+		closer()
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"tanagerspread/standin/deployed"
+)
+
+// shortSeed is the seed that CI plays.
+const shortSeed = 1
+
+// shortFaults keeps the run of one seed in CI below half a minute.
+const shortFaults = 8
+
+// regressionSeeds are seeds that failed once, each with its cause.
+var regressionSeeds []uint64
+
+// TestSeeds guards against broken promises while processes, connections and the
+// store fail in series: it plays a short fixed seed and each seed that failed
+// once.
+func TestSeeds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes")
+	}
+	binary := filepath.Join(t.TempDir(), "tanagerspread")
+	build := exec.Command("go", "build", "-o", binary, "tanagerspread/cmd/tanagerspread")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	for _, seed := range append([]uint64{shortSeed}, regressionSeeds...) {
+		report, err := Run(t.Context(), Options{Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: shortFaults})
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if len(report.Broken) > 0 {
+			t.Errorf("seed %d: %s\nafter: %s", seed, strings.Join(report.Broken, "\n"), strings.Join(report.Injected, "\n"))
+		}
+		if report.Answered == 0 {
+			t.Errorf("seed %d: none of %d calls was answered", seed, report.Calls)
+		}
+	}
+}
+
+// TestOracle guards against a soak that overlooks a broken promise.
+func TestOracle(t *testing.T) {
+	run := func(id string) deployed.Request {
+		return deployed.Request{
+			Ran: true, Host: soakHost, URI: "/charge/" + id, Body: "body of " + id,
+			Header: http.Header{"Request-Attempt-Id": {id}, "Tenant": {soakTenant}},
+		}
+	}
+	foreign, keyed, salted := run("a"), run("a"), run("a")
+	foreign.Header.Set("Tenant", "forged")
+	keyed.Header.Set("Api-Key", keyKept)
+	salted.Weights = 2
+	salted.Header.Set("Cache-Salt", "m/1/")
+	tests := map[string]struct {
+		runs   []deployed.Request
+		events int
+		call   outcome
+		want   string
+	}{
+		"in order":       {runs: []deployed.Request{run("a")}, call: answered("a", "b to a"), want: ""},
+		"ran twice":      {runs: []deployed.Request{run("a"), run("a")}, call: answered("a", "b to a"), want: "ran 2 times"},
+		"untrue refusal": {runs: []deployed.Request{run("a")}, call: outcome{id: "a", path: "/charge/", status: 503}, want: "was refused"},
+		"never ran":      {call: answered("a", "b to a"), want: "never ran"},
+		"other answer":   {runs: []deployed.Request{run("a")}, call: answered("a", "b to c"), want: "got the answer"},
+		"forged tenant":  {runs: []deployed.Request{foreign}, call: answered("a", "b to a"), want: "tenant"},
+		"key passed on":  {runs: []deployed.Request{keyed}, call: answered("a", "b to a"), want: "got key"},
+		"other weights":  {runs: []deployed.Request{salted}, events: 1, call: answered("a", "b to a"), want: "weights 2"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := &oracle{runs: map[string][]deployed.Request{}}
+			s := &server{Server: &deployed.Server{ID: "i-0"}, events: test.events}
+			for _, r := range test.runs {
+				o.received(s, r)
+			}
+			o.outcome(test.call)
+			got := strings.Join(o.faults, "\n")
+			if (test.want == "") != (got == "") || !strings.Contains(got, test.want) {
+				t.Errorf("found %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+func answered(id, body string) outcome {
+	return outcome{id: id, path: "/charge/", status: http.StatusOK, body: body, whole: true}
+}
+
+// TestStreamEvents guards against a soak that accepts a stream with a repeated
+// or missing event.
+func TestStreamEvents(t *testing.T) {
+	whole := ""
+	for _, number := range []string{"1", "2", "3", "4", "5", "6"} {
+		whole += "id: " + number + "\ndata: piece " + number + "\n\n"
+	}
+	first, rest, _ := strings.Cut(whole, "\n\n")
+	o := &oracle{}
+	call := outcome{id: "a", path: "/review/", body: whole}
+	if !o.own(call) {
+		t.Error("a whole stream is not accepted")
+	}
+	for _, body := range []string{rest, first + "\n\n" + first + "\n\n" + rest} {
+		call.body = body
+		if o.own(call) {
+			t.Errorf("accepted %q", body)
+		}
+	}
+}
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -17,6 +17,10 @@
 	Host   string
 	Header http.Header
 	Body   string
+	// Ran is true when the server began to work on the call, with the weights
+	// that it had then.
+	Ran     bool
+	Weights int
 }
 
 // Behaviour is what a server does with a call. The zero value answers it.
@@ -39,6 +43,10 @@
 	Fault
 	// Unframed answers with a body that ends with the connection.
 	Unframed
+	// Slow answers after a second.
+	Slow
+	// Behaviours is the number of behaviours.
+	Behaviours
 )
 
 // Plan tells servers what they do with their next calls, one after the other,
@@ -91,6 +99,13 @@
 	return &Server{ID: id, Events: events, Plan: &Plan{}, weights: 1}
 }
 
+// SetWeights sets the loaded version, as of a server that starts.
+func (s *Server) SetWeights(version int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.weights = version
+}
+
 // Received returns the calls that reached the server.
 func (s *Server) Received() []Request {
 	s.mu.Lock()
@@ -121,20 +136,32 @@
 	return mux
 }
 
-func (s *Server) next(r *http.Request) Behaviour {
+// next records a call and returns what the server does with it, and whether that
+// counts as run.
+func (s *Server) next(r *http.Request) (Behaviour, bool) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.received = append(s.received, Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body)})
-	return s.Plan.next()
+	received := Request{
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), Weights: s.weights,
+	}
+	expected := r.Header.Get("Expect-Version")
+	does := Answer
+	received.Ran = r.Header.Get("Expect-Instance") == s.ID && (expected == "" || expected == strconv.Itoa(s.weights))
+	if received.Ran {
+		does = s.Plan.next()
+		received.Ran = does != Shed
+	}
+	s.received = append(s.received, received)
+	return does, received.Ran
 }
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
-	does := s.next(r)
-	if expected := r.Header.Get("Expect-Instance"); expected != s.ID {
+	does, ran := s.next(r)
+	if !ran && does != Shed {
 		w.Header().Set("Instance-Id", s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -150,6 +177,8 @@
 	case Hang:
 		<-r.Context().Done()
 		return
+	case Slow:
+		<-time.After(time.Second)
 	}
 	w.Header().Set("Request-Attempt-Id", id)
 	w.Header().Set("Server-Seal", "seal-"+s.ID)
@@ -160,12 +189,12 @@
 	case s.Events > 0:
 		s.stream(w, r, does)
 	default:
-		s.plain(w, does)
+		s.plain(w, id, does)
 	}
 }
 
-func (s *Server) plain(w http.ResponseWriter, does Behaviour) {
-	body := "answer of " + s.ID
+func (s *Server) plain(w http.ResponseWriter, id string, does Behaviour) {
+	body := "answer of " + s.ID + " to " + id
 	switch does {
 	case Break:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
--- a/test.sh
+++ b/test.sh
@@ -5,7 +5,7 @@
 
 export CGO_ENABLED=1
 linter=github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
-modules=(bench chart client cmd core ctl node platform standin)
+modules=(bench chart client cmd core ctl node platform soak standin)
 patterns=()
 for module in "${modules[@]}"; do
 	patterns+=("./$module/...")
