--- a/core/control/orderengines.go
+++ b/core/control/orderengines.go
@@ -75,10 +75,29 @@
 	}
 }
 
+// rereadDelay is the time from a call of an engine without a response to the
+// next one, when no sweep reads it. An engine without orders loses at most that
+// much of the time that a rollout may take.
+const rereadDelay = 500 * time.Millisecond
+
+// rereadSilent reads the engines again that did not respond, when no sweep does.
+func (s *State) rereadSilent(now time.Time) {
+	for _, e := range s.orders.list {
+		idle := e.Order == nil && !e.Calling
+		if idle && e.Away && !now.Before(e.CalledAt.Add(rereadDelay)) {
+			s.readEngine(e, now)
+		}
+	}
+}
+
 // sweep reads the state of one engine after the other.
 func (s *State) sweep(now time.Time) {
 	interval := s.terms().SweepInterval
-	if interval == 0 || len(s.orders.list) == 0 || now.Before(s.orders.swept.Add(interval)) {
+	if interval == 0 {
+		s.rereadSilent(now)
+		return
+	}
+	if len(s.orders.list) == 0 || now.Before(s.orders.swept.Add(interval)) {
 		return
 	}
 	s.orders.swept = now
--- a/core/control/orders_test.go
+++ b/core/control/orders_test.go
@@ -117,3 +117,21 @@
 		t.Errorf("after the lease: %+v", s.dumpOrders())
 	}
 }
+
+// TestSilentEngineReadAgain guards against an engine that was silent when the
+// term began and keeps its old weights for the whole term (soak seeds 103, 106
+// and 207).
+func TestSilentEngineReadAgain(t *testing.T) {
+	s, now := issuing(t)
+	s.orders.issuer.Terms.SweepInterval = 0
+	e := s.orders.list[0]
+	e.Calling = false
+	e.NoteAway()
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		follow(s, now, s.Handle(now, Tick{}), 0)
+	}
+	if e.Away {
+		t.Error("the engine was not read again within 5 s")
+	}
+}
--- a/core/order/desired.go
+++ b/core/order/desired.go
@@ -38,7 +38,7 @@
 	// again.
 	RetryDelay time.Duration
 	// SweepInterval is the time between two reads of engines' states; 0 means
-	// that each engine is read once in a term.
+	// that each engine is read once in a term, and again while it is silent.
 	SweepInterval time.Duration
 	// CallTimeout is the time after which a call of an engine counts as lost.
 	CallTimeout time.Duration
--- a/soak/site.go
+++ b/soak/site.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -188,18 +189,31 @@
 	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
+// Nodes listen below the ports that the system gives to outgoing connections.
+// Otherwise a connection may take the port of a node before that one starts,
+// as in a run beside other soaks (seed 103).
+const (
+	lowestPort  = 20000
+	highestPort = 32000
+	// portTries bounds the search for a free port.
+	portTries = 100
+)
+
 // freePorts returns ports that were free a moment ago.
 func freePorts(count int) ([]int, error) {
 	var ports []int
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		listener, err := net.Listen("tcp", address(port))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		if ports = append(ports, port); len(ports) == count {
+			return ports, nil
+		}
 	}
-	return ports, nil
+	return nil, fmt.Errorf("fewer than %d free ports in %d tries", count, portTries)
 }
 
 // start starts the process of a node.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,11 +13,18 @@
 // shortSeed is the seed that CI plays.
 const shortSeed = 1
 
-// shortFaults keeps the run of one seed in CI below half a minute.
-const shortFaults = 8
+const (
+	// shortFaults keeps the run of a seed in CI below half a minute.
+	shortFaults = 8
+	// allFaults is the number of faults of a whole run.
+	allFaults = 20
+)
 
-// regressionSeeds are seeds that failed once, each with its cause.
-var regressionSeeds []uint64
+// regressionSeeds are seeds that failed once:
+//   - 103, 106, 107, 207: an engine that was silent when the issuer first asked
+//     it got no order in the whole term (TestSilentEngineReadAgain). CI plays one
+//     of the four, which have the same cause.
+var regressionSeeds = []uint64{106}
 
 // TestSeeds guards against broken promises while processes, connections and the
 // store fail in series: it plays a short fixed seed and each seed that failed
@@ -31,17 +38,23 @@
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
-	for _, seed := range append([]uint64{shortSeed}, regressionSeeds...) {
-		report, err := Run(t.Context(), Options{Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: shortFaults})
-		if err != nil {
-			t.Fatalf("seed %d: %v", seed, err)
-		}
-		if len(report.Broken) > 0 {
-			t.Errorf("seed %d: %s\nafter: %s", seed, strings.Join(report.Broken, "\n"), strings.Join(report.Injected, "\n"))
-		}
-		if report.Answered == 0 {
-			t.Errorf("seed %d: none of %d calls was answered", seed, report.Calls)
-		}
+	playSeed(t, binary, shortSeed, shortFaults)
+	for _, seed := range regressionSeeds {
+		playSeed(t, binary, seed, allFaults)
+	}
+}
+
+func playSeed(t *testing.T, binary string, seed uint64, faults int) {
+	t.Helper()
+	report, err := Run(t.Context(), Options{Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: faults})
+	if err != nil {
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+	if len(report.Broken) > 0 {
+		t.Errorf("seed %d: %s\nafter: %s", seed, strings.Join(report.Broken, "\n"), strings.Join(report.Injected, "\n"))
+	}
+	if report.Answered == 0 {
+		t.Errorf("seed %d: none of %d calls was answered", seed, report.Calls)
 	}
 }
 
