--- a/soak/callers.go
+++ b/soak/callers.go
@@ -25,10 +25,6 @@
 type outcome struct {
 	id     string
 	path   string
-	key    string
-	node   *node
-	sent   time.Time
-	ended  time.Time
 	status int
 	body   string
 	// whole is true when the response is complete.
@@ -90,8 +86,7 @@
 
 // call makes one attempt. The parts of its prompt are shared by many calls.
 func call(ctx context.Context, client *http.Transport, n *node, id, path, key string) outcome {
-	o := outcome{id: id, path: path, key: key, node: n, sent: time.Now()}
-	defer func() { o.ended = time.Now() }()
+	o := outcome{id: id, path: path}
 	ctx, cancel := context.WithTimeout(ctx, callDeadline)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.callers+path+id, strings.NewReader("body of "+id))
--- a/soak/run.go
+++ b/soak/run.go
@@ -17,6 +17,8 @@
 	// healTime is how long after the last fault everything must be in order: a
 	// rollout of weights may have to wait for a lease to lapse.
 	healTime = 25 * time.Second
+	// applyTime is how long a configuration may take to be in force everywhere.
+	applyTime = 2 * time.Second
 	// stopTime is the longest planned stop.
 	stopTime = 15 * time.Second
 )
@@ -116,7 +118,8 @@
 	return nil
 }
 
-// healed checks that all nodes serve and all servers have the named weights.
+// healed checks that all nodes serve and all servers have the named weights. It
+// writes the entries of the servers as the users' machines would.
 func (s *site) healed() error {
 	for _, server := range s.servers {
 		version, _ := server.Weights()
@@ -133,7 +136,7 @@
 
 // checkRevoked takes a key away and calls with it after the allowed time.
 func (s *site) checkRevoked() []string {
-	const revoked, applyTime = "key-revoked", 2 * time.Second
+	const revoked = "key-revoked"
 	s.configure(keyKept, revoked)
 	pause(context.Background(), applyTime)
 	s.configure(keyKept)
--- a/soak/site.go
+++ b/soak/site.go
@@ -46,7 +46,8 @@
 // server is one server behind a proxy.
 type server struct {
 	*deployed.Server
-	proxy  *Proxy
+	proxy *Proxy
+	// events is the number of events of a stream; 0 means a plain server.
 	events int
 }
 
@@ -60,8 +61,6 @@
 
 	mu      sync.Mutex
 	process *os.Process
-	// stopping is true from the signal to stop on.
-	stopping bool
 }
 
 func newSite(binary, dir string) (*site, error) {
@@ -100,8 +99,8 @@
 	return listener.Addr().String(), nil
 }
 
-// configure writes the next configuration and returns its acknowledgement time.
-func (s *site) configure(keys ...string) time.Time {
+// configure writes the next configuration with the keys that are valid.
+func (s *site) configure(keys ...string) {
 	s.version += 2
 	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
@@ -121,7 +120,6 @@
 		},
 		"tenants": []map[string]any{{"name": soakTenant, "api_keys": keys}},
 	})
-	return time.Now()
 }
 
 func (s *site) addServer(id string, events int) error {
@@ -227,7 +225,6 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.process = process
-	n.stopping = false
 	return nil
 }
 
@@ -235,9 +232,6 @@
 func (n *node) signal(sig syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if sig == syscall.SIGTERM {
-		n.stopping = true
-	}
 	// A process that has ended gets no signal.
 	_ = n.process.Signal(sig)
 }
