standin/deployed: one configuration, server entry and call for the soak and the tests

Cause: the soak wrote again what the tests of node/process had: the operator's configuration, a server's entry and a caller's headers. It kept a copy of the number of a server's events, and names of the machines' protocol.

Change: the stand-in has Configure, NameWeights, Announce and Call; both use them. Figures stay: time limits, places, tenants and keys are arguments.

--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -26,6 +26,8 @@
 	storeAddress = "10.0.0.1:1"
 	testHost     = "calls.example"
 	testKey      = "secret-key-marker"
+	// testPlaces is the number of calls that a server runs at a time.
+	testPlaces = 6
 )
 
 // deployedSite is a store, some servers and some nodes in memory and virtual
@@ -64,39 +66,12 @@
 	s.ends = append(s.ends, func() { _ = server.Close() })
 }
 
-// route is one route of the test configuration.
-type route struct {
-	Name        string `json:"name"`
-	Host        string `json:"host"`
-	PathPrefix  string `json:"path_prefix"`
-	Kind        string `json:"kind"`
-	TimeoutMS   int    `json:"timeout_ms"`
-	TargetMS    int    `json:"target_latency_ms"`
-	Service     string `json:"service"`
-	MaxAttempts int    `json:"max_attempts"`
-	Resumable   bool   `json:"resumable"`
-}
-
 // configure writes the next version with all kinds of routes, and returns when
 // the store has acknowledged it.
 func (s *deployedSite) configure(keys ...string) {
 	s.version += 3
-	routes := []route{
-		{Name: "lookup", PathPrefix: "/lookup/", Kind: "idempotent", Service: "desk", MaxAttempts: 2},
-		{Name: "charge", PathPrefix: "/charge/", Kind: "non_idempotent", Service: "desk", MaxAttempts: 1},
-		{Name: "review", PathPrefix: "/review/", Kind: "streaming", Service: "models", MaxAttempts: 2, Resumable: true},
-		{Name: "caption", PathPrefix: "/caption/", Kind: "streaming", Service: "models", MaxAttempts: 1},
-	}
-	for i := range routes {
-		routes[i].Host, routes[i].TimeoutMS, routes[i].TargetMS = testHost, 5000, 500
-	}
-	s.store.Put("op/config", map[string]any{
-		"version": s.version, "routes": routes,
-		"services": []map[string]any{
-			{"name": "desk", "max_conns": 100},
-			{"name": "models", "max_conns": 100, "engine": map[string]any{"kv_capacity_tokens": 60000, "kv_token_bytes": 18432}},
-		},
-		"tenants": []map[string]any{{"name": "derwent", "api_keys": keys}},
+	s.store.Configure(deployed.Configuration{
+		Version: s.version, Host: testHost, Timeout: 5 * time.Second, Target: 500 * time.Millisecond, Tenant: "derwent", Keys: keys,
 	})
 }
 
@@ -106,19 +81,10 @@
 	server.Plan = s.plan
 	address := fmt.Sprintf("10.0.1.%d:1", len(s.ends))
 	s.serve(address, server.Handler())
-	s.store.Put("servers/"+id, entryOf(id, address, events, "ready"))
+	s.store.Announce(server, address, "ready", testPlaces)
 	return server
 }
 
-func entryOf(id, address string, events int, state string) map[string]any {
-	entry := map[string]any{"service": "desk", "address": address, "zone": "a", "slots": 6, "state": state, "born": 1700000000000}
-	if events > 0 {
-		entry["service"] = "models"
-		entry["models"] = []map[string]any{{"name": "m", "version": 1}}
-	}
-	return entry
-}
-
 // deployedNode is one running node.
 type deployedNode struct {
 	site    *deployedSite
@@ -216,9 +182,7 @@
 		return n.site.network.Dial(ctx, network, n.address)
 	}
 	request.Host = testHost
-	request.Header.Set("Request-Attempt-Id", "attempt-1")
-	request.Header.Set("Api-Key", testKey)
-	request.Header.Set("Deadline-Ms", "3000")
+	request.Header = deployed.Call{ID: "attempt-1", Key: testKey, Deadline: 3 * time.Second}.Header()
 	for name, values := range header {
 		request.Header[name] = values
 	}
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -183,7 +183,7 @@
 		settle()
 		settle()
 		s.store.SetDeaf(true)
-		s.store.Put("servers/i-1", entryOf("i-1", "10.0.1.1:1", 0, "draining"))
+		s.store.Announce(server, "10.0.1.1:1", "draining", testPlaces)
 		time.Sleep(1900 * time.Millisecond)
 		for _, n := range nodes {
 			for range 4 {
@@ -344,16 +344,13 @@
 		nodes := []*deployedNode{s.node("n1"), s.node("n2"), s.node("n3")}
 		settle()
 		s.store.LoseWrites(1)
-		s.store.Put("op/version/m", map[string]any{"model": "m", "version": 2})
+		s.store.NameWeights(2)
 		time.Sleep(12 * time.Second)
 		for i, server := range servers {
 			if version, orders := server.Weights(); version != 2 || orders != 1 {
 				t.Errorf("server %d has version %d after %d orders", i, version, orders)
 			}
-			address := fmt.Sprintf("10.0.1.%d:1", i+1)
-			entry := entryOf("", address, 2, "ready")
-			entry["models"] = []map[string]any{{"name": "m", "version": 2}}
-			s.store.Put(fmt.Sprintf("servers/i-%d", i), entry)
+			s.store.Announce(server, fmt.Sprintf("10.0.1.%d:1", i+1), "ready", testPlaces)
 		}
 		settle()
 		nodes[0].call("POST", "/review/", http.Header{"Prompt-Prefix": {"aa:3000,bb:10"}, "Token-Count": {"3010,20"}}, "x")
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"tanagerspread/standin/deployed"
 )
 
 // callerCount is the number of callers that send at a time.
@@ -18,6 +20,9 @@
 // callDeadline is how long a caller waits.
 const callDeadline = 4 * time.Second
 
+// sharedPrompts is the number of parts that many prompts begin with.
+const sharedPrompts = 4
+
 // paths are the kinds of calls.
 var paths = []string{"/charge/", "/lookup/", "/review/", "/caption/"}
 
@@ -95,15 +100,7 @@
 	}
 	request.GetBody = nil
 	request.Host = soakHost
-	request.Header = http.Header{
-		"Request-Attempt-Id": {id}, "Api-Key": {key}, "Deadline-Ms": {fmt.Sprint(callDeadline.Milliseconds())},
-		"Tenant": {"forged"}, "Cache-Salt": {"forged"},
-	}
-	if path == "/review/" || path == "/caption/" {
-		request.Header.Set("Model", "m")
-		request.Header.Set("Token-Count", "3010,20")
-		request.Header.Set("Prompt-Prefix", fmt.Sprintf("aa%d:3000,%x:10", len(id)%4, id))
-	}
+	request.Header = headerOf(id, path, key)
 	response, err := client.RoundTrip(request)
 	if err != nil {
 		return o
@@ -115,3 +112,15 @@
 	o.whole = err == nil
 	return o
 }
+
+func headerOf(id, path, key string) http.Header {
+	attempt := deployed.Call{ID: id, Key: key, Deadline: callDeadline}
+	if path == "/review/" || path == "/caption/" {
+		shared := fmt.Sprintf("aa%d", len(id)%sharedPrompts)
+		attempt.Parts = []deployed.Part{{ID: shared, Tokens: 3000}, {ID: fmt.Sprintf("%x", id), Tokens: 10}}
+		attempt.Answer = 20
+	}
+	header := attempt.Header()
+	deployed.Forge(header)
+	return header
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -141,7 +141,7 @@
 
 func (f *injector) nameWeights() string {
 	f.site.weights++
-	f.site.store.Put("op/version/m", map[string]any{"model": "m", "version": f.site.weights})
+	f.site.store.NameWeights(f.site.weights)
 	return fmt.Sprintf("weights %d named", f.site.weights)
 }
 
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -35,21 +35,21 @@
 
 // received checks one call as a server saw it.
 func (o *oracle) received(s *server, r deployed.Request) {
-	id := r.Header.Get("Request-Attempt-Id")
+	id := r.Attempt()
 	if r.Ran {
 		o.runs[id] = append(o.runs[id], r)
 	}
-	if r.Header.Get("Api-Key") != "" || r.Header.Get("Tenant") != soakTenant {
-		o.fault("%s: %s got key %q and tenant %q", id, s.ID, r.Header.Get("Api-Key"), r.Header.Get("Tenant"))
+	if r.Key() != "" || r.Tenant() != soakTenant {
+		o.fault("%s: %s got key %q and tenant %q", id, s.ID, r.Key(), r.Tenant())
 	}
 	if r.Host != soakHost || !strings.HasSuffix(r.URI, "/"+id) || r.Body != "body of "+id {
 		o.fault("%s: %s got %s %s with body %q", id, s.ID, r.Host, r.URI, r.Body)
 	}
-	if !r.Ran || s.events == 0 {
+	if !r.Ran || s.Events == 0 {
 		return
 	}
-	if want := fmt.Sprintf("m/%d/", r.Weights); r.Header.Get("Cache-Salt") != want {
-		o.fault("%s: ran on weights %d with salt %q", id, r.Weights, r.Header.Get("Cache-Salt"))
+	if want := deployed.SaltOf(r.Weights); r.Salt() != want {
+		o.fault("%s: ran on weights %d with salt %q", id, r.Weights, r.Salt())
 	}
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -123,7 +123,7 @@
 func (s *site) healed() error {
 	for _, server := range s.servers {
 		version, _ := server.Weights()
-		if server.events == 0 {
+		if server.Events == 0 {
 			continue
 		}
 		s.announce(server, "ready")
--- a/soak/site.go
+++ b/soak/site.go
@@ -26,6 +26,10 @@
 	soakHost     = "soak.example"
 	soakTenant   = "tenant"
 	keyKept      = "key-kept"
+	// soakTarget is the latency that the routes aim at.
+	soakTarget = 300 * time.Millisecond
+	// soakPlaces is the number of calls that a server runs at a time.
+	soakPlaces = 16
 )
 
 // site is the store, the servers and the nodes of one run.
@@ -47,8 +51,6 @@
 type server struct {
 	*deployed.Server
 	proxy *Proxy
-	// events is the number of events of a stream; 0 means a plain server.
-	events int
 }
 
 // node is one process of the program.
@@ -70,7 +72,7 @@
 		return nil, err
 	}
 	s.configure(keyKept)
-	s.store.Put("op/version/m", map[string]any{"model": "m", "version": s.weights})
+	s.store.NameWeights(s.weights)
 	for i := range plainCount + modelCount {
 		events := 0
 		if i >= plainCount {
@@ -102,28 +104,13 @@
 // configure writes the next configuration with the keys that are valid.
 func (s *site) configure(keys ...string) {
 	s.version += 2
-	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": soakHost, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000,
-			"target_latency_ms": 300, "service": service, "max_attempts": attempts, "resumable": resumable,
-		}
-	}
-	s.store.Put("op/config", map[string]any{
-		"version": s.version,
-		"routes": []map[string]any{
-			route("lookup", "idempotent", "desk", 2, false), route("charge", "non_idempotent", "desk", 1, false),
-			route("review", "streaming", "models", 2, true), route("caption", "streaming", "models", 1, false),
-		},
-		"services": []map[string]any{
-			{"name": "desk", "max_conns": 100},
-			{"name": "models", "max_conns": 100, "engine": map[string]any{"kv_capacity_tokens": 60000, "kv_token_bytes": 18432}},
-		},
-		"tenants": []map[string]any{{"name": soakTenant, "api_keys": keys}},
+	s.store.Configure(deployed.Configuration{
+		Version: s.version, Host: soakHost, Timeout: callDeadline, Target: soakTarget, Tenant: soakTenant, Keys: keys,
 	})
 }
 
 func (s *site) addServer(id string, events int) error {
-	added := &server{Server: deployed.NewServer(id, events), events: events}
+	added := &server{Server: deployed.NewServer(id, events)}
 	added.Plan = s.plan
 	added.BreakAfter = 2
 	address, err := s.serve(added.Handler())
@@ -141,15 +128,7 @@
 
 // announce writes the entry of a server.
 func (s *site) announce(added *server, state string) {
-	entry := map[string]any{
-		"service": "desk", "address": added.proxy.Address(), "zone": "a", "slots": 16, "state": state, "born": 1700000000000,
-	}
-	if added.events > 0 {
-		version, _ := added.Weights()
-		entry["service"] = "models"
-		entry["models"] = []map[string]any{{"name": "m", "version": version}}
-	}
-	s.store.Put("servers/"+added.ID, entry)
+	s.store.Announce(added.Server, added.proxy.Address(), state, soakPlaces)
 }
 
 func (s *site) addNode(name, storeAddress string) error {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -89,7 +89,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			o := &oracle{runs: map[string][]deployed.Request{}}
-			s := &server{Server: &deployed.Server{ID: "i-0"}, events: test.events}
+			s := &server{Server: &deployed.Server{ID: "i-0", Events: test.events}}
 			for _, r := range test.runs {
 				o.received(s, r)
 			}
--- /dev/null
+++ b/standin/deployed/operator.go
@@ -0,0 +1,87 @@
+package deployed
+
+import (
+	"time"
+)
+
+// The services of a configuration, and the model of the second one.
+const (
+	plainService = "desk"
+	modelService = "models"
+	modelName    = "m"
+)
+
+// bornMS is the start of the servers' processes in Unix milliseconds.
+const bornMS = 1700000000000
+
+// Configuration is what the operator writes: a plain service, a service of model
+// servers, and routes of each kind below "/lookup/", "/charge/", "/review/" and
+// "/caption/".
+type Configuration struct {
+	Version int
+	Host    string
+	Timeout time.Duration
+	Target  time.Duration
+	Tenant  string
+	// Keys are the valid keys of the tenant.
+	Keys []string
+}
+
+type routeEntry struct {
+	Name        string `json:"name"`
+	Host        string `json:"host"`
+	PathPrefix  string `json:"path_prefix"`
+	Kind        string `json:"kind"`
+	TimeoutMS   int64  `json:"timeout_ms"`
+	TargetMS    int64  `json:"target_latency_ms"`
+	Service     string `json:"service"`
+	MaxAttempts int    `json:"max_attempts"`
+	Resumable   bool   `json:"resumable"`
+}
+
+func (c Configuration) routes() []routeEntry {
+	routes := []routeEntry{
+		{Name: "lookup", Kind: "idempotent", Service: plainService, MaxAttempts: 2},
+		{Name: "charge", Kind: "non_idempotent", Service: plainService, MaxAttempts: 1},
+		{Name: "review", Kind: "streaming", Service: modelService, MaxAttempts: 2, Resumable: true},
+		{Name: "caption", Kind: "streaming", Service: modelService, MaxAttempts: 1},
+	}
+	for i := range routes {
+		r := &routes[i]
+		r.Host = c.Host
+		r.PathPrefix = "/" + r.Name + "/"
+		r.TimeoutMS = c.Timeout.Milliseconds()
+		r.TargetMS = c.Target.Milliseconds()
+	}
+	return routes
+}
+
+// Configure writes a configuration.
+func (s *Store) Configure(c Configuration) {
+	s.Put("op/config", map[string]any{
+		"version": c.Version, "routes": c.routes(),
+		"services": []map[string]any{
+			{"name": plainService, "max_conns": 100},
+			{"name": modelService, "max_conns": 100, "engine": map[string]any{"kv_capacity_tokens": 60000, "kv_token_bytes": 18432}},
+		},
+		"tenants": []map[string]any{{"name": c.Tenant, "api_keys": c.Keys}},
+	})
+}
+
+// NameWeights names the weight version of the model servers.
+func (s *Store) NameWeights(version int) {
+	s.Put("op/version/"+modelName, map[string]any{"model": modelName, "version": version})
+}
+
+// Announce writes the entry of a server as the server does.
+func (s *Store) Announce(server *Server, address, state string, places int) {
+	entry := map[string]any{
+		"service": plainService, "address": address, "zone": "a", "slots": places, "state": state, "born": bornMS,
+	}
+	if server.Events > 0 {
+		version, _ := server.Weights()
+		entry["service"] = modelService
+		entry["models"] = []map[string]any{{"name": modelName, "version": version}}
+	}
+	s.Put("servers/"+server.ID, entry)
+}
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -23,6 +23,14 @@
 	Weights int
 }
 
+// Headers that callers, nodes and servers share.
+const (
+	headerAttempt = "Request-Attempt-Id"
+	headerKey     = "Api-Key"
+	headerTenant  = "Tenant"
+	headerSalt    = "Cache-Salt"
+)
+
 // Behaviour is what a server does with a call. The zero value answers it.
 type Behaviour int
 
@@ -166,7 +174,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	id := r.Header.Get("Request-Attempt-Id")
+	id := r.Header.Get(headerAttempt)
 	switch does {
 	case Shed:
 		w.Header().Set("Not-Executed", "1")
@@ -180,7 +188,7 @@
 	case Slow:
 		<-time.After(time.Second)
 	}
-	w.Header().Set("Request-Attempt-Id", id)
+	w.Header().Set(headerAttempt, id)
 	w.Header().Set("Server-Seal", "seal-"+s.ID)
 	switch {
 	case does == Fault:
