process: a deployed node leaves the rotation only for its planned stop

The chart of a node without the fence has one way out of the rotation, the planned stop, which the platform asks for. Ruled out: a limit on planned stops, for the reason above. Result: the test passes, so it is a guard and not the test of a fault.

--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -397,6 +397,43 @@
 	})
 }
 
+// TestReadyUntilStopped guards against nodes that leave the rotation together
+// by their own decision: whatever is away, a node that has a configuration
+// stays ready until its planned stop.
+func TestReadyUntilStopped(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		server := s.server("i-1", 0)
+		s.configure(testKey)
+		nodes := []*deployedNode{s.node("n1", "n2:peers"), s.node("n2", "n1:peers")}
+		settle()
+		check := func(what string) {
+			t.Helper()
+			for _, n := range nodes {
+				if got := readiness(n); got != http.StatusOK {
+					t.Errorf("%s: %s has readiness %d", what, n.address, got)
+				}
+			}
+		}
+		s.store.NameWeights(2)
+		settle()
+		check("new weights")
+		s.setAway("n1", true)
+		time.Sleep(time.Minute)
+		check("one node turned away by the store")
+		s.store.Fail(http.StatusServiceUnavailable)
+		time.Sleep(time.Minute)
+		check("store down")
+		server.Plan.Do(deployed.Hang)
+		go nodes[0].call("POST", "/charge/", nil, "x")
+		time.Sleep(time.Second)
+		check("a silent server")
+		s.store.Fail(0)
+		s.store.Remove("servers/i-1")
+		time.Sleep(10 * time.Second)
+		check("no server")
+	})
+}
+
 func readiness(n *deployedNode) int {
 	check := *n
 	check.address = n.ready
