fleet: the observed delay of first tokens counts in an engine's queue

Cause: a node knows its own prompt work at an engine and that of the peers of its failure domain. Change: the excess of the time to the first token over the known work is averaged for each engine, with a half-life of 2 s, and added to its queue. TestDelayObserved fails without it.

--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -109,6 +109,7 @@
 	if a, ok := s.current(m.Request, m.Attempt); ok {
 		s.fireAttempt(a, "receive", now)
 		s.noteSpeed(a, m.After)
+		s.noteDelay(now, a, m.After)
 		s.releasePrefill(a.attempt)
 		a.attempt.firstAt = now
 		a.attempt.ownAtFirst = a.attempt.server.PrefillTokens
@@ -116,6 +117,14 @@
 	}
 }
 
+// noteDelay learns how much work an engine has that this node does not know of.
+func (s *State) noteDelay(now time.Time, a *active, after time.Duration) {
+	server := a.attempt.server
+	if server.Role == fleet.RoleEngine {
+		server.NoteFirstToken(server.Speed.Time(float64(a.attempt.backlog)), after, now)
+	}
+}
+
 // noteSpeed learns the speed of the model's servers. An attempt that computes
 // little says more about the queue than about the speed.
 func (s *State) noteSpeed(a *active, after time.Duration) {
--- a/core/fleet/estimate_test.go
+++ b/core/fleet/estimate_test.go
@@ -45,3 +45,20 @@
 		t.Errorf("link rate %f, want about %d", s.LinkRate, rate)
 	}
 }
+
+// TestDelayObserved guards against calls that keep going to an engine whose
+// queue this node does not know of, and against one that is avoided for good.
+func TestDelayObserved(t *testing.T) {
+	s := &Server{}
+	now := start
+	for range 20 {
+		now = now.Add(10 * time.Millisecond)
+		s.NoteFirstToken(100*time.Millisecond, 1100*time.Millisecond, now)
+	}
+	if got := s.QueueTime(now); got < 800*time.Millisecond || got > time.Second {
+		t.Errorf("queue %s of an engine whose first tokens are a second late", got)
+	}
+	if got := s.QueueTime(now.Add(20 * time.Second)); got > 10*time.Millisecond {
+		t.Errorf("queue %s long after", got)
+	}
+}
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -28,10 +28,10 @@
 }
 
 // QueueTime estimates how long the server works before it starts a new
-// prompt: this node's prompt work, and the reported work of other nodes
-// discounted by the age of the report.
+// prompt: this node's prompt work, the reported work of other nodes discounted
+// by the age of the report, and the delay that was observed beyond both.
 func (s *Server) QueueTime(now time.Time) time.Duration {
-	return s.Speed.Time(s.Backlog(now))
+	return s.Speed.Time(s.Backlog(now)) + s.Delay(now)
 }
 
 // Backlog estimates the prompt tokens that the server has not computed yet.
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -91,4 +91,5 @@
 	// told.
 	peers map[string]peerWork
 	told  toldWork
+	delay delay
 }
