--- a/core/placement/caches.go
+++ b/core/placement/caches.go
@@ -24,13 +24,67 @@
 	until int64
 }
 
-// storeOf returns the nearest store that holds a part.
-func storeOf(now time.Time, view View, key PartKey, server *fleet.Server) (source, bool) {
-	var best *fleet.CacheStore
+// supply lists the places from which a part can be fetched.
+type supply struct {
+	now time.Time
+	// used are the engines that used the part just now, whose links are fast;
+	// told are all that told of it.
+	used   []*fleet.Server
+	told   []*fleet.Server
+	stores []*fleet.CacheStore
+}
+
+func supplyOf(now time.Time, view View, key PartKey) *supply {
+	s := &supply{now: now}
+	for _, engine := range view.Engines {
+		if !view.Holdings.HeldSince(engine.ID, key, time.Time{}) || !engine.ReceivesWork() {
+			continue
+		}
+		s.told = append(s.told, engine)
+		if view.Holdings.HeldSince(engine.ID, key, now.Add(-freshPart)) {
+			s.used = append(s.used, engine)
+		}
+	}
 	for _, store := range view.Caches {
-		if !store.Fetchable() || !view.Holdings.Holds(store.ID, key) {
+		if view.Holdings.Holds(store.ID, key) && store.Fetchable() {
+			s.stores = append(s.stores, store)
+		}
+	}
+	return s
+}
+
+// nearest returns where a server can fetch the part: from an engine that used it
+// just now, or from a store, or from any engine that may still have it.
+func (s *supply) nearest(server *fleet.Server) (source, bool) {
+	if from, found := nearestEngine(s.used, server); found {
+		return from, true
+	}
+	if from, found := s.stored(server); found {
+		return from, true
+	}
+	return nearestEngine(s.told, server)
+}
+
+func nearestEngine(engines []*fleet.Server, server *fleet.Server) (source, bool) {
+	var best *fleet.Server
+	for _, other := range engines {
+		if other == server {
 			continue
 		}
+		if best == nil || best.Domain != server.Domain && other.Domain == server.Domain {
+			best = other
+		}
+	}
+	if best == nil {
+		return source{}, false
+	}
+	return source{address: best.Address, domain: best.Domain}, true
+}
+
+// stored returns the nearest store that holds the part.
+func (s *supply) stored(server *fleet.Server) (source, bool) {
+	var best *fleet.CacheStore
+	for _, store := range s.stores {
 		if best == nil || best.Domain != server.Domain && store.Domain == server.Domain {
 			best = store
 		}
@@ -38,7 +92,7 @@
 	if best == nil {
 		return source{}, false
 	}
-	return source{address: best.Address, domain: best.Domain, until: best.FetchUntil(now)}, true
+	return source{address: best.Address, domain: best.Domain, until: best.FetchUntil(s.now)}, true
 }
 
 // savePlace returns the store to which a part is saved, or nil when none has
