caches: the word of a store does not lapse at nodes that copy it

Cause: an event call at a store waited one second, and its word counts from the beginning of the call. The age of a copy also counted the wait of the peer twice. Each call of any target woke all waiting copies. Change: calls at a store wait half a second; the age of a copy counts from its own call; each board wakes its own copies; copies pause between two calls (0.4 s for a store, 1.2 s for an engine). TestStoreWordKept found 26 lapses in 30 s at each copying node before the change.

--- a/core/control/cachestores.go
+++ b/core/control/cachestores.go
@@ -42,7 +42,8 @@
 type CacheTarget struct {
 	Name    string
 	Address string
-	// Pause is the time between two calls.
+	// Wait is how long a call waits for events, Pause the time between two calls.
+	Wait  time.Duration
 	Pause time.Duration
 	// Source is the peer whose copy is followed; empty means the target itself.
 	Source PeerTarget
@@ -53,9 +54,23 @@
 	Targets []CacheTarget
 }
 
-// enginePause is the time between two calls for the events of an engine. Their
-// bytes between failure domains are priced, and a late event costs little.
-const enginePause = 700 * time.Millisecond
+const (
+	// engineWait is how long a call waits for the events of an engine, and
+	// enginePause the time between two calls. Their bytes between failure domains
+	// are priced, and a late event costs little.
+	engineWait  = time.Second
+	enginePause = 700 * time.Millisecond
+	// storeWait and storePause are the same for a store, whose word lapses after
+	// 2.2 s. It must reach the nodes that copy it in time when nothing happens at
+	// the store. A pause joins the events of many saves.
+	storeWait  = 500 * time.Millisecond
+	storePause = 100 * time.Millisecond
+	// engineCopyPause and storeCopyPause are the times between two calls for a
+	// peer's copy. In a large failure domain most nodes copy, and each call wakes
+	// two processes.
+	engineCopyPause = 1200 * time.Millisecond
+	storeCopyPause  = 400 * time.Millisecond
+)
 
 func (CacheEvents) message()  {}
 func (FollowCaches) command() {}
@@ -130,7 +145,9 @@
 	near := s.nearPeers()
 	for _, store := range s.cacheList {
 		source := s.followSource(store.Name, max(allowed(store.Followers)/s.domains(), 1), near)
-		targets = append(targets, CacheTarget{Name: store.Name, Address: store.Address, Source: source})
+		targets = append(targets, CacheTarget{
+			Name: store.Name, Address: store.Address, Wait: storeWait, Pause: pauseOf(source, storePause, storeCopyPause), Source: source,
+		})
 	}
 	for _, server := range s.ordered {
 		if server.Role != fleet.RoleEngine {
@@ -140,10 +157,11 @@
 		if !s.followsEngine(server, limit) {
 			continue
 		}
-		target := CacheTarget{Name: string(server.ID), Address: server.Address, Pause: enginePause}
+		target := CacheTarget{Name: string(server.ID), Address: server.Address, Wait: engineWait}
 		if server.Domain == s.options.Domain {
 			target.Source = s.followSource(target.Name, limit, near)
 		}
+		target.Pause = pauseOf(target.Source, enginePause, engineCopyPause)
 		targets = append(targets, target)
 	}
 	if !slices.Equal(targets, s.followed) {
@@ -152,6 +170,15 @@
 	}
 }
 
+// pauseOf returns the pause between two calls for events, which go to the target
+// itself or to a peer.
+func pauseOf(source PeerTarget, direct, copied time.Duration) time.Duration {
+	if source.Node != "" {
+		return copied
+	}
+	return direct
+}
+
 // followsEngine reports whether the events of an engine are worth their bytes.
 // Short prompts change the parts of an engine often, and are not fetched from
 // another failure domain. A large fleet follows only the engines nearby.
--- a/node/caches/board.go
+++ b/node/caches/board.go
@@ -26,19 +26,20 @@
 	clock    int64
 	asked    time.Time
 	received time.Time
+	// changed is closed when the target says something.
+	changed chan struct{}
 }
 
 // Boards holds the board of each target that this node follows itself. It may
 // be used by any goroutine.
 type Boards struct {
-	mu      sync.Mutex
-	boards  map[string]*board
-	changed chan struct{}
+	mu     sync.Mutex
+	boards map[string]*board
 }
 
 // NewBoards returns an empty set of boards.
 func NewBoards() *Boards {
-	return &Boards{boards: map[string]*board{}, changed: make(chan struct{})}
+	return &Boards{boards: map[string]*board{}}
 }
 
 // record takes over what a target said.
@@ -50,16 +51,17 @@
 		next := uint64(1)
 		if at != nil {
 			next = at.next + boardLog + 1
+			close(at.changed)
 		}
-		at = &board{epoch: events.Epoch, held: map[placement.PartKey]int{}, next: next}
+		at = &board{epoch: events.Epoch, held: map[placement.PartKey]int{}, next: next, changed: make(chan struct{})}
 		b.boards[events.Target] = at
 	}
 	for _, e := range events.Events {
 		at.add(e)
 	}
 	at.clock, at.asked, at.received = events.Clock, events.Asked, events.Received
-	close(b.changed)
-	b.changed = make(chan struct{})
+	close(at.changed)
+	at.changed = make(chan struct{})
 }
 
 func (at *board) add(e control.PartEvent) {
@@ -80,7 +82,10 @@
 func (b *Boards) forget(target string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.boards, target)
+	if at := b.boards[target]; at != nil {
+		close(at.changed)
+		delete(b.boards, target)
+	}
 }
 
 // Copied is what a peer gets of a board.
@@ -88,8 +93,9 @@
 	Events control.CacheEvents
 	// Next is where the next copy begins.
 	Next uint64
-	// Age is how long ago the call began on which the events rest, and ClockAge
-	// how long ago its answer came.
+	// Age is how long before this call that of the target began on which the
+	// events rest; it is negative when that one began later. ClockAge is how long
+	// before the return its answer came.
 	Age      time.Duration
 	ClockAge time.Duration
 }
@@ -98,10 +104,11 @@
 // waits up to wait for events, and returns code.StoreAway when this node does
 // not follow the target itself.
 func (b *Boards) Copy(ctx context.Context, target string, epoch, since uint64, wait time.Duration) (Copied, *code.Error) {
+	begin := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		copied, changed, known := b.since(target, epoch, since)
+		copied, changed, known := b.since(begin, target, epoch, since)
 		if !known {
 			return Copied{}, code.New(code.StoreAway, "the node does not follow the target")
 		}
@@ -118,15 +125,14 @@
 	}
 }
 
-func (b *Boards) since(target string, epoch, since uint64) (Copied, <-chan struct{}, bool) {
+func (b *Boards) since(begin time.Time, target string, epoch, since uint64) (Copied, <-chan struct{}, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := b.boards[target]
 	if at == nil {
-		return Copied{}, b.changed, false
+		return Copied{}, nil, false
 	}
-	now := time.Now()
-	copied := Copied{Next: at.next, Age: now.Sub(at.asked), ClockAge: now.Sub(at.received)}
+	copied := Copied{Next: at.next, Age: begin.Sub(at.asked), ClockAge: time.Since(at.received)}
 	copied.Events = control.CacheEvents{Target: target, Epoch: at.epoch, Clock: at.clock}
 	behind := at.next - since
 	switch {
@@ -138,5 +144,5 @@
 	default:
 		copied.Events.Events = append(copied.Events.Events, at.log[uint64(len(at.log))-behind:]...)
 	}
-	return copied, b.changed, true
+	return copied, at.changed, true
 }
--- a/node/caches/caches.go
+++ b/node/caches/caches.go
@@ -27,9 +27,9 @@
 
 // Client reads the events of one store or engine.
 type Client interface {
-	// Events waits for events from a position on and returns the position of
-	// the next call, and whether events before the returned ones are gone.
-	Events(ctx context.Context, since uint64) (events control.CacheEvents, next uint64, lost bool, err *code.Error)
+	// Events waits up to wait for events from a position on and returns the
+	// position of the next call, and whether events before the returned ones are gone.
+	Events(ctx context.Context, since uint64, wait time.Duration) (events control.CacheEvents, next uint64, lost bool, err *code.Error)
 	// List returns all parts and the position of the next events.
 	List(ctx context.Context) (events control.CacheEvents, next uint64, err *code.Error)
 	// Free frees parts, or returns code.CompareFailed.
@@ -209,7 +209,7 @@
 // step makes one call of the target. After a restart, or when events are lost,
 // it reads all parts.
 func (f *Followers) step(ctx context.Context, client Client, target control.CacheTarget, at *position) *code.Error {
-	events, next, lost, err := client.Events(ctx, at.next)
+	events, next, lost, err := client.Events(ctx, at.next, target.Wait)
 	if err != nil {
 		return err
 	}
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -42,6 +42,8 @@
 	mu      sync.Mutex
 	// away holds the nodes that do not reach the store.
 	away map[string]bool
+	// cache is the address of a store of KV cache, or empty.
+	cache string
 	// memory is that of the nodes in bytes.
 	memory int64
 	ends   []func()
@@ -72,6 +74,7 @@
 	s.version += 3
 	s.store.Configure(deployed.Configuration{
 		Version: s.version, Host: testHost, Timeout: 5 * time.Second, Target: 500 * time.Millisecond, Tenant: "derwent", Keys: keys,
+		Memory: s.cache,
 	})
 }
 
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -467,6 +467,30 @@
 	})
 }
 
+// TestStoreWordKept guards against a store of KV cache that counts as silent at
+// the nodes that copy its events from a peer, although nothing is wrong with it.
+func TestStoreWordKept(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		s.cache = "10.0.2.1:1"
+		s.serve(s.cache, deployed.NewServer("memory", 0).Handler())
+		s.configure(testKey)
+		var nodes []*deployedNode
+		for i := range 6 {
+			nodes = append(nodes, s.node(fmt.Sprintf("n%d", i), "n0:peers"))
+		}
+		time.Sleep(30 * time.Second)
+		for _, n := range nodes {
+			log := n.log.String()
+			if !strings.Contains(log, `"to":"current"`) {
+				t.Errorf("%s does not follow the store", n.address)
+			}
+			if count := strings.Count(log, `"to":"stale"`); count > 0 {
+				t.Errorf("%s took the store as silent %d times", n.address, count)
+			}
+		}
+	})
+}
+
 // TestBodiesBounded guards against bodies in progress that exceed the memory of
 // the process.
 func TestBodiesBounded(t *testing.T) {
--- a/standin/deployed/operator.go
+++ b/standin/deployed/operator.go
@@ -8,7 +8,9 @@
 const (
 	plainService = "desk"
 	modelService = "models"
-	modelName    = "m"
+	// memoryService is a store of KV cache.
+	memoryService = "memory"
+	modelName     = "m"
 )
 
 // bornMS is the start of the servers' processes in Unix milliseconds.
@@ -25,6 +27,8 @@
 	Tenant  string
 	// Keys are the valid keys of the tenant.
 	Keys []string
+	// Memory is the address of a store of KV cache, or empty.
+	Memory string
 }
 
 type routeEntry struct {
@@ -58,12 +62,17 @@
 
 // Configure writes a configuration.
 func (s *Store) Configure(c Configuration) {
+	services := []map[string]any{
+		{"name": plainService, "max_conns": 100},
+		{"name": modelService, "max_conns": 100, "engine": map[string]any{"kv_capacity_tokens": 60000, "kv_token_bytes": 18432}},
+	}
+	if c.Memory != "" {
+		services = append(services, map[string]any{
+			"name": memoryService, "kv_store_addr": c.Memory, "zone": "a", "kv_capacity_tokens": 60000, "managed": true, "max_inflight": 1,
+		})
+	}
 	s.Put("op/config", map[string]any{
-		"version": c.Version, "routes": c.routes(),
-		"services": []map[string]any{
-			{"name": plainService, "max_conns": 100},
-			{"name": modelService, "max_conns": 100, "engine": map[string]any{"kv_capacity_tokens": 60000, "kv_token_bytes": 18432}},
-		},
+		"version": c.Version, "routes": c.routes(), "services": services,
 		"tenants": []map[string]any{{"name": c.Tenant, "api_keys": c.Keys}},
 	})
 }
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -133,17 +133,25 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", s.report)
 	mux.HandleFunc("POST /order", s.order)
-	mux.HandleFunc("GET /kv-events", func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-r.Context().Done():
-		case <-time.After(time.Second):
-			answer(w, map[string]any{"boot_epoch": 1, "next": 0, "events": [][]any{}})
-		}
-	})
+	mux.HandleFunc("GET /kv-events", s.events)
 	mux.HandleFunc("/", s.call)
 	return mux
 }
 
+// events answers an event call when its wait is over; nothing ever happens.
+func (s *Server) events(w http.ResponseWriter, r *http.Request) {
+	wait, err := strconv.Atoi(r.Header.Get("Wait-Ms"))
+	if err != nil {
+		http.Error(w, "Wait-Ms is not a number", http.StatusBadRequest)
+		return
+	}
+	select {
+	case <-r.Context().Done():
+	case <-time.After(time.Duration(wait) * time.Millisecond):
+		answer(w, map[string]any{"boot_epoch": 1, "next": 0, "events": [][]any{}, "clock_ms": time.Now().UnixMilli()})
+	}
+}
+
 // next records a call and returns what the server does with it, and whether that
 // counts as run.
 func (s *Server) next(r *http.Request) (Behaviour, bool) {
