control: a server with much work is not given up as silent

Cause: a repeatable call left a server without a first part after 2.5 targets and went to another one. Change: the wait is four targets, after which callers leave anyhow, and five times the expected time to the first part beyond.

--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -20,8 +20,13 @@
 	waitingCalls = 200
 	// headerWait is the least wait for the first part of a call before another
 	// server gets it, headerTargets the wait as a multiple of the route's target.
+	// Callers leave a stream after the same times.
 	headerWait    = 2 * time.Second
-	headerTargets = 2.5
+	headerTargets = 4
+	// headerQueue is the wait beyond that as a multiple of the expected time to
+	// the first part. A server with much work is not silent, and another one
+	// would compute the prompt again.
+	headerQueue = 5
 	// dialShare is the part of its time that a call waits for a connection: a
 	// lost opening packet is sent again only after a second.
 	dialShare = 4
@@ -239,10 +244,11 @@
 // server may get waits until its deadline, because giving up gains nothing.
 func (s *State) headerWaitOf(now time.Time, a *active) time.Duration {
 	left := a.Deadline.Sub(now)
-	if a.route.Repeatable() && a.dispatches+1 < a.route.MaxAttempts {
-		return min(left, max(headerWait, time.Duration(headerTargets*float64(a.route.Target))))
+	if !a.route.Repeatable() || a.dispatches+1 >= a.route.MaxAttempts {
+		return left
 	}
-	return left
+	wait := max(headerWait, headerTargets*a.route.Target) + headerQueue*a.attempt.choice.FirstToken
+	return min(left, wait)
 }
 
 // gapWaitOf bounds the wait between two parts of the response in the same way.
