fleet: prompt work is told to peers from a change of 1,000 tokens on

Cause: each call changed the prompt work of its engine twice, and each change was told to up to 16 peers of the failure domain. Most calls are short, and their work is done before a peer could use the news.

--- a/core/fleet/peerwork.go
+++ b/core/fleet/peerwork.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// peerWorkAge is how long the word of a peer about its prompt work counts.
-const peerWorkAge = 3 * time.Second
+const (
+	// peerWorkAge is how long the word of a peer about its prompt work counts.
+	peerWorkAge = 3 * time.Second
+	// toldChange is the least change in tokens that is told at once. Most calls
+	// are short, and their work is done before a peer could use the news.
+	toldChange = 1000
+)
 
 // peerWork is the prompt work that a peer told of.
 type peerWork struct {
@@ -40,10 +45,11 @@
 	return tokens
 }
 
-// WorkChanged reports whether the own prompt work differs from what was told,
-// or was told so long ago that it must be repeated.
+// WorkChanged reports whether the own prompt work differs notably from what was
+// told, or was told so long ago that it must be repeated.
 func (s *Server) WorkChanged(now time.Time, repeat time.Duration) bool {
-	if s.PrefillTokens != s.told.tokens {
+	change := s.PrefillTokens - s.told.tokens
+	if max(change, -change) >= toldChange {
 		return true
 	}
 	return s.PrefillTokens > 0 && now.Sub(s.told.at) >= repeat
