control: weights that an engine names in a response are taken over

Cause: a node knew the weights of an engine from its entry only. Change: each response of an engine names its weights; newer ones than listed count at once and the refusal does not blame the engine. Events 2763 and 2764.

--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -141,6 +141,7 @@
 		return
 	}
 	s.noteServer(now, a.attempt, m)
+	newer := s.noteWeights(a.attempt.server, m.Weights)
 	if m.Died {
 		s.serverDied(now, a.attempt)
 	}
@@ -157,7 +158,7 @@
 		s.dialFailed(now, a, m.Cause)
 	case Rejected:
 		s.rest(now, a.attempt.server, m)
-		s.fireAttempt(a, refusalEvent(m), now)
+		s.fireAttempt(a, refusalEvent(m, newer), now)
 		s.attemptFailed(now, a, "attempt_refused", m.Cause)
 	case Lost:
 		s.fireAttempt(a, "fail", now)
@@ -181,9 +182,10 @@
 }
 
 // refusalEvent blames a server that is not the expected one, so that its
-// circuit opens until its entry is up to date.
-func refusalEvent(m AttemptDone) chart.Event {
-	if m.OtherServer {
+// circuit opens until its entry is up to date. One that named newer weights gets
+// the next calls with these.
+func refusalEvent(m AttemptDone, newer bool) chart.Event {
+	if m.OtherServer && !newer {
 		return "fail"
 	}
 	return "drop"
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -102,6 +102,9 @@
 	// OtherServer is true when another server than the expected one refused
 	// the request.
 	OtherServer bool
+	// Weights is the weight version that the server named, 0 without one, or a
+	// negative number when it could not be read.
+	Weights int
 	// Faulty is true when the response is a failure of the server itself.
 	Faulty bool
 }
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -72,7 +72,7 @@
 	server.Domain = vm.Domain
 	server.Role = vm.Role
 	server.Serves = vm.Serves
-	server.Weights = vm.Weights
+	server.Weights = max(vm.Weights, server.SaidWeights)
 	server.Model = vm.Model
 	server.Places = vm.Places
 	server.Born = vm.Born
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tanagerspread/core/config"
+	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/placement"
 )
@@ -121,6 +122,24 @@
 	}
 }
 
+// noteWeights takes over the weights that an engine named in a response and
+// reports whether they are newer than the known ones. The list of servers may be
+// old, or its source away.
+func (s *State) noteWeights(server *fleet.Server, said int) bool {
+	if said < 0 {
+		s.command(LogEvent{Event: event.EngineWeightsUnreadable, Fields: []any{"server", string(server.ID)}})
+		return false
+	}
+	if server.Role != fleet.RoleEngine || said <= server.Weights {
+		return false
+	}
+	s.command(LogEvent{Event: event.EngineWeightsSaid, Fields: []any{"server", string(server.ID), "weights", said, "listed", server.Weights}})
+	server.SaidWeights = said
+	server.Weights = said
+	s.markBehind()
+	return true
+}
+
 // outdated reports whether an engine has had older weights than named for so
 // long that no new request may use them.
 func (s *State) outdated(now time.Time, server *fleet.Server) bool {
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -61,18 +61,20 @@
 
 // The events of orders to engines.
 var (
-	IssuerSettling   = add(2751, LevelInfo, "node holds the lease of the issuer and waits for earlier orders to end", "node", "revision")
-	IssuerStarted    = add(2752, LevelInfo, "node issues orders to engines", "node", "fencing")
-	IssuerEnded      = add(2753, LevelInfo, "node stopped issuing orders to engines", "node", "fencing")
-	OrderSent        = add(2754, LevelInfo, "order sent to an engine", "node", "order", "server", "model", "weights")
-	OrderDone        = add(2755, LevelInfo, "engine shows the desired state", "node", "order", "server")
-	OrderFailed      = add(2756, LevelInfo, "order to an engine failed", "node", "order", "server", "failures")
-	RolloutStarted   = add(2757, LevelInfo, "rollout started", "node", "model", "weights", "live", "done", "out")
-	RolloutStalled   = add(2758, LevelError, "rollout makes no progress", "node", "model", "weights", "live", "done", "out")
-	RolloutComplete  = add(2759, LevelInfo, "rollout is complete", "node", "model", "weights", "live", "done", "out")
-	IssuerCallFailed = add(2760, LevelInfo, "call for the lease of the issuer failed", "step", "code")
-	EngineCallFailed = add(2761, LevelInfo, "management call of an engine failed", "server", "code")
-	WeightsWanted    = add(2762, LevelInfo, "operator named new weights", "model", "weights")
+	IssuerSettling          = add(2751, LevelInfo, "node holds the lease of the issuer and waits for earlier orders to end", "node", "revision")
+	IssuerStarted           = add(2752, LevelInfo, "node issues orders to engines", "node", "fencing")
+	IssuerEnded             = add(2753, LevelInfo, "node stopped issuing orders to engines", "node", "fencing")
+	OrderSent               = add(2754, LevelInfo, "order sent to an engine", "node", "order", "server", "model", "weights")
+	OrderDone               = add(2755, LevelInfo, "engine shows the desired state", "node", "order", "server")
+	OrderFailed             = add(2756, LevelInfo, "order to an engine failed", "node", "order", "server", "failures")
+	RolloutStarted          = add(2757, LevelInfo, "rollout started", "node", "model", "weights", "live", "done", "out")
+	RolloutStalled          = add(2758, LevelError, "rollout makes no progress", "node", "model", "weights", "live", "done", "out")
+	RolloutComplete         = add(2759, LevelInfo, "rollout is complete", "node", "model", "weights", "live", "done", "out")
+	IssuerCallFailed        = add(2760, LevelInfo, "call for the lease of the issuer failed", "step", "code")
+	EngineCallFailed        = add(2761, LevelInfo, "management call of an engine failed", "server", "code")
+	WeightsWanted           = add(2762, LevelInfo, "operator named new weights", "model", "weights")
+	EngineWeightsSaid       = add(2763, LevelInfo, "engine named newer weights than its entry", "server", "weights", "listed")
+	EngineWeightsUnreadable = add(2764, LevelError, "engine named weights that are no number", "server")
 )
 
 // The events of invariants.
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -44,7 +44,10 @@
 	Model string
 	// Weights is the weight version that the engine has loaded.
 	Weights int
-	Load    Load
+	// SaidWeights is the weight version that the engine named in a response, or 0.
+	// It may be newer than the listed one.
+	SaidWeights int
+	Load        Load
 	// Speed is shared by all servers of the model, or nil.
 	Speed *Speed
 	// InFlight counts this node's own attempts on the server.
--- a/node/egress/completion.go
+++ b/node/egress/completion.go
@@ -30,6 +30,9 @@
 	// OtherServer is true when another server has the address, or the server
 	// has other weights than expected.
 	OtherServer bool
+	// Weights is the weight version that the server named, 0, or
+	// forward.Unreadable.
+	Weights int
 	// Faulty is true when the whole response is a failure of the server.
 	Faulty bool
 }
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -62,13 +62,13 @@
 	reader, stop := newGapReader(response.Body, timeouts.Gap, cancel)
 	defer stop()
 	if isStream(response) {
-		return finish(ctx, Result{}, receiveStream(reader, response, to))
+		return finish(ctx, Result{Weights: answer.Weights}, receiveStream(reader, response, to))
 	}
 	body, err := readWhole(reader)
 	if err == nil {
 		to.Whole(response, body)
 	}
-	result := finish(ctx, Result{}, err)
+	result := finish(ctx, Result{Weights: answer.Weights}, err)
 	result.Faulty = response.StatusCode >= http.StatusInternalServerError
 	return result
 }
@@ -96,6 +96,7 @@
 		Outcome:     control.Rejected,
 		Cause:       code.Newf(code.BackendRefused, "the backend server refused the call with status %d before running it", response.StatusCode),
 		OtherServer: answer.OtherServer,
+		Weights:     answer.Weights,
 	}
 }
 
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -40,8 +40,14 @@
 	// OtherServer is true when another server than the expected one has the
 	// address, or the server has other weights.
 	OtherServer bool
+	// Weights is the weight version that the server has loaded, 0 when it did not
+	// say, or Unreadable.
+	Weights int
 }
 
+// Unreadable stands for a number that the server sent but that is none.
+const Unreadable = -1
+
 // Protocol translates calls and responses. It decides nothing.
 type Protocol interface {
 	// ReadinessPath returns the path of the load balancer's check.
--- a/node/ingress/exchange.go
+++ b/node/ingress/exchange.go
@@ -137,6 +137,7 @@
 			Died:    result.Died,
 
 			OtherServer: result.OtherServer,
+			Weights:     result.Weights,
 			Faulty:      result.Faulty,
 		})
 	}
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -364,6 +364,36 @@
 	})
 }
 
+// TestWeightsSaid guards against engines that get no calls because their entries
+// are old: a node that the store turns away learns the loaded weights from
+// responses.
+func TestWeightsSaid(t *testing.T) {
+	runDeployed(t, func(s *deployedSite) {
+		servers := []*deployed.Server{s.server("i-0", 2), s.server("i-1", 2)}
+		s.configure(testKey)
+		n := s.node("n1")
+		settle()
+		s.setAway("n1", true)
+		s.store.Fail(http.StatusServiceUnavailable)
+		for _, server := range servers {
+			server.SetWeights(2)
+		}
+		served := 0
+		for range 10 {
+			if n.call("POST", "/review/", http.Header{"Prompt-Prefix": {"aa:3000,bb:10"}, "Token-Count": {"3010,20"}}, "x").status == http.StatusOK {
+				served++
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		if served < 9 {
+			t.Errorf("%d of 10 calls served by engines with newer weights than listed", served)
+		}
+		if !strings.Contains(n.log.String(), `"event":2763`) {
+			t.Error("the learned weights are not logged")
+		}
+	})
+}
+
 // TestDeployedStop guards against a planned stop that breaks off a call, or that
 // stays ready.
 func TestDeployedStop(t *testing.T) {
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -177,6 +177,10 @@
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	does, ran := s.next(r)
+	if s.Events > 0 {
+		version, _ := s.Weights()
+		w.Header().Set("Weight-Versions", strconv.Itoa(version))
+	}
 	if !ran && does != Shed {
 		w.Header().Set("Instance-Id", s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
