process: a fifth of the engines loads weights at once

Cause: a third of the engines left service at a time during a rollout, more than the users' engines load without slowing each other down (12 of 60, 3 of 18, 2 of 9). Change: a fifth at once.

--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -51,8 +51,9 @@
 	// weightsMargin is how long before the limit no request begins on older
 	// weights, since the operator counts from its own write.
 	weightsMargin = time.Second
-	// loadShare is the part of the live engines that load weights at once.
-	loadShare = 1.0 / 3
+	// loadShare is the part of the live engines that load weights at once. The
+	// users' engines load more slowly when more than a sixth to a fifth do so.
+	loadShare = 0.2
 	// connectTimeout bounds the opening of a connection to a server, to the
 	// store or to a peer.
 	connectTimeout = time.Second
