--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -454,9 +454,11 @@
 		time.Sleep(time.Minute)
 		check("store down")
 		server.Plan.Do(deployed.Hang)
-		go nodes[0].call("POST", "/charge/", nil, "x")
+		ended := make(chan reply, 1)
+		go func() { ended <- nodes[0].call("POST", "/charge/", nil, "x") }()
 		time.Sleep(time.Second)
 		check("a silent server")
+		<-ended
 		s.store.Fail(0)
 		s.store.Remove("servers/i-1")
 		time.Sleep(10 * time.Second)
