control: an engine that starts again with older weights gets its order

Cause: with the weights of responses taken over, a node kept the newest ones that an engine ever named. An engine that started again under the same entry with older weights looked up to date and was never ordered. Change: what an engine said ends when its entry has caught up, and a refusal that names older weights counts. Ruled out: older weights in other responses, which may have been overtaken. Result: TestRestartedEngineOrdered fails without the change.

--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -141,7 +141,7 @@
 		return
 	}
 	s.noteServer(now, a.attempt, m)
-	newer := s.noteWeights(a.attempt.server, m.Weights)
+	newer := s.noteWeights(a.attempt.server, m)
 	if m.Died {
 		s.serverDied(now, a.attempt)
 	}
--- a/core/control/forward_test.go
+++ b/core/control/forward_test.go
@@ -134,6 +134,37 @@
 	}
 }
 
+// TestRestartedEngineOrdered guards against an engine that keeps its old weights
+// for good, because the node remembers newer ones from before its restart.
+func TestRestartedEngineOrdered(t *testing.T) {
+	listed := func(s *State, weights int) int {
+		vms := forwardServers(1, weights)
+		s.Handle(testStart, VMList{VMs: vms})
+		return s.servers["m0"].Weights
+	}
+	refuse := func(s *State, id request.ID, said int) int {
+		dispatch, ok := callTo(s, testStart, id, "review").(Dispatch)
+		if !ok {
+			t.Fatalf("call %s is not sent", id)
+		}
+		s.Handle(testStart, AttemptDone{Request: id, Attempt: dispatch.Attempt, Outcome: Rejected, OtherServer: true, Weights: said})
+		return s.servers["m0"].Weights
+	}
+	s := forwardState(t, 1)
+	if got := refuse(s, "a", 3); got != 3 {
+		t.Fatalf("weights %d after a refusal that names 3", got)
+	}
+	if got := listed(s, 1); got != 3 {
+		t.Errorf("weights %d by an old entry", got)
+	}
+	if got := refuse(s, "b", 1); got != 1 {
+		t.Errorf("weights %d after a refusal by the restarted engine", got)
+	}
+	if listed(s, 3) != 3 || listed(s, 1) != 1 {
+		t.Error("the entry of a restarted engine is not believed")
+	}
+}
+
 // TestFollowersShared guards against more waiting event calls at a store than
 // it takes, against a store that no node follows, and against copies of copies.
 func TestFollowersShared(t *testing.T) {
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -72,6 +72,11 @@
 	server.Domain = vm.Domain
 	server.Role = vm.Role
 	server.Serves = vm.Serves
+	if vm.Weights >= server.SaidWeights {
+		// The list has caught up; if it shows older weights later, the engine has
+		// started again.
+		server.SaidWeights = 0
+	}
 	server.Weights = max(vm.Weights, server.SaidWeights)
 	server.Model = vm.Model
 	server.Places = vm.Places
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -124,20 +124,24 @@
 
 // noteWeights takes over the weights that an engine named in a response and
 // reports whether they are newer than the known ones. The list of servers may be
-// old, or its source away.
-func (s *State) noteWeights(server *fleet.Server, said int) bool {
+// old, or its source away. Older weights count only in a refusal, of an engine
+// that has started again, since other responses may have been overtaken.
+func (s *State) noteWeights(server *fleet.Server, m AttemptDone) bool {
+	said := m.Weights
 	if said < 0 {
 		s.command(LogEvent{Event: event.EngineWeightsUnreadable, Fields: []any{"server", string(server.ID)}})
 		return false
 	}
-	if server.Role != fleet.RoleEngine || said <= server.Weights {
+	before := server.Weights
+	older := said < before && m.OtherServer
+	if server.Role != fleet.RoleEngine || said == 0 || said <= before && !older {
 		return false
 	}
-	s.command(LogEvent{Event: event.EngineWeightsSaid, Fields: []any{"server", string(server.ID), "weights", said, "listed", server.Weights}})
+	s.command(LogEvent{Event: event.EngineWeightsSaid, Fields: []any{"server", string(server.ID), "weights", said, "known", before}})
 	server.SaidWeights = said
 	server.Weights = said
 	s.markBehind()
-	return true
+	return said > before
 }
 
 // outdated reports whether an engine has had older weights than named for so
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -73,7 +73,7 @@
 	IssuerCallFailed        = add(2760, LevelInfo, "call for the lease of the issuer failed", "step", "code")
 	EngineCallFailed        = add(2761, LevelInfo, "management call of an engine failed", "server", "code")
 	WeightsWanted           = add(2762, LevelInfo, "operator named new weights", "model", "weights")
-	EngineWeightsSaid       = add(2763, LevelInfo, "engine named newer weights than its entry", "server", "weights", "listed")
+	EngineWeightsSaid       = add(2763, LevelInfo, "engine named other weights than known", "server", "weights", "known")
 	EngineWeightsUnreadable = add(2764, LevelError, "engine named weights that are no number", "server")
 )
 
