fleet: reports and observed delays fade by one function

Cause: delay.go computed the same fading as freshness in load.go. Change: decayed takes the half-life; both call it. Ruled out: one constant for both half-lives, which have different reasons.

--- a/core/fleet/delay.go
+++ b/core/fleet/delay.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// delayHalfLife is the age at which half of an observed delay still counts.
@@ -32,9 +29,5 @@
 
 // Delay estimates how much later than the known work a first token comes.
 func (s *Server) Delay(now time.Time) time.Duration {
-	age := now.Sub(s.delay.at)
-	if s.delay.value == 0 || age <= 0 {
-		return s.delay.value
-	}
-	return time.Duration(float64(s.delay.value) * math.Exp2(-float64(age)/float64(delayHalfLife)))
+	return time.Duration(float64(s.delay.value) * decayed(now.Sub(s.delay.at), delayHalfLife))
 }
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -38,18 +38,19 @@
 func (s *Server) Backlog(now time.Time) float64 {
 	others := max(s.Load.PrefillTokens-s.OwnAtReport, 0)
 	own := float64(s.PrefillTokens + s.PeerTokens(now))
-	return own + float64(others)*freshness(now.Sub(s.Load.ReportedAt))
+	return own + float64(others)*decayed(now.Sub(s.Load.ReportedAt), loadHalfLife)
 }
 
 // Requests estimates the number of requests that the server has.
 func (s *Server) Requests(now time.Time) float64 {
 	reported := float64(s.Load.Running + s.Load.Waiting)
-	return float64(s.InFlight) + reported*freshness(now.Sub(s.Load.ReportedAt))
+	return float64(s.InFlight) + reported*decayed(now.Sub(s.Load.ReportedAt), loadHalfLife)
 }
 
-func freshness(age time.Duration) float64 {
+// decayed returns the part of an observation that still counts at an age.
+func decayed(age, halfLife time.Duration) float64 {
 	if age <= 0 {
 		return 1
 	}
-	return math.Exp2(-float64(age) / float64(loadHalfLife))
+	return math.Exp2(-float64(age) / float64(halfLife))
 }
