placement: the worth of a call is computed once; the tests load charts in one way

Cause: each server of a decision computed the worth of the call twice, and Pick added to the cost what the appraisal had left out. home_test.go had a second loader of charts. Change: the appraisal keeps the worth and adds the loss on misplaced calls in the same order as before; machineOf serves both tests. Ruled out: nothing. Result: behaviour unchanged; the tests keep their assertions and pass.

--- a/core/placement/appraisal.go
+++ b/core/placement/appraisal.go
@@ -12,6 +12,8 @@
 	now   time.Time
 	query Query
 	view  View
+	// worth is that of a response on time.
+	worth float64
 	home  *fleet.Server
 	// salts holds the salts by the weights of the servers.
 	salts map[servedWeights]string
@@ -22,7 +24,10 @@
 }
 
 func newAppraisal(now time.Time, query Query, view View) *appraisal {
-	a := &appraisal{now: now, query: query, view: view, salts: map[servedWeights]string{}, supplies: map[PartKey]*supply{}}
+	a := &appraisal{
+		now: now, query: query, view: view, worth: view.Prices.worth(query),
+		salts: map[servedWeights]string{}, supplies: map[PartKey]*supply{},
+	}
 	if len(query.Parts) == 0 {
 		return a
 	}
@@ -40,18 +45,18 @@
 	if server.Domain != view.Domain {
 		cost += float64(query.Bytes) * view.Prices.DomainByte
 	}
-	worth := view.Prices.worth(query)
 	if len(query.Parts) == 0 {
 		taken := server.Requests(now) / float64(max(server.Places, 1))
-		return Choice{Server: server, Source: Recompute}, cost + taken*placeCost*worth
+		return Choice{Server: server, Source: Recompute}, cost + taken*placeCost*a.worth
 	}
 	choice, price := a.cached(server)
 	cost += price
 	if server.Behind {
-		cost += behindShare * worth
+		cost += behindShare * a.worth
 	}
 	choice.FirstToken = server.QueueTime(now) + server.Speed.Time(float64(choice.Prefill))
-	return choice, cost + worth*lateness(choice.FirstToken, query.Target)
+	cost += a.worth * lateness(choice.FirstToken, query.Target)
+	return choice, cost + view.Lanes.misplaced(server, query.PromptTokens, a.worth)
 }
 
 // cached decides where the shared parts of the prompt come from at a server,
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -66,9 +66,6 @@
 			continue
 		}
 		next, cost := a.appraise(server)
-		if len(query.Parts) > 0 {
-			cost += view.Lanes.misplaced(server, query.PromptTokens, view.Prices.worth(query))
-		}
 		if best.Server == nil || cost < lowest {
 			best = next
 			lowest = cost
--- a/core/placement/home_test.go
+++ b/core/placement/home_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"tanagerspread/chart"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/request"
 )
@@ -21,8 +20,8 @@
 
 func newHomeSite(t testing.TB, engines, stores int) *homeSite {
 	t.Helper()
-	serverChart := machineOf[*fleet.Server](t, "server")
-	storeChart := machineOf[*fleet.CacheStore](t, "cache-store")
+	serverChart := machineOf[*fleet.Server]("server")
+	storeChart := machineOf[*fleet.CacheStore]("cache-store")
 	s := &homeSite{view: View{Domain: "a", Holdings: NewHoldings(), TokenBytes: 18432, Prices: Prices{
 		ReadToken: 0.0015, MovedByte: 1.1e-9, DomainByte: 2e-5, LateWorth: 1.9, LateToken: 0.0007,
 	}}}
@@ -46,32 +45,6 @@
 	return s
 }
 
-// machineOf binds every tag, and guards that always hold, to a chart.
-func machineOf[T any](t testing.TB, name string) *chart.Machine[T] {
-	t.Helper()
-	def, err := chart.Load(chart.Embedded(), name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	bindings := chart.Bindings[T]{Guards: map[string]func(T, time.Time) bool{}, Actions: map[string]func(T, time.Time){}}
-	for _, state := range def.States {
-		bindings.Tags = append(bindings.Tags, state.Tags...)
-	}
-	for _, transition := range def.Transitions {
-		if transition.Guard != "" {
-			bindings.Guards[transition.Guard] = func(T, time.Time) bool { return true }
-		}
-		for _, action := range transition.Actions {
-			bindings.Actions[action] = func(T, time.Time) {}
-		}
-	}
-	machine, err := chart.NewMachine(def, bindings)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return machine
-}
-
 // TestSupplyOrder guards against a part that is read again, or fetched over a
 // slow link, although a better source is known: an engine that used it just now
 // comes before a store, a store before an engine that may have evicted it, and
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -30,11 +30,28 @@
 }
 
 func storeChart() *chart.Machine[*fleet.Store] {
-	def, err := chart.Load(chart.Embedded(), "store")
+	return machineOf[*fleet.Store]("store")
+}
+
+// machineOf binds every tag, and guards that always hold, to a chart.
+func machineOf[T any](name string) *chart.Machine[T] {
+	def, err := chart.Load(chart.Embedded(), name)
 	if err != nil {
 		panic(err)
 	}
-	machine, err := chart.NewMachine(def, chart.Bindings[*fleet.Store]{Tags: []chart.Tag{fleet.TagReadable, fleet.TagWritable}})
+	bindings := chart.Bindings[T]{Guards: map[string]func(T, time.Time) bool{}, Actions: map[string]func(T, time.Time){}}
+	for _, state := range def.States {
+		bindings.Tags = append(bindings.Tags, state.Tags...)
+	}
+	for _, transition := range def.Transitions {
+		if transition.Guard != "" {
+			bindings.Guards[transition.Guard] = func(T, time.Time) bool { return true }
+		}
+		for _, action := range transition.Actions {
+			bindings.Actions[action] = func(T, time.Time) {}
+		}
+	}
+	machine, err := chart.NewMachine(def, bindings)
 	if err != nil {
 		panic(err)
 	}
