standin/deployed, soak: one decoder of bodies, one restart of a node

Cause: three handlers refused a malformed body with the same lines, and killing and stopping a node differed in the signal only. Change: decode and restart. Ruled out: nothing.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -39,26 +39,23 @@
 }
 
 func (f *injector) killNode() string {
-	n := f.node()
-	f.resume(n)
-	n.signal(syscall.SIGKILL)
-	n.wait()
-	return f.restart(n, "kill "+n.name)
+	return f.restart("kill ", syscall.SIGKILL)
 }
 
 func (f *injector) stopNode() string {
+	return f.restart("stop ", syscall.SIGTERM)
+}
+
+// restart ends a node with a signal and starts it again.
+func (f *injector) restart(what string, signal syscall.Signal) string {
 	n := f.node()
 	f.resume(n)
-	n.signal(syscall.SIGTERM)
+	n.signal(signal)
 	n.wait()
-	return f.restart(n, "stop "+n.name)
-}
-
-func (f *injector) restart(n *node, what string) string {
 	if err := n.start(f.site.binary); err != nil {
-		return what + ": " + err.Error()
+		return what + n.name + ": " + err.Error()
 	}
-	return what
+	return what + n.name
 }
 
 func (f *injector) pauseNode() string {
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -1,7 +1,6 @@
 package deployed
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -260,8 +259,7 @@
 		FencingToken uint64 `json:"fencing_token"`
 		Expected     uint64 `json:"expected"`
 	}
-	if json.NewDecoder(r.Body).Decode(&call) != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	if !decode(w, r, &call) {
 		return
 	}
 	s.mu.Lock()
--- a/standin/deployed/store.go
+++ b/standin/deployed/store.go
@@ -290,8 +290,7 @@
 		Writes   []Item   `json:"writes"`
 		Remove   []string `json:"remove"`
 	}
-	if json.NewDecoder(r.Body).Decode(&call) != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	if !decode(w, r, &call) {
 		return
 	}
 	s.mu.Lock()
@@ -327,8 +326,7 @@
 	var call struct {
 		TTLMS int64 `json:"ttl_ms"`
 	}
-	if json.NewDecoder(r.Body).Decode(&call) != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	if !decode(w, r, &call) {
 		return
 	}
 	s.mu.Lock()
@@ -369,6 +367,15 @@
 	return value
 }
 
+// decode reads the body of a call, or refuses it.
+func decode(w http.ResponseWriter, r *http.Request, call any) bool {
+	if json.NewDecoder(r.Body).Decode(call) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
 func answer(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	// A failed write means that the caller has left.
