core/quarantine: a clear outlives late copies of the suspicion

Cause: a cleared fingerprint left no trace, so a copy of its suspicion that arrived after the clear was added again and kept for ten minutes. Change: clears are remembered for 30 s, also where the suspicion has not arrived yet, and a peer's suspicion is ignored in that time. A crash that the node sees itself still counts.

--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -91,7 +91,7 @@
 
 // clearSuspicion clears the suspicion against a request that ran to completion.
 func (s *State) clearSuspicion(now time.Time, req *activeRequest) {
-	if s.quarantine.Clear(req.fingerprint) {
+	if s.quarantine.Clear(now, req.fingerprint) {
 		s.publishQuarantine(now, []quarantine.Entry{{Fingerprint: req.fingerprint, Kind: quarantine.Cleared}})
 	}
 }
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -13,6 +13,12 @@
 	SuspicionTTL = 10 * time.Minute
 	// QuarantineTTL is how long a fingerprint stays quarantined.
 	QuarantineTTL = 24 * time.Hour
+	// ClearedTTL is how long a node ignores a peer's suspicion of a fingerprint after
+	// it was cleared. It is longer than a message between peers takes, so that a late
+	// copy does not make the fingerprint suspect again.
+	ClearedTTL = 30 * time.Second
+	// maxCleared bounds the cleared fingerprints that a node remembers.
+	maxCleared = 4096
 	// maxSuspects bounds the suspect fingerprints that a node remembers.
 	maxSuspects = 4096
 	// maxQuarantined bounds the quarantined fingerprints of a node.
@@ -24,14 +30,14 @@
 // Kind is the state of a fingerprint.
 type Kind int
 
-// The kinds of entries. Only the first two are stored; Cleared occurs in
-// messages alone.
+// The kinds of entries.
 const (
 	// Suspect fingerprints were running on a server when it crashed.
 	Suspect Kind = iota + 1
 	// Quarantined fingerprints crashed two servers and must not run.
 	Quarantined
-	// Cleared fingerprints were suspect and then ran without a crash.
+	// Cleared fingerprints were suspect and then ran without a crash. They are
+	// remembered for ClearedTTL.
 	Cleared
 )
 
@@ -54,7 +60,9 @@
 
 // List holds the suspect and quarantined fingerprints of a node.
 type List struct {
-	entries     map[Fingerprint]learnedEntry
+	entries map[Fingerprint]learnedEntry
+	// cleared has the time until which a peer's suspicion of a fingerprint is ignored.
+	cleared     map[Fingerprint]time.Time
 	suspects    int
 	quarantined int
 }
@@ -67,7 +75,7 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{entries: map[Fingerprint]learnedEntry{}}
+	return &List{entries: map[Fingerprint]learnedEntry{}, cleared: map[Fingerprint]time.Time{}}
 }
 
 // IsQuarantined reports whether the fingerprint must not run.
@@ -162,10 +170,14 @@
 
 // MergeEntry adds an entry from another node and reports whether it changed the
 // list. A quarantine replaces a suspicion; of two suspicions the first one is
-// kept. The expiry is limited to the one that this node would set itself.
+// kept, and none is added within ClearedTTL of a clear. The expiry is limited to the
+// one that this node would set itself.
 func (l *List) MergeEntry(now time.Time, e Entry) bool {
 	if e.Kind == Cleared {
-		return l.Clear(e.Fingerprint)
+		return l.mergeClear(now, e.Fingerprint)
+	}
+	if e.Kind == Suspect && l.isCleared(now, e.Fingerprint) {
+		return false
 	}
 	ttl := SuspicionTTL
 	if e.Kind == Quarantined {
@@ -186,14 +198,40 @@
 
 // Clear removes a suspect fingerprint that has run without a crash and reports
 // whether it was suspect.
-func (l *List) Clear(f Fingerprint) bool {
+func (l *List) Clear(now time.Time, f Fingerprint) bool {
 	if !l.IsSuspect(f) {
 		return false
 	}
 	l.remove(f)
+	l.rememberClear(now, f)
 	return true
 }
 
+// mergeClear clears a fingerprint that another node cleared and reports whether this
+// is news. It is remembered also when the fingerprint is not suspect here, because the
+// message with the suspicion may arrive later.
+func (l *List) mergeClear(now time.Time, f Fingerprint) bool {
+	if l.IsQuarantined(f) {
+		return false
+	}
+	known := l.isCleared(now, f)
+	return l.Clear(now, f) || !known && l.rememberClear(now, f)
+}
+
+// rememberClear remembers a clear and reports whether there was room for it.
+func (l *List) rememberClear(now time.Time, f Fingerprint) bool {
+	if _, listed := l.cleared[f]; !listed && len(l.cleared) >= maxCleared {
+		return false
+	}
+	l.cleared[f] = now.Add(ClearedTTL)
+	return true
+}
+
+// isCleared reports whether the fingerprint was cleared within ClearedTTL.
+func (l *List) isCleared(now time.Time, f Fingerprint) bool {
+	return now.Before(l.cleared[f])
+}
+
 // HasHighestWeight reports whether no suspect has a higher weight than the
 // fingerprint. With the weights of one server, nodes that list the same suspects
 // agree on the one that may run there.
@@ -207,8 +245,13 @@
 	return true
 }
 
-// Expire removes the entries that have expired.
+// Expire removes the entries and the clears that have expired.
 func (l *List) Expire(now time.Time) {
+	for f, until := range l.cleared {
+		if !now.Before(until) {
+			delete(l.cleared, f)
+		}
+	}
 	for f, e := range l.entries {
 		if !e.ExpiresAt.After(now) {
 			l.remove(f)
--- a/core/quarantine/list_test.go
+++ b/core/quarantine/list_test.go
@@ -84,3 +84,57 @@
 		t.Errorf("%d entries in the digest, %d suspects", len(entries), suspects)
 	}
 }
+
+// TestLateSuspicionAfterClear guards against a copy of a suspicion that arrives after
+// the message that cleared it and is then kept for its whole age, and against a clear
+// that hides a new crash.
+func TestLateSuspicionAfterClear(t *testing.T) {
+	f := Fingerprint{1}
+	suspicion := Entry{Fingerprint: f, Kind: Suspect, Server: "s1", ExpiresAt: now.Add(SuspicionTTL)}
+	cleared := Entry{Fingerprint: f, Kind: Cleared, ExpiresAt: now.Add(ClearedTTL)}
+
+	l := NewList()
+	if !l.MergeEntry(now, cleared) {
+		t.Error("a clear that arrives before the suspicion is not relayed")
+	}
+	if l.MergeEntry(now, cleared) {
+		t.Error("a clear is relayed twice")
+	}
+	if l.MergeEntry(now.Add(time.Second), suspicion) || l.IsSuspect(f) {
+		t.Error("a suspicion that arrived after its clear was kept")
+	}
+	l.MergeEntry(now.Add(time.Second), Entry{Fingerprint: f, Kind: Quarantined, ExpiresAt: now.Add(time.Hour)})
+	if !l.IsQuarantined(f) {
+		t.Error("a clear hid a quarantine")
+	}
+
+	l = NewList()
+	l.RecordCrash(now, "s1", runs(now, 1))
+	l.Clear(now, f)
+	if l.MergeEntry(now, suspicion) || l.IsSuspect(f) {
+		t.Error("a suspicion that this node cleared came back from a peer")
+	}
+	l.RecordCrash(now, "s2", runs(now, 1))
+	if !l.IsSuspect(f) {
+		t.Error("a clear hid a crash at this node")
+	}
+
+	l = NewList()
+	l.Clear(now, f)
+	l.MergeEntry(now, cleared)
+	l.Expire(now.Add(ClearedTTL))
+	if !l.MergeEntry(now.Add(ClearedTTL), suspicion) {
+		t.Error("a clear is remembered beyond its time")
+	}
+}
+
+// TestClearedBounded guards against a list of clears that grows without limit.
+func TestClearedBounded(t *testing.T) {
+	l := NewList()
+	for i := range 2 * maxCleared {
+		l.MergeEntry(now, Entry{Fingerprint: Fingerprint{byte(i), byte(i >> 8)}, Kind: Cleared})
+	}
+	if len(l.cleared) > maxCleared {
+		t.Errorf("%d clears are remembered", len(l.cleared))
+	}
+}
