core/control: leaving reports carry the revision of the entry

Cause: a node that read "draining" late told its peers with the time of its own reading. Change: a report from the VM list carries the revision of the entry and the start time of the process. A node ignores it when its own entry is as new, and ends it when the list shows a newer live entry, also when it never saw the leaving one.

--- a/core/control/config_test.go
+++ b/core/control/config_test.go
@@ -104,6 +104,18 @@
 			Node: "n2", LeavingReports: []membership.LeavingReport{{Server: "e1", Address: "a:1", Age: age}},
 		}}
 	}
+	// listedReport is the report of a peer that read late that revision's entry.
+	listedReport := func(revision uint64, startedAtMS int64) control.Message {
+		return control.PeerDigest{AskedAt: at.Add(time.Second), Digest: membership.Digest{
+			Node: "n2", LeavingReports: []membership.LeavingReport{{Server: "e1", Address: "a:1", Revision: revision, StartedAtMS: startedAtMS}},
+		}}
+	}
+	entry := func(revision uint64, startedAtMS int64, leaving bool) control.Message {
+		list := vmList("a:1", leaving)
+		list.VMs[0].Revision = revision
+		list.VMs[0].StartedAtMS = startedAtMS
+		return list
+	}
 	rule := &config.Rules{Servers: map[string]config.ServerRule{"e1": {Leaving: true}}}
 	live := vmList("a:1", false)
 	cases := []struct {
@@ -120,6 +132,11 @@
 		{"listed live again", []control.Message{vmList("a:1", true), live}, 0, "available"},
 		{"report from before the return", []control.Message{vmList("a:1", true), live, leavingReport(time.Second)}, 0, "available"},
 		{"another address", []control.Message{leavingReport(0), vmList("a:2", false)}, 0, "available"},
+		{"return not seen, report of the older entry", []control.Message{entry(7, 1, false), listedReport(5, 1)}, 0, "available"},
+		{"report of the newer entry", []control.Message{entry(5, 1, false), listedReport(7, 1)}, 0, "leaving"},
+		{"report of the newer entry, then the return", []control.Message{entry(5, 1, false), listedReport(7, 1), entry(9, 1, false)}, 0, "available"},
+		{"older list after the report", []control.Message{entry(5, 1, false), listedReport(7, 1), entry(6, 1, false)}, 0, "leaving"},
+		{"report of an earlier process", []control.Message{entry(0, 2, false), listedReport(0, 1)}, 0, "available"},
 	}
 	for _, c := range cases {
 		s := newNodeState(t)
--- a/core/control/leaving.go
+++ b/core/control/leaving.go
@@ -7,6 +7,29 @@
 	"tanagerspread/core/membership"
 )
 
+// updateLeaving applies the state of a server's entry in the VM list.
+func (s *State) updateLeaving(now time.Time, server *fleet.Server, leaving bool) {
+	switch {
+	case leaving:
+		s.advertiseLeaving(server, now)
+		server.LeavingByList = true
+		server.LeavingRevision = server.EntryRevision
+		s.fireServerEvent(server, "leave", now)
+	case server.LeavingByList || returnedAfterReport(server):
+		server.LeavingByList = false
+		server.LeavingRevision = 0
+		server.LeavingReportedAt = time.Time{}
+		server.ReturnedAt = now
+		s.fireServerEvent(server, "return", now)
+	}
+}
+
+// returnedAfterReport reports whether the list shows a server live in a newer entry
+// than the one that a peer saw as leaving. This node may have missed that one.
+func returnedAfterReport(server *fleet.Server) bool {
+	return server.LeavingRevision != 0 && server.EntryRevision > server.LeavingRevision
+}
+
 // recordLeaving records that a server reported at the given time, to this node
 // or to a peer, that it is leaving, and stops new work to it. A report from
 // before the VM list showed the server live again is ignored.
@@ -44,14 +67,39 @@
 // count from askedAt. Reports of unknown servers and expired ones are ignored.
 func (s *State) recordPeerLeaving(now, askedAt time.Time, reports []membership.LeavingReport) {
 	for _, report := range reports {
-		server, ok := s.servers[fleet.ServerID(report.Server)]
-		if !ok || server.Address != report.Address || report.Age < 0 || report.Age >= s.charts.server.Timeout(fleet.TagLeaving) {
+		server := s.servers[fleet.ServerID(report.Server)]
+		if server == nil || !s.concerns(report, server) {
+			continue
+		}
+		if report.Revision != 0 {
+			s.recordListedLeaving(server, report.Revision, askedAt.Add(-report.Age), now)
 			continue
 		}
 		s.recordLeaving(server, askedAt.Add(-report.Age), now)
 	}
 }
 
+// concerns reports whether a leaving report is valid and about the server's present
+// process.
+func (s *State) concerns(report membership.LeavingReport, server *fleet.Server) bool {
+	if server.Address != report.Address || report.Age < 0 || report.Age >= s.charts.server.Timeout(fleet.TagLeaving) {
+		return false
+	}
+	return report.StartedAtMS == 0 || server.StartedAtMS == 0 || report.StartedAtMS == server.StartedAtMS
+}
+
+// recordListedLeaving records that a peer saw an entry of the VM list that shows the
+// server as leaving. The time of the report is that of the peer's reading, which may
+// be late, so only the revisions tell whether the server has returned since.
+func (s *State) recordListedLeaving(server *fleet.Server, revision uint64, at, now time.Time) {
+	if revision <= max(server.EntryRevision, server.LeavingRevision) {
+		return
+	}
+	server.LeavingRevision = revision
+	server.ReturnedAt = time.Time{}
+	s.recordLeaving(server, at, now)
+}
+
 // sampleLeavingReports returns up to membership.MaxPeriodicItems random reports of
 // leaving servers, so that each one reaches the peers when there are many. A report
 // keeps its age when it is relayed, so that peers do not renew it among themselves.
@@ -66,7 +114,10 @@
 	leaving = leaving[:min(len(leaving), membership.MaxPeriodicItems)]
 	var reports []membership.LeavingReport
 	for _, server := range leaving {
-		reports = append(reports, membership.LeavingReport{Server: string(server.ID), Address: server.Address, Age: now.Sub(server.LeavingReportedAt)})
+		reports = append(reports, membership.LeavingReport{
+			Server: string(server.ID), Address: server.Address, StartedAtMS: server.StartedAtMS,
+			Revision: server.LeavingRevision, Age: now.Sub(server.LeavingReportedAt),
+		})
 	}
 	return reports
 }
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -86,16 +86,8 @@
 	server.Model = vm.Model
 	server.MaxConcurrency = vm.MaxConcurrency
 	server.StartedAtMS = vm.StartedAtMS
-	if vm.Leaving {
-		s.advertiseLeaving(server, now)
-		server.LeavingByList = true
-		s.fireServerEvent(server, "leave", now)
-	} else if server.LeavingByList {
-		server.LeavingByList = false
-		server.LeavingReportedAt = time.Time{}
-		server.ReturnedAt = now
-		s.fireServerEvent(server, "return", now)
-	}
+	server.EntryRevision = vm.Revision
+	s.updateLeaving(now, server, vm.Leaving)
 }
 
 // rebuildServerList sorts the servers, so that decisions do not depend on the
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -85,6 +85,12 @@
 	// that it is leaving, or when one of them saw it listed as leaving before any
 	// report. It is zero when there was neither.
 	LeavingReportedAt time.Time
+	// EntryRevision is the revision of the server's entry in the VM list, or 0 when
+	// the list has no revisions.
+	EntryRevision uint64
+	// LeavingRevision is the revision of the entry that this node or a peer saw as
+	// leaving, or 0 when there is none.
+	LeavingRevision uint64
 	// ReturnedAt is when the VM list last changed the server from leaving to live.
 	ReturnedAt time.Time
 	// CacheEpoch changes when the server restarts, which empties its cache.
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -84,6 +84,12 @@
 type LeavingReport struct {
 	Server  string
 	Address string
+	// StartedAtMS is when the server's process started in Unix milliseconds, or 0
+	// when unknown.
+	StartedAtMS int64
+	// Revision is the revision of the entry of the VM list that shows the server as
+	// leaving, or 0 when only the server itself reported it.
+	Revision uint64
 	// Age is the time since the server reported it or a node first saw it in the
 	// VM list.
 	Age time.Duration
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -52,6 +52,8 @@
 	Server  string `json:"s"`
 	Address string `json:"d"`
 	AgeMS   int64  `json:"a"`
+	Started int64  `json:"b,omitempty"`
+	Entry   uint64 `json:"r,omitempty"`
 }
 
 // workParams is the encoded form of a node's prefill work. Prefill holds the
@@ -175,7 +177,9 @@
 		w.ConfirmedMS = &age
 	}
 	for _, report := range d.LeavingReports[:min(len(d.LeavingReports), membership.MaxPeriodicItems)] {
-		w.Leaving = append(w.Leaving, leavingReportWire{Server: report.Server, Address: report.Address, AgeMS: ceilMS(report.Age)})
+		w.Leaving = append(w.Leaving, leavingReportWire{
+			Server: report.Server, Address: report.Address, AgeMS: ceilMS(report.Age), Started: report.StartedAtMS, Entry: report.Revision,
+		})
 	}
 	return w
 }
@@ -199,6 +203,7 @@
 	for _, report := range w.Leaving[:min(len(w.Leaving), membership.MaxPeriodicItems)] {
 		d.LeavingReports = append(d.LeavingReports, membership.LeavingReport{
 			Server: report.Server, Address: report.Address, Age: time.Duration(report.AgeMS) * time.Millisecond,
+			StartedAtMS: report.Started, Revision: report.Entry,
 		})
 	}
 	return d
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -164,6 +164,7 @@
 		r.logRejected(change.Entry, err)
 		return
 	}
+	vm.Revision = uint64(change.Entry.Revision)
 	r.servers[change.Entry.Key] = vm
 }
 
