core/control: calls wait on the node while engines have no memory for them

Running prompts alone need 95 to 120 of the 130 thousand tokens of an engine, and admission counted places only. Engines got 180 thousand tokens of prompts, dropped the parts that they had fetched for waiting calls and computed them again (16.6 M prompt tokens planned, 31.1 M read), which slowed every run. Change: nodes report the memory of their calls, shared parts once, to all peers of a small fleet, else to those of the engine's domain and of their own; a call goes to an engine only if it fits. In a large fleet calls leave the domain only when no engine there receives work. Nodes that all have calls waiting take turns at free memory (core/placement/turns.go), since they see it at once.

--- a/core/control/active.go
+++ b/core/control/active.go
@@ -35,6 +35,8 @@
 	attempts   request.AttemptID
 	attempt    *activeAttempt
 	avoid      []fleet.ServerID
+	// memory is the memory that the call occupies on an engine.
+	memory fleet.MemoryUse
 	// backoff is the delay before the next attempt.
 	backoff time.Duration
 }
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -31,7 +31,7 @@
 func (s *State) beginAttempt(req *activeRequest, now time.Time) {
 	req.attempts++
 	req.attempt.chart = s.charts.attempt.Start(now)
-	s.acquireServer(req)
+	s.acquireServer(now, req)
 	s.startImport(req, now)
 }
 
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -71,6 +71,9 @@
 	// QueueTime is the expected time until the server starts to compute the
 	// prompt, given the work of this node and of its peers.
 	QueueTime time.Duration
+	// CommittedMemory is the number of tokens of the server's memory that the requests
+	// of this node and of its peers were expected to occupy, this one included.
+	CommittedMemory int
 	// Version is the version of the configuration that the decision was based on.
 	Version config.Version
 }
@@ -232,6 +235,8 @@
 		PrefillTokens: attempt.choice.Prefill,
 		Version:       s.version,
 		QueueTime:     attempt.server.QueueTime(now),
+
+		CommittedMemory: attempt.server.CommittedMemory(),
 	}
 	if f.ModelEngine {
 		f.Weights = attempt.weights
--- a/core/control/holding.go
+++ b/core/control/holding.go
@@ -7,11 +7,12 @@
 )
 
 // acquireServer adds an attempt to the counts of its server.
-func (s *State) acquireServer(req *activeRequest) {
+func (s *State) acquireServer(now time.Time, req *activeRequest) {
 	attempt := req.attempt
 	attempt.server.InFlight++
 	attempt.prefillTokens = attempt.choice.Prefill
 	attempt.server.PrefillTokens += attempt.prefillTokens
+	attempt.server.ReserveMemory(req.memory, now)
 	if s.quarantine.IsSuspect(req.fingerprint) {
 		s.countSuspect(req)
 	}
@@ -23,6 +24,7 @@
 	attempt := req.attempt
 	s.releaseLink(now, attempt, 0)
 	attempt.server.InFlight--
+	attempt.server.ReleaseMemory(req.memory)
 	s.releasePrefill(attempt)
 	if attempt.suspect {
 		attempt.server.SuspectAttempts--
--- /dev/null
+++ b/core/control/memory.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"time"
+
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/placement"
+)
+
+const (
+	// maxUrgentMemory and maxMemory are the shares of an engine's memory up to which
+	// urgent calls and other ones are sent to it. A call that an engine cannot admit
+	// waits on the node instead: the engine would drop the parts that it has
+	// fetched for waiting calls, and compute them again.
+	maxUrgentMemory = 1.0
+	maxMemory       = 0.95
+)
+
+// memoryUse returns the memory that a forwarded call occupies on an engine, or none
+// for other requests.
+func (s *State) memoryUse(req *activeRequest) fleet.MemoryUse {
+	if req.Call == nil || len(req.Call.Parts) == 0 {
+		return fleet.MemoryUse{}
+	}
+	use := fleet.MemoryUse{Private: req.PromptTokens + req.MaxTokens}
+	isolation := s.isolatedOrganisation(req)
+	for _, part := range placement.SharedParts(req.Call.Parts) {
+		use.Shared = append(use.Shared, fleet.SharedPart{Hash: placement.PartHash(part.ID, isolation), Tokens: part.Tokens})
+		use.Private -= part.Tokens
+	}
+	use.Private = max(use.Private, 0)
+	return use
+}
+
+// hasMemory reports whether an engine has memory for a call beside the requests in
+// progress of this node and of its peers. Calls that are not urgent take turns with
+// those that wait at peers, which see the same free memory.
+func (s *State) hasMemory(now time.Time, req *activeRequest, server *fleet.Server) bool {
+	capacity := s.rules.Pools[server.Serves].CacheTokens
+	if capacity == 0 || req.memory.IsZero() {
+		return true
+	}
+	share := maxMemory
+	if req.classConfig.Priority == 0 {
+		share = maxUrgentMemory
+	}
+	limit := int(share * float64(capacity))
+	// A call that is larger than the limit gets an engine of its own.
+	needed := min(server.MemoryIncrease(req.memory), limit)
+	free := limit - server.CommittedMemory()
+	if req.classConfig.Priority == 0 {
+		return needed <= free
+	}
+	return placement.TakesTurn(now, server.ID, placement.FreeMemory{
+		Free: free, OwnInTurn: server.ReservedInTurn(now), Needed: needed, Contenders: s.contenders, Rank: s.contenderRank,
+	})
+}
+
+// countContenders counts the nodes that have calls waiting for memory, this one
+// included, and determines the rank of this node among them.
+func (s *State) countContenders(now time.Time) {
+	s.contenders = 1
+	s.contenderRank = 0
+	for _, peer := range s.members.Peers() {
+		if !peer.CallsWait(now) {
+			continue
+		}
+		s.contenders++
+		if peer.ID < s.options.Node {
+			s.contenderRank++
+		}
+	}
+}
+
+// mayLeaveDomain reports whether a call may go to an engine whose work this node does
+// not know in full. It may when no engine of the node's own failure domain receives
+// work; otherwise nodes of all domains would fill engines that only look idle.
+func (s *State) mayLeaveDomain(req *activeRequest) bool {
+	for _, server := range s.group(req).Servers {
+		if s.knowsWork(server) && server.ReceivesWork() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/control/overload_test.go
@@ -0,0 +1,204 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/membership"
+	"tanagerspread/core/request"
+)
+
+const (
+	overloadDomains   = 3
+	overloadStep      = 20 * time.Millisecond
+	overloadRunTime   = 3 * time.Second
+	overloadTokens    = 10_000
+	overloadCapacity  = 60_000
+	overloadPerDomain = 2
+)
+
+// overload replays more long calls than the engines have memory for. Several nodes
+// place them, each with what it has heard of the others.
+type overload struct {
+	t     *testing.T
+	now   time.Time
+	rules *config.Rules
+	nodes []*State
+	ids   map[string]int
+	// silent drops the reports of work between nodes.
+	silent bool
+	// running has the calls at engines and the times at which they end.
+	running map[request.ID]overloadCall
+	memory  map[fleet.ServerID]int
+	// mostMemory is the most memory that calls needed at one engine.
+	mostMemory int
+	// waiting has the calls that are not at an engine.
+	waiting map[request.ID]bool
+	pending []func()
+}
+
+type overloadCall struct {
+	node    int
+	server  fleet.ServerID
+	attempt request.AttemptID
+	endsAt  time.Time
+}
+
+func newOverload(t *testing.T, nodes int) *overload {
+	x := &overload{t: t, now: testStart, ids: map[string]int{}, running: map[request.ID]overloadCall{}, memory: map[fleet.ServerID]int{}, waiting: map[request.ID]bool{}}
+	var list []VM
+	for i := range overloadDomains * overloadPerDomain {
+		id := fmt.Sprintf("m%d", i)
+		list = append(list, VM{ID: id, Address: id, Role: fleet.RoleEngine, Serves: "models", Model: "m", Weights: 1, MaxConcurrency: 64, Domain: overloadDomain(i)})
+	}
+	for i := range nodes {
+		id := fmt.Sprintf("n%02d", i)
+		x.ids[id] = i
+		list = append(list, VM{ID: id, Role: fleet.RoleEntryVM, PeerAddress: id, Domain: overloadDomain(i)})
+	}
+	rules := forwardRules()
+	rules.Routes.Find("h", "/review/x").Priority = 1
+	for i := range nodes {
+		s, err := New(Options{
+			Node: fmt.Sprintf("n%02d", i), Domain: overloadDomain(i), Charts: chart.Deployed(), Seed: uint64(i + 1),
+			Unfenced: true, Agents: true, Forwarding: true, OutdatedWeightsLimit: testWeightsLimit,
+		}, testStart)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.nodes = append(x.nodes, s)
+		x.rules = rules
+		x.handle(i, VMList{VMs: list})
+		for id := range x.ids {
+			x.handle(i, PeerDigest{Digest: membership.Digest{Node: id, Incarnation: 1, State: "ready"}})
+		}
+	}
+	return x
+}
+
+func overloadDomain(i int) fleet.Domain {
+	return fleet.Domain(fmt.Sprintf("domain-%d", i%overloadDomains))
+}
+
+// handle delivers a message to a node. Its reports reach the peers in the next step.
+func (x *overload) handle(node int, m Message) {
+	out := x.nodes[node].Handle(x.now, m)
+	for _, reply := range out.Replies {
+		x.decided(node, reply)
+	}
+	for _, command := range out.Commands {
+		work, ok := command.(SendWork)
+		if !ok || x.silent {
+			continue
+		}
+		for _, target := range work.Targets {
+			x.pending = append(x.pending, func() {
+				x.handle(x.ids[target.Node], PeerWork{Node: work.Node, Work: work.Work, CallsWait: work.CallsWait})
+			})
+		}
+	}
+}
+
+func (x *overload) decided(node int, reply Reply) {
+	if _, ok := reply.Decision.(Refusal); ok {
+		x.refused(reply.To)
+		return
+	}
+	d, ok := reply.Decision.(Dispatch)
+	if !ok {
+		return
+	}
+	delete(x.waiting, reply.To)
+	x.running[reply.To] = overloadCall{node: node, server: d.Server, attempt: d.Attempt, endsAt: x.now.Add(overloadRunTime)}
+	x.memory[d.Server] += overloadTokens
+	x.mostMemory = max(x.mostMemory, x.memory[d.Server])
+	x.pending = append(x.pending, func() {
+		x.handle(node, Connected{Request: reply.To, Attempt: d.Attempt})
+		x.handle(node, FirstToken{Request: reply.To, Attempt: d.Attempt, Elapsed: overloadStep})
+	})
+}
+
+// refused ends a call whose deadline has passed, at its node or at an engine.
+func (x *overload) refused(id request.ID) {
+	delete(x.waiting, id)
+	call, runs := x.running[id]
+	if !runs {
+		return
+	}
+	delete(x.running, id)
+	x.memory[call.server] -= overloadTokens
+}
+
+// play starts a call at each node every interval and plays the given time.
+func (x *overload) play(duration, interval time.Duration) {
+	for step := 0; time.Duration(step)*overloadStep < duration; step++ {
+		due := x.pending
+		x.pending = nil
+		for _, deliver := range due {
+			deliver()
+		}
+		x.endCalls()
+		for node := range x.nodes {
+			x.handle(node, ConfigSeen{Current: config.Configuration{Version: 1, ApplyID: "one"}, Rules: x.rules, FromService: true, AskedAt: x.now})
+			x.handle(node, Tick{})
+			if (step+node)%int(interval/overloadStep) == 0 {
+				x.start(node, request.ID(fmt.Sprintf("call-%d-%d", step, node)))
+			}
+		}
+		x.now = x.now.Add(overloadStep)
+	}
+}
+
+func (x *overload) start(node int, id request.ID) {
+	x.waiting[id] = true
+	x.handle(node, Admit{Request: request.Request{
+		ID: id, Route: request.Route{Kind: request.Forward}, Deadline: x.now.Add(time.Minute), BodyDigest: string(id),
+		Call: &request.Call{Host: "h", Path: "/review/x", Parts: []request.Part{{ID: string(id), Tokens: overloadTokens}}},
+	}})
+	x.handle(node, Place{Request: id, PromptTokens: overloadTokens})
+}
+
+func (x *overload) endCalls() {
+	for id, call := range x.running {
+		if call.endsAt.After(x.now) {
+			continue
+		}
+		delete(x.running, id)
+		x.memory[call.server] -= overloadTokens
+		x.handle(call.node, AttemptDone{Request: id, Attempt: call.attempt, Outcome: Succeeded})
+	}
+}
+
+// TestEnginesNotOverfilled guards against engines that are sent more long calls than
+// they have memory for. Such an engine drops the parts that it has fetched for waiting
+// calls, computes them again, and serves ever fewer calls.
+func TestEnginesNotOverfilled(t *testing.T) {
+	for _, nodes := range []int{6, 9, 36} {
+		x := newOverload(t, nodes)
+		// Twice as many calls as the memory of all engines can carry.
+		capacity := overloadDomains * overloadPerDomain * overloadCapacity / overloadTokens
+		interval := (overloadRunTime * time.Duration(nodes) / time.Duration(2*capacity)).Round(overloadStep)
+		x.play(20*time.Second, interval)
+		if x.mostMemory > overloadCapacity {
+			t.Errorf("%d nodes: calls needed %d tokens at one engine, which has %d", nodes, x.mostMemory, overloadCapacity)
+		}
+		if used := len(x.running) * overloadTokens; used < 7*overloadDomains*overloadPerDomain*overloadCapacity/10 {
+			t.Errorf("%d nodes: %d tokens of memory are used while %d calls wait", nodes, used, len(x.waiting))
+		}
+	}
+}
+
+// TestSilentPeersOverfillEngines shows that the reports between nodes are what keeps
+// the engines from being overfilled.
+func TestSilentPeersOverfillEngines(t *testing.T) {
+	x := newOverload(t, 9)
+	x.silent = true
+	x.play(20*time.Second, 400*time.Millisecond)
+	if x.mostMemory <= overloadCapacity {
+		t.Errorf("without reports calls needed at most %d tokens at one engine", x.mostMemory)
+	}
+}
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -25,6 +25,7 @@
 	}
 	req.prefix = m.Prefix
 	req.PromptTokens = m.PromptTokens
+	req.memory = s.memoryUse(req)
 	if !s.fireRequestEvent(req, "enqueue", now) {
 		s.finishWithError(now, req, "refuse", code.New(code.DeadlinePassedNotRun, "the request waited too long before placement"))
 		return
@@ -243,14 +244,18 @@
 // server at a time, so that a second crash can be attributed to one request.
 func (s *State) eligibleServers(now time.Time, req *activeRequest, suspect bool) []*fleet.Server {
 	s.scratch = s.scratch[:0]
+	leavesDomain := req.memory.IsZero() || s.mayLeaveDomain(req)
 	for _, server := range s.group(req).Servers {
+		if !leavesDomain && !s.knowsWork(server) {
+			continue
+		}
 		if suspect && server.SuspectAttempts > 0 {
 			continue
 		}
 		if s.weightsExpired(now, server) || now.Before(server.BackoffUntil) {
 			continue
 		}
-		if server.ReceivesWork() && server.HasFreeSlot(s.nodeSlots(server)) && mayAddWork(now, req, server) {
+		if server.ReceivesWork() && server.HasFreeSlot(s.nodeSlots(server)) && mayAddWork(now, req, server) && s.hasMemory(now, req, server) {
 			s.scratch = append(s.scratch, server)
 		}
 	}
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -153,6 +153,7 @@
 
 func (s *State) expireServers(now time.Time) {
 	for _, server := range s.serverList {
+		server.ExpirePeerWork(now)
 		before := server.Chart.State
 		if expired, _ := s.charts.server.Expire(&server.Chart, server, now); expired {
 			s.logServerState(server, before, "timeout")
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -107,6 +107,14 @@
 	// refreshedSlot is the last time slot for which the node checked whether it
 	// is its turn to read all entries.
 	refreshedSlot int64
+	// contenders is the number of nodes that have calls waiting for the memory of
+	// engines, this one included, contenderRank the position of this node among them.
+	contenders    int
+	contenderRank int
+	// advertisedWaiting is whether calls waited here when peers were last told, at
+	// waitingAdvertisedAt.
+	advertisedWaiting   bool
+	waitingAdvertisedAt time.Time
 	// reservation records the engines that are reserved for short prompts.
 	reservation placement.Reservation
 	// placementTurn counts placements, from a random start; the round-robin
@@ -263,6 +271,7 @@
 	s.expireServers(now)
 	s.expireStores(now)
 	s.expireCacheStores(now)
+	s.countContenders(now)
 	s.tickOrders(now)
 	s.expireTransfers(now)
 	s.quarantine.Expire(now)
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -40,7 +40,7 @@
 // compute.
 func (s *Server) Backlog(now time.Time) float64 {
 	otherTokens := max(s.Load.PrefillTokens-s.OwnPrefillAtReport, 0)
-	own := float64(s.PrefillTokens + s.PeerPrefillTokens(now))
+	own := float64(s.PrefillTokens + s.PeerPrefillTokens())
 	return own + float64(otherTokens)*decayFactor(now.Sub(s.Load.ReportedAt), loadHalfLife)
 }
 
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -104,9 +104,15 @@
 	// zero while it is listed.
 	RemoveAfter time.Time
 	Chart       chart.Instance
-	// workByPeer is the prefill work that each peer reported, advertisedWork that
-	// of this node as last advertised.
-	workByPeer     map[string]reportedWork
-	advertisedWork advertisedWork
-	excessDelay    decayingDelay
+	// workByPeer is the work that each peer reported, peerPrefillTokens the sum of
+	// its prefill work, advertisedWork the work of this node as last advertised.
+	workByPeer        map[string]reportedWork
+	peerPrefillTokens int
+	advertisedWork    advertisedWork
+	// ownMemory is the memory that requests of this node occupy, memory that of all
+	// nodes.
+	ownMemory   memoryLedger
+	memory      memoryLedger
+	turn        turn
+	excessDelay decayingDelay
 }
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -30,11 +30,22 @@
 	KeyValueUnreachable bool
 	// LastReportAt is when this node received the last digest of the peer.
 	LastReportAt time.Time
+	// WaitingReportedAt is when the peer last reported that calls wait there for the memory
+	// of engines, or zero when none do.
+	WaitingReportedAt time.Time
 	// LastSeen is the latest time at which the peer certainly had a configuration
 	// in force, according to its own digest or one relayed by another peer.
 	LastSeen time.Time
 }
 
+// waitingReportTTL is how long a peer's report that calls wait there is valid.
+const waitingReportTTL = 2500 * time.Millisecond
+
+// CallsWait reports whether calls wait at the peer for the memory of engines.
+func (p *Peer) CallsWait(now time.Time) bool {
+	return !p.WaitingReportedAt.IsZero() && now.Sub(p.WaitingReportedAt) < waitingReportTTL
+}
+
 // Table holds the member list and the peers.
 type Table struct {
 	self          string
--- a/core/placement/appraisal.go
+++ b/core/placement/appraisal.go
@@ -31,7 +31,7 @@
 	if len(query.Parts) == 0 {
 		return m
 	}
-	for _, part := range sharedParts(query.Parts) {
+	for _, part := range SharedParts(query.Parts) {
 		m.saveStores = append(m.saveStores, saveStore(view, part))
 	}
 	m.affinityTarget = affinityTarget(query, view, m.canBeStored())
@@ -64,7 +64,7 @@
 // server, and what they are expected to cost there.
 func (m *costModel) sharedPartsCost(server *fleet.Server) (Choice, float64) {
 	salt := m.salt(server)
-	shared := sharedParts(m.query.Parts)
+	shared := SharedParts(m.query.Parts)
 	cachedParts, cachedTokens := m.view.PartIndex.Leading(server.ID, salt, shared)
 	choice := Choice{Server: server, Source: Warm, Prefill: max(m.query.PromptTokens-cachedTokens, 0)}
 	if cachedParts < len(shared) {
@@ -86,7 +86,7 @@
 // fetchableParts returns the tokens and the price of the shared parts that a server
 // can fetch after its cached ones.
 func (m *costModel) fetchableParts(server *fleet.Server, salt string, cachedParts int) (tokens int, price float64) {
-	for _, part := range sharedParts(m.query.Parts)[cachedParts:] {
+	for _, part := range SharedParts(m.query.Parts)[cachedParts:] {
 		from, ok := m.sourcesOf(PartKey{Salt: salt, ID: part.ID}).nearest(server)
 		if !ok {
 			break
@@ -105,7 +105,7 @@
 		return
 	}
 	salt := m.salt(c.Server)
-	shared := sharedParts(m.query.Parts)
+	shared := SharedParts(m.query.Parts)
 	cachedParts, _ := m.view.PartIndex.Leading(c.Server.ID, salt, shared)
 	c.FetchFrom = make([]string, len(m.query.Parts))
 	for i, part := range shared {
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -99,9 +99,9 @@
 	return crossDomainFactor
 }
 
-// sharedParts returns the parts that other calls may share: all but the last one,
+// SharedParts returns the parts that other calls may share: all but the last one,
 // which belongs to the call alone.
-func sharedParts(parts []request.Part) []request.Part {
+func SharedParts(parts []request.Part) []request.Part {
 	return parts[:len(parts)-1]
 }
 
@@ -116,7 +116,7 @@
 
 func sharedTokens(parts []request.Part) int {
 	tokens := 0
-	for _, part := range sharedParts(parts) {
+	for _, part := range SharedParts(parts) {
 		tokens += part.Tokens
 	}
 	return tokens
@@ -160,3 +160,9 @@
 	input = append(input, id...)
 	return xxhash.Sum64(input)
 }
+
+// PartHash returns a hash of a prompt part. Parts of isolated organisations have hashes
+// of their own.
+func PartHash(part, isolation string) uint32 {
+	return uint32(partWeight(part, fleet.ServerID(isolation)))
+}
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -68,7 +68,7 @@
 			return
 		case command := <-a.workCommands:
 			target := command.Targets[0]
-			if err := a.options.Peers.Work(ctx, target.Address, command.Node, command.Work); err != nil {
+			if err := a.options.Peers.Work(ctx, target.Address, command); err != nil {
 				a.logPeerFailure(target, err)
 			}
 		}
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -200,7 +200,7 @@
 		"request", c.exchange.request.ID, "attempt", int(dispatch.Attempt), "server", string(dispatch.Server),
 		"route", c.exchange.admitted.Route.Name, "weights", plan.Weights, "prefix", plan.Prefix, "prompt", plan.PromptTokens,
 		"prefill", plan.PrefillTokens, "fetch", countAddresses(plan.FetchFrom), "save", countAddresses(plan.SaveTo),
-		"queue_ms", plan.QueueTime.Milliseconds(), "version", uint64(plan.Version))
+		"memory", plan.CommittedMemory, "queue_ms", plan.QueueTime.Milliseconds(), "version", uint64(plan.Version))
 }
 
 // countAddresses returns the number of non-empty addresses in a list.
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -72,14 +72,14 @@
 // Work sends the prefill work of this node to a peer as a notification, which
 // has no response. It returns code.PeerAway when no connection could be opened
 // or the message could not be written.
-func (c *Client) Work(ctx context.Context, address, node string, work []control.ServerWork) *code.Error {
+func (c *Client) Work(ctx context.Context, address string, work control.SendWork) *code.Error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	conn, err := c.connection(ctx, address)
 	if err != nil {
 		return code.Wrap(code.PeerAway, "no connection to the peer could be opened", err)
 	}
-	if err := conn.Notify(ctx, methodWork, workToWire(node, work)); err != nil {
+	if err := conn.Notify(ctx, methodWork, workToWire(work)); err != nil {
 		c.closeConnection(address, conn)
 		return code.Wrap(code.PeerAway, "the message could not be sent to the peer", err)
 	}
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -56,36 +56,69 @@
 	Entry   uint64 `json:"r,omitempty"`
 }
 
-// workParams is the encoded form of a node's prefill work. Prefill holds the
-// prefill work, in tokens, at the server with the same index in Servers.
+// workParams is the encoded form of a node's work. Prefill, Private and Shared hold
+// the prefill work, the private memory and the shared parts, in tokens, at the server
+// with the same index in Servers.
 type workParams struct {
-	Node    string   `json:"n"`
-	Servers []string `json:"s"`
-	Prefill []int    `json:"p"`
+	Node    string             `json:"n"`
+	Servers []string           `json:"s"`
+	Prefill []int              `json:"p"`
+	Private []int              `json:"m"`
+	Shared  [][]sharedPartWire `json:"x"`
+	Waiting bool               `json:"w,omitempty"`
 }
 
-// maxWorkServers bounds the servers in one message of prefill work.
-const maxWorkServers = 1024
+// sharedPartWire is the hash and the number of tokens of a shared part.
+type sharedPartWire [2]int64
 
-func workToWire(node string, work []control.ServerWork) workParams {
-	w := workParams{Node: node}
-	for _, serverWork := range work[:min(len(work), maxWorkServers)] {
+const (
+	// maxWorkServers bounds the servers in one message of work.
+	maxWorkServers = 1024
+	// maxWorkParts bounds the shared parts of one server in such a message.
+	maxWorkParts = 256
+)
+
+func workToWire(m control.SendWork) workParams {
+	w := workParams{Node: m.Node, Waiting: m.CallsWait}
+	for _, serverWork := range m.Work[:min(len(m.Work), maxWorkServers)] {
 		w.Servers = append(w.Servers, string(serverWork.Server))
 		w.Prefill = append(w.Prefill, serverWork.PrefillTokens)
+		w.Private = append(w.Private, serverWork.Memory.Private)
+		w.Shared = append(w.Shared, sharedPartsToWire(serverWork.Memory.Shared))
 	}
 	return w
 }
 
-// workFromWire decodes the prefill work of a peer. It omits servers beyond
-// maxWorkServers and servers without a number of tokens.
+func sharedPartsToWire(parts []fleet.SharedPart) []sharedPartWire {
+	encoded := []sharedPartWire{}
+	for _, part := range parts[:min(len(parts), maxWorkParts)] {
+		encoded = append(encoded, sharedPartWire{int64(part.Hash), int64(part.Tokens)})
+	}
+	return encoded
+}
+
+// workFromWire decodes the work of a peer. It omits servers beyond maxWorkServers,
+// servers that lack a number, and negative numbers.
 func workFromWire(w workParams) control.PeerWork {
-	m := control.PeerWork{Node: w.Node}
-	for i := range min(len(w.Servers), len(w.Prefill), maxWorkServers) {
-		m.Work = append(m.Work, control.ServerWork{Server: fleet.ServerID(w.Servers[i]), PrefillTokens: w.Prefill[i]})
+	m := control.PeerWork{Node: w.Node, CallsWait: w.Waiting}
+	for i := range min(len(w.Servers), len(w.Prefill), len(w.Private), len(w.Shared), maxWorkServers) {
+		work := fleet.Work{
+			PrefillTokens: max(w.Prefill[i], 0),
+			Memory:        fleet.MemoryUse{Private: max(w.Private[i], 0), Shared: sharedPartsFromWire(w.Shared[i])},
+		}
+		m.Work = append(m.Work, control.ServerWork{Server: fleet.ServerID(w.Servers[i]), Work: work})
 	}
 	return m
 }
 
+func sharedPartsFromWire(encoded []sharedPartWire) []fleet.SharedPart {
+	var parts []fleet.SharedPart
+	for _, part := range encoded[:min(len(encoded), maxWorkParts)] {
+		parts = append(parts, fleet.SharedPart{Hash: uint32(part[0]), Tokens: int(max(part[1], 0))})
+	}
+	return parts
+}
+
 // copyParams requests the changes after a revision in the peer's copy of the
 // key-value service; revision 0 requests all entries.
 type copyParams struct {
