core/placement: turns at engine memory share out whole calls

The remainder beside whole calls was shared out too, and a new call was sent although calls of peers waited. Change: only whole calls are shared out; a node whose peers do not know yet that calls wait there waits for its turn; a turn takes 150 ms. The test plays eight sizes from 6 to 48 nodes with the same bounds. Ruled out: a turn of 200 ms, which leaves too much memory unused at 12 nodes.

--- a/core/control/memory.go
+++ b/core/control/memory.go
@@ -51,6 +51,10 @@
 	if req.classConfig.Priority == 0 {
 		return needed <= free
 	}
+	if s.contenders > 1 && !s.advertisedWaiting {
+		// The peers do not count this node among those that take turns yet.
+		return false
+	}
 	return placement.TakesTurn(now, server.ID, placement.FreeMemory{
 		Free: free, OwnInTurn: server.ReservedInTurn(now), Needed: needed, Contenders: s.contenders, Rank: s.contenderRank,
 	})
--- a/core/control/overload_test.go
+++ b/core/control/overload_test.go
@@ -177,7 +177,7 @@
 // they have memory for. Such an engine drops the parts that it has fetched for waiting
 // calls, computes them again, and serves ever fewer calls.
 func TestEnginesNotOverfilled(t *testing.T) {
-	for _, nodes := range []int{6, 9, 36} {
+	for _, nodes := range []int{6, 9, 12, 18, 24, 30, 36, 48} {
 		x := newOverload(t, nodes)
 		// Twice as many calls as the memory of all engines can carry.
 		capacity := overloadDomains * overloadPerDomain * overloadCapacity / overloadTokens
--- a/core/fleet/memory.go
+++ b/core/fleet/memory.go
@@ -34,7 +34,7 @@
 // TurnLength is the time for which nodes that see the same free memory of an engine
 // keep to their shares of it. It covers the time until the peers know of a call that a
 // node has sent.
-const TurnLength = 120 * time.Millisecond
+const TurnLength = 150 * time.Millisecond
 
 // turn is the memory that this node has taken in one turn.
 type turn struct {
--- a/core/placement/turns.go
+++ b/core/placement/turns.go
@@ -33,8 +33,10 @@
 	if memory.Needed > memory.Free {
 		return false
 	}
-	own := float64(memory.Free+memory.OwnInTurn)/float64(memory.Contenders) - float64(memory.OwnInTurn)
-	calls := own / float64(max(memory.Needed, 1))
+	needed := max(memory.Needed, 1)
+	// Memory that is left beside whole calls is not shared out.
+	whole := (memory.Free + memory.OwnInTurn) / needed
+	calls := float64(whole)/float64(memory.Contenders) - float64(memory.OwnInTurn)/float64(needed)
 	if calls >= 1 {
 		return true
 	}
