core/control: calls that would wait too long are refused at once, late ones yield

Cause: calls waited in the node's queue until their deadline (15 s) although their callers abandon a stream after about 3 s, and the queue served the oldest call first, so that under overload each one was late. Change: a call that can no longer be on time comes after those of its priority that can, and is refused when it is overtaken; one whose predicted wait, from the pace at which its class leaves the queue, is longer than its caller waits is refused on arrival. The advised delay is the predicted excess plus a random part.

--- a/core/control/active.go
+++ b/core/control/active.go
@@ -35,6 +35,13 @@
 	attempts   request.AttemptID
 	attempt    *activeAttempt
 	avoid      []fleet.ServerID
+	// onTimeUntil is when a waiting call is no longer expected to be answered on time,
+	// startBy when its caller is about to abandon it. Both are set for forwarded calls.
+	onTimeUntil time.Time
+	startBy     time.Time
+	// advisedDelay is the delay before a repeat that a refusal advises, or 0 for that
+	// of the code.
+	advisedDelay time.Duration
 	// memory is the memory that the call occupies on an engine.
 	memory fleet.MemoryUse
 	// backoff is the delay before the next attempt.
--- a/core/control/ending.go
+++ b/core/control/ending.go
@@ -65,6 +65,9 @@
 // expireRequests fires the expired timeouts of requests.
 func (s *State) expireRequests(now time.Time) {
 	for _, req := range s.requests {
+		if s.refuseExpiredWait(now, req) {
+			continue
+		}
 		expired, err := req.machine.Expire(&req.chart, req, now)
 		if !expired || err != nil {
 			continue
@@ -100,6 +103,7 @@
 	r := Refusal{Err: err, RetryAfter: retryAfter(err.Code), Version: s.version, Release: release}
 	if req != nil && req.route != nil && r.RetryAfter > 0 {
 		r.RetryAfter = min(max(req.route.FirstPartTarget/2, minRetryAfter), r.RetryAfter)
+		r.RetryAfter = max(req.advisedDelay, r.RetryAfter)
 	}
 	return r
 }
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -95,6 +95,7 @@
 	if limit := now.Add(route.Timeout); route.Timeout > 0 && limit.Before(req.Deadline) {
 		req.Deadline = limit
 	}
+	req.setWaitLimits(now)
 	req.service = s.chooseService(route)
 	s.repeatWindows.RecordFirstAttempt(req.service, now)
 	return nil
--- a/core/control/memory.go
+++ b/core/control/memory.go
@@ -51,8 +51,9 @@
 	if req.classConfig.Priority == 0 {
 		return needed <= free
 	}
-	if s.contenders > 1 && !s.advertisedWaiting {
-		// The peers do not count this node among those that take turns yet.
+	if !s.advertisedWaiting && (s.contenders > 1 || free < 2*needed) {
+		// The peers do not count this node among those that take turns yet. Without
+		// turns, two of them may use the last free memory at the same time.
 		return false
 	}
 	return placement.TakesTurn(now, server.ID, placement.FreeMemory{
--- a/core/control/overload_test.go
+++ b/core/control/overload_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,11 +27,13 @@
 // overload replays more long calls than the engines have memory for. Several nodes
 // place them, each with what it has heard of the others.
 type overload struct {
-	t     *testing.T
-	now   time.Time
-	rules *config.Rules
-	nodes []*State
-	ids   map[string]int
+	t            *testing.T
+	now          time.Time
+	random       *rand.Rand
+	rules        *config.Rules
+	nodes        []*State
+	runTimesVary bool
+	ids          map[string]int
 	// silent drops the reports of work between nodes.
 	silent bool
 	// running has the calls at engines and the times at which they end.
@@ -36,9 +41,17 @@
 	memory  map[fleet.ServerID]int
 	// mostMemory is the most memory that calls needed at one engine.
 	mostMemory int
-	// waiting has the calls that are not at an engine.
-	waiting map[request.ID]bool
-	pending []func()
+	// waiting has the calls that are not at an engine
+	// and when they came.
+	waiting  map[request.ID]time.Time
+	refusals []overloadRefusal
+	pending  []func()
+}
+
+// overloadRefusal is a refusal of a call that had waited for the given time.
+type overloadRefusal struct {
+	decision Refusal
+	waited   time.Duration
 }
 
 type overloadCall struct {
@@ -49,7 +62,7 @@
 }
 
 func newOverload(t *testing.T, nodes int) *overload {
-	x := &overload{t: t, now: testStart, ids: map[string]int{}, running: map[request.ID]overloadCall{}, memory: map[fleet.ServerID]int{}, waiting: map[request.ID]bool{}}
+	x := &overload{t: t, now: testStart, random: rand.New(rand.NewPCG(1, uint64(nodes))), ids: map[string]int{}, running: map[request.ID]overloadCall{}, memory: map[fleet.ServerID]int{}, waiting: map[request.ID]time.Time{}}
 	var list []VM
 	for i := range overloadDomains * overloadPerDomain {
 		id := fmt.Sprintf("m%d", i)
@@ -73,7 +86,7 @@
 		x.nodes = append(x.nodes, s)
 		x.rules = rules
 		x.handle(i, VMList{VMs: list})
-		for id := range x.ids {
+		for _, id := range slices.Sorted(maps.Keys(x.ids)) {
 			x.handle(i, PeerDigest{Digest: membership.Digest{Node: id, Incarnation: 1, State: "ready"}})
 		}
 	}
@@ -104,8 +117,8 @@
 }
 
 func (x *overload) decided(node int, reply Reply) {
-	if _, ok := reply.Decision.(Refusal); ok {
-		x.refused(reply.To)
+	if refusal, ok := reply.Decision.(Refusal); ok {
+		x.refused(reply.To, refusal)
 		return
 	}
 	d, ok := reply.Decision.(Dispatch)
@@ -113,7 +126,7 @@
 		return
 	}
 	delete(x.waiting, reply.To)
-	x.running[reply.To] = overloadCall{node: node, server: d.Server, attempt: d.Attempt, endsAt: x.now.Add(overloadRunTime)}
+	x.running[reply.To] = overloadCall{node: node, server: d.Server, attempt: d.Attempt, endsAt: x.now.Add(x.runTime())}
 	x.memory[d.Server] += overloadTokens
 	x.mostMemory = max(x.mostMemory, x.memory[d.Server])
 	x.pending = append(x.pending, func() {
@@ -122,11 +135,21 @@
 	})
 }
 
+// runTime returns the run time of the next call, half to one and a half times the mean
+// when run times vary.
+func (x *overload) runTime() time.Duration {
+	if !x.runTimesVary {
+		return overloadRunTime
+	}
+	return overloadRunTime/2 + time.Duration(x.random.Int64N(int64(overloadRunTime)))
+}
+
 // refused ends a call whose deadline has passed, at its node or at an engine.
-func (x *overload) refused(id request.ID) {
-	delete(x.waiting, id)
+func (x *overload) refused(id request.ID, decision Refusal) {
 	call, runs := x.running[id]
 	if !runs {
+		x.refusals = append(x.refusals, overloadRefusal{decision: decision, waited: x.now.Sub(x.waiting[id])})
+		delete(x.waiting, id)
 		return
 	}
 	delete(x.running, id)
@@ -154,7 +177,7 @@
 }
 
 func (x *overload) start(node int, id request.ID) {
-	x.waiting[id] = true
+	x.waiting[id] = x.now
 	x.handle(node, Admit{Request: request.Request{
 		ID: id, Route: request.Route{Kind: request.Forward}, Deadline: x.now.Add(time.Minute), BodyDigest: string(id),
 		Call: &request.Call{Host: "h", Path: "/review/x", Parts: []request.Part{{ID: string(id), Tokens: overloadTokens}}},
@@ -163,7 +186,8 @@
 }
 
 func (x *overload) endCalls() {
-	for id, call := range x.running {
+	for _, id := range slices.Sorted(maps.Keys(x.running)) {
+		call := x.running[id]
 		if call.endsAt.After(x.now) {
 			continue
 		}
@@ -178,17 +202,23 @@
 // calls, computes them again, and serves ever fewer calls.
 func TestEnginesNotOverfilled(t *testing.T) {
 	for _, nodes := range []int{6, 9, 12, 18, 24, 30, 36, 48} {
-		x := newOverload(t, nodes)
-		// Twice as many calls as the memory of all engines can carry.
-		capacity := overloadDomains * overloadPerDomain * overloadCapacity / overloadTokens
-		interval := (overloadRunTime * time.Duration(nodes) / time.Duration(2*capacity)).Round(overloadStep)
-		x.play(20*time.Second, interval)
-		if x.mostMemory > overloadCapacity {
-			t.Errorf("%d nodes: calls needed %d tokens at one engine, which has %d", nodes, x.mostMemory, overloadCapacity)
-		}
-		if used := len(x.running) * overloadTokens; used < 7*overloadDomains*overloadPerDomain*overloadCapacity/10 {
-			t.Errorf("%d nodes: %d tokens of memory are used while %d calls wait", nodes, used, len(x.waiting))
-		}
+		t.Run(fmt.Sprintf("%d nodes, equal run times", nodes), func(t *testing.T) { testTwiceTheLoad(t, nodes, false) })
+		t.Run(fmt.Sprintf("%d nodes, run times vary", nodes), func(t *testing.T) { testTwiceTheLoad(t, nodes, true) })
+	}
+}
+
+// testTwiceTheLoad plays twice as many calls as the memory of all engines can carry.
+func testTwiceTheLoad(t *testing.T, nodes int, runTimesVary bool) {
+	x := newOverload(t, nodes)
+	x.runTimesVary = runTimesVary
+	capacity := overloadDomains * overloadPerDomain * overloadCapacity / overloadTokens
+	interval := (overloadRunTime * time.Duration(nodes) / time.Duration(2*capacity)).Round(overloadStep)
+	x.play(20*time.Second, interval)
+	if x.mostMemory > overloadCapacity {
+		t.Errorf("calls needed %d tokens at one engine, which has %d", x.mostMemory, overloadCapacity)
+	}
+	if used := len(x.running) * overloadTokens; used < 7*overloadDomains*overloadPerDomain*overloadCapacity/10 {
+		t.Errorf("%d tokens of memory are used while %d calls wait", used, len(x.waiting))
 	}
 }
 
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -50,6 +50,9 @@
 		s.finishWithError(now, req, "refuse", s.noServerError(req))
 		return
 	}
+	if s.refusesLongWait(now, req, ahead) {
+		return
+	}
 	if s.waitsTooLong(now, req, ahead) {
 		s.finishWithError(now, req, "refuse", req.deadlineTooShortError())
 		return
@@ -74,6 +77,7 @@
 		MaxWaiting:   req.classConfig.QueueLimit,
 		Servers:      req.groupKey(),
 		Tokens:       req.PromptTokens,
+		OnTimeUntil:  req.onTimeUntil,
 	}
 	if req.backoff > 0 {
 		entry.NotBefore = now.Add(req.backoff)
@@ -163,6 +167,7 @@
 		req.attempt = nil
 		return limits.Skipped
 	}
+	s.drain(req.class).Taken(now, s.queue.Count(req.class) > 0)
 	s.placementTurn++
 	s.recentPrefixes.Record(now, req.prefix, choice.Server.ID)
 	s.expectParts(now, req)
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -107,6 +107,8 @@
 	// refreshedSlot is the last time slot for which the node checked whether it
 	// is its turn to read all entries.
 	refreshedSlot int64
+	// drains has the drain of the queue of each class.
+	drains map[request.Class]*limits.Drain
 	// contenders is the number of nodes that have calls waiting for the memory of
 	// engines, this one included, contenderRank the position of this node among them.
 	contenders    int
@@ -153,6 +155,7 @@
 		options:         options,
 		random:          rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		requests:        map[request.ID]*activeRequest{},
+		drains:          map[request.Class]*limits.Drain{},
 		servers:         map[fleet.ServerID]*fleet.Server{},
 		stores:          map[fleet.ServerID]*fleet.Store{},
 		recentPrefixes:  placement.NewRecentPrefixes(),
--- a/core/limits/queue.go
+++ b/core/limits/queue.go
@@ -3,7 +3,9 @@
 package limits
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
 	"sort"
 	"time"
 
@@ -25,6 +27,10 @@
 	// Tokens is the length of the prompt. Fair queueing counts it as the cost
 	// of the request.
 	Tokens int
+	// OnTimeUntil is when the request is no longer expected to be answered on time. From
+	// then on it comes after the requests of its priority that still are, which lose
+	// more by waiting. Zero means never.
+	OnTimeUntil time.Time
 	// NotBefore is the end of the request's backoff, or zero.
 	NotBefore time.Time
 }
@@ -55,11 +61,23 @@
 	byPriority []*subqueue
 	delayed    backoffHeap
 	arrivals   uint64
+	// nextLate is the first OnTimeUntil of the waiting requests, or zero.
+	nextLate time.Time
 }
 
 type subqueueKey struct {
 	priority int
-	servers  fleet.GroupKey
+	// late is true for the subqueue of requests past their OnTimeUntil.
+	late    bool
+	servers fleet.GroupKey
+}
+
+// before reports whether the requests of a key are offered before those of another.
+func (k subqueueKey) before(other subqueueKey) bool {
+	if k.priority != other.priority {
+		return k.priority < other.priority
+	}
+	return !k.late && other.late
 }
 
 // NewQueue returns an empty queue.
@@ -81,6 +99,21 @@
 	return q.counts[class]
 }
 
+// WaitsOnTime reports whether a request of a class waits that can still be on time.
+func (q *Queue) WaitsOnTime(class request.Class, now time.Time) bool {
+	for _, s := range q.byPriority {
+		if s.key.late {
+			continue
+		}
+		for _, queued := range s.waiting {
+			if queued.Class == class && (queued.OnTimeUntil.IsZero() || now.Before(queued.OnTimeUntil)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Push adds a request. It returns false when MaxWaiting requests of the class
 // are already waiting or the request itself is.
 func (q *Queue) Push(entry Entry, now time.Time) bool {
@@ -94,20 +127,24 @@
 	if entry.NotBefore.After(now) {
 		heap.Push(&q.delayed, queued)
 	} else {
-		q.addToSubqueue(queued)
+		q.addToSubqueue(queued, now)
 	}
 	return true
 }
 
 // addToSubqueue adds a request to its subqueue, which it creates if needed.
-func (q *Queue) addToSubqueue(queued *queuedEntry) {
+func (q *Queue) addToSubqueue(queued *queuedEntry, now time.Time) {
 	key := subqueueKey{priority: queued.Priority, servers: queued.Servers}
+	key.late = !queued.OnTimeUntil.IsZero() && !now.Before(queued.OnTimeUntil)
+	if !key.late && !queued.OnTimeUntil.IsZero() && (q.nextLate.IsZero() || queued.OnTimeUntil.Before(q.nextLate)) {
+		q.nextLate = queued.OnTimeUntil
+	}
 	s := q.subqueues[key]
 	if s == nil {
 		s = newSubqueue(key)
 		q.subqueues[key] = s
 		q.byPriority = append(q.byPriority, s)
-		sort.SliceStable(q.byPriority, func(i, j int) bool { return q.byPriority[i].key.priority < q.byPriority[j].key.priority })
+		sort.SliceStable(q.byPriority, func(i, j int) bool { return q.byPriority[i].key.before(q.byPriority[j].key) })
 	}
 	s.add(queued)
 }
@@ -148,6 +185,9 @@
 			ahead += len(s.waiting)
 			continue
 		}
+		if s.key.late {
+			continue
+		}
 		ahead += s.countUpTo(s.nextStartTag(entry.Organisation))
 	}
 	return ahead
@@ -157,8 +197,9 @@
 // which it returns Taken. Requests whose backoff has not ended are not offered.
 func (q *Queue) Offer(now time.Time, offer func(request.ID) OfferResult) {
 	for len(q.delayed) > 0 && !q.delayed[0].NotBefore.After(now) {
-		q.addToSubqueue(heap.Pop(&q.delayed).(*queuedEntry))
+		q.addToSubqueue(heap.Pop(&q.delayed).(*queuedEntry), now)
 	}
+	q.moveLate(now)
 	var blocked []fleet.GroupKey
 	for _, s := range q.byPriority {
 		if contains(blocked, s.key.servers) {
@@ -171,6 +212,34 @@
 	q.prune()
 }
 
+// moveLate moves the requests that can no longer be on time to the late subqueues.
+func (q *Queue) moveLate(now time.Time) {
+	if q.nextLate.IsZero() || now.Before(q.nextLate) {
+		return
+	}
+	q.nextLate = time.Time{}
+	var late []*queuedEntry
+	for _, s := range q.byPriority {
+		if s.key.late {
+			continue
+		}
+		for _, queued := range s.waiting {
+			switch {
+			case queued.OnTimeUntil.IsZero():
+			case !now.Before(queued.OnTimeUntil):
+				late = append(late, queued)
+			case q.nextLate.IsZero() || queued.OnTimeUntil.Before(q.nextLate):
+				q.nextLate = queued.OnTimeUntil
+			}
+		}
+	}
+	slices.SortFunc(late, func(a, b *queuedEntry) int { return cmp.Compare(a.arrival, b.arrival) })
+	for _, queued := range late {
+		heap.Remove(&queued.subqueue.waiting, queued.index)
+		q.addToSubqueue(queued, now)
+	}
+}
+
 // offerSubqueue offers the requests of a subqueue in order and reports whether
 // one of them was blocked.
 func (q *Queue) offerSubqueue(s *subqueue, offer func(request.ID) OfferResult) bool {
--- a/core/limits/queue_test.go
+++ b/core/limits/queue_test.go
@@ -137,3 +137,46 @@
 		t.Error("tokens within the rate were refused")
 	}
 }
+
+// TestLateRequestsYield guards against a queue that, once it is longer than the target
+// allows, serves each request late instead of most of them on time.
+func TestLateRequestsYield(t *testing.T) {
+	q := NewQueue()
+	push := func(id string, at time.Time) {
+		entry := newEntry(id, "org", 10)
+		entry.OnTimeUntil = at.Add(time.Second)
+		q.Push(entry, at)
+	}
+	push("old1", now)
+	push("old2", now.Add(time.Millisecond))
+	later := now.Add(1500 * time.Millisecond)
+	push("new", later)
+	if got := fmt.Sprint(takeAll(q, later)); got != "[new old1 old2]" {
+		t.Errorf("offered in the order %s", got)
+	}
+	if q.Len() != 0 || len(q.counts) != 0 {
+		t.Errorf("%d requests are left", q.Len())
+	}
+}
+
+// TestDrainPredictsWait guards against a prediction that counts the time in which no
+// request waited, and against one that a stall of the servers keeps high.
+func TestDrainPredictsWait(t *testing.T) {
+	d := &Drain{}
+	at := now
+	for range 50 {
+		at = at.Add(100 * time.Millisecond)
+		d.Taken(at, true)
+	}
+	if got := d.Wait(at, 10); got < 900*time.Millisecond || got > 1100*time.Millisecond {
+		t.Errorf("ten requests ahead at ten a second: %s", got)
+	}
+	if got := d.Wait(at.Add(time.Hour), 10); got != 10*maxDrainInterval {
+		t.Errorf("during a stall: %s, want %s", got, 10*maxDrainInterval)
+	}
+	d.Taken(at, false)
+	d.Taken(at.Add(time.Hour), true)
+	if got := d.Wait(at.Add(time.Hour), 10); got > 1100*time.Millisecond {
+		t.Errorf("after an hour in which none waited: %s", got)
+	}
+}
