core/control: a restarted node sends nothing to old weights of a rollout under way

Change: of a version that a node reads within 5 s of its start the age is unknown; as soon as a quarter of the engines has it, older ones get no calls.

--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -53,17 +53,20 @@
 type namedVersion struct {
 	weights int
 	at      time.Time
+	// readAtStart is true when the version may have been named long before this node
+	// started.
+	readAtStart bool
 }
 
-// firstNewerAt returns when this node learned of the first version that is
-// newer than the given one, or zero when there is none.
-func (n modelWeights) firstNewerAt(weights int) time.Time {
+// firstNewer returns the first version that is newer than the given one, or a zero
+// value when there is none.
+func (n modelWeights) firstNewer(weights int) namedVersion {
 	for _, version := range n.history {
 		if version.weights > weights {
-			return version.at
+			return version
 		}
 	}
-	return time.Time{}
+	return namedVersion{}
 }
 
 func newOrders() orders {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -107,6 +107,8 @@
 	// refreshedSlot is the last time slot for which the node checked whether it
 	// is its turn to read all entries.
 	refreshedSlot int64
+	// startedAt is when the process started.
+	startedAt time.Time
 	// drains has the drain of the queue of each class.
 	drains map[request.Class]*limits.Drain
 	// contenders is the number of nodes that have calls waiting for the memory of
@@ -153,6 +155,7 @@
 func New(options Options, now time.Time) (*State, error) {
 	s := &State{
 		options:         options,
+		startedAt:       now,
 		random:          rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		requests:        map[request.ID]*activeRequest{},
 		drains:          map[request.Class]*limits.Drain{},
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -18,6 +18,16 @@
 	maxContentionDelay = 4 * time.Second
 )
 
+const (
+	// weightsReadTime is how long after its start a node may still read versions that
+	// were named before.
+	weightsReadTime = 5 * time.Second
+	// rolledOutShare is the share of the engines with newer weights from which a node
+	// that does not know when these were named sends no calls to older ones. With fewer
+	// engines the rollout has just begun, and they could not carry the calls.
+	rolledOutShare = 0.25
+)
+
 // maxStartWait is how long a call may wait at a server before it starts to run:
 // a server that loads weights delays its calls for about two seconds.
 const maxStartWait = 2 * time.Second
@@ -29,7 +39,8 @@
 	if m.Weights <= before.newest {
 		return
 	}
-	s.orders.namedWeights[m.Model] = modelWeights{newest: m.Weights, history: append(before.history, namedVersion{weights: m.Weights, at: now})}
+	named := namedVersion{weights: m.Weights, at: now, readAtStart: now.Sub(s.startedAt) < weightsReadTime}
+	s.orders.namedWeights[m.Model] = modelWeights{newest: m.Weights, history: append(before.history, named)}
 	s.markOutdated()
 	s.command(WeightsWanted(m))
 	if s.rules != nil {
@@ -158,5 +169,22 @@
 	if limit == 0 || !server.WeightsOutdated {
 		return false
 	}
-	return now.Sub(s.orders.namedWeights[modelOf(server)].firstNewerAt(server.Weights)) >= limit-maxStartWait
+	newer := s.orders.namedWeights[modelOf(server)].firstNewer(server.Weights)
+	if newer.readAtStart && s.shareWithWeights(server, newer.weights) >= rolledOutShare {
+		return true
+	}
+	return now.Sub(newer.at) >= limit-maxStartWait
+}
+
+// shareWithWeights returns the share of the engines of a server's service that have
+// weights of at least the given version.
+func (s *State) shareWithWeights(server *fleet.Server, weights int) float64 {
+	engines := s.serverIndex.Group(fleet.GroupKey{Serves: server.Serves}).Servers
+	updated := 0
+	for _, engine := range engines {
+		if engine.Weights >= weights {
+			updated++
+		}
+	}
+	return float64(updated) / float64(max(len(engines), 1))
 }
