core/control: calls leave a failure domain that has few engines

The twin has one or two engines a domain, and calls stayed in it however full they were. Change: calls may leave a domain with fewer than four engines that receive work.

--- a/core/control/memory.go
+++ b/core/control/memory.go
@@ -14,6 +14,9 @@
 	// fetched for waiting calls, and compute them again.
 	maxUrgentMemory = 1.0
 	maxMemory       = 0.95
+	// minDomainEngines is the number of engines of a failure domain that can carry the
+	// calls of its nodes by themselves.
+	minDomainEngines = 4
 )
 
 // memoryUse returns the memory that a forwarded call occupies on an engine, or none
@@ -78,13 +81,15 @@
 }
 
 // mayLeaveDomain reports whether a call may go to an engine whose work this node does
-// not know in full. It may when no engine of the node's own failure domain receives
-// work; otherwise nodes of all domains would fill engines that only look idle.
+// not know in full. It may when fewer than minDomainEngines engines of the node's own
+// failure domain receive work; otherwise nodes of all domains would fill engines that
+// only look idle.
 func (s *State) mayLeaveDomain(req *activeRequest) bool {
+	known := 0
 	for _, server := range s.group(req).Servers {
 		if s.knowsWork(server) && server.ReceivesWork() {
-			return false
+			known++
 		}
 	}
-	return true
+	return known < minDomainEngines
 }
