node/egress, client/wire: heads of responses are bounded, checks that no test guarded

Cause: a server in trouble may send a status line or headers without end; net/http accepts 10 MiB of them for each attempt. No test failed when a response without its seal was accepted or when a call ran once more than its route allows. Change: 64 KiB bound the head of a response. Bodies, events, chunk extensions and trailers had bounds. TestResponseNeedsSealAndID and TestAttemptsLimited fail when their check is taken out.

--- a/client/wire/wire.go
+++ b/client/wire/wire.go
@@ -51,6 +51,10 @@
 	transport *http.Transport
 }
 
+// maxHeaderBytes bounds the status line and the headers of a response. Without it,
+// net/http accepts 10 MiB of a server in trouble.
+const maxHeaderBytes = 64 << 10
+
 // NewClient returns a client that opens connections on demand.
 func NewClient(options Options) *Client {
 	if options.Dial == nil {
@@ -65,6 +69,8 @@
 		DialContext:         options.Dial,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{options: options, transport: transport}
 }
--- a/core/control/forward_test.go
+++ b/core/control/forward_test.go
@@ -120,6 +120,26 @@
 	}
 }
 
+// TestAttemptsLimited guards against a call that runs at more servers than its route
+// allows.
+func TestAttemptsLimited(t *testing.T) {
+	s := forwardState(t, 4)
+	now := testStart
+	decision := placeCall(s, now, "a", "review")
+	for attempt := range 2 {
+		dispatch, ok := decision.(Dispatch)
+		if !ok {
+			t.Fatalf("attempt %d: got %+v", attempt+1, decision)
+		}
+		handleFirst(s, now, Connected{Request: "a", Attempt: dispatch.Attempt})
+		now = now.Add(100 * time.Millisecond)
+		decision = handleFirst(s, now, AttemptDone{Request: "a", Attempt: dispatch.Attempt, Outcome: Lost})
+	}
+	if _, refused := decision.(Refusal); !refused {
+		t.Errorf("after two attempts of two: got %+v", decision)
+	}
+}
+
 // TestBusyEngineHeaderTimeout guards against a prompt that a second engine
 // computes again, because the first one has a long queue and appears
 // unreachable.
--- a/node/egress/egress.go
+++ b/node/egress/egress.go
@@ -44,6 +44,10 @@
 	return errors.As(err, &notSent)
 }
 
+// maxResponseHeaderBytes bounds the status line and the headers of a response, those of
+// informational responses included. Without it, net/http accepts 10 MiB.
+const maxResponseHeaderBytes = 64 << 10
+
 // Dialer opens connections; tests replace it.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -66,6 +70,8 @@
 		DisableKeepAlives:     true,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: timeouts.Header,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
--- /dev/null
+++ b/node/egress/forward_test.go
@@ -0,0 +1,119 @@
+package egress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/control"
+	"tanagerspread/core/request"
+	"tanagerspread/node/forward"
+)
+
+// testProtocol takes the header "Seal" as the seal and "Id" as the id of the attempt.
+type testProtocol struct{ forward.Protocol }
+
+func (testProtocol) DecodeResponse(id request.ID, response *http.Response) forward.ResponseInfo {
+	return forward.ResponseInfo{MatchesAttempt: response.Header.Get("Id") == string(id), Sealed: response.Header.Get("Seal") != ""}
+}
+
+// recorder records what reaches the caller.
+type recorder struct {
+	complete bool
+	started  bool
+	events   int
+}
+
+func (r *recorder) CompleteResponse(*http.Response, []byte) { r.complete = true }
+func (r *recorder) StartStream(*http.Response) error        { r.started = true; return nil }
+func (r *recorder) Event(forward.Event) error               { r.events++; return nil }
+
+// forwardTo forwards a call to a server that sends a text and then, until the caller
+// closes the connection, repeats another one. It returns the result, what reached the
+// caller and the number of bytes that were accepted.
+func forwardTo(t *testing.T, first, endless string) (Result, *recorder, int) {
+	t.Helper()
+	accepted := make(chan int, 1)
+	client := NewClient(func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = far.Read(make([]byte, 4096))
+			total, _ := far.Write([]byte(first))
+			chunk := []byte(strings.Repeat(endless, 4096/max(len(endless), 1)))
+			for endless != "" {
+				n, err := far.Write(chunk)
+				total += n
+				if err != nil {
+					break
+				}
+			}
+			accepted <- total
+			_ = far.Close()
+		}()
+		return near, nil
+	})
+	received := &recorder{}
+	attempt := ForwardAttempt{ID: "a", Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{}}
+	timeouts := Timeouts{Dial: time.Minute, Header: time.Minute, Gap: time.Minute}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	result := client.Forward(ctx, "server:1", testProtocol{}, attempt, timeouts, func(context.Context) error { return nil }, received)
+	return result, received, <-accepted
+}
+
+const (
+	sealedHead = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n"
+	streamHead = sealedHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+// TestResponseNeedsSealAndID guards against a response that another program or another
+// request's run made and that reaches the caller.
+func TestResponseNeedsSealAndID(t *testing.T) {
+	const body = "Content-Length: 2\r\n\r\nok"
+	for name, response := range map[string]string{
+		"no seal":    "HTTP/1.1 200 OK\r\nId: a\r\n" + body,
+		"another id": "HTTP/1.1 200 OK\r\nId: b\r\nSeal: s\r\n" + body,
+	} {
+		result, received, _ := forwardTo(t, response, "")
+		if received.complete || result.Outcome != control.Lost || result.Cause == nil || result.Cause.Code != code.AnswerMismatched {
+			t.Errorf("%s: delivered %t, result %+v", name, received.complete, result)
+		}
+	}
+	if result, received, _ := forwardTo(t, sealedHead+body, ""); !received.complete || result.Outcome != control.Succeeded {
+		t.Errorf("a sealed response: %+v", result)
+	}
+}
+
+// TestBytesWithoutEnd guards against a server in trouble that sends bytes which are no
+// response until the caller closes, and fills the memory of the node.
+func TestBytesWithoutEnd(t *testing.T) {
+	const maxHead = 256 << 10
+	cases := []struct {
+		name, first, endless string
+		most                 int
+	}{
+		{"status line", "HTTP/1.1 200 ", "O", maxHead},
+		{"no HTTP", "", "\x00", maxHead},
+		{"header line", "HTTP/1.1 200 OK\r\nId: ", "a", maxHead},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X: y\r\n", maxHead},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", maxHead},
+		{"chunk extension", sealedHead + "Transfer-Encoding: chunked\r\n\r\n2;", "x", maxHead},
+		{"trailer", sealedHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X: y\r\n", maxHead},
+		{"body", sealedHead + "\r\n", "b", 2 * maxForwardResponseBytes},
+		{"chunks", sealedHead + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n", 16 * maxForwardResponseBytes},
+		{"event", streamHead, "4\r\ndata\r\n", 8 << 20},
+	}
+	for _, c := range cases {
+		result, received, accepted := forwardTo(t, c.first, c.endless)
+		if received.complete || received.events > 0 || result.Outcome != control.Lost {
+			t.Errorf("%s: delivered %t, %d events, result %+v", c.name, received.complete, received.events, result)
+		}
+		if accepted > c.most {
+			t.Errorf("%s: %d bytes were accepted, want at most %d", c.name, accepted, c.most)
+		}
+	}
+}
