core/control: fleets with few engines share all their work; turns without encoding

With the calls that leave a domain of few engines, TestEnginesNotOverfilled went to 120 thousand tokens at 18 nodes and more: the nodes fill engines of other domains that they know little of. Change: where domains have fewer than four engines on average, all nodes report to all. The hash of a turn takes the number as text.

--- a/core/control/memory.go
+++ b/core/control/memory.go
@@ -93,3 +93,17 @@
 	}
 	return known < minDomainEngines
 }
+
+// hasFewEngines reports whether the failure domains have fewer than minDomainEngines
+// engines on average. Nodes with the same list agree on it.
+func hasFewEngines(servers []*fleet.Server) bool {
+	domains := map[fleet.Domain]bool{}
+	engines := 0
+	for _, server := range servers {
+		if server.Role == fleet.RoleEngine {
+			domains[server.Domain] = true
+			engines++
+		}
+	}
+	return engines < minDomainEngines*len(domains)
+}
--- a/core/control/peerload.go
+++ b/core/control/peerload.go
@@ -97,19 +97,21 @@
 }
 
 // sharesWork reports whether a peer is told of this node's work at the engines of a
-// failure domain: the peers of that domain and of the node's own one, and all peers in
-// a small fleet.
+// failure domain: the peers of that domain and of the node's own one, or all peers.
 func (s *State) sharesWork(peer *membership.Peer, domain fleet.Domain) bool {
-	return s.isSmallFleet() || peer.Domain == string(s.options.Domain) || peer.Domain == string(domain)
+	return s.sharesAllWork() || peer.Domain == string(s.options.Domain) || peer.Domain == string(domain)
 }
 
 // knowsWork reports whether this node is told of the work of all nodes at an engine.
 func (s *State) knowsWork(server *fleet.Server) bool {
-	return s.isSmallFleet() || server.Domain == s.options.Domain
+	return s.sharesAllWork() || server.Domain == s.options.Domain
 }
 
-func (s *State) isSmallFleet() bool {
-	return len(s.members.Peers()) <= smallFleetPeers
+// sharesAllWork reports whether all nodes are told of the work at all engines: in a
+// small fleet, and when the failure domains have so few engines that calls often leave
+// their domain.
+func (s *State) sharesAllWork() bool {
+	return len(s.members.Peers()) <= smallFleetPeers || s.fewEngines
 }
 
 // sendWork reports work to up to maxWorkPeers random peers for which eligible returns
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -99,6 +99,7 @@
 	}
 	sort.Slice(s.serverList, func(i, j int) bool { return s.serverList[i].ID < s.serverList[j].ID })
 	s.serverIndex.Rebuild(s.serverList)
+	s.fewEngines = hasFewEngines(s.serverList)
 	s.markOutdated()
 	s.reservation = placement.NewReservation(s.serverList)
 }
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -111,6 +111,9 @@
 	startedAt time.Time
 	// drains has the drain of the queue of each class.
 	drains map[request.Class]*limits.Drain
+	// fewEngines is true when the failure domains have fewer than minDomainEngines
+	// engines on average.
+	fewEngines bool
 	// contenders is the number of nodes that have calls waiting for the memory of
 	// engines, this one included, contenderRank the position of this node among them.
 	contenders    int
--- a/core/placement/turns.go
+++ b/core/placement/turns.go
@@ -1,8 +1,8 @@
 package placement
 
 import (
-	"encoding/binary"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,7 +50,7 @@
 func turnOffset(now time.Time, engine fleet.ServerID, memory FreeMemory) float64 {
 	var buffer [hashInputCapacity]byte
 	input := append(buffer[:0], engine...)
-	input = binary.LittleEndian.AppendUint64(input, uint64(fleet.TurnNumber(now)))
+	input = strconv.AppendInt(input, fleet.TurnNumber(now), 16)
 	start := float64(xxhash.Sum64(input)) / math.MaxUint64
 	_, offset := math.Modf(start + float64(memory.Rank)/float64(memory.Contenders))
 	return offset
