--- a/core/limits/queue.go
+++ b/core/limits/queue.go
@@ -136,8 +136,8 @@
 func (q *Queue) addToSubqueue(queued *queuedEntry, now time.Time) {
 	key := subqueueKey{priority: queued.Priority, servers: queued.Servers}
 	key.late = !queued.OnTimeUntil.IsZero() && !now.Before(queued.OnTimeUntil)
-	if !key.late && !queued.OnTimeUntil.IsZero() && (q.nextLate.IsZero() || queued.OnTimeUntil.Before(q.nextLate)) {
-		q.nextLate = queued.OnTimeUntil
+	if !key.late {
+		q.expectLate(queued.OnTimeUntil)
 	}
 	s := q.subqueues[key]
 	if s == nil {
@@ -212,6 +212,13 @@
 	q.prune()
 }
 
+// expectLate records that a request is late from the given time on; zero means never.
+func (q *Queue) expectLate(at time.Time) {
+	if !at.IsZero() && (q.nextLate.IsZero() || at.Before(q.nextLate)) {
+		q.nextLate = at
+	}
+}
+
 // moveLate moves the requests that can no longer be on time to the late subqueues.
 func (q *Queue) moveLate(now time.Time) {
 	if q.nextLate.IsZero() || now.Before(q.nextLate) {
@@ -228,8 +235,8 @@
 			case queued.OnTimeUntil.IsZero():
 			case !now.Before(queued.OnTimeUntil):
 				late = append(late, queued)
-			case q.nextLate.IsZero() || queued.OnTimeUntil.Before(q.nextLate):
-				q.nextLate = queued.OnTimeUntil
+			default:
+				q.expectLate(queued.OnTimeUntil)
 			}
 		}
 	}
--- a/core/placement/turns.go
+++ b/core/placement/turns.go
@@ -27,8 +27,8 @@
 // TakesTurn reports whether a node may send a call to an engine. Each node uses its
 // share of the free memory. Shares of less than one call go to some of the nodes, which
 // change with each turn, and are used in its first half, so that the peers know of these
-// calls before the next turn begins. So nodes that all have calls waiting and see the same free
-// memory together send about what the engine has room for.
+// calls before the next turn begins. So nodes that all have calls waiting and see the
+// same free memory together send about what the engine has room for.
 func TakesTurn(now time.Time, engine fleet.ServerID, memory FreeMemory) bool {
 	if memory.Needed > memory.Free {
 		return false
