--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -53,6 +53,10 @@
 	ModelEngine bool
 	// Weights is the weight version that the server must have loaded, or 0.
 	Weights int
+	// NewerWeights is the first version that was named after Weights, NewerAge for how
+	// long this node takes it to have been named. Both are 0 without a newer version.
+	NewerWeights int
+	NewerAge     time.Duration
 	// Salt separates cached prompt parts that must not be shared.
 	Salt string
 	// FetchFrom and SaveTo are the addresses from which each part of the prompt is
@@ -241,6 +245,7 @@
 	}
 	if f.ModelEngine {
 		f.Weights = attempt.weights
+		f.NewerWeights, f.NewerAge = s.newerWeights(now, attempt.server)
 		f.Salt = placement.Salt(attempt.server.Model, attempt.weights, s.isolatedOrganisation(req))
 		f.FetchFrom = attempt.choice.FetchFrom
 		f.SaveTo = attempt.choice.SaveTo
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -176,6 +176,16 @@
 	return now.Sub(newer.at) >= limit-maxStartWait
 }
 
+// newerWeights returns the first version that was named after the weights of an engine,
+// and its age. It returns zeros when the engine has the newest weights.
+func (s *State) newerWeights(now time.Time, server *fleet.Server) (weights int, age time.Duration) {
+	if !server.WeightsOutdated {
+		return 0, 0
+	}
+	newer := s.orders.namedWeights[modelOf(server)].firstNewer(server.Weights)
+	return newer.weights, now.Sub(newer.at)
+}
+
 // shareWithWeights returns the share of the engines of a server's service that have
 // weights of at least the given version.
 func (s *State) shareWithWeights(server *fleet.Server, weights int) float64 {
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -6,7 +6,7 @@
 	RequestDelivered = register(2002, LevelDebug, "request delivered", "request")
 	CallDelivered    = register(2003, LevelInfo, "forwarded call delivered with a complete response", "request", "attempt", "server", "status", "first_ms", "total_ms")
 	CallRefused      = register(2004, LevelInfo, "forwarded call finished without a complete response", "request", "code", "execution", "status", "detail", "retry_after_ms", "version")
-	AttemptAssigned  = register(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "route", "weights", "prefix", "prompt", "prefill", "fetch", "save", "memory", "queue_ms", "version")
+	AttemptAssigned  = register(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "route", "weights", "newer", "newer_ms", "prefix", "prompt", "prefill", "fetch", "save", "memory", "queue_ms", "version")
 	AttemptFailed    = register(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
 )
 
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -198,7 +198,8 @@
 	plan := dispatch.Forward
 	eventlog.Write(c.frontend.options.Logger, event.AttemptAssigned, nil,
 		"request", c.exchange.request.ID, "attempt", int(dispatch.Attempt), "server", string(dispatch.Server),
-		"route", c.exchange.admitted.Route.Name, "weights", plan.Weights, "prefix", plan.Prefix, "prompt", plan.PromptTokens,
+		"route", c.exchange.admitted.Route.Name, "weights", plan.Weights, "newer", plan.NewerWeights,
+		"newer_ms", plan.NewerAge.Milliseconds(), "prefix", plan.Prefix, "prompt", plan.PromptTokens,
 		"prefill", plan.PrefillTokens, "fetch", countAddresses(plan.FetchFrom), "save", countAddresses(plan.SaveTo),
 		"memory", plan.CommittedMemory, "queue_ms", plan.QueueTime.Milliseconds(), "version", uint64(plan.Version))
 }
