--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -54,7 +54,8 @@
 	// Weights is the weight version that the server must have loaded, or 0.
 	Weights int
 	// NewerWeights is the first version that was named after Weights, NewerAge for how
-	// long this node takes it to have been named. Both are 0 without a newer version.
+	// long this node takes it to have been named, or unknownAge. Both are 0 without a
+	// newer version.
 	NewerWeights int
 	NewerAge     time.Duration
 	// Salt separates cached prompt parts that must not be shared.
--- a/core/control/forward_test.go
+++ b/core/control/forward_test.go
@@ -49,13 +49,20 @@
 	return out
 }
 
+// forwardState returns the state of a node that has run for catchUpTime.
 func forwardState(t failer, servers int) *State {
+	t.Helper()
+	return forwardStateSince(t, servers, testStart.Add(-catchUpTime))
+}
+
+// forwardStateSince returns the state of a node that started at the given time.
+func forwardStateSince(t failer, servers int, start time.Time) *State {
 	t.Helper()
 	s, err := New(Options{
 		Node: "n1", Charts: chart.Deployed(), Seed: 1, Unfenced: true, Forwarding: true, OutdatedWeightsLimit: testWeightsLimit,
 		RepeatLimit: retry.RepeatLimit{Window: 10 * time.Second, Ratio: 0.2, BaseAllowance: 10},
 		Checker:     invariant.NewChecker(func(v *invariant.Violation) { t.Fatal(v) }),
-	}, testStart)
+	}, start)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -232,36 +239,6 @@
 	}
 }
 
-// TestRestartedNodeAvoidsOldWeights guards against a node that starts after a power
-// failure, does not know when the weights were named, and sends calls to old ones for
-// the whole limit again.
-func TestRestartedNodeAvoidsOldWeights(t *testing.T) {
-	for _, c := range []struct {
-		newEngines int
-		age        time.Duration
-		queued     bool
-	}{
-		{newEngines: 1, age: time.Second, queued: true},
-		{newEngines: 0, age: time.Second, queued: false},
-		{newEngines: 1, age: time.Minute, queued: false},
-	} {
-		s := forwardState(t, 4)
-		s.Handle(testStart.Add(c.age), WeightsNamed{Model: "m", Weights: 2})
-		list := forwardServers(4, 1)
-		for i := range list {
-			if list[i].ID == "m0" {
-				list[i].Weights += c.newEngines
-				list[i].Leaving = true
-			}
-		}
-		now := testStart.Add(c.age + time.Second)
-		s.Handle(now, VMList{VMs: list})
-		if got := placeCall(s, now, "a", "review"); (got == nil) != c.queued {
-			t.Errorf("%d of 4 engines with new weights, named %s after the start: got %+v", c.newEngines, c.age, got)
-		}
-	}
-}
-
 // TestOldPartsFreed guards against freeing cached parts of weights in use, and
 // against cached parts of old weights that are never freed.
 func TestOldPartsFreed(t *testing.T) {
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -68,6 +68,7 @@
 		NewestVersion:       c.newest,
 		KeyValueUnreachable: now.Sub(c.contactAt) > config.FenceTime,
 		ConfirmationAge:     membership.UnknownConfirmation,
+		NamedWeights:        s.sampleNamedWeights(now),
 	}
 	if s.countsInMajority() {
 		d.Version = s.version
@@ -118,6 +119,7 @@
 	}
 	s.recordPeerLeaving(now, askedAt, d.LeavingReports)
 	s.recordPeerQuarantine(now, d.Quarantine)
+	s.recordPeerWeights(now, d.Node, d.NamedWeights)
 	if m.AskedAt.IsZero() {
 		return
 	}
--- a/core/control/ordermessage.go
+++ b/core/control/ordermessage.go
@@ -64,6 +64,9 @@
 type WeightsNamed struct {
 	Model   string
 	Weights int
+	// Listed is true when the version was read from a list of all entries instead of a
+	// change, so that it may have been named any time before.
+	Listed bool
 }
 
 // IssuerSeen reports the observed value of the issuer's key.
@@ -78,6 +81,8 @@
 type WeightsWanted struct {
 	Model   string
 	Weights int
+	// AgeKnown is true when the node learned of the version as it was named.
+	AgeKnown bool
 }
 
 func (WeightsWanted) command()     {}
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -9,6 +9,7 @@
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
 	"tanagerspread/core/order"
+	"tanagerspread/core/weights"
 )
 
 // orders is the control state of the orders to engines.
@@ -27,7 +28,7 @@
 	adapters map[string]map[int]string
 	// namedWeights holds the weight versions that the operator named outside
 	// the rules, by model.
-	namedWeights map[string]modelWeights
+	namedWeights map[string]*weights.History
 	// keyHeld is true while, according to the last observation, a node holds the
 	// issuer's key.
 	keyHeld bool
@@ -40,38 +41,9 @@
 	orderCount uint64
 }
 
-// modelWeights is the newest weight version that the operator named for a model.
-type modelWeights struct {
-	newest int
-	// history lists the versions in the order in which this node learned of
-	// them.
-	history []namedVersion
-}
-
-// namedVersion is a weight version with the time at which this node learned of
-// it.
-type namedVersion struct {
-	weights int
-	at      time.Time
-	// readAtStart is true when the version may have been named long before this node
-	// started.
-	readAtStart bool
-}
-
-// firstNewer returns the first version that is newer than the given one, or a zero
-// value when there is none.
-func (n modelWeights) firstNewer(weights int) namedVersion {
-	for _, version := range n.history {
-		if version.weights > weights {
-			return version
-		}
-	}
-	return namedVersion{}
-}
-
 func newOrders() orders {
 	return orders{
-		namedWeights: map[string]modelWeights{},
+		namedWeights: map[string]*weights.History{},
 		engines:      map[fleet.ServerID]*order.Engine{},
 		rollouts:     map[string]*order.Rollout{},
 		serving:      map[string]int{},
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -107,8 +107,8 @@
 	// refreshedSlot is the last time slot for which the node checked whether it
 	// is its turn to read all entries.
 	refreshedSlot int64
-	// startedAt is when the process started.
-	startedAt time.Time
+	// following is since when the node has followed the operator's changes.
+	following changeFollowing
 	// drains has the drain of the queue of each class.
 	drains map[request.Class]*limits.Drain
 	// fewEngines is true when the failure domains have fewer than minDomainEngines
@@ -158,7 +158,7 @@
 func New(options Options, now time.Time) (*State, error) {
 	s := &State{
 		options:         options,
-		startedAt:       now,
+		following:       changeFollowing{since: now},
 		random:          rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		requests:        map[request.ID]*activeRequest{},
 		drains:          map[request.Class]*limits.Drain{},
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -18,37 +18,10 @@
 	maxContentionDelay = 4 * time.Second
 )
 
-const (
-	// weightsReadTime is how long after its start a node may still read versions that
-	// were named before.
-	weightsReadTime = 5 * time.Second
-	// rolledOutShare is the share of the engines with newer weights from which a node
-	// that does not know when these were named sends no calls to older ones. With fewer
-	// engines the rollout has just begun, and they could not carry the calls.
-	rolledOutShare = 0.25
-)
-
 // maxStartWait is how long a call may wait at a server before it starts to run:
 // a server that loads weights delays its calls for about two seconds.
 const maxStartWait = 2 * time.Second
 
-// weightsNamed records a weight version that the operator named. It ignores a
-// version that is not newer than the last one.
-func (s *State) weightsNamed(now time.Time, m WeightsNamed) {
-	before := s.orders.namedWeights[m.Model]
-	if m.Weights <= before.newest {
-		return
-	}
-	named := namedVersion{weights: m.Weights, at: now, readAtStart: now.Sub(s.startedAt) < weightsReadTime}
-	s.orders.namedWeights[m.Model] = modelWeights{newest: m.Weights, history: append(before.history, named)}
-	s.markOutdated()
-	s.command(WeightsWanted(m))
-	if s.rules != nil {
-		s.syncEngines(now)
-	}
-	s.scheduleContention(now)
-}
-
 // wantedModels returns the wanted state of each model.
 func (s *State) wantedModels() map[string]config.Model {
 	if !s.orderParameters().OnDemand {
@@ -56,7 +29,7 @@
 	}
 	models := map[string]config.Model{}
 	for name, wanted := range s.orders.namedWeights {
-		models[name] = config.Model{Weights: wanted.newest}
+		models[name] = config.Model{Weights: wanted.Newest()}
 	}
 	return models
 }
@@ -83,7 +56,7 @@
 // weightsOutdated reports whether an engine has older weights than the operator
 // named for its model.
 func (s *State) weightsOutdated(server *fleet.Server) bool {
-	return server.Weights < s.orders.namedWeights[modelOf(server)].newest
+	return server.Weights < s.namedWeights(modelOf(server)).Newest()
 }
 
 // issuerSeen updates the recorded holder of the issuer's key.
@@ -125,7 +98,7 @@
 func (s *State) contendWeight(member string) uint64 {
 	total := 0
 	for _, wanted := range s.orders.namedWeights {
-		total += wanted.newest
+		total += wanted.Newest()
 	}
 	return placement.MemberWeight(total, member)
 }
@@ -163,38 +136,30 @@
 
 // weightsExpired reports whether an engine has had outdated weights for so long
 // that no new request may start on them: a request that is sent now may wait for
-// maxStartWait before it runs.
+// maxStartWait before it runs. Newer weights of unknown age may have been named any
+// time ago, so nothing is sent to older ones until a peer reports the age.
 func (s *State) weightsExpired(now time.Time, server *fleet.Server) bool {
 	limit := s.options.OutdatedWeightsLimit
 	if limit == 0 || !server.WeightsOutdated {
 		return false
 	}
-	newer := s.orders.namedWeights[modelOf(server)].firstNewer(server.Weights)
-	if newer.readAtStart && s.shareWithWeights(server, newer.weights) >= rolledOutShare {
-		return true
+	newer, found := s.namedWeights(modelOf(server)).FirstNewer(server.Weights)
+	if !found {
+		return false
 	}
-	return now.Sub(newer.at) >= limit-maxStartWait
+	return !newer.AgeKnown() || now.Sub(newer.At) >= limit-maxStartWait
 }
 
 // newerWeights returns the first version that was named after the weights of an engine,
-// and its age. It returns zeros when the engine has the newest weights.
-func (s *State) newerWeights(now time.Time, server *fleet.Server) (weights int, age time.Duration) {
-	if !server.WeightsOutdated {
+// and its age. It returns zeros when the engine has the newest weights, and the age
+// unknownAge when the age is not known.
+func (s *State) newerWeights(now time.Time, server *fleet.Server) (version int, age time.Duration) {
+	newer, found := s.namedWeights(modelOf(server)).FirstNewer(server.Weights)
+	switch {
+	case !found || !server.WeightsOutdated:
 		return 0, 0
+	case !newer.AgeKnown():
+		return newer.Version, unknownAge
 	}
-	newer := s.orders.namedWeights[modelOf(server)].firstNewer(server.Weights)
-	return newer.weights, now.Sub(newer.at)
-}
-
-// shareWithWeights returns the share of the engines of a server's service that have
-// weights of at least the given version.
-func (s *State) shareWithWeights(server *fleet.Server, weights int) float64 {
-	engines := s.serverIndex.Group(fleet.GroupKey{Serves: server.Serves}).Servers
-	updated := 0
-	for _, engine := range engines {
-		if engine.Weights >= weights {
-			updated++
-		}
-	}
-	return float64(updated) / float64(max(len(engines), 1))
+	return newer.Version, now.Sub(newer.At)
 }
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -26,6 +26,8 @@
 	// announces a change of the quarantine, and the response to a starting node,
 	// may carry up to quarantine.MaxDigestEntries fingerprints.
 	MaxPeriodicItems = 2
+	// MaxNamedWeights bounds the named weight versions in a digest.
+	MaxNamedWeights = 4
 	// UnknownConfirmation is the ConfirmationAge of a node whose configuration
 	// was never confirmed.
 	UnknownConfirmation = time.Duration(-1)
@@ -66,6 +68,16 @@
 	// LeavingReports lists backend servers that reported that they are leaving or
 	// that the VM list shows as leaving.
 	LeavingReports []LeavingReport
+	// NamedWeights lists weight versions that an engine lacks, with their ages.
+	NamedWeights []NamedWeights
+}
+
+// NamedWeights is a weight version that the operator named.
+type NamedWeights struct {
+	Model   string
+	Version int
+	// Age is the time since the first node learned of the version.
+	Age time.Duration
 }
 
 // QuarantineStatus is the quarantine state of one request fingerprint.
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -45,6 +45,14 @@
 	AgeCount           int                 `json:"k,omitempty"`
 	Quarantine         []string            `json:"q,omitempty"`
 	Leaving            []leavingReportWire `json:"x,omitempty"`
+	NamedWeights       []namedWeightsWire  `json:"h,omitempty"`
+}
+
+// namedWeightsWire is the encoded form of a named weight version in a digest.
+type namedWeightsWire struct {
+	Model   string `json:"m"`
+	Version int    `json:"v"`
+	AgeMS   int64  `json:"a"`
 }
 
 // leavingReportWire is the encoded form of a leaving report in a digest.
@@ -214,11 +222,15 @@
 			Server: report.Server, Address: report.Address, AgeMS: ceilMS(report.Age), Started: report.StartedAtMS, Entry: report.Revision,
 		})
 	}
+	for _, named := range d.NamedWeights[:min(len(d.NamedWeights), membership.MaxNamedWeights)] {
+		// Rounded down: a time that is relayed must not move into the past.
+		w.NamedWeights = append(w.NamedWeights, namedWeightsWire{Model: named.Model, Version: named.Version, AgeMS: named.Age.Milliseconds()})
+	}
 	return w
 }
 
-// digestFromWire decodes the digest of a peer. It omits leaving reports and
-// quarantine statuses beyond the maximum numbers, and malformed statuses.
+// digestFromWire decodes the digest of a peer. It omits leaving reports, quarantine
+// statuses and named weights beyond the maximum numbers, and malformed ones.
 func digestFromWire(w digestWire) membership.Digest {
 	d := membership.Digest{
 		Node: w.Node, Incarnation: w.Incarnation, State: w.State, Version: config.Version(w.Version),
@@ -239,6 +251,14 @@
 			StartedAtMS: report.Started, Revision: report.Entry,
 		})
 	}
+	for _, named := range w.NamedWeights[:min(len(w.NamedWeights), membership.MaxNamedWeights)] {
+		if named.AgeMS < 0 {
+			continue
+		}
+		d.NamedWeights = append(d.NamedWeights, membership.NamedWeights{
+			Model: named.Model, Version: named.Version, Age: time.Duration(named.AgeMS) * time.Millisecond,
+		})
+	}
 	return d
 }
 
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -61,7 +61,7 @@
 		}
 		f.registry.mu.Lock()
 		for _, change := range changes {
-			f.registry.apply(change)
+			f.registry.apply(change, false)
 		}
 		f.registry.mu.Unlock()
 		f.registry.reportVMs()
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -102,12 +102,12 @@
 	listed := map[string]bool{}
 	for _, entry := range entries {
 		listed[entry.Key] = true
-		r.apply(kv.Change{Entry: entry})
+		r.apply(kv.Change{Entry: entry}, true)
 	}
 	for _, vms := range []map[string]control.VM{r.servers, r.nodes} {
 		for key := range vms {
 			if strings.HasPrefix(key, prefix) && !listed[key] {
-				r.apply(kv.Change{Entry: kv.Entry{Key: key}, Deleted: true})
+				r.apply(kv.Change{Entry: kv.Entry{Key: key}, Deleted: true}, true)
 			}
 		}
 	}
@@ -116,8 +116,9 @@
 	}
 }
 
-// apply applies one change. The caller holds mu.
-func (r *Registry) apply(change kv.Change) {
+// apply applies one change, or an entry of a list of all entries when listed is true.
+// The caller holds mu.
+func (r *Registry) apply(change kv.Change, listed bool) {
 	key := change.Entry.Key
 	switch {
 	case strings.HasPrefix(key, r.options.ServerPrefix):
@@ -125,7 +126,7 @@
 	case strings.HasPrefix(key, confkv.PrefixNodes):
 		r.applyNode(change)
 	case strings.HasPrefix(key, r.options.WeightsPrefix):
-		r.applyWeights(change)
+		r.applyWeights(change, listed)
 	case key == orders.KeyIssuer:
 		r.applyIssuer(change)
 	}
@@ -186,7 +187,7 @@
 
 // applyWeights reports the named weights of an entry. A deletion is not
 // reported.
-func (r *Registry) applyWeights(change kv.Change) {
+func (r *Registry) applyWeights(change kv.Change, listed bool) {
 	if change.Deleted {
 		return
 	}
@@ -195,6 +196,7 @@
 		r.logRejected(change.Entry, err)
 		return
 	}
+	weights.Listed = listed
 	worker.Tell(r.options.Control, r.options.Logger, control.Message(weights))
 }
 
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -245,7 +245,7 @@
 	case corecontrol.FollowCaches:
 		n.caches.Follow(c)
 	case corecontrol.WeightsWanted:
-		eventlog.Write(n.options.Logger, event.WeightsWanted, nil, "model", c.Model, "weights", c.Weights)
+		eventlog.Write(n.options.Logger, event.WeightsWanted, nil, "model", c.Model, "weights", c.Weights, "age_known", c.AgeKnown)
 	case corecontrol.ConfigInForce:
 		eventlog.Write(n.options.Logger, event.ConfigInForce, nil, "version", uint64(c.Version), "author", c.Author)
 	default:
