--- a/cmd/tanagerspread/main.go
+++ b/cmd/tanagerspread/main.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"tanagerspread/core/event"
+	"tanagerspread/node/clock"
 	"tanagerspread/node/inifile"
 	"tanagerspread/node/process"
 	"tanagerspread/node/settings"
@@ -135,6 +136,7 @@
 		Signals:        signals,
 		Reloads:        reloads,
 		ReloadSettings: func() (*platform.Settings, []platform.Fault) { return platform.ReadSettings(opts.DeployedFile) },
+		Suspended:      clock.Now().Suspended,
 	}), errOut)
 }
 
--- a/core/control/ordermessage.go
+++ b/core/control/ordermessage.go
@@ -77,6 +77,12 @@
 	Node string
 }
 
+// Suspended reports that the machine was suspended, for which the clock of the node
+// stood still.
+type Suspended struct {
+	Duration time.Duration
+}
+
 // WeightsWanted announces the weight version that this node now wants.
 type WeightsWanted struct {
 	Model   string
@@ -90,6 +96,7 @@
 func (IssuerSeen) orderMessage()   {}
 func (WeightsNamed) message()      {}
 func (WeightsNamed) orderMessage() {}
+func (Suspended) message()         {}
 func (IssuerResult) message()      {}
 func (IssuerResult) orderMessage() {}
 func (EngineStatus) message()      {}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -254,6 +254,8 @@
 		s.quarantineSeen(now, m)
 	case Tick:
 		s.tick(now)
+	case Suspended:
+		s.suspended(now, m)
 	default:
 		s.decideNode(now, message)
 	}
@@ -275,6 +277,7 @@
 // tick fires the expired timeouts of all chart instances and starts periodic
 // work.
 func (s *State) tick(now time.Time) {
+	s.detectPause(now)
 	s.expireNode(now)
 	s.tickAgents(now)
 	s.expireServers(now)
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -28,6 +28,7 @@
 var (
 	NodeStarted      = register(2501, LevelInfo, "node started", "node", "domain", "listen")
 	NodeStateChanged = register(2502, LevelInfo, "node changed its state", "state")
+	PauseDetected    = register(2509, LevelInfo, "process was paused", "node", "paused_ms", "suspended")
 	NodeStopped      = register(2503, LevelInfo, "node stopped")
 	ControlQueueFull = register(2504, LevelError, "control queue is full; message refused", "message")
 	AdminStopped     = register(2505, LevelError, "admin listener stopped")
--- a/core/weights/history.go
+++ b/core/weights/history.go
@@ -82,3 +82,23 @@
 	first, _ := slices.BinarySearchFunc(h.named, version+1, func(e Named, version int) int { return e.Version - version })
 	return h.named[first:]
 }
+
+// Shift moves the known times into the past by the time for which the clock of this
+// node stood still.
+func (h *History) Shift(stopped time.Duration) {
+	for i := range h.named {
+		if h.named[i].AgeKnown() {
+			h.named[i].At = h.named[i].At.Add(-stopped)
+		}
+	}
+}
+
+// ForgetSince makes the age of the versions unknown that this node learned of after a
+// time.
+func (h *History) ForgetSince(at time.Time) {
+	for i := range h.named {
+		if h.named[i].At.After(at) {
+			h.named[i].At = time.Time{}
+		}
+	}
+}
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -21,6 +21,9 @@
 	admissionLength = queueLength * 3 / 4
 	// tickInterval is the resolution of all timeouts in the charts.
 	tickInterval = 50 * time.Millisecond
+	// minSuspension is the shortest suspension that is reported. Two clocks that are
+	// read one after the other differ by less.
+	minSuspension = 100 * time.Millisecond
 )
 
 // Loop is the control thread. Ask and Tell may be called by any goroutine.
@@ -30,6 +33,10 @@
 	done    chan struct{}
 	pending map[request.ID]chan<- control.Decision
 	sink    func(control.Command)
+	// suspended returns for how long the machine has been suspended since the process
+	// started; suspendedBefore is its result at the last tick.
+	suspended       func() time.Duration
+	suspendedBefore time.Duration
 }
 
 type envelope struct {
@@ -38,14 +45,17 @@
 }
 
 // NewLoop returns a loop over the state. The sink receives commands on the
-// control thread and must not block.
-func NewLoop(state *control.State, sink func(control.Command)) *Loop {
+// control thread and must not block. suspended returns for how long the machine has
+// been suspended, during which the clock of the process stood still; nil means that it
+// never is.
+func NewLoop(state *control.State, sink func(control.Command), suspended func() time.Duration) *Loop {
 	return &Loop{
-		state:   state,
-		inbox:   make(chan envelope, queueLength),
-		done:    make(chan struct{}),
-		pending: map[request.ID]chan<- control.Decision{},
-		sink:    sink,
+		suspended: suspended,
+		state:     state,
+		inbox:     make(chan envelope, queueLength),
+		done:      make(chan struct{}),
+		pending:   map[request.ID]chan<- control.Decision{},
+		sink:      sink,
 	}
 }
 
@@ -61,6 +71,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			l.reportSuspension()
 			l.handle(envelope{message: control.Tick{}})
 		case e := <-l.inbox:
 			if ctx.Err() != nil {
@@ -73,6 +84,19 @@
 	}
 }
 
+// reportSuspension reports to the state that the machine was suspended since the last
+// tick.
+func (l *Loop) reportSuspension() {
+	if l.suspended == nil {
+		return
+	}
+	total := l.suspended()
+	if duration := total - l.suspendedBefore; duration >= minSuspension {
+		l.suspendedBefore = total
+		l.handle(envelope{message: control.Suspended{Duration: duration}})
+	}
+}
+
 func (l *Loop) handle(e envelope) {
 	l.register(e)
 	output := l.state.Handle(time.Now(), e.message)
--- a/node/control/loop_test.go
+++ b/node/control/loop_test.go
@@ -9,6 +9,7 @@
 	"tanagerspread/chart"
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
+	"tanagerspread/core/event"
 	nodecontrol "tanagerspread/node/control"
 )
 
@@ -22,7 +23,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			loop := nodecontrol.NewLoop(state, func(control.Command) {})
+			loop := nodecontrol.NewLoop(state, func(control.Command) {}, nil)
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel()
 			time.AfterFunc(time.Second, func() { loop.Run(ctx) })
@@ -42,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	loop := nodecontrol.NewLoop(state, func(control.Command) {})
+	loop := nodecontrol.NewLoop(state, func(control.Command) {}, nil)
 	accepted, firstRefusal := 0, -1
 	for loop.Tell(control.Tick{}) {
 		accepted++
@@ -65,3 +66,33 @@
 	cancel()
 	return ctx
 }
+
+// TestSuspensionReported guards against a control thread that does not learn that the
+// machine was suspended, or learns it twice.
+func TestSuspensionReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state, err := control.New(control.Options{Node: "n1", Charts: chart.Embedded()}, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		reported := 0
+		sink := func(command control.Command) {
+			if logged, ok := command.(control.LogEvent); ok && logged.Event.Number == event.PauseDetected.Number {
+				reported++
+			}
+		}
+		started := time.Now()
+		suspended := func() time.Duration {
+			if time.Since(started) < time.Second {
+				return 0
+			}
+			return 3 * time.Second
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		nodecontrol.NewLoop(state, sink, suspended).Run(ctx)
+		if reported != 1 {
+			t.Errorf("one suspension was reported %d times", reported)
+		}
+	})
+}
--- a/node/ingress/harness_test.go
+++ b/node/ingress/harness_test.go
@@ -294,7 +294,7 @@
 	}
 	ctx, stop := context.WithCancel(c.ctx)
 	n.stop = stop
-	n.loop = nodecontrol.NewLoop(state, func(control.Command) {})
+	n.loop = nodecontrol.NewLoop(state, func(control.Command) {}, nil)
 	go n.loop.Run(ctx)
 	n.handler = ingress.NewFrontend(ingress.Options{
 		Control:      n.loop,
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -81,6 +81,9 @@
 	// Listen and Dial replace those of TCP in tests; nil means TCP.
 	Listen func(network, address string) (net.Listener, error)
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// Suspended returns for how long the machine has been suspended since the process
+	// started; nil means that it never is.
+	Suspended func() time.Duration
 }
 
 // deployed holds the listeners and clients of the process.
@@ -191,6 +194,7 @@
 		Logger:       logger,
 		Metrics:      counters,
 		MaxBodyBytes: maxBodyBytes,
+		Suspended:    options.Suspended,
 		// Bodies of calls in progress stay in memory, because a call may be
 		// repeated.
 		MaxPendingBytes: int64(float64(s.MemoryBytes) * bodyMemoryShare),
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -74,6 +74,9 @@
 	// Readiness accepts the readiness checks of the load balancer when they
 	// have a separate listener, or is nil.
 	Readiness net.Listener
+	// Suspended returns for how long the machine has been suspended since the process
+	// started; nil means that it never is.
+	Suspended func() time.Duration
 }
 
 // Node is one node. Run starts it.
@@ -101,7 +104,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("new node: %w", err)
 	}
-	n.loop = control.NewLoop(state, n.execute)
+	n.loop = control.NewLoop(state, n.execute, options.Suspended)
 	n.exporter = blocks.NewExporter(n.loop, wire.Dialer(options.Dial))
 	recorder := options.Recorder
 	if recorder == nil {
