--- a/core/control/members.go
+++ b/core/control/members.go
@@ -68,12 +68,12 @@
 		NewestVersion:       c.newest,
 		KeyValueUnreachable: now.Sub(c.contactAt) > config.FenceTime,
 		ConfirmationAge:     membership.UnknownConfirmation,
-		NamedWeights:        s.sampleNamedWeights(now),
 	}
 	if s.countsInMajority() {
 		d.Version = s.version
 	}
 	if !reply {
+		d.WantsNamedWeights = s.lacksWeightsAge()
 		d.LeavingReports = s.sampleLeavingReports(now)
 		d.Quarantine = s.sampleQuarantined(now)
 		return d
@@ -87,9 +87,12 @@
 
 // digestAnswer returns the reply to the digest of a peer. A reply to a starting
 // peer also carries the fingerprints, since the peer may have missed their
-// changes.
+// changes, and one to a peer that asks for them the ages of named weights.
 func (s *State) digestAnswer(now time.Time, question membership.Digest) membership.Digest {
 	d := s.digest(now, true)
+	if question.WantsNamedWeights {
+		d.NamedWeights = s.sampleNamedWeights(now)
+	}
 	if question.State == membership.StateStarting {
 		d.Quarantine = quarantineStatuses(now, s.quarantine.DigestEntries())
 	}
@@ -119,7 +122,7 @@
 	}
 	s.recordPeerLeaving(now, askedAt, d.LeavingReports)
 	s.recordPeerQuarantine(now, d.Quarantine)
-	s.recordPeerWeights(now, d.Node, d.NamedWeights)
+	s.recordPeerWeights(now, m)
 	if m.AskedAt.IsZero() {
 		return
 	}
--- a/core/control/namedweights.go
+++ b/core/control/namedweights.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tanagerspread/core/event"
+	"tanagerspread/core/fleet"
 	"tanagerspread/core/membership"
 	"tanagerspread/core/weights"
 )
@@ -31,30 +32,52 @@
 	if !m.Listed && !s.following.mayBeOld(now) {
 		named.At = now
 	}
-	s.addNamedWeights(now, m.Model, named)
+	if s.addNamedWeights(now, m.Model, named) {
+		s.announceWeights(now, m.Model, named)
+	}
 }
 
-// addNamedWeights adds a version to the history of its model. It reports whether that
-// was news.
+// addNamedWeights adds a version to the history of its model. It reports whether the age
+// of the version became known.
 func (s *State) addNamedWeights(now time.Time, model string, named weights.Named) bool {
 	history := s.orders.namedWeights[model]
 	if history == nil {
 		history = &weights.History{}
 		s.orders.namedWeights[model] = history
 	}
-	newest := history.Newest()
-	if !history.Add(named) {
-		return false
-	}
+	newest, ageKnown := history.Newest(), history.AgeKnown(named.Version)
+	history.Add(named)
 	if named.Version > newest {
-		s.markOutdated()
-		s.command(WeightsWanted{Model: model, Weights: named.Version, AgeKnown: named.AgeKnown()})
-		if s.rules != nil {
-			s.syncEngines(now)
-		}
-		s.scheduleContention(now)
+		s.adoptNewest(now, model, named)
 	}
-	return true
+	return named.AgeKnown() && !ageKnown
+}
+
+// adoptNewest makes a version the wanted one of its model.
+func (s *State) adoptNewest(now time.Time, model string, named weights.Named) {
+	s.markOutdated()
+	s.command(WeightsWanted{Model: model, Weights: named.Version, AgeKnown: named.AgeKnown()})
+	if s.rules != nil {
+		s.syncEngines(now)
+	}
+	s.scheduleContention(now)
+}
+
+// announceWeights sends a version with its age to peers at once, so that all nodes count
+// from the same time, and learn of the version although their watches stall.
+func (s *State) announceWeights(now time.Time, model string, named weights.Named) {
+	digest := s.digest(now, false)
+	digest.NamedWeights = []membership.NamedWeights{{Model: model, Version: named.Version, Age: now.Sub(named.At)}}
+	s.sendUrgent(digest)
+}
+
+// lacksWeightsAge reports whether an engine has weights whose limit counts from a
+// version of unknown age.
+func (s *State) lacksWeightsAge() bool {
+	return slices.ContainsFunc(s.serverList, func(server *fleet.Server) bool {
+		newer, found := s.namedWeights(modelOf(server)).FirstNewer(server.Weights)
+		return server.WeightsOutdated && found && !newer.AgeKnown()
+	})
 }
 
 // sampleNamedWeights returns up to membership.MaxNamedWeights versions of known age that
@@ -82,20 +105,32 @@
 	return sample
 }
 
-// recordPeerWeights adds the versions in a peer's digest to the histories. Times count
-// from the arrival of the digest, so that a time never moves back while nodes relay it.
-func (s *State) recordPeerWeights(now time.Time, peer string, versions []membership.NamedWeights) {
-	for _, v := range versions {
-		named := weights.Named{Version: v.Version, At: now.Add(-v.Age)}
-		ageKnown := s.ageKnown(v.Model, v.Version)
-		if s.addNamedWeights(now, v.Model, named) && !ageKnown {
-			s.logEvent(event.WeightsAgeLearned, "model", v.Model, "weights", v.Version, "peer", peer, "age_ms", v.Age.Milliseconds())
-		}
+// recordPeerWeights adds the versions in a peer's digest to the histories. Ages in a
+// reply count from the question, which makes a time rather too early; they only replace
+// unknown ages, because a time that may move back would do so at each exchange. Ages in
+// other digests count from their arrival. After a start or a pause these are ignored: the
+// digest may have waited for the node.
+func (s *State) recordPeerWeights(now time.Time, m PeerDigest) {
+	answered := !m.AskedAt.IsZero()
+	if answered && m.AskedAt.Before(s.following.since) || !answered && s.following.mayBeOld(now) {
+		return
+	}
+	for _, v := range m.Digest.NamedWeights {
+		s.recordPeerVersion(now, m, v)
 	}
 }
 
-// ageKnown reports whether this node knows the age of a version.
-func (s *State) ageKnown(model string, version int) bool {
-	named, found := s.namedWeights(model).FirstNewer(version - 1)
-	return found && named.Version == version && named.AgeKnown()
+// recordPeerVersion adds one version in a peer's digest to the history of its model.
+func (s *State) recordPeerVersion(now time.Time, m PeerDigest, v membership.NamedWeights) {
+	if !m.AskedAt.IsZero() {
+		if !s.namedWeights(v.Model).AgeKnown(v.Version) {
+			s.addNamedWeights(now, v.Model, weights.Named{Version: v.Version, At: m.AskedAt.Add(-v.Age)})
+			s.logEvent(event.WeightsAgeLearned, "model", v.Model, "weights", v.Version, "peer", m.Digest.Node, "age_ms", v.Age.Milliseconds())
+		}
+		return
+	}
+	named := weights.Named{Version: v.Version, At: now.Add(-v.Age)}
+	if s.addNamedWeights(now, v.Model, named) {
+		s.announceWeights(now, v.Model, named)
+	}
 }
--- a/core/control/spread.go
+++ b/core/control/spread.go
@@ -23,6 +23,13 @@
 // gossip sends a digest with the changed entries to random peers at once, without
 // waiting for the next gossip round.
 func (s *State) gossip(now time.Time, changed []quarantine.Entry) {
+	digest := s.digest(now, false)
+	digest.Quarantine = quarantineStatuses(now, changed)
+	s.sendUrgent(digest)
+}
+
+// sendUrgent sends a digest to random peers.
+func (s *State) sendUrgent(digest membership.Digest) {
 	if !s.options.Agents {
 		return
 	}
@@ -31,12 +38,9 @@
 	for _, peer := range s.members.Sample(s.random, gossipPeers, notDead) {
 		targets = append(targets, PeerTarget{Node: peer.ID, Address: peer.Address})
 	}
-	if len(targets) == 0 {
-		return
+	if len(targets) > 0 {
+		s.command(SendDigest{Targets: targets, Digest: digest})
 	}
-	digest := s.digest(now, false)
-	digest.Quarantine = quarantineStatuses(now, changed)
-	s.command(SendDigest{Targets: targets, Digest: digest})
 }
 
 // sampleQuarantined returns up to membership.MaxPeriodicItems random quarantined
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -68,7 +68,12 @@
 	// LeavingReports lists backend servers that reported that they are leaving or
 	// that the VM list shows as leaving.
 	LeavingReports []LeavingReport
-	// NamedWeights lists weight versions that an engine lacks, with their ages.
+	// WantsNamedWeights is true when the node asks for NamedWeights, because it does not
+	// know how old a version is that an engine lacks.
+	WantsNamedWeights bool
+	// NamedWeights lists weight versions with their ages: those that an engine lacks in
+	// the reply to a node that asks for them, and in an urgent digest a version that was
+	// just named. Other digests have none, so that they stay within 3 KB/s.
 	NamedWeights []NamedWeights
 }
 
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -86,6 +86,7 @@
 		return d
 	}
 	d.ConfirmationAge = membership.UnknownConfirmation
+	d.WantsNamedWeights = true
 	for i := range membership.MaxPeriodicItems {
 		d.LeavingReports = append(d.LeavingReports, membership.LeavingReport{Server: fmt.Sprintf("engine-vm-%04d", i), Address: "10.200.100.100:8000", Age: 59 * time.Second})
 		d.Quarantine = append(d.Quarantine, membership.QuarantineStatus{
@@ -139,3 +140,22 @@
 		}
 	})
 }
+
+// TestNamedWeightsInDigest guards against ages of named weights that are lost, raised or
+// negative after a digest was encoded, and against a list without a bound.
+func TestNamedWeightsInDigest(t *testing.T) {
+	var digest membership.Digest
+	digest.WantsNamedWeights = true
+	for i := range membership.MaxNamedWeights + 1 {
+		digest.NamedWeights = append(digest.NamedWeights, membership.NamedWeights{Model: "m", Version: i, Age: time.Second + 900*time.Microsecond})
+	}
+	encoded := digestToWire(digest)
+	encoded.NamedWeights[1].AgeMS = -1
+	decoded := digestFromWire(encoded)
+	if !decoded.WantsNamedWeights || len(decoded.NamedWeights) != membership.MaxNamedWeights-1 {
+		t.Fatalf("got %+v, want %d named weights", decoded, membership.MaxNamedWeights-1)
+	}
+	if got := decoded.NamedWeights[0]; got != (membership.NamedWeights{Model: "m", Version: 0, Age: time.Second}) {
+		t.Errorf("got %+v, want an age of 1 s", got)
+	}
+}
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -46,6 +46,8 @@
 	Quarantine         []string            `json:"q,omitempty"`
 	Leaving            []leavingReportWire `json:"x,omitempty"`
 	NamedWeights       []namedWeightsWire  `json:"h,omitempty"`
+	// WantsNamedWeights is 1 for true, which is shorter.
+	WantsNamedWeights int `json:"y,omitempty"`
 }
 
 // namedWeightsWire is the encoded form of a named weight version in a digest.
@@ -210,6 +212,9 @@
 	for _, status := range d.Quarantine[:min(len(d.Quarantine), quarantine.MaxDigestEntries)] {
 		w.Quarantine = append(w.Quarantine, encodeQuarantineStatus(status))
 	}
+	if d.WantsNamedWeights {
+		w.WantsNamedWeights = 1
+	}
 	if d.NewestVersion != d.Version {
 		w.NewestVersion = uint64(d.NewestVersion)
 	}
@@ -223,7 +228,7 @@
 		})
 	}
 	for _, named := range d.NamedWeights[:min(len(d.NamedWeights), membership.MaxNamedWeights)] {
-		// Rounded down: a time that is relayed must not move into the past.
+		// Rounded down, so that a time that is relayed does not move into the past.
 		w.NamedWeights = append(w.NamedWeights, namedWeightsWire{Model: named.Model, Version: named.Version, AgeMS: named.Age.Milliseconds()})
 	}
 	return w
@@ -235,7 +240,7 @@
 	d := membership.Digest{
 		Node: w.Node, Incarnation: w.Incarnation, State: w.State, Version: config.Version(w.Version),
 		NewestVersion: config.Version(max(w.NewestVersion, w.Version)), KeyValueUnreachable: w.ServiceUnreachable, ConfirmationAge: membership.UnknownConfirmation,
-		MemberListID: w.MemberList, LastSeenAges: unpackAges(w.Ages, w.AgeCount),
+		MemberListID: w.MemberList, LastSeenAges: unpackAges(w.Ages, w.AgeCount), WantsNamedWeights: w.WantsNamedWeights == 1,
 	}
 	if w.ConfirmedMS != nil && *w.ConfirmedMS >= 0 {
 		d.ConfirmationAge = time.Duration(*w.ConfirmedMS) * time.Millisecond
