--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -145,7 +145,7 @@
 		return
 	}
 	s.recordServerReport(now, req.attempt, m)
-	newerWeights := s.updateReportedWeights(req.attempt.server, m)
+	newerWeights := s.updateReportedWeights(now, req.attempt.server, m)
 	if m.ConnectionBroken {
 		s.recordServerCrash(now, req.attempt)
 	}
--- a/core/control/freeparts.go
+++ b/core/control/freeparts.go
@@ -31,8 +31,8 @@
 
 func (FreeParts) command() {}
 
-// recordOutdated records the time when an engine has outdated weights or is removed
-// with them.
+// recordOutdated records the time when an engine has outdated weights, gets other ones
+// or is removed.
 func (s *State) recordOutdated(now time.Time, server *fleet.Server) {
 	if server.WeightsOutdated {
 		s.lastOutdated = now
@@ -47,7 +47,7 @@
 	for _, server := range s.serverList {
 		s.recordOutdated(now, server)
 	}
-	if s.rules == nil || now.Sub(s.lastOutdated) < freeDelay {
+	if s.rules == nil || now.Sub(s.lastOutdated) < freeDelay || now.Sub(s.following.since) < freeDelay {
 		return
 	}
 	lowestByModel := s.lowestWeights()
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -72,6 +72,7 @@
 		server = &fleet.Server{ID: fleet.ServerID(vm.ID), Chart: s.charts.server.Start(now)}
 		s.servers[server.ID] = server
 	}
+	s.recordOutdated(now, server)
 	server.RemoveAfter = time.Time{}
 	server.Address = vm.Address
 	server.Domain = vm.Domain
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -116,7 +116,7 @@
 // returns whether the version is newer than the recorded one. An older version
 // counts only in the refusal of an engine that has restarted, since any other
 // response may have been overtaken by a newer one.
-func (s *State) updateReportedWeights(server *fleet.Server, m AttemptDone) bool {
+func (s *State) updateReportedWeights(now time.Time, server *fleet.Server, m AttemptDone) bool {
 	reported := m.Weights
 	if reported < 0 {
 		s.command(LogEvent{Event: event.EngineWeightsInvalid, Fields: []any{"server", string(server.ID)}})
@@ -128,6 +128,7 @@
 		return false
 	}
 	s.command(LogEvent{Event: event.EngineWeightsReported, Fields: []any{"server", string(server.ID), "weights", reported, "known", before}})
+	s.recordOutdated(now, server)
 	server.ReportedWeights = reported
 	server.Weights = reported
 	s.markOutdated()
