--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -368,6 +368,38 @@
 	})
 }
 
+// TestNodeStartsDuringRollout guards against a node that starts after new weights were
+// named, takes them for just named and sends calls to engines with the old ones.
+func TestNodeStartsDuringRollout(t *testing.T) {
+	runAtSite(t, func(s *deployedSite) {
+		servers := []*deployed.Server{s.startServer("i-0", 2), s.startServer("i-1", 2)}
+		s.writeConfiguration(testKey)
+		s.store.SetWeightVersion(2)
+		n := s.startNode("n1")
+		waitForSync()
+		served := 0
+		for range 20 {
+			if n.call("POST", "/review/", http.Header{"Prompt-Prefix": {"aa:3000,bb:10"}, "Token-Count": {"3010,20"}}, "x").status == http.StatusOK {
+				served++
+			}
+			time.Sleep(500 * time.Millisecond)
+			for i, server := range servers {
+				s.store.RegisterServer(server, fmt.Sprintf("10.0.1.%d:1", i+1), "ready", testMaxConcurrency)
+			}
+		}
+		for _, server := range servers {
+			for _, r := range server.Received() {
+				if r.Header.Get("Expect-Version") != "2" {
+					t.Errorf("a call was sent to weights %s", r.Header.Get("Expect-Version"))
+				}
+			}
+		}
+		if served == 0 {
+			t.Error("no call was served after the rollout")
+		}
+	})
+}
+
 // TestWeightsLearnedFromResponses guards against engines that get no calls
 // because their entries are outdated: a node that cannot reach the store learns
 // the loaded weights from responses.
