--- a/core/control/namedweights.go
+++ b/core/control/namedweights.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -85,11 +86,7 @@
 // from these.
 func (s *State) sampleNamedWeights(now time.Time) []membership.NamedWeights {
 	lowest := s.lowestWeights()
-	models := make([]string, 0, len(lowest))
-	for model := range lowest {
-		models = append(models, model)
-	}
-	slices.Sort(models)
+	models := slices.Sorted(maps.Keys(lowest))
 	s.random.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
 	var sample []membership.NamedWeights
 	for _, model := range models {
--- a/core/control/orderdump.go
+++ b/core/control/orderdump.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"tanagerspread/core/fleet"
@@ -22,10 +24,20 @@
 	Serving  map[string]int
 	Rollouts []RolloutDump
 	Orders   []OrderDump
+	// NamedWeights lists the named versions that an engine lacks, of all models.
+	NamedWeights []NamedWeightsDump
 	// Away lists the live engines that are unreachable for the issuer.
 	Away []fleet.ServerID
 }
 
+// NamedWeightsDump describes a weight version that the operator named.
+type NamedWeightsDump struct {
+	Model   string
+	Version int
+	// At is when it was named, as far as this node knows, or the zero time.
+	At time.Time
+}
+
 // RolloutDump describes the rollout of one model.
 type RolloutDump struct {
 	Model  string
@@ -56,6 +68,12 @@
 		Highest:   issuer.HighestFencing,
 		Serving:   s.orders.serving,
 	}
+	lowest := s.lowestWeights()
+	for _, model := range slices.Sorted(maps.Keys(lowest)) {
+		for _, named := range s.namedWeights(model).NewerThan(lowest[model]) {
+			d.NamedWeights = append(d.NamedWeights, NamedWeightsDump{Model: model, Version: named.Version, At: named.At})
+		}
+	}
 	for _, model := range s.orders.models {
 		r := s.orders.rollouts[model]
 		d.Rollouts = append(d.Rollouts, RolloutDump{
