--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -90,7 +90,8 @@
 		s.refuse(m.Request, code.DeadlinePassedNotRun, "the deadline passed while the connection was opened")
 		return
 	}
-	mayRun := !req.attempt.server.Chart.Is(fleet.TagLeaving) && s.sameWeights(req, req.attempt.server)
+	server := req.attempt.server
+	mayRun := !server.Chart.Is(fleet.TagLeaving) && s.sameWeights(req, server) && !s.weightsExpired(now, server)
 	if !mayRun || s.quarantine.IsQuarantined(req.fingerprint) {
 		// The requester closes the connection and reports a failed dial.
 		req.attempt.connectionDenied = true
