--- a/core/control/active.go
+++ b/core/control/active.go
@@ -81,6 +81,9 @@
 	blockImport *transfer
 	// crashRecorded is true when the crash of the server has been recorded.
 	crashRecorded bool
+	// workUntil is when the engine was told to stop working on the call because of
+	// its weights, or zero.
+	workUntil time.Time
 }
 
 // atMostOnce reports whether the request has an idempotency key, so that it
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -23,6 +23,7 @@
 // prepareAttempt sets the attempt that the chart's action begin_attempt starts.
 func (s *State) prepareAttempt(now time.Time, req *activeRequest, choice placement.Choice) {
 	req.attempt = &activeAttempt{id: req.attempts + 1, server: choice.Server, weights: choice.Server.Weights, startedAt: now, choice: choice}
+	req.attempt.workUntil = s.workUntil(req.attempt)
 	if choice.Plan != nil {
 		req.attempt.store = s.stores[choice.Plan.Store]
 	}
@@ -147,13 +148,13 @@
 	}
 	s.recordServerReport(now, req.attempt, m)
 	newerWeights := s.updateReportedWeights(now, req.attempt.server, m)
-	if m.ConnectionBroken {
+	if m.ConnectionBroken && !req.attempt.endedAtStartLimit(now) {
 		s.recordServerCrash(now, req.attempt)
 	}
 	switch m.Outcome {
 	case Succeeded:
 		if s.repeatsFaultyResponse(now, req, m) {
-			s.fireAttemptEvent(req, "fail", now)
+			s.fireAttemptEvent(req, req.attempt.failureEvent(now), now)
 			s.attemptFailed(now, req, "attempt_failed", code.New(code.BackendLost, "the backend server failed"))
 			break
 		}
@@ -166,7 +167,7 @@
 		s.fireAttemptEvent(req, refusalEvent(m, newerWeights), now)
 		s.attemptFailed(now, req, "attempt_refused", m.Cause)
 	case Lost:
-		s.fireAttemptEvent(req, "fail", now)
+		s.fireAttemptEvent(req, req.attempt.failureEvent(now), now)
 		s.attemptFailed(now, req, "attempt_failed", m.Cause)
 	case Stopped:
 		s.fireAttemptEvent(req, "drop", now)
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -67,6 +67,9 @@
 	// FetchUntilMS is the time by which fetches must have finished, in milliseconds
 	// on the servers' clock, or 0 for no limit.
 	FetchUntilMS int64
+	// WorkUntil is when the server must stop working on the call, or zero when only
+	// the deadline of the call limits it.
+	WorkUntil time.Time
 	// Prefix is the id of the last shared part of the prompt, or empty.
 	Prefix string
 	// PromptTokens is the number of tokens of the prompt, PrefillTokens the number
@@ -236,6 +239,7 @@
 		Organisation:  req.organisation,
 		Priority:      min(req.classConfig.Priority, lowestPriority),
 		ModelEngine:   attempt.server.Role == fleet.RoleEngine,
+		WorkUntil:     attempt.workUntil,
 		Prefix:        placement.LastSharedPart(req.Call.Parts).ID,
 		PromptTokens:  req.PromptTokens,
 		PrefillTokens: attempt.choice.Prefill,
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -180,19 +180,27 @@
 func (c *callRelay) attempt(ctx context.Context, dispatch control.Dispatch, checkSend egress.SendCheck) egress.Result {
 	c.dispatch = dispatch
 	c.attemptStartedAt = time.Now()
-	remaining := time.Until(c.exchange.request.Deadline)
 	c.logAssignment(dispatch)
 	attempt := egress.ForwardAttempt{
 		ID:     c.exchange.request.ID,
 		Method: c.r.Method,
 		Target: forward.RequestTarget(c.r),
 		Host:   c.r.Host,
-		Header: c.frontend.options.Protocol.AttemptHeader(c.r.Header, *dispatch.Forward, remaining, c.lastEventID),
+		Header: c.frontend.options.Protocol.AttemptHeader(c.r.Header, *dispatch.Forward, c.workTime(), c.lastEventID),
 		Body:   c.body,
 	}
 	return c.frontend.options.Egress.Forward(ctx, dispatch.Address, c.frontend.options.Protocol, attempt, timeoutsOf(dispatch), checkSend, c)
 }
 
+// workTime returns how long the server may work on the attempt.
+func (c *callRelay) workTime() time.Duration {
+	until := c.exchange.request.Deadline
+	if limit := c.dispatch.Forward.WorkUntil; !limit.IsZero() && limit.Before(until) {
+		until = limit
+	}
+	return time.Until(until)
+}
+
 // logAssignment logs the server of an attempt and the inputs of the decision.
 func (c *callRelay) logAssignment(dispatch control.Dispatch) {
 	plan := dispatch.Forward
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -16,8 +16,10 @@
 	Host   string
 	Header http.Header
 	Body   string
-	// Ran is true when the server executed the call, at least in part.
-	Ran bool
+	// Ran is true when the server executed the call, at least in part, and BeganAt is
+	// when it began to.
+	Ran     bool
+	BeganAt time.Time
 	// Weights is the weight version that was loaded when the call arrived.
 	Weights int
 }
@@ -54,8 +56,16 @@
 	Unframed
 	// Slow runs the call and responds after one second.
 	Slow
-	// BehaviourCount is the number of behaviours.
+	// BehaviourCount is the number of the behaviours above, which wait for no other
+	// call of the test.
 	BehaviourCount
+	// HoldUntilDeadline keeps the call in the queue until Release and then runs it. At
+	// the deadline of the call it refuses it with 503 as not executed. It does not
+	// notice that the connection was closed.
+	HoldUntilDeadline
+	// HoldWhileConnected keeps the call in the queue until Release and then runs it. It
+	// ignores the deadline and drops the call when the connection is closed.
+	HoldWhileConnected
 )
 
 // Plan is a queue of behaviours for the next calls. Servers that share a plan
@@ -97,6 +107,9 @@
 	// Plan may be shared by several servers.
 	Plan *Plan
 
+	// released is closed by Release.
+	released chan struct{}
+
 	mu       sync.Mutex
 	received []Request
 	weights  int
@@ -110,7 +123,12 @@
 // NewServer returns a server with an empty plan and weight version 1. If events is
 // 0, it is a server of a plain service.
 func NewServer(id string, events int) *Server {
-	return &Server{ID: id, Events: events, Plan: &Plan{}, weights: 1}
+	return &Server{ID: id, Events: events, Plan: &Plan{}, weights: 1, released: make(chan struct{})}
+}
+
+// Release lets the server run the calls that it holds. It may be called once.
+func (s *Server) Release() {
+	close(s.released)
 }
 
 // SetWeights sets the loaded weight version, as after a restart of the server.
@@ -160,9 +178,10 @@
 	}
 }
 
-// recordCall records a call and returns its behaviour, and whether the call runs. A
-// call that expects another instance or weight version does not run.
-func (s *Server) recordCall(r *http.Request) (Behaviour, bool) {
+// recordCall records a call and returns its index in received, its behaviour, and
+// whether the call is accepted. A call that expects another instance or weight version
+// is not accepted.
+func (s *Server) recordCall(r *http.Request) (int, Behaviour, bool) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -174,28 +193,58 @@
 	}
 	expected := r.Header.Get("Expect-Version")
 	behaviour := Respond
-	received.Ran = r.Header.Get("Expect-Instance") == s.ID && (expected == "" || expected == strconv.Itoa(s.weights))
-	if received.Ran {
+	accepted := r.Header.Get("Expect-Instance") == s.ID && (expected == "" || expected == strconv.Itoa(s.weights))
+	if accepted {
 		behaviour = s.Plan.pop()
-		received.Ran = behaviour != Shed
+		accepted = behaviour != Shed
+	}
+	if accepted && behaviour < BehaviourCount {
+		received.Ran, received.BeganAt = true, time.Now()
 	}
 	s.received = append(s.received, received)
-	return behaviour, received.Ran
+	return len(s.received) - 1, behaviour, accepted
+}
+
+// hold waits until a held call begins and records that. It returns false when the call
+// does not begin.
+func (s *Server) hold(r *http.Request, index int, behaviour Behaviour) bool {
+	var dropped <-chan struct{}
+	var expired <-chan time.Time
+	if behaviour == HoldUntilDeadline {
+		deadline, _ := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+		expired = time.After(time.Duration(deadline) * time.Millisecond)
+	} else {
+		dropped = r.Context().Done()
+	}
+	select {
+	case <-dropped:
+		return false
+	case <-expired:
+		return false
+	case <-s.released:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received[index].Ran, s.received[index].BeganAt = true, time.Now()
+	return true
 }
 
 // handleCall responds with 421 to a call that expects another instance or weight
 // version, and otherwise according to the plan.
 func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
-	behaviour, ran := s.recordCall(r)
+	index, behaviour, accepted := s.recordCall(r)
 	if s.Events > 0 {
 		version, _ := s.Weights()
 		w.Header().Set("Weight-Versions", strconv.Itoa(version))
 	}
-	if !ran && behaviour != Shed {
+	if !accepted && behaviour != Shed {
 		w.Header().Set("Instance-Id", s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if behaviour > BehaviourCount && !s.hold(r, index, behaviour) {
+		behaviour = Shed
+	}
 	id := r.Header.Get(headerAttempt)
 	switch behaviour {
 	case Shed:
