--- a/core/control/active.go
+++ b/core/control/active.go
@@ -84,6 +84,8 @@
 	// workUntil is when the engine was told to stop working on the call because of
 	// its weights, or zero.
 	workUntil time.Time
+	// stopSent is true when the attempt was ordered to stop at its start limit.
+	stopSent bool
 }
 
 // atMostOnce reports whether the request has an idempotency key, so that it
--- a/core/control/agentmessage.go
+++ b/core/control/agentmessage.go
@@ -185,6 +185,9 @@
 		s.reply(m.ID, ConfigAnswer{Current: s.configuration.current})
 	case OrderMessage:
 		s.decideOrders(now, m)
+		if _, named := m.(WeightsNamed); named {
+			s.stopLateStarts(now)
+		}
 	case LeaseResult:
 		s.leaseResult(now, m)
 	default:
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -148,13 +148,13 @@
 	}
 	s.recordServerReport(now, req.attempt, m)
 	newerWeights := s.updateReportedWeights(now, req.attempt.server, m)
-	if m.ConnectionBroken && !req.attempt.endedAtStartLimit(now) {
+	if m.ConnectionBroken && !req.attempt.endedAtStartLimit(now, m) {
 		s.recordServerCrash(now, req.attempt)
 	}
 	switch m.Outcome {
 	case Succeeded:
 		if s.repeatsFaultyResponse(now, req, m) {
-			s.fireAttemptEvent(req, req.attempt.failureEvent(now), now)
+			s.fireAttemptEvent(req, req.attempt.failureEvent(now, m), now)
 			s.attemptFailed(now, req, "attempt_failed", code.New(code.BackendLost, "the backend server failed"))
 			break
 		}
@@ -167,7 +167,8 @@
 		s.fireAttemptEvent(req, refusalEvent(m, newerWeights), now)
 		s.attemptFailed(now, req, "attempt_refused", m.Cause)
 	case Lost:
-		s.fireAttemptEvent(req, req.attempt.failureEvent(now), now)
+		s.logLateStart(now, req, m)
+		s.fireAttemptEvent(req, req.attempt.failureEvent(now, m), now)
 		s.attemptFailed(now, req, "attempt_failed", m.Cause)
 	case Stopped:
 		s.fireAttemptEvent(req, "drop", now)
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -250,7 +250,7 @@
 	}
 	if f.ModelEngine {
 		f.Weights = attempt.weights
-		f.NewerWeights, f.NewerAge = s.newerWeights(now, attempt.server)
+		f.NewerWeights, f.NewerAge = s.newerWeights(now, modelOf(attempt.server), attempt.weights)
 		f.Salt = placement.Salt(attempt.server.Model, attempt.weights, s.isolatedOrganisation(req))
 		f.FetchFrom = attempt.choice.FetchFrom
 		f.SaveTo = attempt.choice.SaveTo
--- a/core/control/startlimit_test.go
+++ b/core/control/startlimit_test.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"tanagerspread/core/code"
+	"tanagerspread/core/event"
 )
 
 // sendCall places a call to an engine and sends it.
@@ -17,6 +19,17 @@
 	return d
 }
 
+// stopsOf returns the attempts that a message stops.
+func stopsOf(s *State, now time.Time, m Message) []StopAttempt {
+	var stops []StopAttempt
+	for _, command := range s.Handle(now, m).Commands {
+		if stop, ok := command.(StopAttempt); ok {
+			stops = append(stops, stop)
+		}
+	}
+	return stops
+}
+
 // TestNoSendOnOldWeightsAfterDial guards against a call that is placed before the limit
 // and sent after it, because the connection took long to open.
 func TestNoSendOnOldWeightsAfterDial(t *testing.T) {
@@ -60,6 +73,86 @@
 	}
 }
 
+// TestLateStartStopped guards against an engine with old weights that holds a call for
+// longer than the limit, also a call that was sent before the newer weights were named,
+// and against an opened circuit of an engine whose attempt the node ended itself.
+func TestLateStartStopped(t *testing.T) {
+	for _, c := range []struct {
+		sent    time.Duration
+		trigger Message
+	}{
+		{-time.Second, Tick{}},
+		{8 * time.Second, Tick{}},
+		{8 * time.Second, WeightsNamed{Model: "m", Weights: 3}},
+	} {
+		s := forwardState(t, 1)
+		named := testStart.Add(2 * time.Second)
+		limit := named.Add(testWeightsLimit)
+		if c.sent > 0 {
+			s.Handle(named, WeightsNamed{Model: "m", Weights: 2})
+		}
+		d := sendCall(t, s, named.Add(c.sent))
+		s.requests["a"].chart.TimeoutAt = limit.Add(time.Minute)
+		s.requests["a"].Deadline = limit.Add(time.Minute)
+		if c.sent < 0 {
+			s.Handle(named, WeightsNamed{Model: "m", Weights: 2})
+		}
+		s.Handle(named.Add(9*time.Second), VMList{VMs: append(forwardServers(1, 1), VM{
+			ID: "m9", Address: "m9", Role: "engine", Serves: "models", Model: "m", Weights: 3, MaxConcurrency: 64,
+		})})
+		if got := stopsOf(s, limit.Add(-time.Millisecond), Tick{}); got != nil {
+			t.Errorf("%+v: stopped before the limit: %+v", c, got)
+		}
+		got := stopsOf(s, limit, c.trigger)
+		if len(got) != 1 || got[0].Request != "a" || got[0].Attempt != d.Attempt {
+			t.Fatalf("%+v: stopped %+v at the limit, want the attempt", c, got)
+		}
+		if again := stopsOf(s, limit.Add(time.Second), Tick{}); again != nil {
+			t.Errorf("%+v: stopped again: %+v", c, again)
+		}
+		out := s.Handle(limit, AttemptDone{Request: "a", Attempt: d.Attempt, Outcome: Lost, Cause: got[0].Cause})
+		logged := slices.ContainsFunc(out.Commands, func(c Command) bool {
+			log, ok := c.(LogEvent)
+			return ok && log.Event.Number == event.AttemptStopped.Number
+		})
+		next, ok := replyTo(t, out, "a").(Dispatch)
+		if !ok || next.Server != "m9" || !logged {
+			t.Errorf("%+v: got %+v, logged %v; want the call repeated at the other engine", c, next, logged)
+		}
+		if server := s.servers["m0"]; server.Failures != 0 || s.requests["a"].dispatches != 1 {
+			t.Errorf("%+v: %d failures, %d dispatches", c, server.Failures, s.requests["a"].dispatches)
+		}
+	}
+}
+
+// TestFirstPartBeatsStop guards against an attempt that is stopped although its response
+// has begun, and against a call that is repeated although its response arrived together
+// with the stop.
+func TestFirstPartBeatsStop(t *testing.T) {
+	limit := testStart.Add(testWeightsLimit)
+	begun := func(stopFirst bool) *State {
+		s := forwardState(t, 2)
+		s.Handle(testStart, WeightsNamed{Model: "m", Weights: 2})
+		d := sendCall(t, s, testStart.Add(8*time.Second))
+		s.requests["a"].Deadline = limit.Add(time.Minute)
+		if stopFirst && len(stopsOf(s, limit, Tick{})) != 1 {
+			t.Fatal("the attempt is not stopped")
+		}
+		s.Handle(limit, FirstToken{Request: "a", Attempt: d.Attempt})
+		return s
+	}
+	if got := stopsOf(begun(false), limit, Tick{}); got != nil {
+		t.Errorf("an attempt with a first part is stopped: %+v", got)
+	}
+	s := begun(true)
+	if got, ok := handleFirst(s, limit, AttemptDone{Request: "a", Attempt: 1, Outcome: Succeeded}).(Deliver); !ok {
+		t.Errorf("a complete response after a stop: got %+v, want it delivered", got)
+	}
+	if got := stopsOf(s, limit.Add(time.Second), Tick{}); got != nil {
+		t.Errorf("a finished attempt is stopped: %+v", got)
+	}
+}
+
 // TestStreamCutAtLimitNoCrash guards against an engine that counts as crashed because it
 // stopped a call when it was told to.
 func TestStreamCutAtLimitNoCrash(t *testing.T) {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -287,6 +287,7 @@
 	s.tickOrders(now)
 	s.expireTransfers(now)
 	s.quarantine.Expire(now)
+	s.stopLateStarts(now)
 	s.expireRequests(now)
 	s.recordTracker.Expire(now)
 	s.assignQueued(now)
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -151,16 +151,16 @@
 	return !newer.AgeKnown() || now.Sub(newer.At) >= limit-maxStartWait
 }
 
-// newerWeights returns the first version that was named after the weights of an engine,
-// and its age. It returns zeros when the engine has the newest weights, and the age
-// unknownAge when the age is not known.
-func (s *State) newerWeights(now time.Time, server *fleet.Server) (version int, age time.Duration) {
-	newer, found := s.namedWeights(modelOf(server)).FirstNewer(server.Weights)
+// newerWeights returns the first version of a model that was named after the given one,
+// and its age. It returns zeros when there is none, and the age unknownAge when the age
+// is not known.
+func (s *State) newerWeights(now time.Time, model string, version int) (newer int, age time.Duration) {
+	named, found := s.namedWeights(model).FirstNewer(version)
 	switch {
-	case !found || !server.WeightsOutdated:
+	case !found:
 		return 0, 0
-	case !newer.AgeKnown():
-		return newer.Version, unknownAge
+	case !named.AgeKnown():
+		return named.Version, unknownAge
 	}
-	return newer.Version, now.Sub(newer.At)
+	return named.Version, now.Sub(named.At)
 }
--- a/node/egress/completion.go
+++ b/node/egress/completion.go
@@ -146,16 +146,18 @@
 // failedResult classifies an error of an attempt. A coded cancellation cause of
 // the context takes precedence over the transport error that results from it.
 func failedResult(ctx context.Context, err error) Result {
+	var ended *code.Error
+	errors.As(context.Cause(ctx), &ended)
 	var stopped *stoppedError
-	if errors.As(err, &stopped) {
+	// A receiver that returns the cancellation cause reports it and stops nothing.
+	if errors.As(err, &stopped) && (ended == nil || !errors.Is(stopped.cause, ended)) {
 		return Result{Outcome: control.Stopped, Cause: stopCause(stopped.cause)}
 	}
 	if NotSent(err) {
 		return Result{Outcome: control.DialFailed, Cause: classify(err)}
 	}
-	var timeout *code.Error
-	if cause := context.Cause(ctx); errors.As(cause, &timeout) {
-		return Result{Outcome: control.Lost, Cause: timeout}
+	if ended != nil {
+		return Result{Outcome: control.Lost, Cause: ended}
 	}
 	if ctx.Err() != nil {
 		return Result{Outcome: control.Stopped, Cause: stopCause(ctx.Err())}
--- a/node/egress/forward_test.go
+++ b/node/egress/forward_test.go
@@ -117,3 +117,16 @@
 		}
 	}
 }
+
+// TestReceiverReturnsCause guards against an attempt that the node ended with a cause and
+// that is not repeated, because its receiver learned of the end first.
+func TestReceiverReturnsCause(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(code.New(code.OutdatedWeights, "stopped"))
+	if got := failedResult(ctx, &stoppedError{cause: context.Cause(ctx)}); got.Outcome != control.Lost || got.Cause.Code != code.OutdatedWeights {
+		t.Errorf("the cause itself: got %+v, want an attempt that may have run", got)
+	}
+	if got := failedResult(ctx, &stoppedError{cause: net.ErrClosed}); got.Outcome != control.Stopped {
+		t.Errorf("another error: got %+v, want a stopped attempt", got)
+	}
+}
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -158,6 +158,7 @@
 	exchange *exchange
 	body     []byte
 	dispatch control.Dispatch
+	running  *runningAttempt
 	// arrivedAt is when the call arrived, attemptStartedAt when its attempt
 	// started (zero once the first event is reported), and firstPartAt when the
 	// first part of the response was received.
@@ -180,6 +181,9 @@
 func (c *callRelay) attempt(ctx context.Context, dispatch control.Dispatch, checkSend egress.SendCheck) egress.Result {
 	c.dispatch = dispatch
 	c.attemptStartedAt = time.Now()
+	running, end := c.frontend.startAttempt(ctx, attemptKey{c.exchange.request.ID, dispatch.Attempt})
+	defer end()
+	c.running = running
 	c.logAssignment(dispatch)
 	attempt := egress.ForwardAttempt{
 		ID:     c.exchange.request.ID,
@@ -189,7 +193,7 @@
 		Header: c.frontend.options.Protocol.AttemptHeader(c.r.Header, *dispatch.Forward, c.workTime(), c.lastEventID),
 		Body:   c.body,
 	}
-	return c.frontend.options.Egress.Forward(ctx, dispatch.Address, c.frontend.options.Protocol, attempt, timeoutsOf(dispatch), checkSend, c)
+	return c.frontend.options.Egress.Forward(running.ctx, dispatch.Address, c.frontend.options.Protocol, attempt, timeoutsOf(dispatch), checkSend, c)
 }
 
 // workTime returns how long the server may work on the attempt.
@@ -256,7 +260,9 @@
 // Event writes the next event and flushes it. It skips events that the caller has
 // already received, and returns code.AnswerTruncated when an event id is missing.
 func (c *callRelay) Event(event forward.Event) error {
-	c.reportFirstEvent()
+	if err := c.reportFirstEvent(); err != nil {
+		return err
+	}
 	if event.ID != forward.NoEventID {
 		if event.ID <= c.lastEventID {
 			return nil
@@ -273,10 +279,14 @@
 	return http.NewResponseController(c.w).Flush()
 }
 
-// reportFirstEvent reports the first event of an attempt to the control thread.
-func (c *callRelay) reportFirstEvent() {
+// reportFirstEvent reports the first event of an attempt to the control thread. It
+// returns an error when the attempt was stopped before.
+func (c *callRelay) reportFirstEvent() error {
 	if c.attemptStartedAt.IsZero() {
-		return
+		return nil
+	}
+	if err := c.running.firstPart(); err != nil {
+		return err
 	}
 	now := time.Now()
 	if c.firstPartAt.IsZero() {
@@ -286,6 +296,7 @@
 		Request: c.exchange.request.ID, Attempt: c.dispatch.Attempt, Elapsed: now.Sub(c.attemptStartedAt),
 	})
 	c.attemptStartedAt = time.Time{}
+	return nil
 }
 
 // finish writes the end of the response. A complete response of a server is
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,6 +97,9 @@
 	ready   atomic.Bool
 	// pendingBytes counts the bytes of the bodies of forwarded calls in progress.
 	pendingBytes atomic.Int64
+	// attempts holds the attempts of forwarded calls in progress: values of type
+	// *runningAttempt by attemptKey. The control thread reads it without waiting.
+	attempts sync.Map
 }
 
 // NewFrontend returns a frontend that is not ready yet.
--- a/node/ingress/notrun_test.go
+++ b/node/ingress/notrun_test.go
@@ -170,6 +170,8 @@
 	code.KeyReused, code.InProgress, code.OutcomeUnknown, code.AnswerNotKept,
 	// TestCompleteCompletionsOnly and TestCompleteServiceResponsesOnly.
 	code.BackendSilent, code.AnswerTruncated, code.AnswerMismatched,
+	// TestHeldCallNeverBeginsOnOldWeights; only forwarded calls have this limit.
+	code.OutdatedWeights,
 	// The quarantine tests in core/control.
 	code.Quarantined, code.QuarantinedRan,
 	// Not provoked at any fault point here.
--- /dev/null
+++ b/node/ingress/stop_test.go
@@ -0,0 +1,143 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/control"
+	"tanagerspread/node/egress"
+	"tanagerspread/platform"
+	"tanagerspread/standin/pipe"
+)
+
+// noObserver counts nothing.
+type noObserver struct{}
+
+func (noObserver) ObserveOutcome(*code.Error)                                         {}
+func (noObserver) ObserveCallDuration(config.RouteKind, time.Duration, time.Duration) {}
+
+// stopControl is a control thread with one attempt, whose outcome it records.
+type stopControl struct {
+	ControlThread
+	done control.AttemptDone
+}
+
+func (c *stopControl) Tell(control.Message) bool { return true }
+
+func (c *stopControl) Ask(_ context.Context, question control.Question) (control.Decision, *code.Error) {
+	switch q := question.(type) {
+	case control.Admit:
+		return control.Admitted{Deadline: q.Request.Deadline, Route: &config.Route{}}, nil
+	case control.Place:
+		return control.Dispatch{
+			Attempt: 1, Server: "i-1", Address: "server:1", Forward: &control.Forwarding{ModelEngine: true},
+			DialTimeout: time.Minute, HeaderTimeout: time.Minute, GapTimeout: time.Minute,
+		}, nil
+	case control.AttemptDone:
+		c.done = q
+		if q.Outcome == control.Succeeded {
+			return control.Deliver{}, nil
+		}
+		return control.Refusal{Err: q.Cause}, nil
+	}
+	return control.Proceed{}, nil
+}
+
+// TestStopAgainstFirstEvent guards against a stop that cuts a response which has begun,
+// against a first event that reaches the caller although the attempt was stopped and is
+// repeated, and against a stop that ends an attempt as if the caller had gone.
+func TestStopAgainstFirstEvent(t *testing.T) {
+	const headers = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: a\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	const first, second = "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
+	for _, stopStep := range []int{1, 2} {
+		stopFirst := stopStep == 1
+		synctest.Test(t, func(t *testing.T) {
+			network := pipe.NewNetwork()
+			listener := network.Listen("server:1")
+			decisions := &stopControl{}
+			front := NewFrontend(Options{
+				Control: decisions, Egress: egress.NewClient(network.Dial), Logger: logr.Discard(), Observer: noObserver{},
+				Protocol: platform.Protocol{}, MaxBodyBytes: 1 << 10,
+			})
+			stop := func() {
+				front.StopAttempt(control.StopAttempt{Request: "a", Attempt: 1, Cause: code.New(code.OutdatedWeights, "stopped")})
+			}
+			stop()
+			go serveInSteps(listener, []string{headers, first, second}, func(step int) {
+				synctest.Wait()
+				if step == stopStep {
+					stop()
+				}
+			})
+			r := httptest.NewRequest(http.MethodGet, "/x", nil)
+			r.Header.Set("Request-Attempt-Id", "a")
+			w := httptest.NewRecorder()
+			aborted := func() (aborted bool) {
+				defer func() { aborted = recover() != nil }()
+				front.Handler().ServeHTTP(w, r)
+				return
+			}()
+			stop()
+			if !stopFirst && (decisions.done.Outcome != control.Succeeded || w.Body.String() != first+second || aborted) {
+				t.Errorf("stopped after the first event: %+v, body %q", decisions.done, w.Body)
+			}
+			if stopFirst && (decisions.done.Outcome != control.Lost || decisions.done.Cause.Code != code.OutdatedWeights || w.Body.Len() > 0 || !aborted) {
+				t.Errorf("stopped before the first event: %+v, body %q", decisions.done, w.Body)
+			}
+		})
+	}
+}
+
+// serveInSteps answers one request with the parts of a response and calls before ahead of
+// each part.
+func serveInSteps(listener net.Listener, parts []string, before func(step int)) {
+	conn, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	for step, part := range parts {
+		before(step)
+		if _, err := io.WriteString(conn, part); err != nil {
+			return
+		}
+	}
+}
+
+// TestFirstEventAfterStop guards against an event that was read when the attempt was
+// stopped and is delivered although the attempt is repeated.
+func TestFirstEventAfterStop(t *testing.T) {
+	cause := code.New(code.OutdatedWeights, "stopped")
+	f := NewFrontend(Options{})
+	for _, stopFirst := range []bool{false, true} {
+		running, end := f.startAttempt(t.Context(), attemptKey{"a", 1})
+		stop := func() { f.StopAttempt(control.StopAttempt{Request: "a", Attempt: 1, Cause: cause}) }
+		if stopFirst {
+			stop()
+		}
+		err := running.firstPart()
+		stop()
+		if stopped := errors.Is(err, cause); stopped != stopFirst || (running.ctx.Err() != nil) != stopFirst {
+			t.Errorf("stopped first %v: first part %v, context %v", stopFirst, err, running.ctx.Err())
+		}
+		end()
+		if _, found := f.attempts.Load(attemptKey{"a", 1}); found {
+			t.Error("an ended attempt can be stopped")
+		}
+	}
+}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -235,6 +235,8 @@
 	switch c := command.(type) {
 	case corecontrol.NodeState:
 		n.applyNodeState(c)
+	case corecontrol.StopAttempt:
+		n.front.StopAttempt(c)
 	case corecontrol.IssuerCommand, corecontrol.SendOrder, corecontrol.ReadEngine:
 		n.orders.Submit(command)
 	case corecontrol.ExportBlocks:
