--- a/core/control/ordercharts.go
+++ b/core/control/ordercharts.go
@@ -43,16 +43,20 @@
 
 func (s *State) orderBindings() chart.Bindings[*order.Order] {
 	return chart.Bindings[*order.Order]{
+		Tags: orderTags,
 		Guards: map[string]func(*order.Order, time.Time) bool{
-			"overdue":         func(o *order.Order, now time.Time) bool { return o.Overdue(now) },
-			"deadline_passed": func(o *order.Order, now time.Time) bool { return !now.Before(o.Deadline) },
+			"overdue":            func(o *order.Order, now time.Time) bool { return o.Overdue(now) },
+			"deadline_passed":    func(o *order.Order, now time.Time) bool { return !now.Before(o.Deadline) },
+			"resend_time_passed": func(o *order.Order, now time.Time) bool { return !now.Before(o.ResendUntil) },
+			"load_free":          func(*order.Order, time.Time) bool { return s.countLoads() < s.maxConcurrentLoads() },
 		},
 		Actions: map[string]func(*order.Order, time.Time){
-			"send":         s.sendOrder,
-			"read_back":    s.readEngineOfOrder,
-			"note_done":    s.recordOrderDone,
-			"note_failed":  s.recordOrderFailed,
-			"note_refused": s.recordOrderRefused,
+			"send":            s.sendOrder,
+			"read_back":       s.readEngineOfOrder,
+			"extend_deadline": s.extendOrderDeadline,
+			"note_done":       s.recordOrderDone,
+			"note_failed":     s.recordOrderFailed,
+			"note_refused":    s.recordOrderRefused,
 		},
 	}
 }
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -118,17 +118,32 @@
 // maxConcurrentLoads returns the number of engines that may load weights at
 // once.
 func (s *State) maxConcurrentLoads() int {
-	live := 0
+	return s.orderParameters().LoadLimit(order.CountLive(s.orders.engineList))
+}
+
+// maxOutstandingOrders returns the number of orders that may be outstanding.
+func (s *State) maxOutstandingOrders() int {
+	return s.orderParameters().OutstandingLimit(order.CountLive(s.orders.engineList))
+}
+
+// countLoads returns the number of engines that count as loading weights.
+func (s *State) countLoads() int {
+	count := 0
 	for _, engine := range s.orders.engineList {
-		if engine.Live {
-			live++
+		if engine.Order != nil && engine.Order.Chart.Is(tagCountsAsLoad) {
+			count++
 		}
 	}
-	return s.orderParameters().LoadLimit(live)
+	return count
 }
 
-// issueOrders sends orders until maxConcurrentLoads engines are loading or no
-// engine needs an order.
+// mayAddLoad reports whether another engine may get an order.
+func (s *State) mayAddLoad() bool {
+	return s.countLoads() < s.maxConcurrentLoads() && order.CountOutstanding(s.orders.engineList) < s.maxOutstandingOrders()
+}
+
+// issueOrders sends orders until maxConcurrentLoads engines are loading,
+// maxOutstandingOrders orders are outstanding or no engine needs an order.
 func (s *State) issueOrders(now time.Time) {
 	if !s.mayIssue(now) {
 		return
@@ -136,7 +151,7 @@
 	s.updateRollouts(now)
 	for _, model := range s.orders.models {
 		rollout := s.orders.rollouts[model]
-		for order.CountOutstanding(s.orders.engineList) < s.maxConcurrentLoads() {
+		for s.mayAddLoad() {
 			engine := rollout.NextEngine(now, s.orderParameters(), s.orders.engineList)
 			if engine == nil {
 				break
@@ -156,6 +171,7 @@
 		Fencing:        issuer.FencingNumber,
 		Desired:        rollout.Wanted,
 		Deadline:       now.Add(s.orderParameters().MaxOrderTime),
+		ResendUntil:    now.Add(s.orderParameters().ResendTime),
 		AcceptedBefore: engine.Status.AcceptedOrders,
 		Chart:          s.charts.order.Start(now),
 
@@ -167,8 +183,8 @@
 	engine.Order = o
 	s.sendOrder(o, now)
 	rollout.UpdateCounts(now, s.orders.engineList)
-	loading := order.CountOutstanding(s.orders.engineList)
-	s.options.Checker.Check(loading <= s.maxConcurrentLoads(), invariant.LoadsBounded, "%d orders in progress", loading)
+	outstanding := order.CountOutstanding(s.orders.engineList)
+	s.options.Checker.Check(outstanding <= s.maxOutstandingOrders(), invariant.LoadsBounded, "%d orders in progress", outstanding)
 	s.logEvent(event.OrderSent, "order", o.ID, "server", string(engine.ID), "model", o.Desired.Model, "weights", o.Desired.Weights)
 }
 
@@ -186,6 +202,11 @@
 	})
 }
 
+// extendOrderDeadline counts the deadline of an order from now.
+func (s *State) extendOrderDeadline(o *order.Order, now time.Time) {
+	o.Deadline = now.Add(s.orderParameters().MaxOrderTime)
+}
+
 func (s *State) recordOrderFailed(o *order.Order, now time.Time) {
 	o.Engine.Failures++
 	o.Engine.NotBefore = now.Add(s.orderParameters().RetryDelay)
--- a/core/control/tags.go
+++ b/core/control/tags.go
@@ -39,6 +39,8 @@
 	tagAwaitsLease chart.Tag = "awaits_lease"
 	// tagStandsBy marks an issuer that waits before it contends for the lease.
 	tagStandsBy chart.Tag = "stands_by"
+	// tagCountsAsLoad marks orders whose engine counts as loading weights.
+	tagCountsAsLoad chart.Tag = "counts_as_load"
 	// tagConfirmed marks a configuration that is confirmed to be in force.
 	tagConfirmed chart.Tag = "confirmed"
 
@@ -80,6 +82,7 @@
 	peerTags        = []chart.Tag{tagPresent, tagDead}
 	sessionTags     = []chart.Tag{tagHeld}
 	configTags      = []chart.Tag{tagConfirmed}
+	orderTags       = []chart.Tag{tagCountsAsLoad}
 	issuerTags      = []chart.Tag{tagMayIssue, tagAwaitsLease, tagStandsBy}
 	blockImportTags = []chart.Tag{tagMayTransfer}
 	blockExportTags = []chart.Tag{tagMayWriteManifest}
--- a/core/order/desired.go
+++ b/core/order/desired.go
@@ -22,6 +22,10 @@
 	TakeoverWait time.Duration
 	// MaxOrderTime is the longest time that an order may take.
 	MaxOrderTime time.Duration
+	// ResendTime is how long an order is sent again to an engine that counts its
+	// orders and has not accepted it. Such an engine executes only one of them, each
+	// possibly many seconds after it was sent.
+	ResendTime time.Duration
 	// GracePeriod is added to the deadline of an order. After it an engine that
 	// does not respond counts as no longer loading.
 	GracePeriod time.Duration
@@ -30,6 +34,11 @@
 	// MaxLoadFraction allows more concurrent loads than MaxLoads when there are
 	// many engines: this fraction of the live ones.
 	MaxLoadFraction float64
+	// OutstandingPerLoad is the number of orders that may be outstanding for each
+	// engine that may load; values below 1 mean 1. An engine that does not respond
+	// to an order may execute it seconds later, so that further engines are
+	// ordered meanwhile. All of them may then load at the same time.
+	OutstandingPerLoad int
 	// MaxUnavailable is the number of engines of a model that are loading or do
 	// not respond at which no further engine gets an order; 0 means no limit.
 	MaxUnavailable int
@@ -78,6 +87,12 @@
 	return max(p.MaxLoads, int(math.Ceil(p.MaxLoadFraction*float64(live))))
 }
 
+// OutstandingLimit returns the number of orders that may be outstanding, given the
+// number of live engines.
+func (p Parameters) OutstandingLimit(live int) int {
+	return p.LoadLimit(live) * max(1, p.OutstandingPerLoad)
+}
+
 // Desired is the state that an order asks for.
 type Desired struct {
 	Model   string
--- a/core/order/engine.go
+++ b/core/order/engine.go
@@ -14,6 +14,9 @@
 	Fencing  uint64
 	Desired  Desired
 	Deadline time.Time
+	// ResendUntil is the time from which the order is no longer sent again to an
+	// engine that counts its orders and has not accepted it.
+	ResendUntil time.Time
 	// AcceptedBefore is the number of orders that the engine had accepted before
 	// this one.
 	AcceptedBefore uint64
--- a/core/order/rollout.go
+++ b/core/order/rollout.go
@@ -117,6 +117,17 @@
 	return count
 }
 
+// CountLive returns the number of live engines.
+func CountLive(engines []*Engine) int {
+	count := 0
+	for _, e := range engines {
+		if e.Live {
+			count++
+		}
+	}
+	return count
+}
+
 // ServingWeights returns the weight version for new requests of a model. It is
 // the wanted version once half of the live engines have it, and remains so while
 // any engine has it. Otherwise it is the version that most engines have. before
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -55,6 +55,12 @@
 	// same time. The users' engines load more slowly when more than a sixth to
 	// a fifth of them load at the same time.
 	loadShare = 0.2
+	// outstandingPerLoad allows orders to four fifths of the engines while these do
+	// not respond to them. An engine that executes its order 2 to 12 s late loads for
+	// one of about five seconds after it got the order, so that about loadShare of
+	// the engines load at the same time. If all execute their orders at once, a
+	// fifth keeps serving.
+	outstandingPerLoad = 4
 	// connectTimeout bounds the opening of a connection to a server, to the
 	// store or to a peer.
 	connectTimeout = time.Second
@@ -224,16 +230,18 @@
 // in about one second, or more slowly while more than a sixth of them load.
 func orderParameters(s *platform.Settings) order.Parameters {
 	parameters := order.Parameters{
-		LeaseTTL:        s.LeaseTTL,
-		LeaseMargin:     leaseMargin,
-		TakeoverWait:    s.LeaseTTL - leaseMargin + takeoverMargin,
-		MaxOrderTime:    4 * time.Second,
-		GracePeriod:     500 * time.Millisecond,
-		MaxLoads:        2,
-		MaxLoadFraction: loadShare,
-		RetryDelay:      500 * time.Millisecond,
-		CallTimeout:     1500 * time.Millisecond,
-		OnDemand:        true,
+		LeaseTTL:           s.LeaseTTL,
+		LeaseMargin:        leaseMargin,
+		TakeoverWait:       s.LeaseTTL - leaseMargin + takeoverMargin,
+		MaxOrderTime:       4 * time.Second,
+		ResendTime:         15 * time.Second,
+		GracePeriod:        500 * time.Millisecond,
+		MaxLoads:           2,
+		MaxLoadFraction:    loadShare,
+		OutstandingPerLoad: outstandingPerLoad,
+		RetryDelay:         500 * time.Millisecond,
+		CallTimeout:        1500 * time.Millisecond,
+		OnDemand:           true,
 	}
 	if !s.ServersEnforceFencing {
 		// Servers that do not fence may still execute an order of an earlier
