--- a/core/control/lateorders_test.go
+++ b/core/control/lateorders_test.go
@@ -199,3 +199,42 @@
 		})
 	}
 }
+
+// TestNewerWeightsReplaceUnacceptedOrder guards against an engine that is sent
+// replaced weights again although it has not accepted the order for them, and so
+// loads twice (issue 22).
+func TestNewerWeightsReplaceUnacceptedOrder(t *testing.T) {
+	const engines = 9
+	site := newLateSite(engines, 1)
+	s := newDeployedState(t, "n1", site.now, vms(engines, 0, 0))
+	site.carryOut(s, s.Handle(site.now, WeightsNamed{Model: "m", Weights: 2}))
+	var asked *order.Engine
+	for asked == nil && site.now.Sub(testStart) < time.Minute {
+		site.step(s)
+		asked = unacceptedEngine(s)
+	}
+	if asked == nil {
+		t.Fatal("no order is unaccepted")
+	}
+	expected := asked.Order.AcceptedBefore
+	for _, command := range s.Handle(site.now, WeightsNamed{Model: "m", Weights: 3}).Commands {
+		if sent, ok := command.(SendOrder); ok && sent.Engine == asked.ID {
+			if sent.Desired.Weights != 3 || sent.ExpectedOrders != expected {
+				t.Errorf("sent weights %d with count %d, not 3 with %d", sent.Desired.Weights, sent.ExpectedOrders, expected)
+			}
+			return
+		}
+	}
+	t.Error("the order for the newer weights was not sent at once")
+}
+
+// unacceptedEngine returns an engine whose order awaits neither a response nor a
+// report and counts as no load, or nil.
+func unacceptedEngine(s *State) *order.Engine {
+	for _, engine := range s.orders.engineList {
+		if engine.Order != nil && !engine.CallInProgress && !engine.Order.Chart.Is(tagCountsAsLoad) {
+			return engine
+		}
+	}
+	return nil
+}
--- a/core/control/ordercharts.go
+++ b/core/control/ordercharts.go
@@ -53,6 +53,7 @@
 		Actions: map[string]func(*order.Order, time.Time){
 			"send":            s.sendOrder,
 			"read_back":       s.readEngineOfOrder,
+			"update":          s.updateOrder,
 			"extend_deadline": s.extendOrderDeadline,
 			"note_done":       s.recordOrderDone,
 			"note_failed":     s.recordOrderFailed,
--- a/core/control/orderengines.go
+++ b/core/control/orderengines.go
@@ -60,7 +60,10 @@
 			rollout = &order.Rollout{Model: name, Chart: s.charts.rollout.Start(now)}
 			s.orders.rollouts[name] = rollout
 		}
-		rollout.SetWanted(order.Desired{Model: name, Adapter: model.Adapter, Weights: model.Weights, Role: model.Role})
+		wanted := order.Desired{Model: name, Adapter: model.Adapter, Weights: model.Weights, Role: model.Role}
+		if rollout.SetWanted(wanted) {
+			s.supersedeOrders(name, now)
+		}
 		s.orders.models = append(s.orders.models, name)
 	}
 	sort.Strings(s.orders.models)
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -177,15 +177,47 @@
 
 		GracePeriod: s.orderParameters().GracePeriod,
 	}
-	if o.Desired.Role == "" {
-		o.Desired.Role = engine.Status.Current.Role
-	}
+	o.KeepRole()
 	engine.Order = o
 	s.sendOrder(o, now)
 	rollout.UpdateCounts(now, s.orders.engineList)
 	outstanding := order.CountOutstanding(s.orders.engineList)
 	s.options.Checker.Check(outstanding <= s.maxOutstandingOrders(), invariant.LoadsBounded, "%d orders in progress", outstanding)
-	s.logEvent(event.OrderSent, "order", o.ID, "server", string(engine.ID), "model", o.Desired.Model, "weights", o.Desired.Weights)
+	s.logOrderSent(o)
+}
+
+func (s *State) logOrderSent(o *order.Order) {
+	s.logEvent(event.OrderSent, "order", o.ID, "server", string(o.Engine.ID), "model", o.Desired.Model, "weights", o.Desired.Weights)
+}
+
+// updateOrder sets the desired state of an order to the one that is wanted now.
+// The engine must not have accepted the order.
+func (s *State) updateOrder(o *order.Order, now time.Time) {
+	rollout := s.orders.rollouts[o.Engine.Model]
+	if rollout == nil {
+		return
+	}
+	before := o.Desired
+	o.Desired = rollout.Wanted
+	o.KeepRole()
+	if o.Desired == before {
+		return
+	}
+	o.ResendUntil = now.Add(s.orderParameters().ResendTime)
+	s.logOrderSent(o)
+}
+
+// supersedeOrders sends the wanted state of a model to the engines that have not
+// accepted an order with an earlier one.
+func (s *State) supersedeOrders(model string, now time.Time) {
+	if !s.mayIssue(now) {
+		return
+	}
+	for _, engine := range s.orders.engineList {
+		if engine.Model == model {
+			s.fireOrderEvent(engine, "supersede", now)
+		}
+	}
 }
 
 // sendOrder sends an order. It is also used to send again an order that the
--- a/core/order/engine.go
+++ b/core/order/engine.go
@@ -25,6 +25,13 @@
 	Chart       chart.Instance
 }
 
+// KeepRole lets the engine keep its role when no role is wanted.
+func (o *Order) KeepRole() {
+	if o.Desired.Role == "" {
+		o.Desired.Role = o.Engine.Status.Current.Role
+	}
+}
+
 // Overdue reports whether the deadline and the grace period have passed, so that
 // the engine has certainly given up the order.
 func (o *Order) Overdue(now time.Time) bool {
