--- a/core/control/lateorders_test.go
+++ b/core/control/lateorders_test.go
@@ -238,3 +238,27 @@
 	}
 	return nil
 }
+
+// TestUnansweredOrdersOfTwoVersions guards against a second version, named while
+// orders for the first are unanswered, that waits until these have been given up.
+func TestUnansweredOrdersOfTwoVersions(t *testing.T) {
+	const engines = 9
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			site := newLateSite(engines, seed)
+			s := newDeployedState(t, "n1", site.now, vms(engines, 0, 0))
+			site.carryOut(s, s.Handle(site.now, WeightsNamed{Model: "m", Weights: 2}))
+			for site.now.Sub(testStart) < 1500*time.Millisecond {
+				site.step(s)
+			}
+			site.carryOut(s, s.Handle(site.now, WeightsNamed{Model: "m", Weights: 3}))
+			start := site.now
+			for site.outdated(3) > 1 && site.now.Sub(start) < time.Minute {
+				site.step(s)
+			}
+			if took := site.now.Sub(start); took > lateRolloutTime {
+				t.Errorf("%s until one of %d engines has older weights", took, engines)
+			}
+		})
+	}
+}
--- a/core/control/ordercharts.go
+++ b/core/control/ordercharts.go
@@ -48,7 +48,6 @@
 			"overdue":            func(o *order.Order, now time.Time) bool { return o.Overdue(now) },
 			"deadline_passed":    func(o *order.Order, now time.Time) bool { return !now.Before(o.Deadline) },
 			"resend_time_passed": func(o *order.Order, now time.Time) bool { return !now.Before(o.ResendUntil) },
-			"load_free":          func(*order.Order, time.Time) bool { return s.countLoads() < s.maxConcurrentLoads() },
 		},
 		Actions: map[string]func(*order.Order, time.Time){
 			"send":            s.sendOrder,
