--- a/core/control/life.go
+++ b/core/control/life.go
@@ -13,7 +13,7 @@
 	// of a ready node.
 	_ = s.charts.node.Fire(&s.nodeChart, s, event, now)
 	s.applyDrainDelay(before, now)
-	s.announceState()
+	s.stateChanged(now)
 }
 
 // applyDrainDelay sets the drain delay of the settings as the timeout of the
@@ -30,6 +30,14 @@
 
 func (s *State) expireNode(now time.Time) {
 	_, _ = s.charts.node.Expire(&s.nodeChart, s, now)
+	s.stateChanged(now)
+}
+
+// stateChanged ends the term of a node that leaves and announces the state.
+func (s *State) stateChanged(now time.Time) {
+	if s.nodeChart.Is(tagDeparts) {
+		s.fireIssuerEvent("leave", now)
+	}
 	s.announceState()
 }
 
--- a/core/control/ordercharts.go
+++ b/core/control/ordercharts.go
@@ -26,8 +26,9 @@
 	return chart.Bindings[*State]{
 		Tags: issuerTags,
 		Guards: map[string]func(*State, time.Time) bool{
-			"may_hold": s.mayBeIssuer,
-			"settled":  s.mayIssueFirstOrder,
+			"may_contend": s.mayContend,
+			"may_hold":    s.mayHoldLease,
+			"settled":     s.mayIssueFirstOrder,
 		},
 		Actions: map[string]func(*State, time.Time){
 			"read_key":     s.readKey,
--- a/core/control/orders_test.go
+++ b/core/control/orders_test.go
@@ -136,3 +136,53 @@
 		t.Error("the engine was not read again within 5 s")
 	}
 }
+
+// TestHolderIssuesWhileDraining guards against a holder of the lease that stops
+// issuing orders when its planned stop begins: during a rolling restart, engines
+// then kept old weights, because the next node waits for the lease and is often
+// stopped too before it issues the first order (issue 22).
+func TestHolderIssuesWhileDraining(t *testing.T) {
+	const engines = 9
+	site := newLateSite(engines, 1)
+	s := newDeployedState(t, "n1", site.now, vms(engines, 0, 0))
+	site.carryOut(s, s.Handle(site.now, WeightsNamed{Model: "m", Weights: 2}))
+	request := completion("r", 0, testStart.Add(time.Minute))
+	s.Handle(site.now, Admit{Request: request})
+	for !s.mayIssue(site.now) && site.now.Sub(testStart) < 10*time.Second {
+		site.step(s)
+	}
+	site.carryOut(s, s.Handle(site.now, Drain{}))
+	for site.now.Sub(testStart) < 15*time.Second {
+		site.step(s)
+		if !s.mayIssue(site.now) {
+			t.Fatalf("no longer the issuer after %s, state %s", site.now.Sub(testStart), s.nodeChart.State)
+		}
+	}
+	site.carryOut(s, s.Handle(site.now, Abandon{Request: request.ID}))
+	for !s.nodeChart.Is(tagDeparts) && site.now.Sub(testStart) < time.Minute {
+		site.step(s)
+	}
+	if s.inTerm() {
+		t.Error("the node leaves and is still the issuer")
+	}
+	for site.now.Sub(testStart) < time.Minute {
+		if site.step(s); s.inTerm() {
+			t.Fatal("a node that leaves contends for the lease")
+		}
+	}
+}
+
+// TestStoppingNodeDoesNotContend guards against a lease that goes to a node that
+// is about to leave.
+func TestStoppingNodeDoesNotContend(t *testing.T) {
+	const engines = 9
+	site := newLateSite(engines, 1)
+	s := newDeployedState(t, "n1", site.now, vms(engines, 0, 0))
+	s.Handle(site.now, Drain{})
+	site.carryOut(s, s.Handle(site.now, WeightsNamed{Model: "m", Weights: 2}))
+	for site.now.Sub(testStart) < 20*time.Second {
+		if site.step(s); s.inTerm() {
+			t.Fatal("a stopping node became the issuer")
+		}
+	}
+}
--- a/core/control/orderterm.go
+++ b/core/control/orderterm.go
@@ -148,9 +148,20 @@
 	return true
 }
 
-// mayBeIssuer reports whether the node may become or remain the issuer.
-func (s *State) mayBeIssuer(*State, time.Time) bool {
-	return s.nodeChart.Is(tagReady) && s.rules != nil && (!s.orderParameters().OnDemand || s.orderNeeded())
+// mayContend reports whether the node may try to become the issuer. A stopping
+// node does not, since it could issue only few orders before it leaves.
+func (s *State) mayContend(*State, time.Time) bool {
+	return s.nodeChart.Is(tagReady) && s.needsIssuer()
+}
+
+// mayHoldLease reports whether the node may remain the issuer.
+func (s *State) mayHoldLease(*State, time.Time) bool {
+	return s.nodeChart.Is(tagMayHoldIssuerLease) && s.needsIssuer()
+}
+
+// needsIssuer reports whether a node has to issue orders.
+func (s *State) needsIssuer() bool {
+	return s.rules != nil && (!s.orderParameters().OnDemand || s.orderNeeded())
 }
 
 func (s *State) logEvent(e event.Event, fields ...any) {
--- a/core/control/tags.go
+++ b/core/control/tags.go
@@ -53,13 +53,16 @@
 	// tagReady marks a node that accepts new requests. tagDrainDelay marks the
 	// state whose timeout the settings replace, tagDeparts the states in which
 	// the node advertises to its peers that it is leaving.
-	tagReady           chart.Tag = "ready"
-	tagDrainDelay      chart.Tag = "drain_delay"
-	tagDeparts         chart.Tag = "departs"
-	tagStopped         chart.Tag = "stopped"
-	tagRefusesStarting chart.Tag = "refuses_starting"
-	tagRefusesFenced   chart.Tag = "refuses_fenced"
-	tagRefusesDraining chart.Tag = "refuses_draining"
+	tagReady chart.Tag = "ready"
+	// tagMayHoldIssuerLease marks a node that keeps the lease of the issuer. It
+	// includes a stopping node, which works until it leaves.
+	tagMayHoldIssuerLease chart.Tag = "may_hold_issuer_lease"
+	tagDrainDelay         chart.Tag = "drain_delay"
+	tagDeparts            chart.Tag = "departs"
+	tagStopped            chart.Tag = "stopped"
+	tagRefusesStarting    chart.Tag = "refuses_starting"
+	tagRefusesFenced      chart.Tag = "refuses_fenced"
+	tagRefusesDraining    chart.Tag = "refuses_draining"
 )
 
 // nodeRefusals lists the refusals of new requests by the tag of the node's state.
@@ -78,7 +81,7 @@
 	requestTags     = []chart.Tag{tagPlaceable, tagDispatched}
 	onceTags        = []chart.Tag{tagPlaceable, tagDispatched, tagWritesRecord, tagReleasesClaim}
 	attemptTags     = []chart.Tag{tagOpens, tagAwaitsHeaders, tagReceives, tagRuns}
-	nodeTags        = []chart.Tag{tagReady, tagDrainDelay, tagDeparts, tagStopped, tagRefusesStarting, tagRefusesFenced, tagRefusesDraining}
+	nodeTags        = []chart.Tag{tagReady, tagMayHoldIssuerLease, tagDrainDelay, tagDeparts, tagStopped, tagRefusesStarting, tagRefusesFenced, tagRefusesDraining}
 	peerTags        = []chart.Tag{tagPresent, tagDead}
 	sessionTags     = []chart.Tag{tagHeld}
 	configTags      = []chart.Tag{tagConfirmed}
