--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -76,8 +76,10 @@
 	if !s.orderParameters().OnDemand || s.orders.keyHeld || !s.orders.issuer.Chart.Is(tagStandsBy) {
 		return
 	}
-	delay := min(time.Duration(s.contendRank())*contentionDelay, maxContentionDelay)
+	rank := s.contendRank()
+	delay := min(time.Duration(rank)*contentionDelay, maxContentionDelay)
 	s.orders.issuer.Chart.TimeoutAt = now.Add(delay)
+	s.logEvent(event.IssuerScheduled, "rank", rank, "delay_ms", delay.Milliseconds(), "ready", s.nodeChart.Is(tagReady), "needed", s.needsIssuer())
 }
 
 // contendRank returns the position of this node in the order in which the
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -78,6 +78,7 @@
 	WeightsAgeLearned     = register(2765, LevelInfo, "age of named weights was learned from a peer", "node", "model", "weights", "peer", "age_ms")
 	EngineWeightsReported = register(2763, LevelInfo, "engine reported weights other than the known ones", "server", "weights", "known")
 	EngineWeightsInvalid  = register(2764, LevelError, "engine reported weights that are not a number", "server")
+	IssuerScheduled       = register(2766, LevelInfo, "node scheduled when it contends for the issuer lease", "node", "rank", "delay_ms", "ready", "needed")
 )
 
 // The events of invariants.
