--- /dev/null
+++ b/core/control/contention_test.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerspread/core/fleet"
+)
+
+const (
+	// contendLimit is the time within which a node that can issue orders must
+	// contend for a free lease: it may be stopped again a second later.
+	contendLimit = 700 * time.Millisecond
+	contendTick  = 50 * time.Millisecond
+)
+
+// firstKeyRead returns the time until the node reads the key of the issuer, which is
+// its first step of the claim, or the limit when it does not.
+func firstKeyRead(s *State, start time.Time, limit time.Duration) time.Duration {
+	for waited := time.Duration(0); waited < limit; waited += contendTick {
+		for _, command := range s.Handle(start.Add(waited), Tick{}).Commands {
+			if c, ok := command.(IssuerCommand); ok && c.Step == IssuerRead {
+				return waited
+			}
+		}
+	}
+	return limit
+}
+
+// TestRestartedNodeContendsAtOnce guards against a node that, after a restart, waits
+// for members that it knows only as seeds: in a rolling restart each node was
+// stopped again before it contended, and no node issued orders for 12 s (issue 22).
+func TestRestartedNodeContendsAtOnce(t *testing.T) {
+	list := vms(9, 0, 0)
+	for i := range 6 {
+		id := fmt.Sprintf("seed 10.0.0.%d:1", i)
+		list = append(list, VM{ID: id, Role: fleet.RoleEntryVM, PeerAddress: id})
+	}
+	s := newDeployedState(t, "n1", testStart, list)
+	s.Handle(testStart, WeightsNamed{Model: "m", Weights: 2})
+	if waited := firstKeyRead(s, testStart, time.Minute); waited > contendLimit {
+		t.Errorf("contends after %s", waited)
+	}
+}
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"sort"
 	"time"
 
 	"tanagerspread/core/config"
@@ -12,8 +11,9 @@
 
 const (
 	// contentionDelay is the delay between two nodes that contend for the lease
-	// of the issuer, so that one of them usually has it before the next one asks.
-	contentionDelay = 700 * time.Millisecond
+	// of the issuer, so that one of them usually has it before the next one asks. A
+	// claim takes three calls of the key-value service and the watch of its key.
+	contentionDelay = 200 * time.Millisecond
 	// maxContentionDelay bounds the delay of the last node.
 	maxContentionDelay = 4 * time.Second
 )
@@ -82,17 +82,20 @@
 	s.logEvent(event.IssuerScheduled, "rank", rank, "delay_ms", delay.Milliseconds(), "ready", s.nodeChart.Is(tagReady), "needed", s.needsIssuer())
 }
 
-// contendRank returns the position of this node in the order in which the
-// members contend.
+// contendRank returns the position of this node in the order in which the members
+// that may contend do so. A member that has sent no digest to this process, or is
+// leaving or dead, has no position: a node that has just started knows the others
+// only as seeds, and would wait for members that are down.
 func (s *State) contendRank() int {
-	members := append([]string(nil), s.members.Members()...)
-	sort.Slice(members, func(i, j int) bool { return s.contendWeight(members[i]) > s.contendWeight(members[j]) })
-	for rank, member := range members {
-		if member == s.options.Node {
-			return rank
+	own := s.contendWeight(s.options.Node)
+	rank := 0
+	for _, peer := range s.members.Peers() {
+		heard := !peer.LastReportAt.IsZero() && peer.Chart.Is(tagPresent)
+		if heard && s.contendWeight(peer.ID) > own {
+			rank++
 		}
 	}
-	return len(members)
+	return rank
 }
 
 // contendWeight returns the sort key of a member in that order. It depends on
