--- a/core/control/contention_test.go
+++ b/core/control/contention_test.go
@@ -43,3 +43,20 @@
 		t.Errorf("contends after %s", waited)
 	}
 }
+
+// TestNodeContendsWhenReady guards against a node that becomes ready after the
+// weights were named and waits for the next timeout of the standby state.
+func TestNodeContendsWhenReady(t *testing.T) {
+	s := newDeployedState(t, "n1", testStart, vms(9, 0, 0))
+	s.fireNodeEvent("fence", testStart)
+	s.Handle(testStart, WeightsNamed{Model: "m", Weights: 2})
+	fencedFor := 200 * time.Millisecond
+	if waited := firstKeyRead(s, testStart, fencedFor); waited < fencedFor {
+		t.Fatal("a fenced node contends")
+	}
+	ready := testStart.Add(fencedFor)
+	s.fireNodeEvent("confirm", ready)
+	if waited := firstKeyRead(s, ready, time.Minute); waited > contendLimit {
+		t.Errorf("contends %s after it became ready", waited)
+	}
+}
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -32,6 +32,9 @@
 	// keyHeld is true while, according to the last observation, a node holds the
 	// issuer's key.
 	keyHeld bool
+	// ableToContend is true when the node could contend for the lease at the last
+	// tick.
+	ableToContend bool
 	// lastSweep is when the sweep last read an engine, nextSwept the index of
 	// that engine in engineList.
 	lastSweep time.Time
@@ -75,6 +78,7 @@
 		return
 	}
 	s.expireLease(now)
+	s.scheduleWhenAble(now)
 	_, _ = s.charts.issuer.Expire(&s.orders.issuer.Chart, s, now)
 	if !s.inTerm() {
 		return
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -82,6 +82,16 @@
 	s.logEvent(event.IssuerScheduled, "rank", rank, "delay_ms", delay.Milliseconds(), "ready", s.nodeChart.Is(tagReady), "needed", s.needsIssuer())
 }
 
+// scheduleWhenAble schedules contention when this node becomes able to contend, for
+// example because it has just become ready.
+func (s *State) scheduleWhenAble(now time.Time) {
+	able := s.mayContend(s, now)
+	if able && !s.orders.ableToContend {
+		s.scheduleContention(now)
+	}
+	s.orders.ableToContend = able
+}
+
 // contendRank returns the position of this node in the order in which the members
 // that may contend do so. A member that has sent no digest to this process, or is
 // leaving or dead, has no position: a node that has just started knows the others
