--- a/core/control/contention_test.go
+++ b/core/control/contention_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"tanagerspread/core/code"
 	"tanagerspread/core/fleet"
 )
 
@@ -60,3 +61,16 @@
 		t.Errorf("contends %s after it became ready", waited)
 	}
 }
+
+// TestFailedContentionIsRepeated guards against a lease that stays free for 5 s
+// because one call of the key-value service failed.
+func TestFailedContentionIsRepeated(t *testing.T) {
+	s := newDeployedState(t, "n1", testStart, vms(9, 0, 0))
+	s.Handle(testStart, WeightsNamed{Model: "m", Weights: 2})
+	first := firstKeyRead(s, testStart, time.Minute)
+	failed := testStart.Add(first + 20*time.Millisecond)
+	s.Handle(failed, IssuerResult{Step: IssuerRead, Attempt: s.orders.issuer.Attempt, AskedAt: failed, Err: code.New(code.KeyValueAway, "no response")})
+	if waited := firstKeyRead(s, failed, time.Minute); waited > contendLimit || waited < contentionRetryDelay {
+		t.Errorf("contends again after %s", waited)
+	}
+}
--- a/core/control/namedweights.go
+++ b/core/control/namedweights.go
@@ -61,7 +61,7 @@
 	if s.rules != nil {
 		s.syncEngines(now)
 	}
-	s.scheduleContention(now)
+	s.scheduleContention(now, 0)
 }
 
 // announceWeights sends a version with its age to peers at once, so that all nodes count
--- a/core/control/ordercharts.go
+++ b/core/control/ordercharts.go
@@ -31,13 +31,14 @@
 			"settled":     s.mayIssueFirstOrder,
 		},
 		Actions: map[string]func(*State, time.Time){
-			"read_key":     s.readKey,
-			"grant_lease":  func(*State, time.Time) { s.sendIssuerStep(IssuerGrant) },
-			"claim_key":    func(*State, time.Time) { s.sendIssuerStep(IssuerClaim) },
-			"renew_lease":  func(*State, time.Time) { s.sendIssuerStep(IssuerRenew) },
-			"begin_term":   s.startTerm,
-			"choose_fence": s.chooseFence,
-			"end_term":     s.finishTerm,
+			"read_key":      s.readKey,
+			"grant_lease":   func(*State, time.Time) { s.sendIssuerStep(IssuerGrant) },
+			"claim_key":     func(*State, time.Time) { s.sendIssuerStep(IssuerClaim) },
+			"renew_lease":   func(*State, time.Time) { s.sendIssuerStep(IssuerRenew) },
+			"begin_term":    s.startTerm,
+			"choose_fence":  s.chooseFence,
+			"end_term":      s.finishTerm,
+			"contend_again": func(_ *State, now time.Time) { s.scheduleContention(now, contentionRetryDelay) },
 		},
 	}
 }
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -16,6 +16,9 @@
 	contentionDelay = 200 * time.Millisecond
 	// maxContentionDelay bounds the delay of the last node.
 	maxContentionDelay = 4 * time.Second
+	// contentionRetryDelay is the least time between a failed call for the lease and
+	// the next attempt.
+	contentionRetryDelay = 500 * time.Millisecond
 )
 
 // maxStartWait is how long a call may wait at a server before it starts to run:
@@ -66,18 +69,19 @@
 		s.orders.issuer.OtherHolderSeenAt = now
 	}
 	if !m.Held {
-		s.scheduleContention(now)
+		s.scheduleContention(now, 0)
 	}
 }
 
-// scheduleContention schedules when this node contends for the lease of the issuer. The
-// nodes contend one after the other, in an order that differs from term to term.
-func (s *State) scheduleContention(now time.Time) {
+// scheduleContention schedules when this node contends for the lease of the issuer,
+// after leastDelay at the earliest. The nodes contend one after the other, in an
+// order that differs from term to term.
+func (s *State) scheduleContention(now time.Time, leastDelay time.Duration) {
 	if !s.orderParameters().OnDemand || s.orders.keyHeld || !s.orders.issuer.Chart.Is(tagStandsBy) {
 		return
 	}
 	rank := s.contendRank()
-	delay := min(time.Duration(rank)*contentionDelay, maxContentionDelay)
+	delay := leastDelay + min(time.Duration(rank)*contentionDelay, maxContentionDelay)
 	s.orders.issuer.Chart.TimeoutAt = now.Add(delay)
 	s.logEvent(event.IssuerScheduled, "rank", rank, "delay_ms", delay.Milliseconds(), "ready", s.nodeChart.Is(tagReady), "needed", s.needsIssuer())
 }
@@ -87,7 +91,7 @@
 func (s *State) scheduleWhenAble(now time.Time) {
 	able := s.mayContend(s, now)
 	if able && !s.orders.ableToContend {
-		s.scheduleContention(now)
+		s.scheduleContention(now, 0)
 	}
 	s.orders.ableToContend = able
 }
