--- a/core/control/lateorders_test.go
+++ b/core/control/lateorders_test.go
@@ -208,14 +208,7 @@
 	site := newLateSite(engines, 1)
 	s := newDeployedState(t, "n1", site.now, vms(engines, 0, 0))
 	site.carryOut(s, s.Handle(site.now, WeightsNamed{Model: "m", Weights: 2}))
-	var asked *order.Engine
-	for asked == nil && site.now.Sub(testStart) < time.Minute {
-		site.step(s)
-		asked = unacceptedEngine(s)
-	}
-	if asked == nil {
-		t.Fatal("no order is unaccepted")
-	}
+	asked := site.untilUnaccepted(t, s)
 	expected := asked.Order.AcceptedBefore
 	for _, command := range s.Handle(site.now, WeightsNamed{Model: "m", Weights: 3}).Commands {
 		if sent, ok := command.(SendOrder); ok && sent.Engine == asked.ID {
@@ -228,6 +221,20 @@
 	t.Error("the order for the newer weights was not sent at once")
 }
 
+// untilUnaccepted advances the time until an engine has not accepted its order, and
+// returns that engine.
+func (l *lateSite) untilUnaccepted(t *testing.T, s *State) *order.Engine {
+	t.Helper()
+	for l.now.Sub(testStart) < time.Minute {
+		l.step(s)
+		if engine := unacceptedEngine(s); engine != nil {
+			return engine
+		}
+	}
+	t.Fatal("no order is unaccepted")
+	return nil
+}
+
 // unacceptedEngine returns an engine whose order awaits neither a response nor a
 // report and counts as no load, or nil.
 func unacceptedEngine(s *State) *order.Engine {
@@ -262,3 +269,45 @@
 		})
 	}
 }
+
+// TestRestartedEngineGetsOrder guards against an engine that restarts, counts its
+// orders from zero and is sent an order with the former count again and again, which
+// it refuses each time.
+func TestRestartedEngineGetsOrder(t *testing.T) {
+	site := newLateSite(3, 1)
+	for _, e := range site.engines {
+		e.accepted = 5
+	}
+	s := newDeployedState(t, "n1", site.now, vms(3, 0, 0))
+	site.carryOut(s, s.Handle(site.now, WeightsNamed{Model: "m", Weights: 2}))
+	asked := site.untilUnaccepted(t, s)
+	site.engines[asked.ID].accepted = 0
+	restarted := site.now
+	for site.now.Sub(restarted) < 2*time.Second {
+		site.step(s)
+	}
+	if asked.Order == nil || asked.Order.AcceptedBefore != 0 {
+		t.Errorf("the order names another count than the engine: %+v", asked.Order)
+	}
+}
+
+// TestLeavingEngineGetsNoFurtherOrder guards against an order that is sent again to an
+// engine that leaves.
+func TestLeavingEngineGetsNoFurtherOrder(t *testing.T) {
+	site := newLateSite(3, 1)
+	list := vms(3, 0, 0)
+	s := newDeployedState(t, "n1", site.now, list)
+	site.carryOut(s, s.Handle(site.now, WeightsNamed{Model: "m", Weights: 2}))
+	asked := site.untilUnaccepted(t, s)
+	for i := range list {
+		list[i].Leaving = list[i].ID == string(asked.ID)
+	}
+	site.carryOut(s, s.Handle(site.now, VMList{VMs: list}))
+	left := site.now
+	for site.now.Sub(left) < 2*time.Second {
+		site.step(s)
+	}
+	if asked.Order != nil {
+		t.Errorf("the order to a leaving engine is still outstanding: %+v", asked.Order)
+	}
+}
--- a/core/control/ordercharts.go
+++ b/core/control/ordercharts.go
@@ -47,9 +47,9 @@
 	return chart.Bindings[*order.Order]{
 		Tags: orderTags,
 		Guards: map[string]func(*order.Order, time.Time) bool{
-			"overdue":            func(o *order.Order, now time.Time) bool { return o.Overdue(now) },
-			"deadline_passed":    func(o *order.Order, now time.Time) bool { return !now.Before(o.Deadline) },
-			"resend_time_passed": func(o *order.Order, now time.Time) bool { return !now.Before(o.ResendUntil) },
+			"overdue":         func(o *order.Order, now time.Time) bool { return o.Overdue(now) },
+			"deadline_passed": func(o *order.Order, now time.Time) bool { return !now.Before(o.Deadline) },
+			"resend_ends":     func(o *order.Order, now time.Time) bool { return !o.Engine.Live || !now.Before(o.ResendUntil) },
 		},
 		Actions: map[string]func(*order.Order, time.Time){
 			"send":            s.sendOrder,
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -195,8 +195,10 @@
 }
 
 // updateOrder sets the desired state of an order to the one that is wanted now.
-// The engine must not have accepted the order.
+// The engine must not have accepted the order. An engine that has restarted counts
+// its orders from zero again.
 func (s *State) updateOrder(o *order.Order, now time.Time) {
+	o.AcceptedBefore = min(o.AcceptedBefore, o.Engine.Status.AcceptedOrders)
 	rollout := s.orders.rollouts[o.Engine.Model]
 	if rollout == nil {
 		return
