--- a/core/control/ordercharts.go
+++ b/core/control/ordercharts.go
@@ -56,6 +56,7 @@
 			"read_back":       s.readEngineOfOrder,
 			"update":          s.updateOrder,
 			"extend_deadline": s.extendOrderDeadline,
+			"note_unaccepted": s.recordOrderUnaccepted,
 			"note_done":       s.recordOrderDone,
 			"note_failed":     s.recordOrderFailed,
 			"note_refused":    s.recordOrderRefused,
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -245,6 +245,10 @@
 	o.Deadline = now.Add(s.orderParameters().MaxOrderTime)
 }
 
+func (s *State) recordOrderUnaccepted(o *order.Order, _ time.Time) {
+	s.logEvent(event.OrderUnaccepted, "order", o.ID, "server", string(o.Engine.ID), "accepted", o.Engine.Status.AcceptedOrders)
+}
+
 func (s *State) recordOrderFailed(o *order.Order, now time.Time) {
 	o.Engine.Failures++
 	o.Engine.NotBefore = now.Add(s.orderParameters().RetryDelay)
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -79,6 +79,7 @@
 	EngineWeightsReported = register(2763, LevelInfo, "engine reported weights other than the known ones", "server", "weights", "known")
 	EngineWeightsInvalid  = register(2764, LevelError, "engine reported weights that are not a number", "server")
 	IssuerScheduled       = register(2766, LevelInfo, "node scheduled when it contends for the issuer lease", "node", "rank", "delay_ms", "ready", "needed")
+	OrderUnaccepted       = register(2767, LevelInfo, "engine has not accepted an order, which no longer counts as a load", "node", "order", "server", "accepted")
 )
 
 // The events of invariants.
