--- a/core/control/orders_test.go
+++ b/core/control/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io/fs"
 	"slices"
 	"testing"
 	"time"
@@ -12,28 +13,37 @@
 )
 
 // TestIssuerChart guards against a path of the chart on which a node issues
-// orders without the wait that must follow each claim.
+// orders without the wait that must follow each claim, or goes on issuing when it
+// leaves. It explores the chart of each deployment.
 func TestIssuerChart(t *testing.T) {
-	def, err := chart.Load(chart.Embedded(), "issuer")
-	if err != nil {
-		t.Fatal(err)
+	for name, files := range map[string]fs.FS{"own": chart.Embedded(), "deployed": chart.Deployed()} {
+		t.Run(name, func(t *testing.T) {
+			def, err := chart.Load(files, "issuer")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := chart.Explore(def, checkIssuerStep); err != nil {
+				t.Error(err)
+			}
+		})
 	}
+}
+
+func checkIssuerStep(memory int, step chart.Step) (int, error) {
 	const waiting, mayIssue = 0, 1
-	err = chart.Explore(def, func(memory int, step chart.Step) (int, error) {
-		if step.Event == "claimed" || step.To == "standby" {
-			return waiting, nil
-		}
-		if step.Guard == "settled" {
-			return mayIssue, nil
-		}
-		if (step.To == "issuing" || step.To == "renewing") && memory != mayIssue {
-			return memory, errors.New("issues orders before the wait after the claim has finished")
-		}
-		return memory, nil
-	})
-	if err != nil {
-		t.Error(err)
+	if step.Event == "leave" && step.To != "standby" {
+		return memory, errors.New("keeps the lease when the node leaves")
+	}
+	if step.Event == "claimed" || step.To == "standby" {
+		return waiting, nil
+	}
+	if step.Guard == "settled" {
+		return mayIssue, nil
+	}
+	if (step.To == "issuing" || step.To == "renewing") && memory != mayIssue {
+		return memory, errors.New("issues orders before the wait after the claim has finished")
 	}
+	return memory, nil
 }
 
 // TestRequestKeepsVersion guards against a request that is sent to an engine
