--- a/node/eventlog/queue.go
+++ b/node/eventlog/queue.go
@@ -11,6 +11,7 @@
 type Queue struct {
 	lines     chan []byte
 	dropped   atomic.Int64
+	closing   chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
 }
@@ -18,21 +19,43 @@
 // NewQueue returns a queue that holds the given number of lines for out. Close
 // must be called to write the lines that are still queued.
 func NewQueue(out io.Writer, lines int) *Queue {
-	q := &Queue{lines: make(chan []byte, lines), done: make(chan struct{})}
+	q := &Queue{lines: make(chan []byte, lines), closing: make(chan struct{}), done: make(chan struct{})}
 	go q.run(out)
 	return q
 }
 
 func (q *Queue) run(out io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
-		if _, err := out.Write(line); err != nil {
-			// The failure cannot be logged, so it is only counted.
-			q.dropped.Add(1)
+	for {
+		select {
+		case line := <-q.lines:
+			q.writeLine(out, line)
+		case <-q.closing:
+			q.flush(out)
+			return
 		}
 	}
 }
 
+// flush writes the lines that are queued.
+func (q *Queue) flush(out io.Writer) {
+	for {
+		select {
+		case line := <-q.lines:
+			q.writeLine(out, line)
+		default:
+			return
+		}
+	}
+}
+
+func (q *Queue) writeLine(out io.Writer, line []byte) {
+	if _, err := out.Write(line); err != nil {
+		// The failure cannot be logged, so it is only counted.
+		q.dropped.Add(1)
+	}
+}
+
 // Write queues a copy of the line. It returns len(line) and no error even when
 // the line is dropped, so that logging never affects the process.
 func (q *Queue) Write(line []byte) (int, error) {
@@ -49,9 +72,9 @@
 	return q.dropped.Load()
 }
 
-// Close waits until the queued lines are written. Write must not be called
-// afterwards.
+// Close waits until the queued lines are written. Lines that are written afterwards, by
+// goroutines that outlive the queue, are lost.
 func (q *Queue) Close() {
-	q.closeOnce.Do(func() { close(q.lines) })
+	q.closeOnce.Do(func() { close(q.closing) })
 	<-q.done
 }
--- a/node/eventlog/queue_test.go
+++ b/node/eventlog/queue_test.go
@@ -38,3 +38,20 @@
 		t.Errorf("%d lines written and %d dropped of 10", written, dropped)
 	}
 }
+
+// TestWriteAfterClose guards against a process that panics as it ends, because a call is
+// still in progress that logs its failure.
+func TestWriteAfterClose(t *testing.T) {
+	out := &strings.Builder{}
+	q := eventlog.NewQueue(out, 2)
+	_, _ = q.Write([]byte("before\n"))
+	q.Close()
+	for range 5 {
+		if _, err := q.Write([]byte("after\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if out.String() != "before\n" {
+		t.Errorf("written %q, want the line before the close", out)
+	}
+}
