--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -244,9 +244,10 @@
 		OnDemand:           true,
 	}
 	if !s.ServersEnforceFencing {
-		// Servers that do not fence may still execute an order of an earlier
-		// holder.
-		parameters.TakeoverWait = s.LeaseTTL + parameters.MaxOrderTime
+		// The last order of an earlier holder may still arrive. One that arrived may be
+		// executed at any time; its number of accepted orders prevents that after a
+		// newer order.
+		parameters.TakeoverWait += parameters.CallTimeout
 	}
 	return parameters
 }
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -46,7 +46,9 @@
 	cacheStore string
 	// nodeMemoryBytes is the memory of each node.
 	nodeMemoryBytes int64
-	cleanups        []func()
+	// unfenced is true when the servers do not enforce fencing tokens.
+	unfenced bool
+	cleanups []func()
 }
 
 // runAtSite runs a test at a site without a configuration.
@@ -96,6 +98,8 @@
 	signals   chan os.Signal
 	done      chan error
 	log       *logBuffer
+	// kill ends the process without a planned stop.
+	kill context.CancelFunc
 }
 
 // logBuffer collects the log of a node. It is safe for concurrent use.
@@ -126,9 +130,10 @@
 	nodeSettings := &platform.Settings{
 		Node: name, Domain: "a", IP: name, CallerAddress: n.address, ReadinessAddress: n.readiness, PeerAddress: name + ":peers", LastPort: 7715,
 		Seeds: seeds, StoreAddress: storeAddress, MemoryBytes: s.nodeMemoryBytes, LeaseTTL: 3 * time.Second,
-		ServersEnforceFencing: true, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, OutdatedWeightsLimit: 12 * time.Second,
+		ServersEnforceFencing: !s.unfenced, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, OutdatedWeightsLimit: 12 * time.Second,
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
+	n.kill = cancel
 	options := process.DeployedOptions{
 		Settings: nodeSettings, Tuning: settings.DefaultTuning(), Log: n.log, LogLevel: event.LevelInfo, Signals: n.signals,
 		ReloadSettings: func() (*platform.Settings, []platform.Fault) { return nodeSettings, nil },
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -368,6 +368,40 @@
 	})
 }
 
+// TestRolloutAfterHolderKilled guards against a rollout that stands still for longer than
+// needed after its holder was killed, at sites whose servers do not enforce fencing
+// tokens: the lease expires after 3 s, and an order of the killed node may be in flight
+// for 1.5 s.
+func TestRolloutAfterHolderKilled(t *testing.T) {
+	runAtSite(t, func(s *deployedSite) {
+		s.unfenced = true
+		var servers []*deployed.Server
+		for i := range 4 {
+			servers = append(servers, s.startServer(fmt.Sprintf("i-%d", i), 2))
+		}
+		s.writeConfiguration(testKey)
+		nodes := []*deployedNode{s.startNode("n1"), s.startNode("n2")}
+		time.Sleep(10 * time.Second)
+		s.store.SetWeightVersion(2)
+		killed := false
+		for !killed {
+			time.Sleep(10 * time.Millisecond)
+			for _, n := range nodes {
+				if strings.Contains(n.log.String(), `"event":2751`) {
+					n.kill()
+					killed = true
+				}
+			}
+		}
+		time.Sleep(9 * time.Second)
+		for _, server := range servers {
+			if version, _ := server.Weights(); version != 2 {
+				t.Errorf("%s has weights %d 9 s after the holder was killed", server.ID, version)
+			}
+		}
+	})
+}
+
 // TestNodeStartsDuringRollout guards against a node that starts after new weights were
 // named, takes them for just named and sends calls to engines with the old ones.
 func TestNodeStartsDuringRollout(t *testing.T) {
