--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,3 +64,28 @@
 		}
 	}
 }
+
+// TestOldestWeightsFirst guards against a rollout that starts over with the engines that
+// it updated last when a newer version is named, while others keep the oldest weights
+// beyond their limit.
+func TestOldestWeightsFirst(t *testing.T) {
+	var engines []*Engine
+	for i, weights := range []int{2, 1, 2, 1} {
+		engines = append(engines, &Engine{ID: fleet.ServerID(fmt.Sprint(i)), Model: "m", Live: true, Reported: true, Status: Status{Current: Desired{Model: "m", Weights: weights}}})
+	}
+	engines[1].Failures = 1
+	rollout := &Rollout{Model: "m", Wanted: Desired{Model: "m", Weights: 3}}
+	var got []fleet.ServerID
+	for range engines {
+		rollout.UpdateCounts(testStart, engines)
+		e := rollout.NextEngine(testStart, Parameters{}, engines)
+		if e == nil {
+			break
+		}
+		e.Status.Current.Weights = 3
+		got = append(got, e.ID)
+	}
+	if want := []fleet.ServerID{"3", "0", "2", "1"}; !slices.Equal(got, want) {
+		t.Errorf("engines are ordered in the sequence %v, want %v", got, want)
+	}
+}
--- a/core/order/rollout.go
+++ b/core/order/rollout.go
@@ -76,7 +76,8 @@
 
 // NextEngine returns the engine of the model that gets the next order, or nil
 // when none may get one now. A model with at least two live engines always keeps
-// one that serves requests.
+// one that serves requests. Of the engines with the fewest failed orders, the one with
+// the oldest weights comes first, because their limit ends first.
 func (r *Rollout) NextEngine(now time.Time, parameters Parameters, engines []*Engine) *Engine {
 	if parameters.MaxUnavailable > 0 && r.Counts.Out >= min(parameters.MaxUnavailable, max(1, r.Counts.Live-1)) {
 		return nil
@@ -86,7 +87,7 @@
 	}
 	var next *Engine
 	for _, e := range engines {
-		if e.Model == r.Model && r.mayOrder(now, e) && (next == nil || e.Failures < next.Failures) {
+		if e.Model == r.Model && r.mayOrder(now, e) && (next == nil || e.comesBefore(next)) {
 			next = e
 		}
 	}
@@ -99,6 +100,14 @@
 	return !r.HalfDoneAt.IsZero() && !now.Before(r.HalfDoneAt.Add(parameters.HandoverTime))
 }
 
+// comesBefore reports whether an engine gets its order before another one.
+func (e *Engine) comesBefore(other *Engine) bool {
+	if e.Failures != other.Failures {
+		return e.Failures < other.Failures
+	}
+	return e.Status.Current.Weights < other.Status.Current.Weights
+}
+
 func (r *Rollout) mayOrder(now time.Time, e *Engine) bool {
 	if !e.Live || !e.Reported || e.Unreachable || e.Order != nil || e.CallInProgress {
 		return false
