--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -163,7 +163,7 @@
 // mayResend is the guard of an attempt after one that a server reported as not
 // run.
 func (s *State) mayResend(req *activeRequest, now time.Time) bool {
-	return s.mayRedial(req, now) && s.repeatWindows.Allows(req.service, now, s.sharingNodes())
+	return s.mayRedial(req, now) && s.repeatWindows.Allows(req.service, now)
 }
 
 // mayRepeat is the guard of an attempt after one that may have run.
--- a/core/control/forward_test.go
+++ b/core/control/forward_test.go
@@ -49,10 +49,10 @@
 	return out
 }
 
-// forwardState returns the state of a node that has run for catchUpTime.
+// forwardState returns the state of a node that has run for a minute.
 func forwardState(t failer, servers int) *State {
 	t.Helper()
-	return forwardStateSince(t, servers, testStart.Add(-catchUpTime))
+	return forwardStateSince(t, servers, testStart.Add(-time.Minute))
 }
 
 // forwardStateSince returns the state of a node that started at the given time.
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -171,7 +171,7 @@
 		rates:           limits.NewRateLimiter(),
 		tokenRates:      limits.NewRateLimiter(),
 		retryBudgets:    retry.NewBudgets(),
-		repeatWindows:   retry.NewRepeatLimiter(options.RepeatLimit),
+		repeatWindows:   retry.NewRepeatLimiter(options.RepeatLimit, now),
 		serverIndex:     fleet.Index{ByService: options.Forwarding},
 		quarantine:      quarantine.NewList(),
 		exports:         kvcache.NewExports(),
@@ -278,6 +278,7 @@
 // work.
 func (s *State) tick(now time.Time) {
 	s.detectPause(now)
+	s.repeatWindows.RecordNodes(s.sharingNodes(), now)
 	s.expireNode(now)
 	s.tickAgents(now)
 	s.expireServers(now)
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -54,3 +54,47 @@
 		t.Error("an attempt that starts at its deadline is allowed, or one without a deadline is refused")
 	}
 }
+
+// countRepeats makes as many repeats as the limiter allows.
+func countRepeats(l *RepeatLimiter, now time.Time) int {
+	count := 0
+	for l.Allows("s", now) {
+		l.RecordRepeat("s", now)
+		count++
+	}
+	return count
+}
+
+// TestRestartedNodesShareNoBase guards against a limit that is exceeded when nodes are
+// killed: the others must not take over the shares that these may have used, and the
+// processes that replace them must not use theirs again.
+func TestRestartedNodesShareNoBase(t *testing.T) {
+	limit := RepeatLimit{Window: 10 * time.Second, BaseAllowance: 60}
+	start := time.Unix(1_700_000_000, 0)
+	now := start.Add(time.Minute)
+	const nodes = 6
+	total := 0
+	survivor := NewRepeatLimiter(limit, start)
+	for range nodes - 1 {
+		killed := NewRepeatLimiter(limit, start)
+		killed.RecordNodes(nodes, now)
+		total += countRepeats(killed, now)
+	}
+	survivor.RecordNodes(nodes, now)
+	later := now.Add(limit.Window / 2)
+	survivor.RecordNodes(1, later)
+	total += countRepeats(survivor, later)
+	for range nodes - 1 {
+		restarted := NewRepeatLimiter(limit, later)
+		restarted.RecordNodes(nodes, later)
+		total += countRepeats(restarted, later)
+	}
+	if float64(total) > limit.BaseAllowance {
+		t.Errorf("%d repeats in a window, the limit is %v", total, limit.BaseAllowance)
+	}
+	afterwards := now.Add(3 * limit.Window)
+	survivor.RecordNodes(1, afterwards)
+	if got := countRepeats(survivor, afterwards); got < int(limit.BaseAllowance/2) {
+		t.Errorf("the only node of a later window may make %d repeats", got)
+	}
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // windowSlots is the number of slots into which a window is divided. The ring has
 // one more slot, so that the counted slots always cover the length of the window.
@@ -26,8 +29,13 @@
 // RepeatLimiter counts the first attempts and the repeats at each service in a
 // sliding window and limits the repeats.
 type RepeatLimiter struct {
-	limit    RepeatLimit
-	services map[string]*window
+	limit     RepeatLimit
+	startedAt time.Time
+	services  map[string]*window
+	// sharers has the largest number of nodes that shared the limit in each of the
+	// newest slots, up to sharersSlot.
+	sharers     [windowSlots + 1]int
+	sharersSlot int64
 }
 
 // window holds the counts of one service in a ring of slots.
@@ -38,10 +46,21 @@
 	newestSlot int64
 }
 
-// NewRepeatLimiter returns a limiter without counts. A limit with a Window of 0
-// allows every repeat.
-func NewRepeatLimiter(limit RepeatLimit) *RepeatLimiter {
-	return &RepeatLimiter{limit: limit, services: map[string]*window{}}
+// NewRepeatLimiter returns a limiter without counts for a node that starts now. A limit
+// with a Window of 0 allows every repeat.
+func NewRepeatLimiter(limit RepeatLimit, now time.Time) *RepeatLimiter {
+	return &RepeatLimiter{limit: limit, startedAt: now, services: map[string]*window{}}
+}
+
+// RecordNodes records the number of nodes that share the limit.
+func (l *RepeatLimiter) RecordNodes(nodes int, now time.Time) {
+	slot := l.slot(now)
+	for i := max(l.sharersSlot+1, slot-windowSlots); i <= slot; i++ {
+		l.sharers[i%(windowSlots+1)] = 0
+	}
+	l.sharersSlot = max(l.sharersSlot, slot)
+	newest := &l.sharers[l.sharersSlot%(windowSlots+1)]
+	*newest = max(*newest, nodes)
 }
 
 // RecordFirstAttempt counts the first attempt of a request at a service.
@@ -56,9 +75,8 @@
 	current.repeats[current.newestSlot%(windowSlots+1)]++
 }
 
-// Allows reports whether this node, one of the given number of nodes, may make
-// one more repeat.
-func (l *RepeatLimiter) Allows(service string, now time.Time, nodes int) bool {
+// Allows reports whether this node may make one more repeat.
+func (l *RepeatLimiter) Allows(service string, now time.Time) bool {
 	if l.limit.Window <= 0 {
 		return true
 	}
@@ -66,10 +84,21 @@
 	// The oldest slot may lie outside the window. To stay below the limit, its
 	// repeats count but its first attempts do not.
 	first := sum(current.firstAttempts) - current.firstAttempts[(current.newestSlot+1)%(windowSlots+1)]
-	allowed := limitSafetyFactor * (l.limit.Ratio*float64(first) + l.limit.BaseAllowance/float64(max(nodes, 1)))
+	allowed := limitSafetyFactor * (l.limit.Ratio*float64(first) + l.baseShare(now))
 	return float64(sum(current.repeats)+1) <= allowed
 }
 
+// baseShare returns the part of the base allowance that this node may use. It is 0 until
+// the node has run for a window, because an earlier process of the node may have used it,
+// and that of the largest number of nodes in the window, because nodes that have left
+// may have used theirs.
+func (l *RepeatLimiter) baseShare(now time.Time) float64 {
+	if now.Sub(l.startedAt) < l.limit.Window {
+		return 0
+	}
+	return l.limit.BaseAllowance / float64(max(slices.Max(l.sharers[:]), 1))
+}
+
 // advance moves the window of a service to now, clears the slots that have left
 // it, and returns it.
 func (l *RepeatLimiter) advance(service string, now time.Time) *window {
@@ -78,8 +107,7 @@
 		current = &window{}
 		l.services[service] = current
 	}
-	length := max(l.limit.Window/windowSlots, time.Millisecond)
-	slot := now.UnixNano() / int64(length)
+	slot := l.slot(now)
 	for i := max(current.newestSlot+1, slot-windowSlots); i <= slot; i++ {
 		current.firstAttempts[i%(windowSlots+1)] = 0
 		current.repeats[i%(windowSlots+1)] = 0
@@ -88,6 +116,12 @@
 	return current
 }
 
+// slot returns the number of the slot of a time, counted from the Unix epoch.
+func (l *RepeatLimiter) slot(now time.Time) int64 {
+	length := max(l.limit.Window/windowSlots, time.Millisecond)
+	return now.UnixNano() / int64(length)
+}
+
 func sum(counts [windowSlots + 1]int) int {
 	total := 0
 	for _, count := range counts {
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -28,6 +28,8 @@
 	testKey      = "secret-key-marker"
 	// testMaxConcurrency is the concurrency limit of a server.
 	testMaxConcurrency = 6
+	// testRetryWindow is the time over which the repeats of calls are counted.
+	testRetryWindow = 10 * time.Second
 )
 
 // deployedSite is a metadata store with servers and nodes, connected in memory
@@ -130,7 +132,7 @@
 	nodeSettings := &platform.Settings{
 		Node: name, Domain: "a", IP: name, CallerAddress: n.address, ReadinessAddress: n.readiness, PeerAddress: name + ":peers", LastPort: 7715,
 		Seeds: seeds, StoreAddress: storeAddress, MemoryBytes: s.nodeMemoryBytes, LeaseTTL: 3 * time.Second,
-		ServersEnforceFencing: !s.unfenced, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, OutdatedWeightsLimit: 12 * time.Second,
+		ServersEnforceFencing: !s.unfenced, RetryRatio: 0.2, RetryWindow: testRetryWindow, RetrySlack: 50, OutdatedWeightsLimit: 12 * time.Second,
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	n.kill = cancel
@@ -208,3 +210,10 @@
 	time.Sleep(time.Second)
 	synctest.Wait()
 }
+
+// waitForRepeats waits until a node that has just started may use its share of the
+// repeats that all nodes share.
+func waitForRepeats() {
+	time.Sleep(testRetryWindow)
+	synctest.Wait()
+}
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -78,7 +78,7 @@
 				servers := []*deployed.Server{s.startServer("i-1", 0), s.startServer("i-2", 0)}
 				s.writeConfiguration(testKey)
 				n := s.startNode("n1")
-				waitForSync()
+				waitForRepeats()
 				first := n.call("GET", "/lookup/", nil, "")
 				if first.status != http.StatusOK {
 					t.Fatalf("the first call got %+v", first)
@@ -117,7 +117,7 @@
 			}
 			s.writeConfiguration(testKey)
 			n := s.startNode("n1")
-			waitForSync()
+			waitForRepeats()
 			s.plan.SetNext(deployed.CloseConnection)
 			got := n.call("POST", path, nil, "x")
 			if !resumed {
