--- a/core/control/following_test.go
+++ b/core/control/following_test.go
@@ -10,7 +10,7 @@
 func TestPausedNodeAvoidsOldWeights(t *testing.T) {
 	const pause = 4 * time.Second
 	for _, tickFirst := range []bool{true, false} {
-		s := forwardState(t, 1)
+		s := runningState(t, 1)
 		s.Handle(testStart, Tick{})
 		now := testStart.Add(pause)
 		messages := []Message{WeightsNamed{Model: "m", Weights: 2}, Tick{}}
@@ -45,3 +45,23 @@
 		t.Error("the limit does not include the suspension")
 	}
 }
+
+// TestVersionAfterSuspension guards against a node that learns of a version when it
+// returns from a suspension and takes it for just named.
+func TestVersionAfterSuspension(t *testing.T) {
+	for _, reportedFirst := range []bool{true, false} {
+		s := forwardState(t, 1)
+		s.Handle(testStart, Tick{})
+		now := testStart.Add(10 * time.Millisecond)
+		messages := []Message{WeightsNamed{Model: "m", Weights: 2}, Suspended{Duration: 6 * time.Second}}
+		if reportedFirst {
+			messages[0], messages[1] = messages[1], messages[0]
+		}
+		for _, message := range messages {
+			s.Handle(now, message)
+		}
+		if sends(s, now) {
+			t.Errorf("suspension reported first %v: a call is sent to weights whose limit is not known", reportedFirst)
+		}
+	}
+}
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -122,7 +122,9 @@
 	}
 	s.recordPeerLeaving(now, askedAt, d.LeavingReports)
 	s.recordPeerQuarantine(now, d.Quarantine)
-	s.recordPeerWeights(now, m)
+	if peer != nil {
+		s.recordPeerWeights(now, m)
+	}
 	if m.AskedAt.IsZero() {
 		return
 	}
--- a/core/control/namedweights.go
+++ b/core/control/namedweights.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -72,62 +72,81 @@
 	s.sendUrgent(digest)
 }
 
-// lacksWeightsAge reports whether an engine has weights whose limit counts from a
-// version of unknown age.
+// limitingVersions returns the versions from which the limits of engines count: for each
+// engine with outdated weights that may get calls, the first version that is newer.
+func (s *State) limitingVersions() map[modelVersion]weights.Named {
+	limiting := map[modelVersion]weights.Named{}
+	for _, server := range s.serverList {
+		if !server.WeightsOutdated || server.Chart.Is(fleet.TagLeaving) {
+			continue
+		}
+		model := modelOf(server)
+		if newer, found := s.namedWeights(model).FirstNewer(server.Weights); found {
+			limiting[modelVersion{model, newer.Version}] = newer
+		}
+	}
+	return limiting
+}
+
+// modelVersion identifies a weight version.
+type modelVersion struct {
+	model   string
+	version int
+}
+
+// lacksWeightsAge reports whether the limit of an engine counts from a version of
+// unknown age.
 func (s *State) lacksWeightsAge() bool {
-	return slices.ContainsFunc(s.serverList, func(server *fleet.Server) bool {
-		newer, found := s.namedWeights(modelOf(server)).FirstNewer(server.Weights)
-		return server.WeightsOutdated && found && !newer.AgeKnown()
-	})
+	for _, named := range s.limitingVersions() {
+		if !named.AgeKnown() {
+			return true
+		}
+	}
+	return false
 }
 
-// sampleNamedWeights returns up to membership.MaxNamedWeights versions of known age that
-// an engine lacks, those of random models, the oldest ones of each first: limits count
-// from these.
+// sampleNamedWeights returns up to membership.MaxNamedWeights versions of known age from
+// which the limits of engines count, at random if there are more.
 func (s *State) sampleNamedWeights(now time.Time) []membership.NamedWeights {
-	lowest := s.lowestWeights()
-	models := slices.Sorted(maps.Keys(lowest))
-	s.random.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
 	var sample []membership.NamedWeights
-	for _, model := range models {
-		for _, named := range s.namedWeights(model).NewerThan(lowest[model]) {
-			if len(sample) == membership.MaxNamedWeights {
-				return sample
-			}
-			if named.AgeKnown() {
-				sample = append(sample, membership.NamedWeights{Model: model, Version: named.Version, Age: now.Sub(named.At)})
-			}
+	for key, named := range s.limitingVersions() {
+		if named.AgeKnown() {
+			sample = append(sample, membership.NamedWeights{Model: key.model, Version: key.version, Age: now.Sub(named.At)})
 		}
 	}
-	return sample
+	slices.SortFunc(sample, func(a, b membership.NamedWeights) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+	})
+	s.random.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
+	return sample[:min(len(sample), membership.MaxNamedWeights)]
 }
 
-// recordPeerWeights adds the versions in a peer's digest to the histories. Ages in a
-// reply count from the question, which makes a time rather too early; they only replace
-// unknown ages, because a time that may move back would do so at each exchange. Ages in
-// other digests count from their arrival. After a start or a pause these are ignored: the
-// digest may have waited for the node.
+// recordPeerWeights adds the versions in a peer's digest to the histories.
 func (s *State) recordPeerWeights(now time.Time, m PeerDigest) {
-	answered := !m.AskedAt.IsZero()
-	if answered && m.AskedAt.Before(s.following.since) || !answered && s.following.mayBeOld(now) {
-		return
-	}
 	for _, v := range m.Digest.NamedWeights {
-		s.recordPeerVersion(now, m, v)
+		named := weights.Named{Version: v.Version, At: s.peerNamedAt(now, m, v)}
+		if !s.addNamedWeights(now, v.Model, named) {
+			continue
+		}
+		s.logEvent(event.WeightsAgeLearned, "model", v.Model, "weights", v.Version, "peer", m.Digest.Node, "age_ms", v.Age.Milliseconds())
+		if m.AskedAt.IsZero() {
+			s.announceWeights(now, v.Model, named)
+		}
 	}
 }
 
-// recordPeerVersion adds one version in a peer's digest to the history of its model.
-func (s *State) recordPeerVersion(now time.Time, m PeerDigest, v membership.NamedWeights) {
-	if !m.AskedAt.IsZero() {
-		if !s.namedWeights(v.Model).AgeKnown(v.Version) {
-			s.addNamedWeights(now, v.Model, weights.Named{Version: v.Version, At: m.AskedAt.Add(-v.Age)})
-			s.logEvent(event.WeightsAgeLearned, "model", v.Model, "weights", v.Version, "peer", m.Digest.Node, "age_ms", v.Age.Milliseconds())
-		}
-		return
-	}
-	named := weights.Named{Version: v.Version, At: now.Add(-v.Age)}
-	if s.addNamedWeights(now, v.Model, named) {
-		s.announceWeights(now, v.Model, named)
+// peerNamedAt returns when a version in a peer's digest was named, or the zero time when
+// the digest does not tell. The age in a reply counts from the question, which makes the
+// time rather too early; it only replaces an unknown one, because a time that may move
+// back would do so at each exchange. The age in another digest counts from its arrival,
+// which is too late when the digest waited for this node to start or to return from a
+// pause.
+func (s *State) peerNamedAt(now time.Time, m PeerDigest, v membership.NamedWeights) time.Time {
+	switch {
+	case m.AskedAt.IsZero() && !s.following.mayBeOld(now):
+		return now.Add(-v.Age)
+	case !m.AskedAt.IsZero() && !m.AskedAt.Before(s.following.since) && !s.namedWeights(v.Model).AgeKnown(v.Version):
+		return m.AskedAt.Add(-v.Age)
 	}
+	return time.Time{}
 }
--- a/core/control/namedweights_test.go
+++ b/core/control/namedweights_test.go
@@ -19,6 +19,18 @@
 	}}
 }
 
+// peeredState returns the state of a node that started at the given time and has a peer.
+func peeredState(t *testing.T, servers int, start time.Time) *State {
+	s := forwardStateSince(t, servers, start)
+	s.Handle(testStart, VMList{VMs: append(forwardServers(servers, 1), VM{ID: "n2", Role: fleet.RoleEntryVM, PeerAddress: "n2"})})
+	return s
+}
+
+// runningState returns the state of a node that has run for a minute and has a peer.
+func runningState(t *testing.T, servers int) *State {
+	return peeredState(t, servers, testStart.Add(-time.Minute))
+}
+
 // sends reports whether a call that is placed now is sent to an engine.
 func sends(s *State, now time.Time) bool {
 	id := request.ID(fmt.Sprint("sends ", now, s.placementTurn))
@@ -64,7 +76,7 @@
 // although a peer knows that older weights may still be used, and against one that
 // counts the limit from its own start.
 func TestRestartedNodeLearnsAgeFromPeer(t *testing.T) {
-	s := forwardStateSince(t, 1, testStart)
+	s := peeredState(t, 1, testStart)
 	s.Handle(testStart, WeightsNamed{Model: "m", Weights: 2, Listed: true})
 	now := testStart.Add(time.Second)
 	const age = 5 * time.Second
@@ -81,7 +93,7 @@
 // TestMissedVersionKeepsLimit guards against a limit that counts from a later version
 // because this node missed the one before it.
 func TestMissedVersionKeepsLimit(t *testing.T) {
-	s := forwardState(t, 1)
+	s := runningState(t, 1)
 	s.Handle(testStart, WeightsNamed{Model: "m", Weights: 3})
 	if !sends(s, testStart) {
 		t.Fatal("no call is sent to weights that were just replaced")
@@ -95,7 +107,8 @@
 // TestRelayedAgeKeepsTime guards against a time that moves into the past, and a limit
 // that therefore comes early, while two nodes report the age of a version to each other.
 func TestRelayedAgeKeepsTime(t *testing.T) {
-	nodes := []*State{forwardState(t, 1), forwardState(t, 1)}
+	nodes := []*State{runningState(t, 1), runningState(t, 1)}
+	nodes[1].options.Node, nodes[0].options.Node = "n2", "n2"
 	nodes[0].Handle(testStart, WeightsNamed{Model: "m", Weights: 2})
 	now := testStart
 	const transit = 5 * time.Millisecond
@@ -120,10 +133,10 @@
 // TestLateDigestIgnored guards against an age that waited with its digest for a node to
 // return from a pause, and is therefore too low.
 func TestLateDigestIgnored(t *testing.T) {
-	s := forwardState(t, 1)
+	s := runningState(t, 1)
 	s.Handle(testStart, Tick{})
 	now := testStart.Add(4 * time.Second)
-	for _, message := range []Message{peerReports(2, 0, time.Time{}), Tick{}, peerReports(2, 0, time.Time{}), peerReports(2, 0, testStart)} {
+	for _, message := range []Message{peerReports(2, 5*time.Second, time.Time{}), Tick{}, peerReports(2, 0, time.Time{}), peerReports(2, 0, testStart)} {
 		s.Handle(now, message)
 	}
 	if sends(s, now) {
@@ -135,21 +148,54 @@
 }
 
 // TestNamedWeightsSampleBounded guards against replies that grow with the number of
-// models and versions, and that leave out the version from which a limit counts.
+// versions, and that leave out the versions from which limits count because of those that
+// only a leaving engine lacks.
 func TestNamedWeightsSampleBounded(t *testing.T) {
-	s := forwardState(t, 1)
 	question := membership.Digest{WantsNamedWeights: true}
+	s := runningState(t, 8)
 	if d := s.digestAnswer(testStart, question); len(d.NamedWeights) != 0 {
 		t.Errorf("named weights %v although engines have the newest", d.NamedWeights)
 	}
 	for version := 2; version < 20; version++ {
 		s.Handle(testStart, WeightsNamed{Model: "m", Weights: version})
 	}
-	if d := s.digestAnswer(testStart, question); len(d.NamedWeights) != membership.MaxNamedWeights || d.NamedWeights[0].Version != 2 {
-		t.Errorf("named weights %v, want %d versions from 2 on", d.NamedWeights, membership.MaxNamedWeights)
+	for _, c := range []struct{ weights, want int }{{18, 1}, {2, membership.MaxNamedWeights}} {
+		list := forwardServers(8, c.weights)
+		for i := range list {
+			if c.weights == 2 {
+				list[i].Weights += i / 2
+			}
+		}
+		list[1].Weights, list[1].Leaving = 1, true
+		s.Handle(testStart, VMList{VMs: list})
+		d := s.digestAnswer(testStart, question)
+		if len(d.NamedWeights) != c.want || c.want == 1 && d.NamedWeights[0].Version != 19 {
+			t.Errorf("engines from weights %d on: named weights %v, want %d", c.weights, d.NamedWeights, c.want)
+		}
+		if d := s.digestAnswer(testStart, membership.Digest{}); len(d.NamedWeights) != 0 {
+			t.Errorf("named weights %v for a node that asked for none", d.NamedWeights)
+		}
+	}
+}
+
+// TestDigestOfNoMemberIgnored guards against a node that is no member and ends all calls
+// to engines with one digest.
+func TestDigestOfNoMemberIgnored(t *testing.T) {
+	s := forwardState(t, 1)
+	s.Handle(testStart, peerReports(1<<30, time.Hour, time.Time{}))
+	if !sends(s, testStart) {
+		t.Error("no call is sent after the digest")
 	}
-	if d := s.digestAnswer(testStart, membership.Digest{}); len(d.NamedWeights) != 0 {
-		t.Errorf("named weights %v for a node that asked for none", d.NamedWeights)
+}
+
+// TestVersionNamedAfterRestart guards against a fleet that sends nothing to old weights
+// because all its nodes had started shortly before a version was named, although each of
+// them received it as a change.
+func TestVersionNamedAfterRestart(t *testing.T) {
+	s := forwardStateSince(t, 1, testStart.Add(-catchUpTime))
+	s.Handle(testStart, WeightsNamed{Model: "m", Weights: 2})
+	if !sends(s, testStart) {
+		t.Error("no call is sent to weights that were just replaced")
 	}
 }
 
@@ -157,9 +203,8 @@
 // version, and count its limit, seconds later than others: a version that is learned as
 // it is named is sent to peers at once, and each of them relays it once.
 func TestNamedVersionAnnounced(t *testing.T) {
-	s := forwardState(t, 1)
+	s := runningState(t, 1)
 	s.options.Agents = true
-	s.Handle(testStart, VMList{VMs: append(forwardServers(1, 1), VM{ID: "n2", Role: fleet.RoleEntryVM, PeerAddress: "n2"})})
 	announced := func(m Message) int {
 		count := 0
 		for _, command := range s.Handle(testStart, m).Commands {
--- a/core/control/startlimit.go
+++ b/core/control/startlimit.go
@@ -29,8 +29,9 @@
 func (StopAttempt) command() {}
 
 // startLimit returns the time by which the call of an attempt must have produced its
-// first part, or zero when there is no limit. A newer version of unknown age was named
-// after the attempt started, since none starts on weights older than such a version.
+// first part, or zero when there is no limit. This node did not know of a newer version
+// of unknown age when the attempt started, so until a peer reports the age the limit
+// counts from there.
 func (s *State) startLimit(attempt *activeAttempt) time.Time {
 	newer, found := s.namedWeights(modelOf(attempt.server)).FirstNewer(attempt.weights)
 	if s.options.OutdatedWeightsLimit == 0 || attempt.server.Role != fleet.RoleEngine || !found {
--- a/node/forward/events.go
+++ b/node/forward/events.go
@@ -24,6 +24,17 @@
 	ID int64
 }
 
+// IsComment reports whether the event consists of comments and empty lines, which a
+// server may send before a call begins to run.
+func (e Event) IsComment() bool {
+	for line := range bytes.Lines(e.Raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // EventReader splits a server-sent event stream into events.
 type EventReader struct {
 	reader *bufio.Reader
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -258,10 +258,13 @@
 }
 
 // Event writes the next event and flushes it. It skips events that the caller has
-// already received, and returns code.AnswerTruncated when an event id is missing.
+// already received, and returns code.AnswerTruncated when an event id is missing. A
+// comment is no first part of the response.
 func (c *callRelay) Event(event forward.Event) error {
-	if err := c.reportFirstEvent(); err != nil {
-		return err
+	if !event.IsComment() {
+		if err := c.reportFirstEvent(); err != nil {
+			return err
+		}
 	}
 	if event.ID != forward.NoEventID {
 		if event.ID <= c.lastEventID {
--- a/node/ingress/stop_test.go
+++ b/node/ingress/stop_test.go
@@ -59,47 +59,69 @@
 // against a first event that reaches the caller although the attempt was stopped and is
 // repeated, and against a stop that ends an attempt as if the caller had gone.
 func TestStopAgainstFirstEvent(t *testing.T) {
-	const headers = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: a\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 	const first, second = "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
 	for _, stopStep := range []int{1, 2} {
 		stopFirst := stopStep == 1
 		synctest.Test(t, func(t *testing.T) {
-			network := pipe.NewNetwork()
-			listener := network.Listen("server:1")
-			decisions := &stopControl{}
-			front := NewFrontend(Options{
-				Control: decisions, Egress: egress.NewClient(network.Dial), Logger: logr.Discard(), Observer: noObserver{},
-				Protocol: platform.Protocol{}, MaxBodyBytes: 1 << 10,
-			})
-			stop := func() {
-				front.StopAttempt(control.StopAttempt{Request: "a", Attempt: 1, Cause: code.New(code.OutdatedWeights, "stopped")})
+			done, body, aborted := playStopped([]string{streamHeaders, first, second}, stopStep)
+			if !stopFirst && (done.Outcome != control.Succeeded || body != first+second || aborted) {
+				t.Errorf("stopped after the first event: %+v, body %q", done, body)
 			}
-			stop()
-			go serveInSteps(listener, []string{headers, first, second}, func(step int) {
-				synctest.Wait()
-				if step == stopStep {
-					stop()
-				}
-			})
-			r := httptest.NewRequest(http.MethodGet, "/x", nil)
-			r.Header.Set("Request-Attempt-Id", "a")
-			w := httptest.NewRecorder()
-			aborted := func() (aborted bool) {
-				defer func() { aborted = recover() != nil }()
-				front.Handler().ServeHTTP(w, r)
-				return
-			}()
-			stop()
-			if !stopFirst && (decisions.done.Outcome != control.Succeeded || w.Body.String() != first+second || aborted) {
-				t.Errorf("stopped after the first event: %+v, body %q", decisions.done, w.Body)
+			if stopFirst && (done.Outcome != control.Lost || done.Cause.Code != code.OutdatedWeights || body != "" || !aborted) {
+				t.Errorf("stopped before the first event: %+v, body %q", done, body)
 			}
-			if stopFirst && (decisions.done.Outcome != control.Lost || decisions.done.Cause.Code != code.OutdatedWeights || w.Body.Len() > 0 || !aborted) {
-				t.Errorf("stopped before the first event: %+v, body %q", decisions.done, w.Body)
+		})
+	}
+}
+
+// TestCommentIsNoFirstPart guards against an attempt that can no longer be stopped
+// because its server, which has not begun the call, sent a comment or an empty line.
+func TestCommentIsNoFirstPart(t *testing.T) {
+	for _, noise := range []string{"\n", ": wait\n\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			if done, _, _ := playStopped([]string{streamHeaders, noise, "id: 1\ndata: x\n\n"}, 2); done.Outcome != control.Lost {
+				t.Errorf("%q: outcome %v, the call began after the stop", noise, done.Outcome)
 			}
 		})
 	}
 }
 
+// streamHeaders is the head of a stream that belongs to the attempt.
+const streamHeaders = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: a\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+
+// playStopped plays an attempt whose server sends the parts, and stops it before it
+// begins, before the part with the index stopStep, and after it has ended. It returns what
+// the control thread and the caller received.
+func playStopped(parts []string, stopStep int) (done control.AttemptDone, body string, aborted bool) {
+	network := pipe.NewNetwork()
+	listener := network.Listen("server:1")
+	decisions := &stopControl{}
+	front := NewFrontend(Options{
+		Control: decisions, Egress: egress.NewClient(network.Dial), Logger: logr.Discard(), Observer: noObserver{},
+		Protocol: platform.Protocol{}, MaxBodyBytes: 1 << 10,
+	})
+	stop := func() {
+		front.StopAttempt(control.StopAttempt{Request: "a", Attempt: 1, Cause: code.New(code.OutdatedWeights, "stopped")})
+	}
+	stop()
+	go serveInSteps(listener, parts, func(step int) {
+		synctest.Wait()
+		if step == stopStep {
+			stop()
+			synctest.Wait()
+		}
+	})
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	r.Header.Set("Request-Attempt-Id", "a")
+	w := httptest.NewRecorder()
+	func() {
+		defer func() { aborted = recover() != nil }()
+		front.Handler().ServeHTTP(w, r)
+	}()
+	stop()
+	return decisions.done, w.Body.String(), aborted
+}
+
 // serveInSteps answers one request with the parts of a response and calls before ahead of
 // each part.
 func serveInSteps(listener net.Listener, parts []string, before func(step int)) {
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -141,8 +142,8 @@
 	})
 }
 
-// TestNamedWeightsInDigest guards against ages of named weights that are lost, raised or
-// negative after a digest was encoded, and against a list without a bound.
+// TestNamedWeightsInDigest guards against ages of named weights that are lost, raised,
+// negative or overflow after a digest was encoded, and against a list without a bound.
 func TestNamedWeightsInDigest(t *testing.T) {
 	var digest membership.Digest
 	digest.WantsNamedWeights = true
@@ -151,6 +152,7 @@
 	}
 	encoded := digestToWire(digest)
 	encoded.NamedWeights[1].AgeMS = -1
+	encoded.NamedWeights[2].AgeMS = math.MaxInt64
 	decoded := digestFromWire(encoded)
 	if !decoded.WantsNamedWeights || len(decoded.NamedWeights) != membership.MaxNamedWeights-1 {
 		t.Fatalf("got %+v, want %d named weights", decoded, membership.MaxNamedWeights-1)
@@ -158,4 +160,7 @@
 	if got := decoded.NamedWeights[0]; got != (membership.NamedWeights{Model: "m", Version: 0, Age: time.Second}) {
 		t.Errorf("got %+v, want an age of 1 s", got)
 	}
+	if got := decoded.NamedWeights[1].Age; got < time.Minute {
+		t.Errorf("got an age of %s for a very large one", got)
+	}
 }
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -261,12 +261,15 @@
 			continue
 		}
 		d.NamedWeights = append(d.NamedWeights, membership.NamedWeights{
-			Model: named.Model, Version: named.Version, Age: time.Duration(named.AgeMS) * time.Millisecond,
+			Model: named.Model, Version: named.Version, Age: time.Duration(min(named.AgeMS, maxAgeMS)) * time.Millisecond,
 		})
 	}
 	return d
 }
 
+// maxAgeMS bounds the ages of named weights, far above every limit that counts from them.
+const maxAgeMS = int64(time.Hour / time.Millisecond)
+
 // ceilMS returns an age in milliseconds, rounded up so that the receiver never
 // takes a report for newer than it is.
 func ceilMS(d time.Duration) int64 {
