--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -98,3 +98,29 @@
 		t.Errorf("the only node of a later window may make %d repeats", got)
 	}
 }
+
+// TestRestartedNodeRepeatsLess guards against a limit that is exceeded when a node is
+// killed whose repeats belong to calls that have left the window, and its next process
+// makes as many repeats again.
+func TestRestartedNodeRepeatsLess(t *testing.T) {
+	const calls = 1000
+	limit := RepeatLimit{Window: 10 * time.Second, Ratio: 0.2}
+	killedAt := time.Unix(1_700_000_000, 0)
+	repeatsOf := func(started, from, until time.Time) int {
+		l := NewRepeatLimiter(limit, started)
+		for i := range calls {
+			l.RecordFirstAttempt("s", from.Add(until.Sub(from)*time.Duration(i)/calls))
+		}
+		return countRepeats(l, until)
+	}
+	// All repeats of the killed process lie just before its end, and the window that
+	// begins there has only the calls of its next process.
+	before := repeatsOf(killedAt.Add(-time.Minute), killedAt.Add(-9*time.Second), killedAt)
+	after := repeatsOf(killedAt, killedAt, killedAt.Add(limit.Window/4))
+	if before < calls/10 {
+		t.Errorf("%d repeats of %d calls before", before, calls)
+	}
+	if after > before/3 {
+		t.Errorf("%d repeats in a quarter of a window after a restart, %d in the window before", after, before)
+	}
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -84,10 +84,17 @@
 	// The oldest slot may lie outside the window. To stay below the limit, its
 	// repeats count but its first attempts do not.
 	first := sum(current.firstAttempts) - current.firstAttempts[(current.newestSlot+1)%(windowSlots+1)]
-	allowed := limitSafetyFactor * (l.limit.Ratio*float64(first) + l.baseShare(now))
+	allowed := limitSafetyFactor * (l.ratio(now)*float64(first) + l.baseShare(now))
 	return float64(sum(current.repeats)+1) <= allowed
 }
 
+// ratio returns the number of repeats allowed per first attempt. It grows from 0 to that
+// of the limit in the first window of a node, because the repeats of an earlier process
+// leave the window only then.
+func (l *RepeatLimiter) ratio(now time.Time) float64 {
+	return l.limit.Ratio * min(now.Sub(l.startedAt).Seconds()/l.limit.Window.Seconds(), 1)
+}
+
 // baseShare returns the part of the base allowance that this node may use. It is 0 until
 // the node has run for a window, because an earlier process of the node may have used it,
 // and that of the largest number of nodes in the window, because nodes that have left
