--- a/core/control/startlimit_test.go
+++ b/core/control/startlimit_test.go
@@ -156,7 +156,7 @@
 // TestStreamCutAtLimitNoCrash guards against an engine that counts as crashed because it
 // stopped a call when it was told to.
 func TestStreamCutAtLimitNoCrash(t *testing.T) {
-	for _, after := range []time.Duration{0, stopReportTime} {
+	for after, faulty := range map[time.Duration]bool{-time.Millisecond: true, 0: false, stopReportTime: true} {
 		s := forwardState(t, 2)
 		s.Handle(testStart, WeightsNamed{Model: "m", Weights: 2})
 		d := sendCall(t, s, testStart.Add(8*time.Second))
@@ -164,8 +164,32 @@
 		s.Handle(testStart.Add(9*time.Second), FirstToken{Request: "a", Attempt: d.Attempt})
 		s.Handle(d.Forward.WorkUntil.Add(after), AttemptDone{Request: "a", Attempt: d.Attempt, Outcome: Lost, ConnectionBroken: true})
 		failures, suspect := s.servers[d.Server].Failures, s.quarantine.IsSuspect(fingerprint)
-		if (failures > 0) != (after > 0) || suspect != (after > 0) {
+		if (failures > 0) != faulty || suspect != faulty {
 			t.Errorf("%d failures of the engine, call suspect %v, %s after the time it was told", failures, suspect, after)
 		}
 	}
 }
+
+// TestUnknownAgeLimitsStart guards against a call that an engine holds without a limit
+// because its node does not know how old the newer weights are.
+func TestUnknownAgeLimitsStart(t *testing.T) {
+	for _, reported := range []bool{false, true} {
+		s := runningState(t, 1)
+		sendCall(t, s, testStart)
+		s.requests["a"].chart.TimeoutAt = testStart.Add(time.Hour)
+		learned := testStart.Add(time.Second)
+		s.Handle(learned, WeightsNamed{Model: "m", Weights: 2, Listed: true})
+		limit := testStart.Add(testWeightsLimit)
+		if reported {
+			const age = 3 * time.Second
+			s.Handle(learned, peerReports(2, age, learned))
+			limit = learned.Add(testWeightsLimit - age)
+		}
+		if got := stopsOf(s, limit.Add(-time.Millisecond), Tick{}); got != nil {
+			t.Errorf("reported %v: stopped before the limit: %+v", reported, got)
+		}
+		if got := stopsOf(s, limit, Tick{}); len(got) != 1 {
+			t.Errorf("reported %v: stopped %+v at the limit, want the attempt", reported, got)
+		}
+	}
+}
