--- a/core/control/ordermessage.go
+++ b/core/control/ordermessage.go
@@ -77,6 +77,22 @@
 	Node string
 }
 
+// RecentlyNamed reports whether the key-value service has the mark of a version: while it
+// does, calls may be sent to older weights.
+type RecentlyNamed struct {
+	Model   string
+	Weights int
+	Marked  bool
+}
+
+// MarkNamed commands that the key-value service keeps the mark of a version for a time, so
+// that nodes which start meanwhile know that calls may be sent to older weights.
+type MarkNamed struct {
+	Model   string
+	Weights int
+	TTL     time.Duration
+}
+
 // Suspended reports that the machine was suspended, for which the clock of the node
 // stood still.
 type Suspended struct {
@@ -91,16 +107,19 @@
 	AgeKnown bool
 }
 
-func (WeightsWanted) command()     {}
-func (IssuerSeen) message()        {}
-func (IssuerSeen) orderMessage()   {}
-func (WeightsNamed) message()      {}
-func (WeightsNamed) orderMessage() {}
-func (Suspended) message()         {}
-func (IssuerResult) message()      {}
-func (IssuerResult) orderMessage() {}
-func (EngineStatus) message()      {}
-func (EngineStatus) orderMessage() {}
+func (WeightsWanted) command()      {}
+func (MarkNamed) command()          {}
+func (RecentlyNamed) message()      {}
+func (RecentlyNamed) orderMessage() {}
+func (IssuerSeen) message()         {}
+func (IssuerSeen) orderMessage()    {}
+func (WeightsNamed) message()       {}
+func (WeightsNamed) orderMessage()  {}
+func (Suspended) message()          {}
+func (IssuerResult) message()       {}
+func (IssuerResult) orderMessage()  {}
+func (EngineStatus) message()       {}
+func (EngineStatus) orderMessage()  {}
 
 // IssuerCommand asks for one step of the selection of the issuer. It is
 // followed by IssuerResult.
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -29,6 +29,8 @@
 	// namedWeights holds the weight versions that the operator named outside
 	// the rules, by model.
 	namedWeights map[string]*weights.History
+	// markedWeights has the versions of which the key-value service has the mark.
+	markedWeights map[modelVersion]bool
 	// keyHeld is true while, according to the last observation, a node holds the
 	// issuer's key.
 	keyHeld bool
@@ -46,11 +48,12 @@
 
 func newOrders() orders {
 	return orders{
-		namedWeights: map[string]*weights.History{},
-		engines:      map[fleet.ServerID]*order.Engine{},
-		rollouts:     map[string]*order.Rollout{},
-		serving:      map[string]int{},
-		adapters:     map[string]map[int]string{},
+		namedWeights:  map[string]*weights.History{},
+		markedWeights: map[modelVersion]bool{},
+		engines:       map[fleet.ServerID]*order.Engine{},
+		rollouts:      map[string]*order.Rollout{},
+		serving:       map[string]int{},
+		adapters:      map[string]map[int]string{},
 	}
 }
 
@@ -67,6 +70,8 @@
 		s.issuerSeen(now, m)
 	case WeightsNamed:
 		s.weightsNamed(now, m)
+	case RecentlyNamed:
+		s.recentlyNamed(now, m)
 	}
 	s.issueOrders(now)
 }
--- a/core/control/orderterm.go
+++ b/core/control/orderterm.go
@@ -107,6 +107,7 @@
 		s.orders.issuer.OtherHolderSeenAt = now
 	}
 	s.syncEngines(now)
+	s.markNamedWeights(now)
 	s.logEvent(event.IssuerWaiting, "revision", s.orders.issuer.Revision)
 }
 
--- a/core/control/startlimit.go
+++ b/core/control/startlimit.go
@@ -44,12 +44,16 @@
 }
 
 // workUntil returns when the engine must stop working on the call of an attempt that is
-// sent now, or zero when there is no limit.
+// sent now, or zero when there is no limit. Calls may be sent until maxStartWait before
+// the start limit, so the limit of a version of unknown age is no nearer than that.
 func (s *State) workUntil(attempt *activeAttempt) time.Time {
 	limit := s.startLimit(attempt)
 	if limit.IsZero() {
 		return limit
 	}
+	if newer, _ := s.namedWeights(modelOf(attempt.server)).FirstNewer(attempt.weights); !newer.AgeKnown() {
+		limit = attempt.startedAt.Add(maxStartWait)
+	}
 	return limit.Add(-refusalTime)
 }
 
--- a/core/control/weights.go
+++ b/core/control/weights.go
@@ -157,17 +157,22 @@
 // weightsExpired reports whether an engine has had outdated weights for so long
 // that no new request may start on them: a request that is sent now may wait for
 // maxStartWait before it runs. Newer weights of unknown age may have been named any
-// time ago, so nothing is sent to older ones until a peer reports the age.
+// time ago, so nothing is sent to older ones until a peer reports the age, unless the
+// key-value service has the mark of the newer ones.
 func (s *State) weightsExpired(now time.Time, server *fleet.Server) bool {
 	limit := s.options.OutdatedWeightsLimit
 	if limit == 0 || !server.WeightsOutdated {
 		return false
 	}
-	newer, found := s.namedWeights(modelOf(server)).FirstNewer(server.Weights)
+	model := modelOf(server)
+	newer, found := s.namedWeights(model).FirstNewer(server.Weights)
 	if !found {
 		return false
 	}
-	return !newer.AgeKnown() || now.Sub(newer.At) >= limit-maxStartWait
+	if !newer.AgeKnown() {
+		return !s.orders.markedWeights[modelVersion{model, newer.Version}]
+	}
+	return now.Sub(newer.At) >= limit-maxStartWait
 }
 
 // newerWeights returns the first version of a model that was named after the given one,
--- a/node/orders/orders.go
+++ b/node/orders/orders.go
@@ -70,6 +70,7 @@
 	issuerCommands chan control.IssuerCommand
 	sendCommands   chan control.SendOrder
 	readCommands   chan control.ReadEngine
+	markCommands   chan control.MarkNamed
 }
 
 // New returns workers; Run starts them.
@@ -80,6 +81,7 @@
 		issuerCommands: make(chan control.IssuerCommand, leaseQueueSize),
 		sendCommands:   make(chan control.SendOrder, engineQueueSize),
 		readCommands:   make(chan control.ReadEngine, engineQueueSize),
+		markCommands:   make(chan control.MarkNamed, leaseQueueSize),
 	}
 }
 
@@ -87,6 +89,7 @@
 func (w *Workers) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { handleCommands(ctx, w.issuerCommands, w.handleIssuerCommand) })
+	group.Go(func() { handleCommands(ctx, w.markCommands, w.handleMarkNamed) })
 	for range sendWorkers {
 		group.Go(func() { handleCommands(ctx, w.sendCommands, w.handleSendOrder) })
 	}
@@ -114,6 +117,8 @@
 	switch c := command.(type) {
 	case control.IssuerCommand:
 		worker.Enqueue(w.options.Logger, w.issuerCommands, c)
+	case control.MarkNamed:
+		worker.Enqueue(w.options.Logger, w.markCommands, c)
 	case control.SendOrder:
 		worker.Enqueue(w.options.Logger, w.sendCommands, c)
 	case control.ReadEngine:
--- a/node/process/weights_test.go
+++ b/node/process/weights_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"tanagerspread/node/orders"
 	"tanagerspread/standin/deployed"
 )
 
@@ -143,3 +144,34 @@
 		}
 	})
 }
+
+// TestCallsAfterRestartOfAllNodes guards against a site that serves no calls to engines
+// after all its nodes were killed just after new weights were named, and against a mark
+// that outlasts the time for which calls may be sent to older weights.
+func TestCallsAfterRestartOfAllNodes(t *testing.T) {
+	runAtSite(t, func(s *deployedSite) {
+		servers := []*deployed.Server{s.startServer("i-0", 2), s.startServer("i-1", 2)}
+		s.writeConfiguration(testKey)
+		first := s.startNode("n1")
+		time.Sleep(10 * time.Second)
+		s.store.SetWeightVersion(2)
+		marked := func() bool { return s.store.Value(orders.MarkKey("m", 2)) != nil }
+		for range 200 {
+			if marked() {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		first.kill()
+		second := s.startNode("n2")
+		waitForSync()
+		got := second.call("POST", "/review/", http.Header{"Prompt-Prefix": {"aa:3000,bb:10"}, "Token-Count": {"3010,20"}}, "x")
+		if got.status != http.StatusOK || receivedCalls(servers) != 1 {
+			t.Errorf("got %+v after %d calls, want a response from old weights", got, receivedCalls(servers))
+		}
+		time.Sleep(8 * time.Second)
+		if marked() {
+			t.Error("the mark lasts longer than calls may be sent to older weights")
+		}
+	})
+}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -85,6 +85,7 @@
 		{registry: r, prefix: confkv.PrefixNodes},
 		{registry: r, prefix: orders.KeyIssuer},
 		{registry: r, prefix: r.options.WeightsPrefix},
+		{registry: r, prefix: orders.PrefixMarks},
 	}
 	var group sync.WaitGroup
 	for i := range followers {
@@ -129,6 +130,8 @@
 		r.applyWeights(change, listed)
 	case key == orders.KeyIssuer:
 		r.applyIssuer(change)
+	case strings.HasPrefix(key, orders.PrefixMarks):
+		r.applyMark(change)
 	}
 }
 
@@ -200,6 +203,17 @@
 	worker.Tell(r.options.Control, r.options.Logger, control.Message(weights))
 }
 
+// applyMark reports the mark of recently named weights, or its end.
+func (r *Registry) applyMark(change kv.Change) {
+	mark, ok := orders.MarkedWeights(change.Entry.Key)
+	if !ok {
+		r.logRejected(change.Entry, code.New(code.EntryInvalid, "the key is not that of a version"))
+		return
+	}
+	mark.Marked = !change.Deleted
+	worker.Tell(r.options.Control, r.options.Logger, control.Message(mark))
+}
+
 // applyIssuer reports the holder of the issuer's key, or the last holder when
 // the key is free.
 func (r *Registry) applyIssuer(change kv.Change) {
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -237,7 +237,7 @@
 		n.applyNodeState(c)
 	case corecontrol.StopAttempt:
 		n.front.StopAttempt(c)
-	case corecontrol.IssuerCommand, corecontrol.SendOrder, corecontrol.ReadEngine:
+	case corecontrol.IssuerCommand, corecontrol.SendOrder, corecontrol.ReadEngine, corecontrol.MarkNamed:
 		n.orders.Submit(command)
 	case corecontrol.ExportBlocks:
 		if !n.exporter.Offer(c) {
