--- /dev/null
+++ b/node/process/config_test.go
@@ -0,0 +1,55 @@
+package process_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const (
+	// contactTime is how long a node must have run without trouble until the bounds
+	// hold for it.
+	contactTime = 3 * time.Second
+	// configApplyTime is how long after its acknowledgement a change of the
+	// configuration must be in force.
+	configApplyTime = 2 * time.Second
+)
+
+// TestChangeDuringSilentConnections guards against nodes that keep an old
+// configuration because all their connections, to the store and to each other, went
+// silent without being closed.
+func TestChangeDuringSilentConnections(t *testing.T) {
+	for _, nodeCount := range []int{6, 24} {
+		for _, delay := range []time.Duration{0, 700 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprintf("%d nodes, change after %v", nodeCount, delay), func(t *testing.T) {
+				runAtSite(t, func(s *deployedSite) { testChangeDuringSilence(t, s, nodeCount, delay) })
+			})
+		}
+	}
+}
+
+func testChangeDuringSilence(t *testing.T, s *deployedSite, nodeCount int, delay time.Duration) {
+	s.startServer("i-1", 0)
+	s.writeConfiguration(testKey, "other")
+	var nodes []*deployedNode
+	for i := range nodeCount {
+		domain := string(rune('a' + i%4))
+		nodes = append(nodes, s.startNodeIn(domain, fmt.Sprintf("n%d", i+1), "n1:peers", "n2:peers"))
+	}
+	time.Sleep(10*time.Second + 437*time.Millisecond)
+	s.network.SilenceConnections()
+	silentAt := time.Now()
+	time.Sleep(delay)
+	s.writeConfiguration("other")
+	due := time.Now().Add(configApplyTime)
+	if inTouch := silentAt.Add(contactTime); inTouch.After(due) {
+		due = inTouch
+	}
+	time.Sleep(time.Until(due))
+	for i, n := range nodes {
+		if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusUnauthorized {
+			t.Errorf("node %d: got %d with a revoked key", i+1, got.status)
+		}
+	}
+}
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -123,14 +123,20 @@
 	return l.text.String()
 }
 
-// startNode starts a node. Seeds are the peer addresses of other nodes.
+// startNode starts a node in failure domain "a". Seeds are the peer addresses of other
+// nodes.
 func (s *deployedSite) startNode(name string, seeds ...string) *deployedNode {
+	return s.startNodeIn("a", name, seeds...)
+}
+
+// startNodeIn starts a node in a failure domain.
+func (s *deployedSite) startNodeIn(domain, name string, seeds ...string) *deployedNode {
 	n := &deployedNode{
 		site: s, address: name + ":callers", readiness: name + ":ready",
 		signals: make(chan os.Signal, 2), done: make(chan error, 1), log: &logBuffer{},
 	}
 	nodeSettings := &platform.Settings{
-		Node: name, Domain: "a", IP: name, CallerAddress: n.address, ReadinessAddress: n.readiness, PeerAddress: name + ":peers", LastPort: 7715,
+		Node: name, Domain: domain, IP: name, CallerAddress: n.address, ReadinessAddress: n.readiness, PeerAddress: name + ":peers", LastPort: 7715,
 		Seeds: seeds, StoreAddress: storeAddress, MemoryBytes: s.nodeMemoryBytes, LeaseTTL: 3 * time.Second,
 		ServersEnforceFencing: !s.unfenced, RetryRatio: 0.2, RetryWindow: testRetryWindow, RetrySlack: 50, OutdatedWeightsLimit: 12 * time.Second,
 	}
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -6,7 +6,9 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // Network connects dialers with listeners by address. The mutex guards the
@@ -14,11 +16,13 @@
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	// links are the open connections.
+	links map[*link]bool
 }
 
 // NewNetwork returns a network without listeners.
 func NewNetwork() *Network {
-	return &Network{listeners: make(map[string]*listener)}
+	return &Network{listeners: make(map[string]*listener), links: make(map[*link]bool)}
 }
 
 // Listen returns a listener on an address, which may be any string. It replaces an
@@ -42,7 +46,7 @@
 	if l == nil {
 		return nil, refused
 	}
-	client, server := net.Pipe()
+	client, server := n.connect()
 	select {
 	case l.conns <- server:
 		return client, nil
@@ -53,6 +57,59 @@
 	}
 }
 
+// SilenceConnections makes all open connections half-open: from now on neither end
+// receives anything, not even that the other end has closed, and no write fails. New
+// connections work.
+func (n *Network) SilenceConnections() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.links {
+		l.silent.Store(true)
+	}
+	clear(n.links)
+}
+
+// connect returns both ends of a new connection.
+func (n *Network) connect() (client, server net.Conn) {
+	l := &link{network: n}
+	near, far := net.Pipe()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[l] = true
+	return &conn{Conn: near, link: l}, &conn{Conn: far, link: l}
+}
+
+// link is what both ends of a connection share.
+type link struct {
+	network *Network
+	silent  atomic.Bool
+}
+
+// conn is one end of a connection.
+type conn struct {
+	net.Conn
+	link *link
+}
+
+// Write discards the data of a silent connection.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.link.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes this end. The other end of a silent connection does not notice.
+func (c *conn) Close() error {
+	if c.link.silent.Load() {
+		return c.SetDeadline(time.Unix(1, 0))
+	}
+	c.link.network.mu.Lock()
+	delete(c.link.network.links, c.link)
+	c.link.network.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // listener accepts the connections to one address.
 type listener struct {
 	network   *Network
