core/control, node/mirror: log how a configuration reaches a node

The logs could not tell a node that never heard of a version from one that knew of it and waited for its text, nor by which way an entry arrived. Lines 2605 (newer version known from a peer), 2606 (entry received by list, watch, refresh or copy) and known_ms of 2601 do. Line 2705 was in the catalogue and never written; it is now written when the entries are followed again.

--- a/core/control/agentmessage.go
+++ b/core/control/agentmessage.go
@@ -138,6 +138,8 @@
 type ConfigInForce struct {
 	Version config.Version
 	Author  string
+	// Known is for how long the node has known that the version exists.
+	Known time.Duration
 }
 
 // Subject returns the identifier that the requester chose.
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -6,7 +6,9 @@
 
 	"tanagerspread/chart"
 	"tanagerspread/core/config"
+	"tanagerspread/core/event"
 	"tanagerspread/core/invariant"
+	"tanagerspread/core/membership"
 )
 
 const (
@@ -37,6 +39,8 @@
 	confirmedAt time.Time
 	// newest is the newest version that the node has learned of.
 	newest config.Version
+	// newestAt is when the node learned of the newest version.
+	newestAt time.Time
 	// newestHolder is the peer that has the newest version in force, or empty.
 	newestHolder string
 	// contactAt is when the node last reached the key-value service.
@@ -85,7 +89,7 @@
 // putInForce replaces the configuration in force by a newer one. It ignores an
 // older or equal version and a configuration without rules.
 func (s *State) putInForce(now time.Time, current config.Configuration, rules *config.Rules) {
-	s.recordNewest(current.Version, "")
+	s.recordNewest(now, current.Version, "")
 	if current.Version <= s.version || rules == nil {
 		return
 	}
@@ -107,7 +111,7 @@
 		s.fireNodeEvent("confirm", now)
 		s.gossip(now, nil)
 	}
-	s.command(ConfigInForce{Version: s.version, Author: current.Author})
+	s.command(ConfigInForce{Version: s.version, Author: current.Author, Known: now.Sub(s.configuration.newestAt)})
 	s.assignQueued(now)
 }
 
@@ -145,10 +149,11 @@
 
 // recordNewest records that a version exists and which peer has it in force;
 // holder is empty when no such peer is known.
-func (s *State) recordNewest(version config.Version, holder string) {
+func (s *State) recordNewest(now time.Time, version config.Version, holder string) {
 	c := &s.configuration
 	if version > c.newest {
 		c.newest = version
+		c.newestAt = now
 		c.newestHolder = ""
 	}
 	if version == c.newest && holder != "" {
@@ -156,6 +161,16 @@
 	}
 }
 
+// recordPeerVersions records the versions in the digest of a peer and logs one that is
+// newer than all that the node knows. holder is the name of the peer, or empty.
+func (s *State) recordPeerVersions(now time.Time, d membership.Digest, holder string) {
+	if d.NewestVersion > s.configuration.newest {
+		s.logEvent(event.ConfigKnown, "version", uint64(d.NewestVersion), "in_force", uint64(s.version), "peer", holder)
+	}
+	s.recordNewest(now, d.NewestVersion, "")
+	s.recordNewest(now, d.Version, holder)
+}
+
 // confirm records that the version in force was the newest one at the given time.
 // Once the node has learned of a newer version, nothing confirms the version in
 // force, so the fence time also bounds the wait for the newer one.
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -107,12 +107,11 @@
 	if peer == nil {
 		peer = s.members.Peer(m.Target)
 	}
-	s.recordNewest(d.NewestVersion, "")
 	holder := ""
 	if peer != nil {
 		holder = peer.ID
 	}
-	s.recordNewest(d.Version, holder)
+	s.recordPeerVersions(now, d, holder)
 	if peer != nil {
 		s.updatePeer(now, peer, m)
 	}
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -45,7 +45,9 @@
 
 // The events of configurations.
 var (
-	ConfigInForce     = register(2601, LevelInfo, "configuration is in force", "version", "author")
+	ConfigInForce     = register(2601, LevelInfo, "configuration is in force", "version", "author", "known_ms")
+	ConfigKnown       = register(2605, LevelInfo, "newer configuration than the one in force exists", "node", "version", "in_force", "peer")
+	ConfigReceived    = register(2606, LevelInfo, "entry of the configuration was received", "revision", "source", "peer")
 	ConfigUnreadable  = register(2602, LevelError, "configuration cannot be parsed; the current one stays in force", "version", "code")
 	ConfigRepaired    = register(2603, LevelInfo, "key-value service held an older configuration; the newer one was written back", "version", "replaced")
 	ConfigNotRepaired = register(2604, LevelError, "key-value service holds an older configuration and could not be repaired", "version", "replaced", "code")
@@ -55,8 +57,8 @@
 var (
 	ServiceCallFailed  = register(2701, LevelInfo, "call to the key-value service failed", "call", "code")
 	EntryRejected      = register(2703, LevelError, "entry of the key-value service cannot be used", "key", "revision", "code")
-	EntryFeedFailed    = register(2704, LevelInfo, "entries of the key-value service cannot be watched; the last known ones stay in use", "prefix", "code")
-	EntryFeedRecovered = register(2705, LevelInfo, "entries of the key-value service are watched again", "prefix")
+	EntryFeedFailed    = register(2704, LevelInfo, "entries of the key-value service cannot be watched; the last known ones stay in use", "source", "code")
+	EntryFeedRecovered = register(2705, LevelInfo, "entries of the key-value service are watched again", "source")
 	CacheFeedFailed    = register(2706, LevelInfo, "event feed of a cache store or an engine cannot be read", "target", "code")
 	VMListFailed       = register(2702, LevelInfo, "VM list did not respond; the last known list stays in use", "code")
 )
--- a/node/mirror/follow.go
+++ b/node/mirror/follow.go
@@ -41,8 +41,18 @@
 	Service kv.Service
 	Peer    Peer
 	Logger  logr.Logger
+	// ConfigKey is the key of the configuration, whose revisions are logged.
+	ConfigKey string
 }
 
+// The ways in which an entry reaches the mirror, as logged.
+const (
+	sourceList    = "list"
+	sourceWatch   = "watch"
+	sourceRefresh = "refresh"
+	sourcePeer    = "peer"
+)
+
 // Follower keeps a mirror up to date with the service or with the mirror of a
 // peer.
 type Follower struct {
@@ -54,6 +64,10 @@
 	source control.PeerTarget
 	// cancelFollow cancels the call of follow in progress.
 	cancelFollow context.CancelFunc
+	// failing is true after a failed call of follow, until the next successful one.
+	failing bool
+	// loggedConfig is the newest revision of the configuration that was logged.
+	loggedConfig kv.Revision
 }
 
 // NewFollower returns a follower. Run starts it.
@@ -85,7 +99,6 @@
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { f.runRefresh(ctx) })
-	unreachable := false
 	for ctx.Err() == nil {
 		err := f.follow(ctx)
 		if ctx.Err() != nil {
@@ -93,14 +106,9 @@
 		}
 		// After code.HistoryGone, follow reads all entries again.
 		if err == nil || err.Code == code.HistoryGone {
-			unreachable = false
 			continue
 		}
-		f.options.Mirror.RecordCall(err)
-		if !unreachable {
-			eventlog.Write(f.options.Logger, event.EntryFeedFailed, err, "source", f.currentSource().Node, "code", int(err.Code))
-		}
-		unreachable = true
+		f.recordFailure(err)
 		if f.currentSource().Address != "" {
 			// The peer is unreachable; continue with the service itself.
 			f.SetSource(control.PeerTarget{})
@@ -113,6 +121,45 @@
 	group.Wait()
 }
 
+// recordFailure records a failed call to the current source. It logs the first one
+// after a successful call.
+func (f *Follower) recordFailure(err *code.Error) {
+	f.options.Mirror.RecordCall(err)
+	f.mu.Lock()
+	first, source := !f.failing, f.source.Node
+	f.failing = true
+	f.mu.Unlock()
+	if first {
+		eventlog.Write(f.options.Logger, event.EntryFeedFailed, err, "source", source, "code", int(err.Code))
+	}
+}
+
+// recordSuccess records a successful call to the current source. It logs the first one
+// after a failed call.
+func (f *Follower) recordSuccess() {
+	f.options.Mirror.RecordCall(nil)
+	f.mu.Lock()
+	recovered, source := f.failing, f.source.Node
+	f.failing = false
+	f.mu.Unlock()
+	if recovered {
+		eventlog.Write(f.options.Logger, event.EntryFeedRecovered, nil, "source", source)
+	}
+}
+
+// logConfig logs a new revision of the configuration with the way in which it reached
+// the mirror and the peer that it was copied from, if any.
+func (f *Follower) logConfig(way, peer string) {
+	revision := f.options.Mirror.EntryRevision(f.options.ConfigKey)
+	f.mu.Lock()
+	isNew := revision > f.loggedConfig
+	f.loggedConfig = max(f.loggedConfig, revision)
+	f.mu.Unlock()
+	if isNew {
+		eventlog.Write(f.options.Logger, event.ConfigReceived, nil, "revision", uint64(revision), "source", way, "peer", peer)
+	}
+}
+
 func (f *Follower) currentSource() control.PeerTarget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -132,7 +179,7 @@
 	if source.Address == "" {
 		err = f.watchService(ctx)
 	} else {
-		err = f.copyPeer(ctx, source.Address)
+		err = f.copyPeer(ctx, source)
 	}
 	if ctx.Err() != nil && parent.Err() == nil {
 		// The source has changed.
@@ -144,7 +191,7 @@
 // watchService reads all entries of the service and applies its changes until the
 // context is cancelled or a call fails.
 func (f *Follower) watchService(ctx context.Context) *code.Error {
-	at, err := f.readAll(ctx)
+	at, err := f.readAll(ctx, sourceList)
 	for err == nil {
 		var changes []kv.Change
 		changes, at, err = f.options.Service.Watch(ctx, "", at)
@@ -152,6 +199,7 @@
 			return err
 		}
 		f.options.Mirror.Apply(changes, at)
+		f.logConfig(sourceWatch, "")
 		if !worker.Sleep(ctx, batchDelay) {
 			return nil
 		}
@@ -159,34 +207,37 @@
 	return err
 }
 
-// readAll reads all entries of the service and returns the revision of the list.
-func (f *Follower) readAll(ctx context.Context) (kv.Revision, *code.Error) {
+// readAll reads all entries of the service and returns the revision of the list. way is
+// the way in which the entries reach the mirror, for the log.
+func (f *Follower) readAll(ctx context.Context, way string) (kv.Revision, *code.Error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, at, err := f.options.Service.List(ctx, "")
 	if err != nil {
 		return 0, err
 	}
-	f.options.Mirror.RecordCall(nil)
+	f.recordSuccess()
 	f.options.Mirror.Replace(entries, at)
+	f.logConfig(way, "")
 	return at, nil
 }
 
 // copyPeer copies the mirror of a peer until the context is cancelled or a call
 // fails. The first call, from revision 0, returns all entries.
-func (f *Follower) copyPeer(ctx context.Context, address string) *code.Error {
+func (f *Follower) copyPeer(ctx context.Context, source control.PeerTarget) *code.Error {
 	at := kv.Revision(0)
 	for ctx.Err() == nil {
-		changes, next, snapshot, err := f.options.Peer.Copy(ctx, address, at, peerCopyWait)
+		changes, next, snapshot, err := f.options.Peer.Copy(ctx, source.Address, at, peerCopyWait)
 		if err != nil {
 			return err
 		}
-		f.options.Mirror.RecordCall(nil)
+		f.recordSuccess()
 		if snapshot {
 			f.options.Mirror.Replace(existingEntries(changes), next)
 		} else {
 			f.options.Mirror.Apply(changes, next)
 		}
+		f.logConfig(sourcePeer, source.Node)
 		at = next
 	}
 	return nil
@@ -210,7 +261,7 @@
 		case <-ctx.Done():
 			return
 		case <-f.refreshRequests:
-			if _, err := f.readAll(ctx); err != nil && ctx.Err() == nil {
+			if _, err := f.readAll(ctx, sourceRefresh); err != nil && ctx.Err() == nil {
 				f.options.Mirror.RecordCall(err)
 				eventlog.Write(f.options.Logger, event.ServiceCallFailed, err, "call", "read all entries", "code", int(err.Code))
 			}
--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -78,6 +78,13 @@
 	m.advanceTo(at)
 }
 
+// EntryRevision returns the revision of a key, or kv.Absent.
+func (m *Mirror) EntryRevision(key string) kv.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries[key].Revision
+}
+
 // RecordCall records whether a call to the source of the copy failed. The first
 // successful call after a failed one is recorded before its result is applied,
 // so that readers of the result see the new RecoveredAt.
--- a/node/runtime/fleet.go
+++ b/node/runtime/fleet.go
@@ -89,7 +89,7 @@
 	f := options.Fleet
 	entryMirror := mirror.New()
 	s.server.Entries = entryMirror
-	s.mirrorFollower = mirror.NewFollower(mirror.Options{Mirror: entryMirror, Service: f.Service, Peer: s.client, Logger: options.Logger})
+	s.mirrorFollower = mirror.NewFollower(mirror.Options{Mirror: entryMirror, Service: f.Service, Peer: s.client, Logger: options.Logger, ConfigKey: f.Source.Key})
 	service := mirror.Service{Service: f.Service, Mirror: entryMirror, MirroredKey: f.Source.Key}
 	registryOptions := *f.Registry
 	registryOptions.Control = loop
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -252,7 +252,7 @@
 	case corecontrol.WeightsWanted:
 		eventlog.Write(n.options.Logger, event.WeightsWanted, nil, "model", c.Model, "weights", c.Weights, "age_known", c.AgeKnown)
 	case corecontrol.ConfigInForce:
-		eventlog.Write(n.options.Logger, event.ConfigInForce, nil, "version", uint64(c.Version), "author", c.Author)
+		eventlog.Write(n.options.Logger, event.ConfigInForce, nil, "version", uint64(c.Version), "author", c.Author, "known_ms", c.Known.Milliseconds())
 	default:
 		if n.fleet != nil {
 			n.fleet.execute(command)
