node/mirror, platform, node/peer: a silent connection is noticed within the contact time

Callers of a node were served by an old configuration after its connections had gone silent without being closed: the watch waited up to 31.5 s on such a connection, the copy of a peer 4 s, a list 1.5 s on a kept connection, and after a failure the service was read again only a second later.

A watch now waits for half of the contact time of the settings and is given up after three quarters of it, a copy after 2.25 s. A list opens a connection, and the first failure is followed by a list at once. A peer that did not respond is bypassed for 10 s and then copied from again, where a node formerly watched the store until its source changed. The check of a kept connection before a configuration is fetched waits 0.5 s instead of 2 s.

--- a/client/wire/wire.go
+++ b/client/wire/wire.go
@@ -49,6 +49,8 @@
 type Client struct {
 	options   Options
 	transport *http.Transport
+	// singleUse opens a connection for each call.
+	singleUse *http.Transport
 }
 
 // maxHeaderBytes bounds the status line and the headers of a response. Without it,
@@ -72,12 +74,16 @@
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &Client{options: options, transport: transport}
+	singleUse := transport.Clone()
+	singleUse.DisableKeepAlives = true
+	return &Client{options: options, transport: transport, singleUse: singleUse}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections and ends the opening of those that no call waits
+// for.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
+	c.singleUse.CloseIdleConnections()
 }
 
 // Timeout returns the default timeout of a call.
@@ -94,7 +100,17 @@
 
 // CallWithin is Call with the given timeout instead of Options.Timeout.
 func (c *Client) CallWithin(ctx context.Context, timeout time.Duration, method, path string, in, out any) *code.Error {
-	message := Message{Method: method, Path: path, Header: http.Header{"Content-Type": {"application/json"}}}
+	return c.callMessage(ctx, timeout, Message{Method: method, Path: path}, in, out)
+}
+
+// Read is Call of a GET on a connection of its own, see Message.NewConnection.
+func (c *Client) Read(ctx context.Context, path string, out any) *code.Error {
+	return c.callMessage(ctx, c.options.Timeout, Message{Method: http.MethodGet, Path: path, NewConnection: true}, nil, out)
+}
+
+// callMessage sends a message with the body in and decodes the response into out.
+func (c *Client) callMessage(ctx context.Context, timeout time.Duration, message Message, in, out any) *code.Error {
+	message.Header = http.Header{"Content-Type": {"application/json"}}
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
@@ -121,6 +137,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// NewConnection sends the message on a connection of its own, because a kept one
+	// may have gone silent without being closed.
+	NewConnection bool
 }
 
 // Response is the complete response to a Message.
@@ -149,15 +168,19 @@
 	if message.Header != nil {
 		request.Header = message.Header
 	}
-	response, err := c.transport.RoundTrip(request)
+	transport := c.transport
+	if message.NewConnection {
+		transport = c.singleUse
+	}
+	response, err := transport.RoundTrip(request)
 	if err != nil {
-		c.transport.CloseIdleConnections()
+		c.Close()
 		return Response{}, code.Wrap(c.options.UnreachableCode, "no response", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, MaxMessageBytes+1))
 	if err != nil {
-		c.transport.CloseIdleConnections()
+		c.Close()
 		return Response{}, code.Wrap(c.options.UnreachableCode, "the response is truncated", err)
 	}
 	if len(data) > MaxMessageBytes {
--- a/node/mirror/follow.go
+++ b/node/mirror/follow.go
@@ -24,7 +24,10 @@
 	// changes of a burst.
 	batchDelay = 100 * time.Millisecond
 	// peerCopyWait is the time that a peer waits for a change before it responds.
-	peerCopyWait = 2 * time.Second
+	peerCopyWait = 1500 * time.Millisecond
+	// peerRetryInterval is how long the service is watched instead of a peer that did
+	// not respond.
+	peerRetryInterval = 10 * time.Second
 )
 
 // Peer copies the mirror of another node.
@@ -62,6 +65,9 @@
 	mu sync.Mutex
 	// source is the peer to copy from; the zero value means the service itself.
 	source control.PeerTarget
+	// assigned is the source that SetSource set last. It differs from source while
+	// that peer does not respond.
+	assigned control.PeerTarget
 	// cancelFollow cancels the call of follow in progress.
 	cancelFollow context.CancelFunc
 	// failing is true after a failed call of follow, until the next successful one.
@@ -80,12 +86,38 @@
 func (f *Follower) SetSource(source control.PeerTarget) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.assigned = source
+	f.switchTo(source)
+}
+
+// switchTo changes the current source. The caller holds mu.
+func (f *Follower) switchTo(source control.PeerTarget) {
 	if f.source != source {
 		f.source = source
 		f.cancelFollow()
 	}
 }
 
+// bypassPeer follows the service itself for peerRetryInterval when the current source
+// is a peer, and reports whether it is one.
+func (f *Follower) bypassPeer() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	failed := f.source
+	if failed.Address == "" {
+		return false
+	}
+	f.switchTo(control.PeerTarget{})
+	time.AfterFunc(peerRetryInterval, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.assigned == failed {
+			f.switchTo(failed)
+		}
+	})
+	return true
+}
+
 // Refresh requests one read of all entries of the service. It does not block.
 func (f *Follower) Refresh() {
 	select {
@@ -108,13 +140,10 @@
 		if err == nil || err.Code == code.HistoryGone {
 			continue
 		}
-		f.recordFailure(err)
-		if f.currentSource().Address != "" {
-			// The peer is unreachable; continue with the service itself.
-			f.SetSource(control.PeerTarget{})
-			continue
-		}
-		if !worker.Sleep(ctx, retryInterval) {
+		// After the first failure the service is read again at once: a watch that has
+		// gone silent fails only when changes are due.
+		first := f.recordFailure(err)
+		if !f.bypassPeer() && !first && !worker.Sleep(ctx, retryInterval) {
 			break
 		}
 	}
@@ -122,8 +151,8 @@
 }
 
 // recordFailure records a failed call to the current source. It logs the first one
-// after a successful call.
-func (f *Follower) recordFailure(err *code.Error) {
+// after a successful call, and reports whether this is the first.
+func (f *Follower) recordFailure(err *code.Error) bool {
 	f.options.Mirror.RecordCall(err)
 	f.mu.Lock()
 	first, source := !f.failing, f.source.Node
@@ -132,6 +161,7 @@
 	if first {
 		eventlog.Write(f.options.Logger, event.EntryFeedFailed, err, "source", source, "code", int(err.Code))
 	}
+	return first
 }
 
 // recordSuccess records a successful call to the current source. It logs the first one
@@ -160,12 +190,6 @@
 	}
 }
 
-func (f *Follower) currentSource() control.PeerTarget {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.source
-}
-
 // follow copies from the current source until the source changes, for which it
 // returns nil, or a call fails.
 func (f *Follower) follow(parent context.Context) *code.Error {
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -24,6 +24,12 @@
 	// callTimeout bounds a short call, including the opening of its connection.
 	// A connection on which a call takes longer is unresponsive and is closed.
 	callTimeout = 2 * time.Second
+	// pingTimeout bounds the check of a connection, which the peer answers at once.
+	pingTimeout = 500 * time.Millisecond
+	// copyTimeout is how long after the end of its wait a call for changes may
+	// respond. Together with the wait it is below the time in which a node must
+	// notice that a connection has gone silent.
+	copyTimeout = 750 * time.Millisecond
 	// configTimeout bounds the call that transfers a configuration.
 	configTimeout = 5 * time.Second
 )
@@ -92,7 +98,7 @@
 func (c *Client) Copy(ctx context.Context, address string, after kv.Revision, wait time.Duration) (changes []kv.Change, at kv.Revision, snapshot bool, _ *code.Error) {
 	params := copyParams{After: uint64(after), WaitMS: wait.Milliseconds()}
 	var result copyResult
-	if err := c.call(ctx, address, methodCopy, wait+callTimeout, params, &result); err != nil {
+	if err := c.call(ctx, address, methodCopy, wait+copyTimeout, params, &result); err != nil {
 		return nil, 0, false, err
 	}
 	return result.Changes, kv.Revision(result.At), result.Snapshot, nil
@@ -116,7 +122,7 @@
 // Ping checks the connection to a peer and replaces it when it is unresponsive.
 // It returns code.PeerAway when a second ping fails too.
 func (c *Client) Ping(ctx context.Context, address string) *code.Error {
-	err := c.call(ctx, address, methodPing, callTimeout, struct{}{}, nil)
+	err := c.call(ctx, address, methodPing, pingTimeout, struct{}{}, nil)
 	if err == nil {
 		return nil
 	}
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -168,7 +168,7 @@
 		}
 		*a.listener = listener
 	}
-	d.store = platform.NewStore(wire.Options{Address: s.StoreAddress, Dial: d.dial, Timeout: storeTimeout})
+	d.store = platform.NewStore(wire.Options{Address: s.StoreAddress, Dial: d.dial, Timeout: storeTimeout}, s.ContactTime)
 	return d, nil
 }
 
