node/mirror: watchers of a mirror with many keys miss no deletion

A mirror with 4,096 keys or more, tombstones included, removed all tombstones at each write. A watcher or a peer that had not read them yet kept the deleted entries: a server that had left stayed in use. Other writers may leave thousands of entries.

Tombstones alone now count towards the limit. A reader that continues from before the removed ones is told to list again, a copy gets all entries, and the registry and the agent of the configuration list at once instead of after a second.

TestManyKeysKeepDeletions and TestOldPositionsListAgain failed before (1 change of 2; 1,812 changes instead of a new list).

--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -27,6 +27,9 @@
 		if err == nil {
 			err = a.followConfig(ctx, revision)
 		}
+		if err != nil && err.Code == code.HistoryGone {
+			continue
+		}
 		if err != nil && !worker.Sleep(ctx, retryInterval) {
 			return
 		}
--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -15,9 +15,9 @@
 	"tanagerspread/core/code"
 )
 
-// tombstoneThreshold is the number of stored keys, tombstones included, from which
-// on each write first removes all tombstones.
-const tombstoneThreshold = 4096
+// maxTombstones is the number of tombstones from which on a deletion first removes the
+// earlier ones.
+const maxTombstones = 4096
 
 // entry is the latest state of one key. A deleted entry is a tombstone.
 type entry struct {
@@ -31,6 +31,10 @@
 	entries map[string]entry
 	// revision is the revision up to which the copy is complete.
 	revision kv.Revision
+	// tombstones is the number of deleted entries, forgotten the newest revision of
+	// those that were removed.
+	tombstones int
+	forgotten  kv.Revision
 	// loaded is true once all entries have been read.
 	loaded bool
 	// changed is closed and replaced at each change.
@@ -115,8 +119,14 @@
 	if exists && (e.Revision < stored.Revision || e.Revision == stored.Revision && deleted == stored.deleted) || !exists && deleted {
 		return
 	}
-	if len(m.entries) >= tombstoneThreshold {
-		m.removeTombstones()
+	if stored.deleted {
+		m.tombstones--
+	}
+	if deleted {
+		if m.tombstones >= maxTombstones {
+			m.removeTombstones()
+		}
+		m.tombstones++
 	}
 	m.entries[e.Key] = entry{Entry: e, deleted: deleted}
 	m.notifyWatchers()
@@ -132,9 +142,11 @@
 func (m *Mirror) removeTombstones() {
 	for key, stored := range m.entries {
 		if stored.deleted {
+			m.forgotten = max(m.forgotten, stored.Revision)
 			delete(m.entries, key)
 		}
 	}
+	m.tombstones = 0
 }
 
 // advanceTo raises the revision up to which the copy is complete. It never lowers
@@ -196,7 +208,7 @@
 
 // Copy returns what a copy of this mirror lacks: the changes after a revision,
 // for which it waits up to wait, or all entries and snapshot true when the
-// revision is 0. It returns code.KeyValueAway when the last call to the source
+// revision is 0 or deletions after it were forgotten. It returns code.KeyValueAway when the last call to the source
 // of the mirror failed.
 func (m *Mirror) Copy(ctx context.Context, after kv.Revision, wait time.Duration) (changes []kv.Change, at kv.Revision, snapshot bool, _ *code.Error) {
 	if after > 0 {
@@ -204,7 +216,9 @@
 		if err == nil {
 			err = m.checkUpToDate()
 		}
-		return changes, at, false, err
+		if err == nil || err.Code != code.HistoryGone {
+			return changes, at, false, err
+		}
 	}
 	entries, at, err := m.List(ctx, "")
 	if err == nil {
@@ -228,12 +242,17 @@
 }
 
 // Watch returns the changes under a prefix after a revision, and the revision to
-// continue from. It waits up to wait for a change; without one it returns none.
+// continue from. It waits up to wait for a change; without one it returns none. It
+// returns code.HistoryGone when deletions after the revision were forgotten; the caller
+// must then list again.
 func (m *Mirror) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Change, kv.Revision, *code.Error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		changes, at, changed := m.changesSince(prefix, after)
+		changes, at, changed, known := m.changesSince(prefix, after)
+		if !known {
+			return nil, 0, code.New(code.HistoryGone, "the deletions since the revision were forgotten")
+		}
 		if len(changes) > 0 {
 			return changes, at, nil
 		}
@@ -247,12 +266,15 @@
 	}
 }
 
-// changesSince returns the changes after a revision, the revision to continue
-// from, and a channel that is closed at the next change.
-func (m *Mirror) changesSince(prefix string, after kv.Revision) ([]kv.Change, kv.Revision, <-chan struct{}) {
+// changesSince returns the changes after a revision, the revision to continue from, and
+// a channel that is closed at the next change. known is false when deletions after the
+// revision were forgotten.
+func (m *Mirror) changesSince(prefix string, after kv.Revision) (changes []kv.Change, at kv.Revision, changed <-chan struct{}, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var changes []kv.Change
+	if after < m.forgotten {
+		return nil, 0, nil, false
+	}
 	highest := m.revision
 	for key, stored := range m.entries {
 		if stored.Revision > after && strings.HasPrefix(key, prefix) {
@@ -260,5 +282,5 @@
 			highest = max(highest, stored.Revision)
 		}
 	}
-	return changes, highest, m.changed
+	return changes, highest, m.changed, true
 }
--- /dev/null
+++ b/node/mirror/mirror_test.go
@@ -0,0 +1,61 @@
+package mirror_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerspread/client/kv"
+	"tanagerspread/core/code"
+	"tanagerspread/node/mirror"
+)
+
+func entryAt(key string, revision kv.Revision) kv.Entry {
+	return kv.Entry{Key: key, Value: fmt.Appendf(nil, "%s at %d", key, revision), Revision: revision}
+}
+
+// TestManyKeysKeepDeletions guards against a deletion that a watcher or a copy never
+// learns of, because the mirror holds more keys than usual and a further write follows.
+func TestManyKeysKeepDeletions(t *testing.T) {
+	const keys = 6000
+	m := mirror.New()
+	var entries []kv.Entry
+	for i := range keys {
+		entries = append(entries, entryAt(fmt.Sprintf("servers/i-%d", i), 1))
+	}
+	m.Replace(entries, 1)
+	_, at, err := m.List(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Apply([]kv.Change{{Entry: entryAt("servers/i-0", 2), Deleted: true}, {Entry: entryAt("servers/new", 3)}}, 3)
+	changes, _, err := m.Watch(t.Context(), "servers/", at, time.Second)
+	if err != nil || len(changes) != 2 {
+		t.Errorf("%d changes, error %v, want the deletion and the new entry", len(changes), err)
+	}
+}
+
+// TestOldPositionsListAgain guards against a watcher or a copy that misses deletions
+// because the mirror no longer remembers them.
+func TestOldPositionsListAgain(t *testing.T) {
+	const deletions = 10000
+	m := mirror.New()
+	m.Replace([]kv.Entry{entryAt("op/config", 1)}, 1)
+	_, at, err := m.List(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range deletions {
+		revision := kv.Revision(2 * (i + 1))
+		key := fmt.Sprintf("servers/i-%d", i)
+		m.Apply([]kv.Change{{Entry: entryAt(key, revision)}}, revision)
+		m.Apply([]kv.Change{{Entry: entryAt(key, revision+1), Deleted: true}}, revision+1)
+	}
+	if changes, _, err := m.Watch(t.Context(), "servers/", at, time.Second); err == nil || err.Code != code.HistoryGone {
+		t.Errorf("a watcher got %d changes, error %v, want code %d", len(changes), err, code.HistoryGone)
+	}
+	changes, _, snapshot, err := m.Copy(t.Context(), at, time.Second)
+	if err != nil || !snapshot || len(changes) != 1 {
+		t.Errorf("a copy got %d changes, snapshot %t, error %v, want all entries", len(changes), snapshot, err)
+	}
+}
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -28,6 +28,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err.Code == code.HistoryGone {
+			continue
+		}
 		eventlog.Write(f.registry.options.Logger, event.ServiceCallFailed, err, "call", "follow "+f.prefix, "code", int(err.Code))
 		if !worker.Sleep(ctx, retryInterval) {
 			return
