node/mirror: a list of several pages hides no later change

Entries that are newer than the list are left to the watch, which continues from the revision of the first page. So no entry of a mirror is newer than the revision up to which it is complete. Class of fault: a position that skips what was not received.

TestLateChangeReachesWatchers failed before (the copy never got the change).

--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -29,7 +29,8 @@
 type Mirror struct {
 	mu      sync.Mutex
 	entries map[string]entry
-	// revision is the revision up to which the copy is complete.
+	// revision is the revision up to which the copy is complete. No entry is newer:
+	// a reader that continues from it would miss the changes before that entry.
 	revision kv.Revision
 	// tombstones is the number of deleted entries, forgotten the newest revision of
 	// those that were removed.
@@ -50,15 +51,18 @@
 	return &Mirror{entries: map[string]entry{}, changed: make(chan struct{})}
 }
 
-// Replace replaces all entries by a list that was read at a revision. Entries
-// and deletions that are newer than the list stay.
+// Replace replaces all entries by a list that was read at a revision. Entries and
+// deletions of the mirror that are newer than the list stay. Entries of the list that
+// are newer than its revision, from pages that were read later, are left to the watch.
 func (m *Mirror) Replace(entries []kv.Entry, at kv.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	listed := map[string]bool{}
 	for _, e := range entries {
 		listed[e.Key] = true
-		m.put(e, false)
+		if e.Revision <= at {
+			m.put(e, false)
+		}
 	}
 	for key, stored := range m.entries {
 		if !stored.deleted && !listed[key] && stored.Revision <= at {
@@ -275,12 +279,10 @@
 	if after < m.forgotten {
 		return nil, 0, nil, false
 	}
-	highest := m.revision
 	for key, stored := range m.entries {
 		if stored.Revision > after && strings.HasPrefix(key, prefix) {
 			changes = append(changes, kv.Change{Entry: stored.Entry, Deleted: stored.deleted})
-			highest = max(highest, stored.Revision)
 		}
 	}
-	return changes, highest, m.changed, true
+	return changes, m.revision, m.changed, true
 }
--- a/node/mirror/mirror_test.go
+++ b/node/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"tanagerspread/client/kv"
@@ -14,6 +15,41 @@
 	return kv.Entry{Key: key, Value: fmt.Appendf(nil, "%s at %d", key, revision), Revision: revision}
 }
 
+// keysOf returns the keys of changes with their revisions.
+func keysOf(changes []kv.Change) map[string]kv.Revision {
+	keys := map[string]kv.Revision{}
+	for _, change := range changes {
+		keys[change.Entry.Key] = change.Entry.Revision
+	}
+	return keys
+}
+
+// TestLateChangeReachesWatchers guards against a change that watchers and copies never
+// receive, because a list of several pages had brought newer revisions of other keys
+// before it.
+func TestLateChangeReachesWatchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := mirror.New()
+		m.Replace([]kv.Entry{entryAt("op/config", 50)}, 50)
+		_, copied, _, err := m.Copy(t.Context(), 0, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The configuration changes to revision 101 after its page was read, the server's
+		// entry to 102 before its page is read.
+		m.Replace([]kv.Entry{entryAt("op/config", 50), entryAt("servers/i-1", 102)}, 100)
+		_, copied, _, err = m.Copy(t.Context(), copied, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Apply([]kv.Change{{Entry: entryAt("op/config", 101)}}, 102)
+		changes, _, snapshot, err := m.Copy(t.Context(), copied, time.Second)
+		if err != nil || snapshot || keysOf(changes)["op/config"] != 101 {
+			t.Errorf("a copy got %v, snapshot %t, error %v, want the configuration at 101", keysOf(changes), snapshot, err)
+		}
+	})
+}
+
 // TestManyKeysKeepDeletions guards against a deletion that a watcher or a copy never
 // learns of, because the mirror holds more keys than usual and a further write follows.
 func TestManyKeysKeepDeletions(t *testing.T) {
