platform, node/registry: many or large odd entries do not stop the configuration

One list and one watch carry all entries of the store. Another writer that left more than 64 pages of entries (32,000, or 64 of 1 MB) among those of the servers made each list fail: nodes that started answered 503 for ever, and running ones kept the configuration and the servers that they had once their watch broke. Large values were kept in each mirror, which has a memory limit.

A rejected entry is logged once instead of at each revision, and forgotten when it is removed. The stand-in of the store bounds a page by bytes too, as the protocol says.

TestChangeBesideManyOddEntries failed before: the node that starts beside 5,000 entries (100 pages of the stand-in) answered 503.

--- a/node/process/config_test.go
+++ b/node/process/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -53,3 +54,43 @@
 		}
 	}
 }
+
+// TestChangeBesideManyOddEntries guards against nodes that no longer follow the store
+// because another writer left many or large entries among those of the servers: more
+// pages than a list reads, more than a message between nodes holds, or more than a
+// node's memory holds.
+func TestChangeBesideManyOddEntries(t *testing.T) {
+	for name, odd := range map[string]struct{ count, bytes int }{
+		"many":         {5000, 20},
+		"many of 2 KB": {3000, 2000},
+		"large":        {5, 1 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runAtSite(t, func(s *deployedSite) {
+				s.startServer("i-1", 0)
+				s.writeConfiguration(testKey, "other")
+				nodes := []*deployedNode{s.startNode("n1"), s.startNode("n2"), s.startNode("n3")}
+				time.Sleep(5 * time.Second)
+				value := []byte(strings.Repeat("[", odd.bytes))
+				for i := range odd.count {
+					s.store.PutBytes(fmt.Sprintf("servers/a-%d", i), value)
+				}
+				time.Sleep(5 * time.Second)
+				nodes = append(nodes, s.startNode("n4", "n1:peers"))
+				time.Sleep(3 * time.Second)
+				for i, n := range nodes {
+					if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusOK {
+						t.Errorf("node %d: got %d", i+1, got.status)
+					}
+				}
+				s.writeConfiguration("other")
+				time.Sleep(configApplyTime)
+				for i, n := range nodes {
+					if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusUnauthorized {
+						t.Errorf("node %d: got %d with a revoked key", i+1, got.status)
+					}
+				}
+			})
+		})
+	}
+}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -62,18 +62,18 @@
 	nodes   map[string]control.VM
 	// issuer is the last node that held the issuer's key.
 	issuer string
-	// rejectedRevisions holds the revision of each entry that could not be
-	// decoded, so that each revision is logged once.
-	rejectedRevisions map[string]kv.Revision
+	// rejected has the keys of the entries that could not be decoded, which are logged
+	// once until they are removed or usable.
+	rejected map[string]bool
 }
 
 // New returns a registry. Run starts it.
 func New(options Options) *Registry {
 	return &Registry{
-		options:           options,
-		servers:           map[string]control.VM{},
-		nodes:             map[string]control.VM{},
-		rejectedRevisions: map[string]kv.Revision{},
+		options:  options,
+		servers:  map[string]control.VM{},
+		nodes:    map[string]control.VM{},
+		rejected: map[string]bool{},
 	}
 }
 
@@ -161,6 +161,7 @@
 func (r *Registry) applyServer(change kv.Change) {
 	delete(r.servers, change.Entry.Key)
 	if change.Deleted {
+		delete(r.rejected, change.Entry.Key)
 		return
 	}
 	vm, err := r.options.DecodeServer(change.Entry.Key, change.Entry.Value)
@@ -168,6 +169,7 @@
 		r.logRejected(change.Entry, err)
 		return
 	}
+	delete(r.rejected, change.Entry.Key)
 	vm.Revision = uint64(change.Entry.Revision)
 	r.servers[change.Entry.Key] = vm
 }
@@ -175,6 +177,7 @@
 func (r *Registry) applyNode(change kv.Change) {
 	delete(r.nodes, change.Entry.Key)
 	if change.Deleted {
+		delete(r.rejected, change.Entry.Key)
 		return
 	}
 	var session confkv.Session
@@ -182,6 +185,7 @@
 		r.logRejected(change.Entry, code.Wrap(code.EntryInvalid, "the session entry of the node cannot be decoded or lacks its identifier or peer address", err))
 		return
 	}
+	delete(r.rejected, change.Entry.Key)
 	r.nodes[change.Entry.Key] = control.VM{
 		ID: session.Node, Address: session.Address, Role: fleet.RoleEntryVM, PeerAddress: session.PeerAddress,
 		Domain: fleet.Domain(session.Domain),
@@ -224,11 +228,12 @@
 	worker.Tell(r.options.Control, r.options.Logger, control.Message(seen))
 }
 
-// logRejected logs an entry that could not be decoded, once for each revision.
+// logRejected logs an entry that could not be decoded, unless an earlier revision of it
+// was logged.
 func (r *Registry) logRejected(entry kv.Entry, err *code.Error) {
-	if r.rejectedRevisions[entry.Key] == entry.Revision {
+	if r.rejected[entry.Key] {
 		return
 	}
-	r.rejectedRevisions[entry.Key] = entry.Revision
+	r.rejected[entry.Key] = true
 	eventlog.Write(r.options.Logger, event.EntryRejected, err, "key", entry.Key, "revision", uint64(entry.Revision), "code", int(err.Code))
 }
--- a/standin/deployed/store.go
+++ b/standin/deployed/store.go
@@ -14,8 +14,12 @@
 	"time"
 )
 
-// pageSize is the number of items in one page of a range.
-const pageSize = 50
+const (
+	// pageSize is the number of items in one page of a range.
+	pageSize = 50
+	// pageBytes bounds the values in one page of a range, except for its first item.
+	pageBytes = 1 << 20
+)
 
 // Item is one version of a key in the store.
 type Item struct {
@@ -237,8 +241,13 @@
 		Items   []Item `json:"items"`
 		HasMore bool   `json:"has_more"`
 		At      uint64 `json:"at"`
-	}{Items: []Item{}, HasMore: len(keys) > pageSize, At: s.revision}
-	for _, key := range keys[:min(len(keys), pageSize)] {
+	}{Items: []Item{}, At: s.revision}
+	size := 0
+	for _, key := range keys {
+		size += len(s.items[key].Value)
+		if reply.HasMore = len(reply.Items) == pageSize || len(reply.Items) > 0 && size > pageBytes; reply.HasMore {
+			break
+		}
 		reply.Items = append(reply.Items, s.items[key])
 	}
 	writeJSON(w, reply)
