node/forward, node/egress: a refusal without the id of its attempt proves nothing

A server in trouble that sent the refusal of an earlier request instead of its response made a node tell its caller 'not run, try again' for a call that the server had run, or made the call run at a second server: every path looked at the refusal before it checked whose response it was.

What a response proves is decided in one place for forwarded calls, after its id (ResponseInfo.Meaning), and by one function for the project's own interface. Engines get the id as a header and repeat it in their refusals, as plain services do in all responses; a response with two ids belongs to nobody. In the stand-in of the users' servers, refusals carry the id, as their protocol says.

--- a/client/engine/protocol.go
+++ b/client/engine/protocol.go
@@ -12,6 +12,10 @@
 	PathEvents      = "/cache/events"
 )
 
+// HeaderRequestID is the id of a completion request, which each response repeats. A
+// refusal without it proves nothing about the request.
+const HeaderRequestID = "Tanagerspread-Request-Id"
+
 // The headers that an engine adds to each response.
 const (
 	HeaderRunning       = "X-Engine-Running"
--- a/node/egress/completion.go
+++ b/node/egress/completion.go
@@ -56,7 +56,7 @@
 	defer func() { _ = response.Body.Close() }()
 	result := headerResult(response.Header)
 	if response.StatusCode != http.StatusOK {
-		return errorStatusResult(result, response)
+		return errorStatusResult(result, response, refusesRequest(response, body.RequestID))
 	}
 	reader, stop := newGapReader(response.Body, timeouts.Gap, cancel)
 	defer stop()
@@ -73,6 +73,7 @@
 		return nil, err
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(engine.HeaderRequestID, body.RequestID)
 	return request, nil
 }
 
@@ -179,13 +180,22 @@
 	return code.Wrap(code.CallerGone, "the caller closed the connection", err)
 }
 
+// refusesRequest reports whether a response is the refusal of the request with an id,
+// which has not run. A server in trouble may send the refusal of an earlier request
+// again.
+func refusesRequest(response *http.Response, id string) bool {
+	ids := response.Header.Values(engine.HeaderRequestID)
+	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(engine.HeaderExecution) == engine.ExecutionNotRun &&
+		len(ids) == 1 && ids[0] == id
+}
+
 // errorStatusResult returns result with the outcome of a response whose status is
 // not 200: Rejected when the headers state that the request did not run, Lost
 // otherwise.
-func errorStatusResult(result Result, response *http.Response) Result {
+func errorStatusResult(result Result, response *http.Response, notRun bool) Result {
 	result.Outcome = control.Lost
 	result.Cause = code.Newf(code.BackendLost, "the backend server responded with status %d", response.StatusCode)
-	if response.Header.Get(engine.HeaderExecution) == engine.ExecutionNotRun {
+	if notRun {
 		result.Outcome = control.Rejected
 		result.Cause = code.New(code.BackendRefused, "the backend server refused the request before running it")
 	}
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -58,10 +58,10 @@
 	defer closeConn()
 	defer func() { _ = response.Body.Close() }()
 	info := protocol.DecodeResponse(attempt.ID, response)
-	if info.NotRun {
+	switch info.Meaning() {
+	case forward.ProvesNotRun:
 		return refusedResult(response, info)
-	}
-	if !info.MatchesAttempt || !info.Sealed {
+	case forward.ProvesNothing:
 		return Result{Outcome: control.Lost, Cause: code.New(code.AnswerMismatched, "the response belongs to another request")}
 	}
 	reader, stop := newGapReader(response.Body, timeouts.Gap, cancel)
--- a/node/egress/service.go
+++ b/node/egress/service.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"tanagerspread/client/engine"
 	"tanagerspread/client/service"
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
@@ -57,8 +56,8 @@
 	defer closeConn()
 	defer func() { _ = response.Body.Close() }()
 	result := headerResult(response.Header)
-	if refusedBeforeRun(response) {
-		return ServiceResponse{}, errorStatusResult(result, response)
+	if refusesRequest(response, call.RequestID) {
+		return ServiceResponse{}, errorStatusResult(result, response, true)
 	}
 	reader, stop := newGapReader(response.Body, timeouts.Gap, cancel)
 	defer stop()
@@ -70,13 +69,6 @@
 	return complete, bodyResult(ctx, result, err)
 }
 
-// refusedBeforeRun reports whether a plain service refused the call before
-// running it.
-func refusedBeforeRun(response *http.Response) bool {
-	return response.StatusCode >= http.StatusBadRequest &&
-		response.Header.Get(engine.HeaderExecution) == engine.ExecutionNotRun
-}
-
 // isFramed reports whether a length or the chunked encoding marks the end of
 // the response body. A body that ends when the connection closes cannot be
 // distinguished from a truncated one.
@@ -96,8 +88,9 @@
 	if !isFramed(response, call.Method) {
 		return code.New(code.AnswerTruncated, "the response does not say where its body ends")
 	}
-	echoed := response.Header.Get(service.HeaderRequestID)
-	if echoed != call.RequestID && (echoed != "" || !call.EchoOptional) {
+	echoed := response.Header.Values(service.HeaderRequestID)
+	matches := len(echoed) == 1 && echoed[0] == call.RequestID
+	if !matches && (len(echoed) > 0 || !call.EchoOptional) {
 		return code.New(code.AnswerMismatched, "the response belongs to another request")
 	}
 	return nil
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -48,6 +48,34 @@
 	Weights int
 }
 
+// Meaning is what a response says about the attempt that it answers.
+type Meaning int
+
+// The meanings of a response.
+const (
+	// ProvesNothing is a response that need not belong to the attempt, which may
+	// have run.
+	ProvesNothing Meaning = iota
+	// ProvesNotRun is the refusal of the attempt, which has not run and never will.
+	ProvesNotRun
+	// IsOutcome is the server's own response to the attempt.
+	IsOutcome
+)
+
+// Meaning returns what the response says. A server in trouble may send a response
+// again, so a refusal counts only with the id of the attempt.
+func (i ResponseInfo) Meaning() Meaning {
+	switch {
+	case !i.MatchesAttempt:
+		return ProvesNothing
+	case i.NotRun:
+		return ProvesNotRun
+	case i.Sealed:
+		return IsOutcome
+	}
+	return ProvesNothing
+}
+
 // InvalidWeights is the weight version of a response whose version header is not
 // a valid number.
 const InvalidWeights = -1
--- a/node/ingress/notrun_test.go
+++ b/node/ingress/notrun_test.go
@@ -27,6 +27,7 @@
 // running it.
 func refuseNotRun(rw http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
+	rw.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
 	rw.Header().Set(engine.HeaderExecution, engine.ExecutionNotRun)
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/node/runtime/drain_test.go
+++ b/node/runtime/drain_test.go
@@ -169,7 +169,8 @@
 // leaving report to one node only, while the VM list is behind.
 func TestLeavingReportGossiped(t *testing.T) {
 	withCluster(t, 3, func(c *cluster) {
-		c.serveEngine(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c.serveEngine(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(engineclient.HeaderRequestID, r.Header.Get(engineclient.HeaderRequestID))
 			w.Header().Set(engineclient.HeaderLeaving, "true")
 			w.Header().Set(engineclient.HeaderExecution, engineclient.ExecutionNotRun)
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -56,6 +56,11 @@
 	Unframed
 	// Slow runs the call and responds after one second.
 	Slow
+	// RefuseOther runs the call and responds with the refusal of another attempt, which
+	// was not executed.
+	RefuseOther
+	// RefuseUnnamed is like RefuseOther, but the refusal has no identifier.
+	RefuseUnnamed
 	// BehaviourCount is the number of the behaviours above, which wait for no other
 	// call of the test.
 	BehaviourCount
@@ -239,6 +244,7 @@
 	}
 	if !accepted && behaviour != Shed {
 		w.Header().Set("Instance-Id", s.ID)
+		w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -248,8 +254,13 @@
 	id := r.Header.Get(headerAttempt)
 	switch behaviour {
 	case Shed:
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w, id)
+		return
+	case RefuseOther:
+		refuse(w, "another")
+		return
+	case RefuseUnnamed:
+		refuse(w, "")
 		return
 	case MismatchID:
 		id = "another"
@@ -272,6 +283,16 @@
 	}
 }
 
+// refuse responds that the attempt with an identifier was not executed. An empty
+// identifier is not sent.
+func refuse(w http.ResponseWriter, id string) {
+	if id != "" {
+		w.Header().Set(headerAttempt, id)
+	}
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func (s *Server) respondPlain(w http.ResponseWriter, id string, behaviour Behaviour) {
 	body := "answer of " + s.ID + " to " + id
 	switch behaviour {
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -20,6 +20,7 @@
 
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	var request engine.CompletionRequest
+	w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
 	w.Header().Set(engine.HeaderExecution, engine.ExecutionNotRun)
 	if !wire.Decode(w, r, &request) {
 		return
