node/egress, node/ingress: only a stream completes a stream that has begun

A stream broke off and the next server answered with an error, or with a success that is no stream: the attempt counted as succeeded, the response was dropped, and the caller got the first events and an end that looked complete. Cause: the end of an attempt was taken for the end of the response, whatever had been written before. The same cause elsewhere: events without ids were written again from the first one by the next server, so that pieces came twice.

An attempt that resumes a stream succeeds with a stream only. Its events need ids, and so do those that were written before; otherwise the connection is broken.

--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -33,6 +33,9 @@
 	// Header holds the headers to send; the attempt owns the map.
 	Header http.Header
 	Body   []byte
+	// Resumes is true when the caller has received the beginning of a stream, which
+	// only a stream can continue.
+	Resumes bool
 }
 
 // Receiver receives the response of a forwarded call.
@@ -69,6 +72,9 @@
 	if isStream(response) {
 		return bodyResult(ctx, Result{Weights: info.Weights}, receiveStream(reader, response, receiver))
 	}
+	if attempt.Resumes {
+		return Result{Outcome: control.Lost, Cause: code.Newf(code.BackendLost, "the backend server responded with status %d to a resumed stream", response.StatusCode)}
+	}
 	body, err := readBody(reader)
 	if err == nil {
 		receiver.CompleteResponse(response, body)
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -171,6 +171,10 @@
 	// streamStarted is true once the headers of a stream were written to the
 	// caller.
 	streamStarted bool
+	// resumes is true when the attempt started after the headers were written.
+	resumes bool
+	// unnumbered is true once an event without an id was written to the caller.
+	unnumbered bool
 	// complete is a complete response that is no stream, with the body
 	// completeBody, or nil.
 	complete     *http.Response
@@ -181,6 +185,7 @@
 func (c *callRelay) attempt(ctx context.Context, dispatch control.Dispatch, checkSend egress.SendCheck) egress.Result {
 	c.dispatch = dispatch
 	c.attemptStartedAt = time.Now()
+	c.resumes = c.streamStarted
 	running, end := c.frontend.startAttempt(ctx, attemptKey{c.exchange.request.ID, dispatch.Attempt})
 	defer end()
 	c.running = running
@@ -192,6 +197,8 @@
 		Host:   c.r.Host,
 		Header: c.frontend.options.Protocol.AttemptHeader(c.r.Header, *dispatch.Forward, c.workTime(), c.lastEventID),
 		Body:   c.body,
+
+		Resumes: c.resumes,
 	}
 	return c.frontend.options.Egress.Forward(running.ctx, dispatch.Address, c.frontend.options.Protocol, attempt, timeoutsOf(dispatch), checkSend, c)
 }
@@ -258,13 +265,19 @@
 }
 
 // Event writes the next event and flushes it. It skips events that the caller has
-// already received, and returns code.AnswerTruncated when an event id is missing. A
-// comment is no first part of the response.
+// already received, and returns code.AnswerTruncated when an event id is missing, or
+// when events without ids do not show where a resumed stream continues. A comment is no
+// first part of the response.
 func (c *callRelay) Event(event forward.Event) error {
 	if !event.IsComment() {
 		if err := c.reportFirstEvent(); err != nil {
 			return err
 		}
+		numbered := event.ID != forward.NoEventID
+		if c.resumes && (c.unnumbered || !numbered) {
+			return code.New(code.AnswerTruncated, "the stream has events without ids and cannot be resumed")
+		}
+		c.unnumbered = c.unnumbered || !numbered
 	}
 	if event.ID != forward.NoEventID {
 		if event.ID <= c.lastEventID {
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -151,6 +151,51 @@
 	}
 }
 
+// TestBrokenStreamNotCompleted guards against a stream that broke off and then ends as if
+// it were complete, has a piece twice, or has the error of the next server in it.
+func TestBrokenStreamNotCompleted(t *testing.T) {
+	const (
+		events = 5
+		broken = 2
+	)
+	withIDs, withoutIDs := "", ""
+	for i := 1; i <= broken; i++ {
+		withoutIDs += fmt.Sprintf("data: piece %d\n\n", i)
+		withIDs += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+	}
+	for name, c := range map[string]struct {
+		first, second deployed.Behaviour
+		want          string
+	}{
+		"error":                {deployed.CloseConnection, deployed.InternalError, withIDs},
+		"no stream":            {deployed.CloseConnection, deployed.RespondPlain, withIDs},
+		"other attempt":        {deployed.CloseConnection, deployed.MismatchID, withIDs},
+		"refusal of another":   {deployed.CloseConnection, deployed.RefuseOther, withIDs},
+		"no response":          {deployed.CloseConnection, deployed.Hang, withIDs},
+		"broken again":         {deployed.CloseConnection, deployed.CloseConnection, withIDs},
+		"events without ids":   {deployed.CloseConnection, deployed.OmitEventIDs, withIDs},
+		"resumes without ids":  {deployed.OmitEventIDs, deployed.Respond, withoutIDs},
+		"error without ids":    {deployed.OmitEventIDs, deployed.InternalError, withoutIDs},
+		"neither has event id": {deployed.OmitEventIDs, deployed.OmitEventIDs, withoutIDs},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runAtSite(t, func(s *deployedSite) {
+				for _, server := range []*deployed.Server{s.startServer("i-1", events), s.startServer("i-2", events)} {
+					server.CloseAfterEvents = broken
+				}
+				s.writeConfiguration(testKey)
+				n := s.startNode("n1")
+				waitForRepeats()
+				s.plan.SetNext(c.first, c.second)
+				got := n.call("POST", "/review/", nil, "x")
+				if got.status != http.StatusOK || !got.incomplete || got.body != c.want {
+					t.Errorf("got status %d, incomplete %t, body %q, want the first %d events and a broken connection", got.status, got.incomplete, got.body, broken)
+				}
+			})
+		})
+	}
+}
+
 // TestConfigurationFromStore guards against a node without a configuration that
 // does not refuse calls with status 503 and Retry-After, and against a revoked
 // key that is still accepted.
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -61,6 +61,13 @@
 	RefuseOther
 	// RefuseUnnamed is like RefuseOther, but the refusal has no identifier.
 	RefuseUnnamed
+	// RespondPlain runs the call. A model server sends a complete response that is no
+	// stream; a plain service responds as usual.
+	RespondPlain
+	// OmitEventIDs runs the call. A model server sends events without ids. Unless it
+	// resumes a stream, it closes the connection after CloseAfterEvents of them if that
+	// is not 0. A plain service responds as usual.
+	OmitEventIDs
 	// BehaviourCount is the number of the behaviours above, which wait for no other
 	// call of the test.
 	BehaviourCount
@@ -276,7 +283,7 @@
 	case behaviour == InternalError:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
-	case s.Events > 0:
+	case s.Events > 0 && behaviour != RespondPlain:
 		s.respondStream(w, r, behaviour)
 	default:
 		s.respondPlain(w, id, behaviour)
@@ -315,13 +322,17 @@
 		from = last + 1
 	}
 	controller := http.NewResponseController(w)
+	breaks := behaviour == CloseConnection || behaviour == OmitEventIDs && s.CloseAfterEvents > 0 && from == 1
 	for i := from; i <= s.Events; i++ {
-		if behaviour == CloseConnection && i > s.CloseAfterEvents {
+		if breaks && i > s.CloseAfterEvents {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		if behaviour != OmitEventIDs {
+			_, _ = fmt.Fprintf(w, "id: %d\n", i)
+		}
+		_, _ = fmt.Fprintf(w, "data: piece %d\n\n", i)
 		_ = controller.Flush()
 	}
 }
