core/control: a node that knows of a newer configuration reads its text

A node that learned from a digest that a newer version exists waited for the watch or for the peer that holds it. Its own read went to its copy of the entries, which lacks the text, and did nothing.

After half a second without the text the node reads all entries from the store, and again every two seconds, unless the text has arrived and cannot be parsed.

TestKnownVersionIsRead failed before (no read in a second).

--- a/core/control/config.go
+++ b/core/control/config.go
@@ -24,6 +24,9 @@
 	confirmJitter = 3 * time.Second
 	// readInterval is the time between two reads of the key-value service.
 	readInterval = 2 * time.Second
+	// textWait is how long a node that knows of a newer version waits for its text from
+	// the watch and from peers before it reads the entries of the service itself.
+	textWait = 500 * time.Millisecond
 	// fetchInterval is the time between two fetches of a newer configuration
 	// from a peer.
 	fetchInterval = time.Second
@@ -41,6 +44,8 @@
 	newest config.Version
 	// newestAt is when the node learned of the newest version.
 	newestAt time.Time
+	// unreadable is the newest version whose text could not be parsed.
+	unreadable config.Version
 	// newestHolder is the peer that has the newest version in force, or empty.
 	newestHolder string
 	// contactAt is when the node last reached the key-value service.
@@ -90,6 +95,9 @@
 // older or equal version and a configuration without rules.
 func (s *State) putInForce(now time.Time, current config.Configuration, rules *config.Rules) {
 	s.recordNewest(now, current.Version, "")
+	if rules == nil {
+		s.configuration.unreadable = max(s.configuration.unreadable, current.Version)
+	}
 	if current.Version <= s.version || rules == nil {
 		return
 	}
@@ -228,6 +236,24 @@
 	s.configuration.readAge = confirmInterval + time.Duration(s.random.Int64N(int64(confirmJitter)))
 }
 
+// readConfiguration reads the configuration from the key-value service. A forwarding
+// node reads it from its copy of the entries, which must be refreshed to have a newer
+// text. No read brings a text that can be parsed when the last one could not.
+func (s *State) readConfiguration(now time.Time) {
+	c := &s.configuration
+	if s.options.Forwarding {
+		if c.unreadable == c.newest || now.Sub(c.newestAt) < textWait {
+			return
+		}
+		c.nextRead = now.Add(readInterval)
+		s.command(RefreshEntries{})
+		return
+	}
+	c.nextRead = now.Add(readInterval)
+	s.randomizeReadAge()
+	s.command(ReadConfig{})
+}
+
 // tickReads asks for a read of the key-value service when the last confirmation
 // is too old or a newer version exists, and fetches that version from a peer
 // that has it in force.
@@ -237,9 +263,7 @@
 	// An unfenced node needs no confirmation and reads only newer versions.
 	unconfirmed := !s.options.Unfenced && now.Sub(c.confirmedAt) >= c.readAge
 	if (outdated || unconfirmed) && !now.Before(c.nextRead) {
-		c.nextRead = now.Add(readInterval)
-		s.randomizeReadAge()
-		s.command(ReadConfig{})
+		s.readConfiguration(now)
 	}
 	if !outdated || now.Before(c.nextFetch) {
 		return
