--- a/node/process/config_test.go
+++ b/node/process/config_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"tanagerspread/platform"
 )
 
 const (
@@ -94,3 +96,35 @@
 		})
 	}
 }
+
+// TestUnreadableConfiguration guards against a node that stops serving, ends, or no
+// longer follows the configuration after the store has accepted one that the node cannot
+// parse.
+func TestUnreadableConfiguration(t *testing.T) {
+	for name, text := range map[string]string{
+		"another type":  `{"version":%d,"routes":[{"name":"x","timeout_ms":"soon"}]}`,
+		"unknown kind":  `{"version":%d,"routes":[{"name":"x","kind":"sometimes"}]}`,
+		"nested deeply": `{"version":%d,"x":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`,
+		"no JSON":       "\xff%d",
+	} {
+		t.Run(name, func(t *testing.T) {
+			runAtSite(t, func(s *deployedSite) {
+				s.startServer("i-1", 0)
+				s.writeConfiguration(testKey, "other")
+				n := s.startNode("n1")
+				waitForSync()
+				s.version++
+				s.store.PutBytes(platform.KeyConfig, fmt.Appendf(nil, text, s.version))
+				waitForSync()
+				if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusOK {
+					t.Errorf("beside the unreadable version: got %d", got.status)
+				}
+				s.writeConfiguration("other")
+				time.Sleep(configApplyTime)
+				if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusUnauthorized {
+					t.Errorf("after the next version: got %d with a revoked key", got.status)
+				}
+			})
+		})
+	}
+}
