node/mirror: a failing watch is not repeated without a pause

The service is read again at once no more than once a second. A peer that is bypassed is asked for changes every 10 s and copied from once it responds.

--- a/node/mirror/follow.go
+++ b/node/mirror/follow.go
@@ -25,8 +25,8 @@
 	batchDelay = 100 * time.Millisecond
 	// peerCopyWait is the time that a peer waits for a change before it responds.
 	peerCopyWait = 1500 * time.Millisecond
-	// peerRetryInterval is how long the service is watched instead of a peer that did
-	// not respond.
+	// peerRetryInterval is the time after which a peer that did not respond is asked
+	// again; the service is watched until then.
 	peerRetryInterval = 10 * time.Second
 )
 
@@ -98,24 +98,35 @@
 	}
 }
 
-// bypassPeer follows the service itself for peerRetryInterval when the current source
-// is a peer, and reports whether it is one.
+// bypassPeer follows the service itself until the peer responds again, when the
+// current source is a peer, and reports whether it is one.
 func (f *Follower) bypassPeer() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	failed := f.source
-	if failed.Address == "" {
-		return false
-	}
+	isPeer := f.source.Address != ""
 	f.switchTo(control.PeerTarget{})
-	time.AfterFunc(peerRetryInterval, func() {
+	return isPeer
+}
+
+// runPeerRetry returns to the assigned peer once it responds again.
+func (f *Follower) runPeerRetry(ctx context.Context) {
+	for worker.Sleep(ctx, peerRetryInterval) {
 		f.mu.Lock()
-		defer f.mu.Unlock()
-		if f.assigned == failed {
-			f.switchTo(failed)
+		assigned, bypassed := f.assigned, f.source != f.assigned
+		f.mu.Unlock()
+		if !bypassed {
+			continue
+		}
+		// Without a wait, the peer returns at once what this mirror lacks.
+		if _, _, _, err := f.options.Peer.Copy(ctx, assigned.Address, f.options.Mirror.Revision(), 0); err != nil {
+			continue
 		}
-	})
-	return true
+		f.mu.Lock()
+		if f.assigned == assigned {
+			f.switchTo(assigned)
+		}
+		f.mu.Unlock()
+	}
 }
 
 // Refresh requests one read of all entries of the service. It does not block.
@@ -131,6 +142,8 @@
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { f.runRefresh(ctx) })
+	group.Go(func() { f.runPeerRetry(ctx) })
+	var retriedAt time.Time
 	for ctx.Err() == nil {
 		err := f.follow(ctx)
 		if ctx.Err() != nil {
@@ -140,19 +153,23 @@
 		if err == nil || err.Code == code.HistoryGone {
 			continue
 		}
-		// After the first failure the service is read again at once: a watch that has
-		// gone silent fails only when changes are due.
-		first := f.recordFailure(err)
-		if !f.bypassPeer() && !first && !worker.Sleep(ctx, retryInterval) {
+		f.recordFailure(err)
+		if f.bypassPeer() {
+			continue
+		}
+		// The service is read again at once, because a watch that has gone silent fails
+		// when changes may be due already, but no more often than retryInterval.
+		if time.Since(retriedAt) < retryInterval && !worker.Sleep(ctx, retryInterval) {
 			break
 		}
+		retriedAt = time.Now()
 	}
 	group.Wait()
 }
 
 // recordFailure records a failed call to the current source. It logs the first one
-// after a successful call, and reports whether this is the first.
-func (f *Follower) recordFailure(err *code.Error) bool {
+// after a successful call.
+func (f *Follower) recordFailure(err *code.Error) {
 	f.options.Mirror.RecordCall(err)
 	f.mu.Lock()
 	first, source := !f.failing, f.source.Node
@@ -161,7 +178,6 @@
 	if first {
 		eventlog.Write(f.options.Logger, event.EntryFeedFailed, err, "source", source, "code", int(err.Code))
 	}
-	return first
 }
 
 // recordSuccess records a successful call to the current source. It logs the first one
--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -93,6 +93,13 @@
 	return m.entries[key].Revision
 }
 
+// Revision returns the revision up to which the copy is complete.
+func (m *Mirror) Revision() kv.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // RecordCall records whether a call to the source of the copy failed. The first
 // successful call after a failed one is recorded before its result is applied,
 // so that readers of the result see the new RecoveredAt.
