core/control, node/egress: a server whose responses say that it leaves gets no calls

Nothing read the header; the node went on until the store showed the server as draining, or for as long as the store was down.

The header counts when the head of a response arrives, also that of a stream or a refusal, if the response belongs to the attempt and comes from the server that was asked. It holds for the process of the server: an entry may be older than the response, so one that says ready does not take it back. Calls that wait or are held for a connection are checked by the chart before they are sent, as before.

--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -129,7 +129,7 @@
 			"failures_reached_limit": func(server *fleet.Server, _ time.Time) bool { return server.FailuresReachedLimit() },
 			"evidence_is_newer":      func(server *fleet.Server, _ time.Time) bool { return server.SuccessStartedAfterFailure() },
 			"slots_restored":         func(server *fleet.Server, _ time.Time) bool { return server.SlowStartSlots >= s.options.ServerSlots },
-			"named_leaving":          func(server *fleet.Server, _ time.Time) bool { return server.LeavingByList || server.LeavingByRule },
+			"named_leaving":          func(server *fleet.Server, _ time.Time) bool { return server.LeavingByList || server.LeavingByRule || server.LeavingByResponse },
 		},
 		Actions: map[string]func(*fleet.Server, time.Time){
 			"start_recovery": func(server *fleet.Server, _ time.Time) { server.StartSlowStart() },
--- a/core/control/leaving.go
+++ b/core/control/leaving.go
@@ -15,6 +15,9 @@
 		server.LeavingByList = true
 		server.LeavingRevision = server.EntryRevision
 		s.fireServerEvent(server, "leave", now)
+	case server.LeavingByResponse:
+		// The entry may be older than the response; only another process returns.
+		server.LeavingByList = false
 	case server.LeavingByList || returnedAfterReport(server):
 		server.LeavingByList = false
 		server.LeavingRevision = 0
@@ -30,6 +33,20 @@
 	return server.LeavingRevision != 0 && server.EntryRevision > server.LeavingRevision
 }
 
+// serverLeaves records that a response of a server to this node says that it leaves. The
+// peers learn of it at once.
+func (s *State) serverLeaves(now time.Time, m ServerLeaves) {
+	req, ok := s.currentAttempt(m.Request, m.Attempt)
+	if !ok || req.attempt.server.LeavingByResponse {
+		return
+	}
+	server := req.attempt.server
+	server.LeavingByResponse = true
+	server.LeavingReportedAt = now
+	s.leavingReportPending = true
+	s.fireServerEvent(server, "leave", now)
+}
+
 // recordLeaving records that a server reported at the given time, to this node
 // or to a peer, that it is leaving, and stops new work to it. A report from
 // before the VM list showed the server live again is ignored.
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -66,6 +66,13 @@
 	Elapsed time.Duration
 }
 
+// ServerLeaves reports that the response to an attempt says that its server leaves. It
+// arrives with the headers of the response.
+type ServerLeaves struct {
+	Request request.ID
+	Attempt request.AttemptID
+}
+
 // Outcome is the result of an attempt.
 type Outcome int
 
@@ -273,6 +280,7 @@
 func (Place) message()          {}
 func (Connected) message()      {}
 func (FirstToken) message()     {}
+func (ServerLeaves) message()   {}
 func (AttemptDone) message()    {}
 func (Recorded) message()       {}
 func (Abandon) message()        {}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -230,6 +230,8 @@
 		s.connected(now, m)
 	case FirstToken:
 		s.firstToken(now, m)
+	case ServerLeaves:
+		s.serverLeaves(now, m)
 	case AttemptDone:
 		s.attemptDone(now, m)
 	case Recorded:
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -81,6 +81,9 @@
 	LeavingByList bool
 	// LeavingByRule is true while an operator's rule marks the server as leaving.
 	LeavingByRule bool
+	// LeavingByResponse is true once a response of the server to this node said that it
+	// leaves, which holds until its process ends.
+	LeavingByResponse bool
 	// LeavingReportedAt is when the server last reported to this node or to a peer
 	// that it is leaving, or when one of them saw it listed as leaving before any
 	// report. It is zero when there was neither.
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -40,6 +40,9 @@
 
 // Receiver receives the response of a forwarded call.
 type Receiver interface {
+	// ServerLeaves receives the report, in the headers of a response, that the server
+	// leaves.
+	ServerLeaves()
 	// CompleteResponse receives a response with its complete body.
 	CompleteResponse(response *http.Response, body []byte)
 	// StartStream receives the headers of a stream. An error stops the attempt.
@@ -61,6 +64,9 @@
 	defer closeConn()
 	defer func() { _ = response.Body.Close() }()
 	info := protocol.DecodeResponse(attempt.ID, response)
+	if info.ServerLeaves() {
+		receiver.ServerLeaves()
+	}
 	switch info.Meaning() {
 	case forward.ProvesNotRun:
 		return refusedResult(response, info)
--- a/node/egress/forward_test.go
+++ b/node/egress/forward_test.go
@@ -18,7 +18,10 @@
 type testProtocol struct{ forward.Protocol }
 
 func (testProtocol) DecodeResponse(id request.ID, response *http.Response) forward.ResponseInfo {
-	return forward.ResponseInfo{MatchesAttempt: response.Header.Get("Id") == string(id), Sealed: response.Header.Get("Seal") != ""}
+	return forward.ResponseInfo{
+		MatchesAttempt: response.Header.Get("Id") == string(id), Sealed: response.Header.Get("Seal") != "",
+		Leaving: response.Header.Get("Leaving") != "",
+	}
 }
 
 // recorder records what reaches the caller.
@@ -26,8 +29,11 @@
 	complete bool
 	started  bool
 	events   int
+	leaves   bool
 }
 
+func (r *recorder) ServerLeaves() { r.leaves = true }
+
 func (r *recorder) CompleteResponse(*http.Response, []byte) { r.complete = true }
 func (r *recorder) StartStream(*http.Response) error        { r.started = true; return nil }
 func (r *recorder) Event(forward.Event) error               { r.events++; return nil }
@@ -130,3 +136,16 @@
 		t.Errorf("another error: got %+v, want a stopped attempt", got)
 	}
 }
+
+// TestLeavingInHeadOfStream guards against a leaving report that is handled only when the
+// stream that brought it ends.
+func TestLeavingInHeadOfStream(t *testing.T) {
+	const head = sealedHead + "Leaving: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	result, received, _ := forwardTo(t, head+"4\r\ndata\r\n", "")
+	if result.Outcome != control.Lost || !received.leaves {
+		t.Errorf("a stream that breaks off: report received %t, result %+v", received.leaves, result)
+	}
+	if _, received, _ := forwardTo(t, strings.Replace(head, "Id: a", "Id: b", 1)+"4\r\ndata\r\n", ""); received.leaves {
+		t.Error("the response to another attempt counts as a report of the server")
+	}
+}
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -43,6 +43,8 @@
 	// OtherServer is true when the server refused the call because it is not the
 	// expected server or has loaded other weights than expected.
 	OtherServer bool
+	// Leaving is true when the response says that its sender leaves.
+	Leaving bool
 	// Weights is the weight version that the server has loaded, 0 when the
 	// response has none, or InvalidWeights.
 	Weights int
@@ -76,6 +78,12 @@
 	return ProvesNothing
 }
 
+// ServerLeaves reports whether the server that was asked says that it leaves. The
+// response of another server, or to another attempt, says nothing about that server.
+func (i ResponseInfo) ServerLeaves() bool {
+	return i.Leaving && !i.OtherServer && i.Meaning() != ProvesNothing
+}
+
 // InvalidWeights is the weight version of a response whose version header is not
 // a valid number.
 const InvalidWeights = -1
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -244,6 +244,11 @@
 		"status", status, "first_ms", c.firstPartAt.Sub(c.arrivedAt).Milliseconds(), "total_ms", now.Sub(c.arrivedAt).Milliseconds())
 }
 
+// ServerLeaves passes the report of the server to the control thread.
+func (c *callRelay) ServerLeaves() {
+	c.frontend.options.Control.Tell(control.ServerLeaves{Request: c.exchange.request.ID, Attempt: c.dispatch.Attempt})
+}
+
 // CompleteResponse stores a complete response until the control thread has
 // decided whether the call is finished.
 func (c *callRelay) CompleteResponse(response *http.Response, body []byte) {
--- a/standin/deployed/operator.go
+++ b/standin/deployed/operator.go
@@ -86,7 +86,7 @@
 // RegisterServer writes the registry entry of a server, as the server itself does.
 func (s *Store) RegisterServer(server *Server, address, state string, maxConcurrency int) {
 	entry := map[string]any{
-		"service": plainService, "address": address, "zone": "a", "slots": maxConcurrency, "state": state, "born": startedAtMS,
+		"service": plainService, "address": address, "zone": "a", "slots": maxConcurrency, "state": state, "born": server.StartedAtMS,
 	}
 	if server.Events > 0 {
 		version, _ := server.Weights()
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -118,11 +118,15 @@
 	CloseAfterEvents int
 	// Plan may be shared by several servers.
 	Plan *Plan
+	// StartedAtMS is the start time of the process in Unix milliseconds.
+	StartedAtMS int64
 
 	// released is closed by Release.
 	released chan struct{}
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// leaving is true when all responses say that the server leaves.
+	leaving  bool
 	received []Request
 	weights  int
 	// sequence is the number of accepted orders that the report publishes and
@@ -135,7 +139,7 @@
 // NewServer returns a server with an empty plan and weight version 1. If events is
 // 0, it is a server of a plain service.
 func NewServer(id string, events int) *Server {
-	return &Server{ID: id, Events: events, Plan: &Plan{}, weights: 1, released: make(chan struct{})}
+	return &Server{ID: id, Events: events, Plan: &Plan{}, StartedAtMS: startedAtMS, weights: 1, released: make(chan struct{})}
 }
 
 // Release lets the server run the calls that it holds. It may be called once.
@@ -143,6 +147,13 @@
 	close(s.released)
 }
 
+// SetLeaving sets whether all responses say that the server leaves.
+func (s *Server) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
 // SetWeights sets the loaded weight version, as after a restart of the server.
 func (s *Server) SetWeights(version int) {
 	s.mu.Lock()
@@ -172,7 +183,15 @@
 	mux.HandleFunc("POST /order", s.handleOrder)
 	mux.HandleFunc("GET /kv-events", s.handleEvents)
 	mux.HandleFunc("/", s.handleCall)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		leaving := s.leaving
+		s.mu.Unlock()
+		if leaving {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // handleEvents responds to a poll for cache events without events when the wait
