core/control, chart: a server that asks for a delay gets no calls until it has passed

Any refusing server got calls again after 250 ms.

The chart of the server has a new state, paused, with the delay as its timeout; a longer delay is not shortened, a new process starts without one. Calls that were assigned before are held back by the check before they are sent. After the delay and up to 250 ms more the server is probed with one call at a time, so that the waiting calls do not all reach the first one that is free again. The delay counts also on a sealed 503 that may have run. It is at most a minute; malformed values are logged (2315).

A call whose servers all back off until after it could start is refused at once with the time until the first of them gets calls again. The former limit was its deadline; a stream is abandoned earlier than that.

TestAssignedCallHeldBack fails without the check before sending, for both reasons.

--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -92,7 +92,7 @@
 		return
 	}
 	server := req.attempt.server
-	mayRun := !server.Chart.Is(fleet.TagLeaving) && s.sameWeights(req, server) && !s.weightsExpired(now, server)
+	mayRun := !server.Chart.Is(fleet.TagLeaving) && !server.Chart.Is(fleet.TagPaused) && s.sameWeights(req, server) && !s.weightsExpired(now, server)
 	if !mayRun || s.quarantine.IsQuarantined(req.fingerprint) {
 		// The requester closes the connection and reports a failed dial.
 		req.attempt.connectionDenied = true
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -124,12 +124,14 @@
 
 func (s *State) serverBindings() chart.Bindings[*fleet.Server] {
 	return chart.Bindings[*fleet.Server]{
-		Tags: []chart.Tag{fleet.TagReceivesWork, fleet.TagProbing, fleet.TagSlowStart, fleet.TagBackingOff, fleet.TagLeaving},
+		Tags: []chart.Tag{fleet.TagReceivesWork, fleet.TagProbing, fleet.TagSlowStart, fleet.TagBackingOff, fleet.TagPaused, fleet.TagLeaving},
 		Guards: map[string]func(*fleet.Server, time.Time) bool{
 			"failures_reached_limit": func(server *fleet.Server, _ time.Time) bool { return server.FailuresReachedLimit() },
 			"evidence_is_newer":      func(server *fleet.Server, _ time.Time) bool { return server.SuccessStartedAfterFailure() },
 			"slots_restored":         func(server *fleet.Server, _ time.Time) bool { return server.SlowStartSlots >= s.options.ServerSlots },
-			"named_leaving":          func(server *fleet.Server, _ time.Time) bool { return server.LeavingByList || server.LeavingByRule || server.LeavingByResponse },
+			"named_leaving": func(server *fleet.Server, _ time.Time) bool {
+				return server.LeavingByList || server.LeavingByRule || server.LeavingByResponse
+			},
 		},
 		Actions: map[string]func(*fleet.Server, time.Time){
 			"start_recovery": func(server *fleet.Server, _ time.Time) { server.StartSlowStart() },
--- a/core/control/leaving.go
+++ b/core/control/leaving.go
@@ -33,14 +33,12 @@
 	return server.LeavingRevision != 0 && server.EntryRevision > server.LeavingRevision
 }
 
-// serverLeaves records that a response of a server to this node says that it leaves. The
-// peers learn of it at once.
-func (s *State) serverLeaves(now time.Time, m ServerLeaves) {
-	req, ok := s.currentAttempt(m.Request, m.Attempt)
-	if !ok || req.attempt.server.LeavingByResponse {
+// recordLeavingResponse records that a response of a server to this node says that it
+// leaves. The peers learn of it at once.
+func (s *State) recordLeavingResponse(now time.Time, server *fleet.Server) {
+	if server.LeavingByResponse {
 		return
 	}
-	server := req.attempt.server
 	server.LeavingByResponse = true
 	server.LeavingReportedAt = now
 	s.leavingReportPending = true
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -66,11 +66,21 @@
 	Elapsed time.Duration
 }
 
-// ServerLeaves reports that the response to an attempt says that its server leaves. It
-// arrives with the headers of the response.
-type ServerLeaves struct {
+// ServerNotice reports what the server of an attempt says about itself. It arrives with
+// the headers of the response.
+type ServerNotice struct {
 	Request request.ID
 	Attempt request.AttemptID
+	Notice  Notice
+}
+
+// Notice is what a server says about itself in a response.
+type Notice struct {
+	// Leaving is true when the server leaves.
+	Leaving bool
+	// RetryAfter is for how long the server wants no calls from this node: 0 when it
+	// does not say, negative when the value is malformed.
+	RetryAfter time.Duration
 }
 
 // Outcome is the result of an attempt.
@@ -280,7 +290,7 @@
 func (Place) message()          {}
 func (Connected) message()      {}
 func (FirstToken) message()     {}
-func (ServerLeaves) message()   {}
+func (ServerNotice) message()   {}
 func (AttemptDone) message()    {}
 func (Recorded) message()       {}
 func (Abandon) message()        {}
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -46,8 +46,7 @@
 	if !delayed && ahead == 0 && s.assign(now, req) == limits.Taken {
 		return
 	}
-	if req.Call != nil && s.backoffUntil(req).After(req.Deadline) {
-		s.finishWithError(now, req, "refuse", s.noServerError(req))
+	if s.refusesUntilBackoffEnds(now, req) {
 		return
 	}
 	if s.refusesLongWait(now, req, ahead) {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -230,8 +230,8 @@
 		s.connected(now, m)
 	case FirstToken:
 		s.firstToken(now, m)
-	case ServerLeaves:
-		s.serverLeaves(now, m)
+	case ServerNotice:
+		s.serverNotice(now, m)
 	case AttemptDone:
 		s.attemptDone(now, m)
 	case Recorded:
--- a/core/control/waiting.go
+++ b/core/control/waiting.go
@@ -65,6 +65,22 @@
 	return true
 }
 
+// refusesUntilBackoffEnds refuses a call at once when all its servers back off or want no
+// calls until after it could start. The advised delay is the time until the first of
+// them gets calls again. It reports whether it did.
+func (s *State) refusesUntilBackoffEnds(now time.Time, req *activeRequest) bool {
+	if req.Call == nil {
+		return false
+	}
+	until := s.backoffUntil(req)
+	if !until.After(req.startBy) {
+		return false
+	}
+	req.advisedDelay = until.Sub(now)
+	s.finishWithError(now, req, "refuse", s.noServerError(req))
+	return true
+}
+
 // refuseExpiredWait refuses a waiting call that can no longer start before its caller
 // abandons it, or that is late while calls wait that can still be on time: those come
 // first as long as the load lasts. It reports whether it did.
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -15,6 +15,7 @@
 var (
 	ServerStateChanged = register(2311, LevelInfo, "backend server changed its state", "server", "serves", "from", "to", "cause", "failures", "in_flight")
 	CacheStoreChanged  = register(2312, LevelInfo, "cache store changed its state", "store", "from", "to", "epoch", "tokens")
+	RetryAfterInvalid  = register(2315, LevelInfo, "backend server asks for a delay that is not a number of seconds", "node", "server")
 	PartsFreed         = register(2313, LevelInfo, "cached parts of old weights were freed at a cache store", "store", "parts")
 	PartsNotFreed      = register(2314, LevelInfo, "cached parts of old weights could not be freed at a cache store", "store", "parts", "code")
 )
--- a/core/fleet/tags.go
+++ b/core/fleet/tags.go
@@ -14,6 +14,9 @@
 	// TagBackingOff marks states in which a failed server receives no attempts
 	// until the timeout.
 	TagBackingOff chart.Tag = "rests"
+	// TagPaused marks states of a server that wants no attempts from this node until
+	// the timeout.
+	TagPaused chart.Tag = "paused"
 	// TagLeaving marks states of a server that is leaving.
 	TagLeaving chart.Tag = "leaves"
 	// TagReadable marks states in which a block store serves imports, TagWritable
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -40,9 +40,8 @@
 
 // Receiver receives the response of a forwarded call.
 type Receiver interface {
-	// ServerLeaves receives the report, in the headers of a response, that the server
-	// leaves.
-	ServerLeaves()
+	// Notice receives what the server says about itself in the headers of a response.
+	Notice(notice control.Notice)
 	// CompleteResponse receives a response with its complete body.
 	CompleteResponse(response *http.Response, body []byte)
 	// StartStream receives the headers of a stream. An error stops the attempt.
@@ -64,8 +63,8 @@
 	defer closeConn()
 	defer func() { _ = response.Body.Close() }()
 	info := protocol.DecodeResponse(attempt.ID, response)
-	if info.ServerLeaves() {
-		receiver.ServerLeaves()
+	if notice, ok := info.Notice(); ok {
+		receiver.Notice(notice)
 	}
 	switch info.Meaning() {
 	case forward.ProvesNotRun:
--- a/node/egress/forward_test.go
+++ b/node/egress/forward_test.go
@@ -32,7 +32,7 @@
 	leaves   bool
 }
 
-func (r *recorder) ServerLeaves() { r.leaves = true }
+func (r *recorder) Notice(notice control.Notice) { r.leaves = notice.Leaving }
 
 func (r *recorder) CompleteResponse(*http.Response, []byte) { r.complete = true }
 func (r *recorder) StartStream(*http.Response) error        { r.started = true; return nil }
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -45,6 +45,9 @@
 	OtherServer bool
 	// Leaving is true when the response says that its sender leaves.
 	Leaving bool
+	// RetryAfter is for how long the sender of a 503 response wants no calls from this
+	// node, 0 when it does not say, or InvalidRetryAfter. It is at most MaxRetryAfter.
+	RetryAfter time.Duration
 	// Weights is the weight version that the server has loaded, 0 when the
 	// response has none, or InvalidWeights.
 	Weights int
@@ -78,10 +81,23 @@
 	return ProvesNothing
 }
 
-// ServerLeaves reports whether the server that was asked says that it leaves. The
-// response of another server, or to another attempt, says nothing about that server.
-func (i ResponseInfo) ServerLeaves() bool {
-	return i.Leaving && !i.OtherServer && i.Meaning() != ProvesNothing
+const (
+	// MaxRetryAfter bounds RetryAfter, so that a wrong value does not keep a server out
+	// of use for long. After it the server is probed with one call.
+	MaxRetryAfter = time.Minute
+	// InvalidRetryAfter is the RetryAfter of a response whose header is not a number of
+	// seconds.
+	InvalidRetryAfter time.Duration = -1
+)
+
+// Notice returns what the server that was asked says about itself, and whether it says
+// anything. The response of another server, or to another attempt, says nothing about
+// that server.
+func (i ResponseInfo) Notice() (control.Notice, bool) {
+	if !i.MatchesAttempt || i.OtherServer {
+		return control.Notice{}, false
+	}
+	return control.Notice{Leaving: i.Leaving, RetryAfter: i.RetryAfter}, i.Leaving || i.RetryAfter != 0
 }
 
 // InvalidWeights is the weight version of a response whose version header is not
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -244,9 +244,9 @@
 		"status", status, "first_ms", c.firstPartAt.Sub(c.arrivedAt).Milliseconds(), "total_ms", now.Sub(c.arrivedAt).Milliseconds())
 }
 
-// ServerLeaves passes the report of the server to the control thread.
-func (c *callRelay) ServerLeaves() {
-	c.frontend.options.Control.Tell(control.ServerLeaves{Request: c.exchange.request.ID, Attempt: c.dispatch.Attempt})
+// Notice passes what the server says about itself to the control thread.
+func (c *callRelay) Notice(notice control.Notice) {
+	c.frontend.options.Control.Tell(control.ServerNotice{Request: c.exchange.request.ID, Attempt: c.dispatch.Attempt, Notice: notice})
 }
 
 // CompleteResponse stores a complete response until the control thread has
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -68,6 +68,8 @@
 	// resumes a stream, it closes the connection after CloseAfterEvents of them if that
 	// is not 0. A plain service responds as usual.
 	OmitEventIDs
+	// Unavailable runs the call and responds with 503.
+	Unavailable
 	// BehaviourCount is the number of the behaviours above, which wait for no other
 	// call of the test.
 	BehaviourCount
@@ -126,9 +128,11 @@
 
 	mu sync.Mutex
 	// leaving is true when all responses say that the server leaves.
-	leaving  bool
-	received []Request
-	weights  int
+	leaving bool
+	// retryAfter is the header Retry-After of each 503 response; empty means none.
+	retryAfter string
+	received   []Request
+	weights    int
 	// sequence is the number of accepted orders that the report publishes and
 	// that the next order has to expect. It always equals acceptedOrders.
 	sequence       uint64
@@ -154,6 +158,13 @@
 	s.leaving = leaving
 }
 
+// SetRetryAfter sets the header Retry-After of each 503 response; empty means none.
+func (s *Server) SetRetryAfter(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryAfter = value
+}
+
 // SetWeights sets the loaded weight version, as after a restart of the server.
 func (s *Server) SetWeights(version int) {
 	s.mu.Lock()
@@ -280,6 +291,7 @@
 	id := r.Header.Get(headerAttempt)
 	switch behaviour {
 	case Shed:
+		s.setRetryAfter(w)
 		refuse(w, id)
 		return
 	case RefuseOther:
@@ -299,6 +311,10 @@
 	w.Header().Set(headerAttempt, id)
 	w.Header().Set("Server-Seal", "seal-"+s.ID)
 	switch {
+	case behaviour == Unavailable:
+		s.setRetryAfter(w)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case behaviour == InternalError:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -309,6 +325,14 @@
 	}
 }
 
+func (s *Server) setRetryAfter(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retryAfter != "" {
+		w.Header().Set("Retry-After", s.retryAfter)
+	}
+}
+
 // refuse responds that the attempt with an identifier was not executed. An empty
 // identifier is not sent.
 func refuse(w http.ResponseWriter, id string) {
