node/forward, platform: a 503 that does not say 'not run' promises nothing

A server that ran a call which must not be repeated and answered 503 made the node pass this status on, which callers take as a promise that the call has not run and repeat: the call ran twice.

A status that promises counts only with the server's statement. Without it the call may have run: it is repeated where its route allows that, else the caller gets 502.

TestOutcomeOfServerFaults failed before in the new case of /charge/ (503 after a run).

--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -69,6 +69,9 @@
 	switch info.Meaning() {
 	case forward.ProvesNotRun:
 		return refusedResult(response, info)
+	case forward.UnprovenRefusal:
+		cause := code.Newf(code.BackendLost, "the backend server responded with status %d without stating that the call did not run", response.StatusCode)
+		return Result{Outcome: control.Lost, Cause: cause, Weights: info.Weights, ServerError: true}
 	case forward.ProvesNothing:
 		return Result{Outcome: control.Lost, Cause: code.New(code.AnswerMismatched, "the response belongs to another request")}
 	}
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -40,6 +40,9 @@
 	Sealed bool
 	// NotRun is true when the response states that the call did not run.
 	NotRun bool
+	// PromisesNotRun is true when callers take the status as a promise that the call has
+	// not run and never will.
+	PromisesNotRun bool
 	// OtherServer is true when the server refused the call because it is not the
 	// expected server or has loaded other weights than expected.
 	OtherServer bool
@@ -63,6 +66,10 @@
 	ProvesNothing Meaning = iota
 	// ProvesNotRun is the refusal of the attempt, which has not run and never will.
 	ProvesNotRun
+	// UnprovenRefusal is the server's own response to the attempt, with a status that
+	// promises the caller that the call has not run. The server does not state that, so
+	// the call may have run.
+	UnprovenRefusal
 	// IsOutcome is the server's own response to the attempt.
 	IsOutcome
 )
@@ -75,6 +82,8 @@
 		return ProvesNothing
 	case i.NotRun:
 		return ProvesNotRun
+	case i.Sealed && i.PromisesNotRun:
+		return UnprovenRefusal
 	case i.Sealed:
 		return IsOutcome
 	}
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -68,6 +68,8 @@
 		{"/charge/", deployed.Unframed, 200, 1},
 		{"/charge/", deployed.RefuseOther, 502, 1},
 		{"/charge/", deployed.RefuseUnnamed, 502, 1},
+		{"/charge/", deployed.Unavailable, 502, 1},
+		{"/lookup/", deployed.Unavailable, 200, 2},
 		{"/lookup/", deployed.RefuseOther, 200, 2},
 		{"/lookup/", deployed.RefuseUnnamed, 200, 2},
 		{"/lookup/", deployed.Shed, 200, 2},
