--- a/core/control/state.go
+++ b/core/control/state.go
@@ -228,12 +228,8 @@
 		s.place(now, m)
 	case Connected:
 		s.connected(now, m)
-	case FirstToken:
-		s.firstToken(now, m)
-	case ServerNotice:
-		s.serverNotice(now, m)
-	case AttemptDone:
-		s.attemptDone(now, m)
+	case FirstToken, ServerNotice, AttemptDone:
+		s.decideAttempt(now, message)
 	case Recorded:
 		s.recorded(now, m)
 	case Abandon:
@@ -263,6 +259,18 @@
 	}
 }
 
+// decideAttempt handles messages about the response to an attempt.
+func (s *State) decideAttempt(now time.Time, message Message) {
+	switch m := message.(type) {
+	case FirstToken:
+		s.firstToken(now, m)
+	case ServerNotice:
+		s.serverNotice(now, m)
+	case AttemptDone:
+		s.attemptDone(now, m)
+	}
+}
+
 func (s *State) reply(to request.ID, decision Decision) {
 	s.output.Replies = append(s.output.Replies, Reply{To: to, Decision: decision})
 }
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -188,11 +188,20 @@
 // call sends a call with testKey on a new connection.
 func (n *deployedNode) call(method, path string, header http.Header, body string) reply {
 	n.site.t.Helper()
+	got, err := n.tryCall(method, path, header, body)
+	if err != nil {
+		n.site.t.Fatal(err)
+	}
+	return got
+}
+
+// tryCall is call for any goroutine: it returns an error when the call cannot be encoded.
+func (n *deployedNode) tryCall(method, path string, header http.Header, body string) (reply, error) {
 	transport := &http.Transport{DialContext: n.site.network.Dial, DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	request, err := http.NewRequestWithContext(n.site.t.Context(), method, "http://x"+path, strings.NewReader(body))
 	if err != nil {
-		n.site.t.Fatal(err)
+		return reply{}, err
 	}
 	transport.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
 		return n.site.network.Dial(ctx, network, n.address)
@@ -204,11 +213,11 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return reply{incomplete: true}
+		return reply{incomplete: true}, nil
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: string(data), incomplete: err != nil}
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), incomplete: err != nil}, nil
 }
 
 // waitForSync waits for 1 s, in which the nodes receive the entries of the store.
--- a/node/process/retryafter_test.go
+++ b/node/process/retryafter_test.go
@@ -91,7 +91,7 @@
 		time.Sleep(delay + time.Second)
 		s.plan.SetNext(deployed.Slow, deployed.Slow, deployed.Slow, deployed.Slow)
 		for range 12 {
-			go n.call("GET", "/lookup/", nil, "")
+			go func() { _, _ = n.tryCall("GET", "/lookup/", nil, "") }()
 		}
 		time.Sleep(500 * time.Millisecond)
 		for _, server := range servers {
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -288,18 +288,11 @@
 	if behaviour > BehaviourCount && !s.hold(r, index, behaviour) {
 		behaviour = Shed
 	}
+	if s.refuses(w, r, behaviour) {
+		return
+	}
 	id := r.Header.Get(headerAttempt)
 	switch behaviour {
-	case Shed:
-		s.setRetryAfter(w)
-		refuse(w, id)
-		return
-	case RefuseOther:
-		refuse(w, "another")
-		return
-	case RefuseUnnamed:
-		refuse(w, "")
-		return
 	case MismatchID:
 		id = "another"
 	case Hang:
@@ -325,22 +318,35 @@
 	}
 }
 
-func (s *Server) setRetryAfter(w http.ResponseWriter) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.retryAfter != "" {
-		w.Header().Set("Retry-After", s.retryAfter)
+// refuses responds that the call, or another one, was not executed when the behaviour
+// says so, and reports whether it does.
+func (s *Server) refuses(w http.ResponseWriter, r *http.Request, behaviour Behaviour) bool {
+	id := ""
+	switch behaviour {
+	case Shed:
+		s.setRetryAfter(w)
+		id = r.Header.Get(headerAttempt)
+	case RefuseOther:
+		id = "another"
+	case RefuseUnnamed:
+	default:
+		return false
 	}
-}
-
-// refuse responds that the attempt with an identifier was not executed. An empty
-// identifier is not sent.
-func refuse(w http.ResponseWriter, id string) {
+	// A refusal without an identifier does not have the header at all.
 	if id != "" {
 		w.Header().Set(headerAttempt, id)
 	}
 	w.Header().Set("Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+func (s *Server) setRetryAfter(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retryAfter != "" {
+		w.Header().Set("Retry-After", s.retryAfter)
+	}
 }
 
 func (s *Server) respondPlain(w http.ResponseWriter, id string, behaviour Behaviour) {
