soak: name the error of a failed call and the logs of the nodes

A failed check names the error of its transport, and a report with a violation carries the last lines of the log of each node.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -35,6 +36,16 @@
 	body   string
 	// complete is true when the response was received to its end.
 	complete bool
+	// err is the error of the transport, if no complete response arrived.
+	err error
+}
+
+// String describes the outcome without the body.
+func (o outcome) String() string {
+	if o.err != nil {
+		return fmt.Sprintf("%d (%v)", o.status, o.err)
+	}
+	return strconv.Itoa(o.status)
 }
 
 // claimsNotExecuted reports whether the status guarantees that the call has not
@@ -101,6 +112,7 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.callerAddress+path+id, strings.NewReader("body of "+id))
 	if err != nil {
+		o.err = err
 		return o
 	}
 	request.GetBody = nil
@@ -108,13 +120,14 @@
 	request.Header = callHeader(id, path, key)
 	response, err := client.RoundTrip(request)
 	if err != nil {
+		o.err = err
 		return o
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	o.status = response.StatusCode
 	o.body = string(body)
-	o.complete = err == nil
+	o.complete, o.err = err == nil, err
 	return o
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -43,6 +43,9 @@
 	Injected []string
 	// Violations describes the violated guarantees.
 	Violations []string
+	// Logs has the last lines of the log of each node, if a guarantee was violated
+	// or the nodes did not start.
+	Logs string
 }
 
 // Run runs one seed. It returns an error when the nodes do not start; violated
@@ -55,6 +58,7 @@
 	defer s.close()
 	var report Report
 	if err := s.retryUntil(startTimeout, s.checkServing); err != nil {
+		report.Logs = s.logTails()
 		return report, fmt.Errorf("start: %w", err)
 	}
 	c := &callers{site: s}
@@ -84,6 +88,9 @@
 			report.Answered++
 		}
 	}
+	if len(report.Violations) > 0 {
+		report.Logs = s.logTails()
+	}
 	return report, nil
 }
 
@@ -117,7 +124,7 @@
 		for _, path := range callPaths {
 			id := fmt.Sprintf("check-%d", time.Now().UnixNano())
 			if o := call(context.Background(), client, n, id, path, validKey); o.status != http.StatusOK || !o.complete {
-				return fmt.Errorf("%s: %s got %d", n.name, path, o.status)
+				return fmt.Errorf("%s: %s got %s", n.name, path, o)
 			}
 		}
 	}
@@ -154,7 +161,7 @@
 	var violations []string
 	for _, n := range s.nodes {
 		if o := call(context.Background(), client, n, "revoked-"+n.name, "/lookup/", revoked); o.status != http.StatusUnauthorized {
-			violations = append(violations, fmt.Sprintf("%s: a revoked key got %d", n.name, o.status))
+			violations = append(violations, fmt.Sprintf("%s: a revoked key got %s", n.name, o))
 		}
 	}
 	return violations
@@ -173,7 +180,7 @@
 		sleep(context.Background(), 200*time.Millisecond)
 		n.signal(syscall.SIGTERM)
 		if o := <-result; o.status != http.StatusOK || !o.complete {
-			violations = append(violations, fmt.Sprintf("%s: a call under way at the planned stop got %d", n.name, o.status))
+			violations = append(violations, fmt.Sprintf("%s: a call under way at the planned stop got %s", n.name, o))
 		}
 		client.CloseIdleConnections()
 		stopped := make(chan struct{})
--- a/soak/site.go
+++ b/soak/site.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,9 @@
 	soakLatencyTarget = 300 * time.Millisecond
 	// soakMaxConcurrency is the number of calls that a server runs at once.
 	soakMaxConcurrency = 16
+	// logTailLines is the number of lines of the log of a node in a report. CI keeps
+	// no files of a failed run.
+	logTailLines = 20
 )
 
 // site is the key-value store, the backend servers and the nodes of one run.
@@ -231,6 +235,21 @@
 	_, _ = process.Wait()
 }
 
+// logTails returns the last lines of the logs of all nodes.
+func (s *site) logTails() string {
+	var tails strings.Builder
+	for _, n := range s.nodes {
+		fmt.Fprintf(&tails, "%s:\n", n.name)
+		// An unreadable log leaves the tail empty; the test has failed already.
+		text, _ := os.ReadFile(n.logFile.Name())
+		lines := strings.SplitAfter(string(text), "\n")
+		for _, line := range lines[max(0, len(lines)-logTailLines):] {
+			tails.WriteString(line)
+		}
+	}
+	return tails.String()
+}
+
 // close kills the nodes, also paused ones, and closes the proxies and servers.
 func (s *site) close() {
 	for _, n := range s.nodes {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,10 +49,10 @@
 	t.Helper()
 	report, err := Run(t.Context(), Options{Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: faults})
 	if err != nil {
-		t.Fatalf("seed %d: %v", seed, err)
+		t.Fatalf("seed %d: %v\n%s", seed, err, report.Logs)
 	}
 	if len(report.Violations) > 0 {
-		t.Errorf("seed %d: %s\nafter: %s", seed, strings.Join(report.Violations, "\n"), strings.Join(report.Injected, "\n"))
+		t.Errorf("seed %d: %s\nafter: %s\n%s", seed, strings.Join(report.Violations, "\n"), strings.Join(report.Injected, "\n"), report.Logs)
 	}
 	if report.Answered == 0 {
 		t.Errorf("seed %d: none of %d calls succeeded", seed, report.Calls)
