core/control, node: hold back management calls to a server that wants none

A server that answers 503 with Retry-After wants nothing from this node for so long. Only forwarded calls were held back: the calls for the cache events of an engine, the reads of its state and orders went on, and their answers were not read for Retry-After or Server-Leaving at all.

The answers to orders, reads of the state and event calls now reach the control thread as ManagementNotice, decoded in the same place as those of forwarded calls; the answer of a process at another address counts for nobody. A new order is still sent, since the bound of a rollout holds meanwhile: it is one call, and its result is read afterwards. Another process at the address ends the hold (TestManagementNotice).

--- a/client/wire/wire.go
+++ b/client/wire/wire.go
@@ -144,8 +144,8 @@
 
 // Response is the complete response to a Message.
 type Response struct {
-	// Status is http.StatusOK or http.StatusAccepted, or 0 when NotModified is
-	// true.
+	// Status is http.StatusOK or http.StatusAccepted, 0 when NotModified is true, or
+	// the status behind the error of Send.
 	Status int
 	Header http.Header
 	Body   []byte
@@ -156,7 +156,7 @@
 
 // Send sends a message and reads the complete response within timeout. After a
 // failure it closes the idle connections, because they may be broken without
-// notice.
+// notice. With the error for a status it returns that status and the headers.
 func (c *Client) Send(ctx context.Context, timeout time.Duration, message Message) (Response, *code.Error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -190,7 +190,7 @@
 		return Response{Header: response.Header, NotModified: true}, nil
 	}
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusAccepted {
-		return Response{}, c.responseError(response.StatusCode, data)
+		return Response{Status: response.StatusCode, Header: response.Header}, c.responseError(response.StatusCode, data)
 	}
 	return Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
--- a/core/control/cachestores.go
+++ b/core/control/cachestores.go
@@ -37,6 +37,8 @@
 	// AskedAt and ReceivedAt are when the call started and finished.
 	AskedAt    time.Time
 	ReceivedAt time.Time
+	// Notice is what the target said about itself in the response.
+	Notice Notice
 }
 
 // CacheTarget is a cache store or an engine whose event feed is followed.
@@ -57,6 +59,13 @@
 	Targets []CacheTarget
 }
 
+// HoldCacheCalls lets no call for the events of a target begin until a time.
+type HoldCacheCalls struct {
+	Target  string
+	Address string
+	Until   time.Time
+}
+
 const (
 	// engineEventWait is how long a call waits for the events of an engine, and
 	// engineEventPause the time between two calls. Bytes between failure domains
@@ -76,8 +85,9 @@
 	storeCopyPause  = 400 * time.Millisecond
 )
 
-func (CacheEvents) message()  {}
-func (FollowCaches) command() {}
+func (CacheEvents) message()    {}
+func (FollowCaches) command()   {}
+func (HoldCacheCalls) command() {}
 
 func (s *State) cacheStoreBindings() chart.Bindings[*fleet.CacheStore] {
 	return chart.Bindings[*fleet.CacheStore]{
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -74,6 +74,15 @@
 	Notice  Notice
 }
 
+// ManagementNotice reports what a server says about itself in its response to an order,
+// to a read of its state or to a call for its cache events.
+type ManagementNotice struct {
+	Server fleet.ServerID
+	// Address is where the call was sent.
+	Address string
+	Notice  Notice
+}
+
 // Notice is what a server says about itself in a response.
 type Notice struct {
 	// Leaving is true when the server leaves.
@@ -285,23 +294,24 @@
 // Subject returns the identifier that the requester chose.
 func (m DumpState) Subject() request.ID { return m.ID }
 
-func (Admit) message()          {}
-func (ClaimResult) message()    {}
-func (Place) message()          {}
-func (Connected) message()      {}
-func (FirstToken) message()     {}
-func (ServerNotice) message()   {}
-func (AttemptDone) message()    {}
-func (Recorded) message()       {}
-func (Abandon) message()        {}
-func (Configure) message()      {}
-func (VMList) message()         {}
-func (StoreReport) message()    {}
-func (QuarantineSeen) message() {}
-func (ImportFound) message()    {}
-func (ImportDone) message()     {}
-func (ExportWritten) message()  {}
-func (ExportDone) message()     {}
-func (Drain) message()          {}
-func (Tick) message()           {}
-func (DumpState) message()      {}
+func (Admit) message()            {}
+func (ClaimResult) message()      {}
+func (Place) message()            {}
+func (Connected) message()        {}
+func (FirstToken) message()       {}
+func (ServerNotice) message()     {}
+func (ManagementNotice) message() {}
+func (AttemptDone) message()      {}
+func (Recorded) message()         {}
+func (Abandon) message()          {}
+func (Configure) message()        {}
+func (VMList) message()           {}
+func (StoreReport) message()      {}
+func (QuarantineSeen) message()   {}
+func (ImportFound) message()      {}
+func (ImportDone) message()       {}
+func (ExportWritten) message()    {}
+func (ExportDone) message()       {}
+func (Drain) message()            {}
+func (Tick) message()             {}
+func (DumpState) message()        {}
--- a/core/control/notice.go
+++ b/core/control/notice.go
@@ -17,11 +17,24 @@
 	if !ok {
 		return
 	}
-	server := req.attempt.server
-	if m.Notice.Leaving {
+	s.applyNotice(now, req.attempt.server, m.Notice)
+}
+
+// managementNotice applies what a server says about itself in its response to a
+// management call. A server that has moved to another address since is another process.
+func (s *State) managementNotice(now time.Time, m ManagementNotice) {
+	server := s.servers[m.Server]
+	if server == nil || server.Address != m.Address {
+		return
+	}
+	s.applyNotice(now, server, m.Notice)
+}
+
+func (s *State) applyNotice(now time.Time, server *fleet.Server, notice Notice) {
+	if notice.Leaving {
 		s.recordLeavingResponse(now, server)
 	}
-	switch retryAfter := m.Notice.RetryAfter; {
+	switch retryAfter := notice.RetryAfter; {
 	case retryAfter < 0:
 		s.logEvent(event.RetryAfterInvalid, "server", string(server.ID))
 	case retryAfter > 0:
@@ -38,7 +51,29 @@
 		return
 	}
 	s.fireServerEvent(server, "pause", now)
-	if server.Chart.Is(fleet.TagPaused) {
-		server.Chart.TimeoutAt = until
+	if !server.Chart.Is(fleet.TagPaused) {
+		return
+	}
+	server.Chart.TimeoutAt = until
+	if server.Role == fleet.RoleEngine {
+		s.command(HoldCacheCalls{Target: string(server.ID), Address: server.Address, Until: until})
+	}
+}
+
+// endPause lets the cache events of a server be read at once when another process
+// replaces the one that wanted no calls. The server is nil when there was none.
+func (s *State) endPause(now time.Time, server *fleet.Server) {
+	if server != nil && server.Role == fleet.RoleEngine && server.Chart.Is(fleet.TagPaused) {
+		s.command(HoldCacheCalls{Target: string(server.ID), Address: server.Address, Until: now})
+	}
+}
+
+// pauseEnd returns when a server that wants nothing from this node may be called again,
+// and whether it is paused.
+func (s *State) pauseEnd(id fleet.ServerID) (time.Time, bool) {
+	server := s.servers[id]
+	if server == nil || !server.Chart.Is(fleet.TagPaused) {
+		return time.Time{}, false
 	}
+	return server.Chart.TimeoutAt, true
 }
--- a/core/control/notice_test.go
+++ b/core/control/notice_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"tanagerspread/core/fleet"
 	"tanagerspread/core/request"
 )
 
@@ -52,3 +53,38 @@
 		t.Error("the server gets no calls after the longer delay")
 	}
 }
+
+// TestManagementNotice guards against a sound server that is held back because the
+// process that had its name at another address leaves or wants no calls, and against
+// cache events that stay unread when another process replaces the one that wanted none.
+func TestManagementNotice(t *testing.T) {
+	notice := ManagementNotice{Server: "m-0", Notice: Notice{RetryAfter: 10 * time.Second}}
+	vms := []VM{{ID: "m-0", Address: "a:1", Role: fleet.RoleEngine, Serves: "m", Weights: 1, StartedAtMS: 1}}
+	s := forwardState(t, 1)
+	s.Handle(testStart, VMList{VMs: vms})
+	notice.Address = "b:1"
+	s.Handle(testStart, notice)
+	if !s.servers["m-0"].ReceivesWork() {
+		t.Error("the notice of a process at another address holds the server back")
+	}
+	notice.Address = "a:1"
+	if holds := holdsOf(s.Handle(testStart, notice)); len(holds) != 1 || holds[0].Until.Before(testStart.Add(10*time.Second)) || s.servers["m-0"].ReceivesWork() {
+		t.Errorf("the server is not held back: %+v", holds)
+	}
+	now := testStart.Add(time.Second)
+	vms[0].StartedAtMS = 2
+	if holds := holdsOf(s.Handle(now, VMList{VMs: vms})); len(holds) != 1 || holds[0].Until.After(now) || !s.servers["m-0"].ReceivesWork() {
+		t.Errorf("the next process is held back: %+v", holds)
+	}
+}
+
+// holdsOf returns the commands of an output that hold back calls for cache events.
+func holdsOf(out Output) []HoldCacheCalls {
+	var holds []HoldCacheCalls
+	for _, command := range out.Commands {
+		if hold, ok := command.(HoldCacheCalls); ok {
+			holds = append(holds, hold)
+		}
+	}
+	return holds
+}
--- a/core/control/orderengines.go
+++ b/core/control/orderengines.go
@@ -92,6 +92,9 @@
 func (s *State) rereadUnreachable(now time.Time) {
 	for _, engine := range s.orders.engineList {
 		idle := engine.Order == nil && !engine.CallInProgress
+		if _, paused := s.pauseEnd(engine.ID); paused {
+			continue
+		}
 		if idle && engine.Unreachable && !now.Before(engine.CallStartedAt.Add(rereadInterval)) {
 			s.readEngine(engine, now)
 		}
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -69,6 +69,7 @@
 func (s *State) updateServer(now time.Time, vm VM) {
 	server, ok := s.servers[fleet.ServerID(vm.ID)]
 	if !ok || server.Address != vm.Address || server.StartedAtMS != vm.StartedAtMS {
+		s.endPause(now, server)
 		server = &fleet.Server{ID: fleet.ServerID(vm.ID), Chart: s.charts.server.Start(now)}
 		s.servers[server.ID] = server
 	}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -228,7 +228,7 @@
 		s.place(now, m)
 	case Connected:
 		s.connected(now, m)
-	case FirstToken, ServerNotice, AttemptDone:
+	case FirstToken, ServerNotice, ManagementNotice, AttemptDone:
 		s.decideAttempt(now, message)
 	case Recorded:
 		s.recorded(now, m)
@@ -259,13 +259,16 @@
 	}
 }
 
-// decideAttempt handles messages about the response to an attempt.
+// decideAttempt handles messages about the response to an attempt, and what a server
+// says about itself in any response.
 func (s *State) decideAttempt(now time.Time, message Message) {
 	switch m := message.(type) {
 	case FirstToken:
 		s.firstToken(now, m)
 	case ServerNotice:
 		s.serverNotice(now, m)
+	case ManagementNotice:
+		s.managementNotice(now, m)
 	case AttemptDone:
 		s.attemptDone(now, m)
 	}
--- a/node/caches/caches.go
+++ b/node/caches/caches.go
@@ -14,6 +14,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
+	"tanagerspread/core/fleet"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/worker"
 )
@@ -32,7 +33,8 @@
 type Client interface {
 	// Events returns the events from a position on and the position for the next
 	// call. Without events it waits for them up to the given time. It returns a
-	// gap when events before the returned ones are no longer available.
+	// gap when events before the returned ones are no longer available. The notice
+	// of the events is also set when the target responded with an error.
 	Events(ctx context.Context, since uint64, wait time.Duration) (events control.CacheEvents, next uint64, gap bool, err *code.Error)
 	// List returns all parts and the position for the next call of Events.
 	List(ctx context.Context) (events control.CacheEvents, next uint64, err *code.Error)
@@ -66,11 +68,12 @@
 	feeds        *Feeds
 	targets      chan []control.CacheTarget
 	freeCommands chan control.FreeParts
+	holds        *holds
 }
 
 // New returns followers; Run starts them.
 func New(options Options) *Followers {
-	return &Followers{options: options, feeds: NewFeeds(), targets: make(chan []control.CacheTarget, 1), freeCommands: make(chan control.FreeParts, freeQueueSize)}
+	return &Followers{options: options, feeds: NewFeeds(), targets: make(chan []control.CacheTarget, 1), freeCommands: make(chan control.FreeParts, freeQueueSize), holds: newHolds()}
 }
 
 // Feeds returns the event feeds of the targets that this node follows itself, for
@@ -211,11 +214,17 @@
 	next  uint64
 }
 
-// readNextEvents makes one call of the target, or of the peer that follows it.
+// readNextEvents makes one call of the target, or of the peer that follows it. The
+// target itself is called when it wants calls again.
 func (f *Followers) readNextEvents(ctx context.Context, client Client, target control.CacheTarget, position *feedPosition) *code.Error {
 	if target.Source.Address != "" {
 		return f.copyFromPeer(ctx, target, position)
 	}
+	for wait := f.holds.wait(target); wait > 0; wait = f.holds.wait(target) {
+		if !worker.Sleep(ctx, wait) {
+			return code.Wrap(code.StoreAway, "the target is not called yet", ctx.Err())
+		}
+	}
 	return f.readTargetEvents(ctx, client, target, position)
 }
 
@@ -224,12 +233,15 @@
 // for peers and reports it to the control thread.
 func (f *Followers) readTargetEvents(ctx context.Context, client Client, target control.CacheTarget, position *feedPosition) *code.Error {
 	events, next, gap, err := client.Events(ctx, position.next, target.Wait)
+	f.passNotice(target, events.Notice)
 	if err != nil {
 		return err
 	}
 	restarted := position.epoch != 0 && events.Epoch != position.epoch
 	if gap || restarted {
-		if events, next, err = client.List(ctx); err != nil {
+		events, next, err = client.List(ctx)
+		f.passNotice(target, events.Notice)
+		if err != nil {
 			return err
 		}
 	}
@@ -240,3 +252,19 @@
 	worker.Tell(f.options.Control, f.options.Logger, control.Message(events))
 	return nil
 }
+
+// passNotice passes what a target says about itself to the control thread.
+func (f *Followers) passNotice(target control.CacheTarget, notice control.Notice) {
+	if notice == (control.Notice{}) {
+		return
+	}
+	worker.Tell(f.options.Control, f.options.Logger, control.Message(control.ManagementNotice{
+		Server: fleet.ServerID(target.Name), Address: target.Address, Notice: notice,
+	}))
+}
+
+// Hold lets no call for the events of a target begin until the time of the command. A
+// call in progress continues.
+func (f *Followers) Hold(command control.HoldCacheCalls) {
+	f.holds.set(command)
+}
--- a/node/orders/orders.go
+++ b/node/orders/orders.go
@@ -17,6 +17,7 @@
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
+	"tanagerspread/core/fleet"
 	"tanagerspread/core/order"
 	"tanagerspread/node/clock"
 	"tanagerspread/node/eventlog"
@@ -53,9 +54,16 @@
 	// Order sends an order. It returns code.OrderRefused when the engine refuses
 	// an old fencing number, and code.EngineAway when the engine may have
 	// accepted the order.
-	Order(ctx context.Context, command control.SendOrder) (order.Status, *code.Error)
+	Order(ctx context.Context, command control.SendOrder) (EngineResponse, *code.Error)
 	// Status returns the state of an engine.
-	Status(ctx context.Context, command control.ReadEngine) (order.Status, *code.Error)
+	Status(ctx context.Context, command control.ReadEngine) (EngineResponse, *code.Error)
+}
+
+// EngineResponse is the response of an engine to a management call.
+type EngineResponse struct {
+	Status order.Status
+	// Notice is what the engine says about itself, also beside an error.
+	Notice control.Notice
 }
 
 // Workers execute the commands of one node.
@@ -155,16 +163,27 @@
 // the result to the control thread.
 func (w *Workers) handleSendOrder(ctx context.Context, command control.SendOrder) {
 	result := control.EngineStatus{Engine: command.Engine, Call: command.Call}
-	result.Status, result.Err = w.sendOrder(ctx, command)
+	response, err := w.sendOrder(ctx, command)
+	result.Status, result.Err = response.Status, err
+	w.passNotice(command.Engine, command.Address, response.Notice)
 	w.reportStatus(result)
 }
 
 func (w *Workers) handleReadEngine(ctx context.Context, command control.ReadEngine) {
 	result := control.EngineStatus{Engine: command.Engine, Call: command.Call}
-	result.Status, result.Err = w.options.Engines.Status(ctx, command)
+	response, err := w.options.Engines.Status(ctx, command)
+	result.Status, result.Err = response.Status, err
+	w.passNotice(command.Engine, command.Address, response.Notice)
 	w.reportStatus(result)
 }
 
+// passNotice passes what an engine says about itself to the control thread.
+func (w *Workers) passNotice(engine fleet.ServerID, address string, notice control.Notice) {
+	if notice != (control.Notice{}) {
+		w.tell(control.ManagementNotice{Server: engine, Address: address, Notice: notice})
+	}
+}
+
 func (w *Workers) reportStatus(result control.EngineStatus) {
 	if result.Err != nil {
 		w.logCallFailure(result, result.Err)
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -247,6 +247,8 @@
 		eventlog.Write(n.options.Logger, c.Event, nil, c.Fields...)
 	case corecontrol.FreeParts:
 		n.caches.Free(c)
+	case corecontrol.HoldCacheCalls:
+		n.caches.Hold(c)
 	case corecontrol.FollowCaches:
 		n.caches.Follow(c)
 	case corecontrol.WeightsWanted:
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -131,8 +131,12 @@
 	leaving bool
 	// retryAfter is the header Retry-After of each 503 response; empty means none.
 	retryAfter string
-	received   []Request
-	weights    int
+	// busy is true when the server refuses management calls.
+	busy bool
+	// managementCalls counts the reads of the report, orders and event calls.
+	managementCalls int
+	received        []Request
+	weights         int
 	// sequence is the number of accepted orders that the report publishes and
 	// that the next order has to expect. It always equals acceptedOrders.
 	sequence       uint64
@@ -165,6 +169,22 @@
 	s.retryAfter = value
 }
 
+// SetBusy sets whether the server refuses reads of its report, orders and event calls
+// with 503.
+func (s *Server) SetBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+}
+
+// ManagementCalls returns the number of reads of the report, orders and event calls
+// that reached the server.
+func (s *Server) ManagementCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.managementCalls
+}
+
 // SetWeights sets the loaded weight version, as after a restart of the server.
 func (s *Server) SetWeights(version int) {
 	s.mu.Lock()
@@ -190,9 +210,9 @@
 // Handler returns the routes of the server.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /report", s.handleReport)
-	mux.HandleFunc("POST /order", s.handleOrder)
-	mux.HandleFunc("GET /kv-events", s.handleEvents)
+	mux.HandleFunc("GET /report", s.unlessBusy(s.handleReport))
+	mux.HandleFunc("POST /order", s.unlessBusy(s.handleOrder))
+	mux.HandleFunc("GET /kv-events", s.unlessBusy(s.handleEvents))
 	mux.HandleFunc("/", s.handleCall)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
@@ -205,6 +225,22 @@
 	})
 }
 
+// unlessBusy counts a management call and refuses it while the server is busy.
+func (s *Server) unlessBusy(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.managementCalls++
+		busy := s.busy
+		s.mu.Unlock()
+		if busy {
+			s.setRetryAfter(w)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handle(w, r)
+	}
+}
+
 // handleEvents responds to a poll for cache events without events when the wait
 // time of the call is over.
 func (s *Server) handleEvents(w http.ResponseWriter, r *http.Request) {
