core/control: refuse a call at once when its servers leave or want no calls

A call waited until its deadline when one server of its service left and all others wanted no calls, or backed off, until after that deadline: a leaving server counted as one that might take the call. Now it does not count, and the caller learns at once when the first of the others may be asked again.

TestRefusedBesideLeavingServer fails without the change ("the call is not refused at once").

--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -172,10 +172,13 @@
 }
 
 // backoffUntil returns when the backoff of the first server for a call expires,
-// or the zero time when a server is not backing off.
+// or the zero time when a server is not backing off. Leaving servers do not count.
 func (s *State) backoffUntil(req *activeRequest) time.Time {
 	var first time.Time
 	for _, server := range s.group(req).Servers {
+		if server.Chart.Is(fleet.TagLeaving) {
+			continue
+		}
 		if !server.Chart.Is(fleet.TagBackingOff) {
 			return time.Time{}
 		}
--- a/core/control/notice_test.go
+++ b/core/control/notice_test.go
@@ -88,3 +88,20 @@
 	}
 	return holds
 }
+
+// TestRefusedBesideLeavingServer guards against a call that waits until its deadline
+// because one server leaves and all others want no calls until after it.
+func TestRefusedBesideLeavingServer(t *testing.T) {
+	const pause = 20 * time.Second
+	s := forwardState(t, 3)
+	s.recordLeavingResponse(testStart, s.servers["d0"])
+	s.pauseServer(testStart, s.servers["d1"], pause)
+	s.pauseServer(testStart, s.servers["d2"], pause+time.Minute)
+	refusal, ok := placeCall(s, testStart, "a", "lookup").(Refusal)
+	if !ok {
+		t.Fatal("the call is not refused at once")
+	}
+	if refusal.RetryAfter < pause || refusal.RetryAfter > pause+pauseJitter {
+		t.Errorf("the caller is told to come back after %v, want about %v", refusal.RetryAfter, pause)
+	}
+}
