core/control, node/metrics: name why a server gets no calls

A refused call, its explanation, the status and line 2311 did not tell a server that leaves from one that wants no calls for some time, nor from whom the node knows that it leaves.

The detail of the refusal counts both kinds (only if there are any), 2311 and the dump carry "reason" (rule, list, response, report, retry-after), and the metrics have servers_leaving and servers_paused. TestRestReasonsNamed and TestScrape failed to compile before.

TestAllServersLeave shows what callers get when all servers of a service leave: a refusal at once that says when to come back, and a response as soon as another server has come. It passed before this change too.

--- a/core/control/dump.go
+++ b/core/control/dump.go
@@ -54,7 +54,10 @@
 	Since    time.Time
 	InFlight int
 	Failures int
-	Load     fleet.Load
+	// Reason is why a server that leaves or is paused gets no new work: rule, list,
+	// response, report or retry-after.
+	Reason string
+	Load   fleet.Load
 }
 
 func (s *State) dump(now time.Time) Dump {
@@ -109,6 +112,7 @@
 		Since:    server.Chart.Entered,
 		InFlight: server.InFlight,
 		Failures: server.Failures,
+		Reason:   restReason(server),
 		Load:     server.Load,
 	}
 }
--- a/core/control/inspect.go
+++ b/core/control/inspect.go
@@ -38,6 +38,10 @@
 	// receive work.
 	Servers   int
 	Available int
+	// Leaving is the number of servers that get no new work because they leave, Paused
+	// the number of those that want no calls from this node for some time.
+	Leaving int
+	Paused  int
 	// Budget is the number of retries left in the node's retry budget.
 	Budget float64
 }
@@ -95,6 +99,7 @@
 			status.Available++
 		}
 	}
+	status.Leaving, status.Paused = countResting(s.serverList)
 	return status
 }
 
--- a/core/control/notice_test.go
+++ b/core/control/notice_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -105,3 +106,32 @@
 		t.Errorf("the caller is told to come back after %v, want about %v", refusal.RetryAfter, pause)
 	}
 }
+
+// TestRestReasonsNamed guards against a refused call whose explanation does not say that
+// the servers leave or want no calls, and against a status and a dump that hide it.
+func TestRestReasonsNamed(t *testing.T) {
+	s := forwardState(t, 2)
+	s.Handle(testStart, ManagementNotice{Server: "d0", Address: s.servers["d0"].Address, Notice: Notice{Leaving: true}})
+	s.Handle(testStart, ManagementNotice{Server: "d1", Address: s.servers["d1"].Address, Notice: Notice{RetryAfter: 20 * time.Second}})
+	refusal, ok := placeCall(s, testStart, "a", "lookup").(Refusal)
+	if !ok {
+		t.Fatal("the call is not refused at once")
+	}
+	if want := "2 are known, 1 leave, 1 want no calls yet"; !strings.Contains(refusal.Err.Detail, want) {
+		t.Errorf("got %q, want %q", refusal.Err.Detail, want)
+	}
+	decisions := s.explain("a").Decisions
+	if last := decisions[len(decisions)-1]; last.Detail != refusal.Err.Detail {
+		t.Errorf("explained as %q", last.Detail)
+	}
+	if status := s.status(testStart); status.Leaving != 1 || status.Paused != 1 {
+		t.Errorf("status %+v", status)
+	}
+	reasons := map[fleet.ServerID]string{}
+	for _, server := range s.dump(testStart).Servers {
+		reasons[server.ID] = server.Reason
+	}
+	if reasons["d0"] != reasonResponse || reasons["d1"] != reasonPause {
+		t.Errorf("reasons %v", reasons)
+	}
+}
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -115,10 +115,10 @@
 }
 
 func (s *State) noServerError(req *activeRequest) *code.Error {
-	count := len(s.group(req).Servers)
+	servers := describeServers(s.group(req).Servers)
 	return req.chooseError(
-		code.Newf(code.NoServer, "no backend server can take the request; %d are known", count),
-		code.Newf(code.RetriesExhausted, "no backend server can repeat the request; %d are known", count))
+		code.Newf(code.NoServer, "no backend server can take the request; %s", servers),
+		code.Newf(code.RetriesExhausted, "no backend server can repeat the request; %s", servers))
 }
 
 func (req *activeRequest) queueFullError() *code.Error {
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -138,6 +138,7 @@
 	s.command(LogEvent{Event: eventlist.ServerStateChanged, Fields: []any{
 		"server", string(server.ID), "serves", server.Serves, "from", string(before), "to", string(server.Chart.State),
 		"cause", string(event), "failures", server.Failures, "in_flight", server.InFlight,
+		"reason", restReason(server),
 	}})
 }
 
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -13,7 +13,7 @@
 
 // The events of backend servers and cache stores.
 var (
-	ServerStateChanged = register(2311, LevelInfo, "backend server changed its state", "server", "serves", "from", "to", "cause", "failures", "in_flight")
+	ServerStateChanged = register(2311, LevelInfo, "backend server changed its state", "server", "serves", "from", "to", "cause", "failures", "in_flight", "reason")
 	CacheStoreChanged  = register(2312, LevelInfo, "cache store changed its state", "store", "from", "to", "epoch", "tokens")
 	RetryAfterInvalid  = register(2315, LevelInfo, "backend server asks for a delay that is not a number of seconds", "node", "server")
 	PartsFreed         = register(2313, LevelInfo, "cached parts of old weights were freed at a cache store", "store", "parts")
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -35,11 +35,13 @@
 	gaugeRequests  = "requests_in_progress"
 	gaugeServers   = "servers_known"
 	gaugeAvailable = "servers_available"
+	gaugeLeaving   = "servers_leaving"
+	gaugePaused    = "servers_paused"
 	gaugeBudget    = "retry_budget"
 	gaugeVersion   = "configuration_version"
 )
 
-var gaugeNames = []string{gaugeQueue, gaugeRequests, gaugeServers, gaugeAvailable, gaugeBudget, gaugeVersion}
+var gaugeNames = []string{gaugeQueue, gaugeRequests, gaugeServers, gaugeAvailable, gaugeLeaving, gaugePaused, gaugeBudget, gaugeVersion}
 
 // durationBuckets holds the upper bounds of the buckets of all duration
 // histograms.
@@ -126,6 +128,8 @@
 	m.gauges[gaugeRequests].ReportGauge(float64(s.Requests))
 	m.gauges[gaugeServers].ReportGauge(float64(s.Servers))
 	m.gauges[gaugeAvailable].ReportGauge(float64(s.Available))
+	m.gauges[gaugeLeaving].ReportGauge(float64(s.Leaving))
+	m.gauges[gaugePaused].ReportGauge(float64(s.Paused))
 	m.gauges[gaugeBudget].ReportGauge(s.Budget)
 	m.gauges[gaugeVersion].ReportGauge(float64(s.Version))
 }
--- a/node/metrics/metrics_test.go
+++ b/node/metrics/metrics_test.go
@@ -30,7 +30,7 @@
 	m.ObserveOutcome(nil)
 	m.ObserveOutcome(code.New(code.QueueFull, ""))
 	m.CountViolation()
-	m.SetGauges(control.Status{Waiting: 4, Version: 9})
+	m.SetGauges(control.Status{Waiting: 4, Leaving: 2, Paused: 3, Version: 9})
 	_, _ = observed.Ask(t.Context(), control.AttemptDone{Outcome: control.Lost})
 	observed.Tell(control.FirstToken{Elapsed: 60 * time.Millisecond})
 	if err := m.Close(); err != nil {
@@ -43,6 +43,8 @@
 		`tanagerspread_requests{outcome="1405"} 1`,
 		`tanagerspread_invariant_failures 1`,
 		`tanagerspread_queue_length 4`,
+		`tanagerspread_servers_leaving 2`,
+		`tanagerspread_servers_paused 3`,
 		`tanagerspread_configuration_version 9`,
 		`tanagerspread_attempts{outcome="lost"} 1`,
 		`tanagerspread_decisions{decision="deliver"} 1`,
--- a/node/process/leaving_test.go
+++ b/node/process/leaving_test.go
@@ -102,3 +102,38 @@
 		})
 	}
 }
+
+// TestAllServersLeave guards against a call that waits until its caller gives up, or that
+// is lost, when all servers of its service say that they leave, and against calls that
+// are still refused when another server has come.
+func TestAllServersLeave(t *testing.T) {
+	runAtSite(t, func(s *deployedSite) {
+		servers := []*deployed.Server{s.startServer("i-1", 0), s.startServer("i-2", 0)}
+		s.writeConfiguration(testKey)
+		n := s.startNode("n1")
+		waitForRepeats()
+		for _, server := range servers {
+			server.SetLeaving(true)
+			callUntilReceived(n, server)
+		}
+		time.Sleep(drainTime)
+		before, start := receivedCalls(servers), time.Now()
+		for range 4 {
+			got := n.call("GET", "/lookup/", nil, "")
+			if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+				t.Errorf("got %+v, want a refusal that says when to come back", got)
+			}
+		}
+		if waited := time.Since(start); waited > 400*time.Millisecond {
+			t.Errorf("four refusals took %v", waited)
+		}
+		if calls := receivedCalls(servers) - before; calls != 0 {
+			t.Errorf("%d calls reached leaving servers", calls)
+		}
+		s.startServer("i-3", 0)
+		time.Sleep(2 * time.Second)
+		if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusOK {
+			t.Errorf("got %+v, want a response of the new server", got)
+		}
+	})
+}
