soak: servers say that they leave, or when they want calls again

The stand-ins of the soak sent neither Server-Leaving nor Retry-After, so that no run had either beside other faults.

One fault in three is followed by a notice of a random server: that it leaves, or a Retry-After from a list that has malformed values, with or without refused management calls. Another process of the server takes it back when the faults end. The notices have a random source of their own, so that the faults of known seeds stay as they were.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -14,8 +14,21 @@
 type injector struct {
 	site   *site
 	random *rand.Rand
+	// noticeRandom chooses what servers say about themselves. It is apart from random,
+	// so that the other faults of a seed stay the same.
+	noticeRandom *rand.Rand
 	// paused has the nodes that are stopped with SIGSTOP.
 	paused map[*node]bool
+	// noticeServers has the servers whose statements only another process takes back.
+	noticeServers map[*server]bool
+}
+
+// newInjector returns an injector whose faults the seed determines.
+func newInjector(s *site, seed uint64) *injector {
+	return &injector{
+		site: s, random: rand.New(rand.NewPCG(seed, seed)), noticeRandom: rand.New(rand.NewPCG(seed, seed+1)),
+		paused: map[*node]bool{}, noticeServers: map[*server]bool{},
+	}
 }
 
 // faultKinds are the faults. Each returns a description of what it injected.
@@ -28,7 +41,43 @@
 }
 
 func (f *injector) inject() string {
-	return faultKinds[f.random.IntN(len(faultKinds))](f)
+	description := faultKinds[f.random.IntN(len(faultKinds))](f)
+	if f.noticeRandom.IntN(noticeInterval) == 0 {
+		description += "; " + f.setServerNotice()
+	}
+	return description
+}
+
+// noticeInterval is the mean number of faults between two notices of servers.
+const noticeInterval = 3
+
+// retryAfterValues are values of Retry-After, also malformed ones.
+var retryAfterValues = []string{"", "0.5", "2", "90", "-1", "soon", "NaN", "1e400"}
+
+// setServerNotice makes a server say that it leaves, or sets the Retry-After of its 503
+// responses.
+func (f *injector) setServerNotice() string {
+	s := f.site.servers[f.noticeRandom.IntN(len(f.site.servers))]
+	f.noticeServers[s] = true
+	if f.noticeRandom.IntN(4) == 0 {
+		s.SetLeaving(true)
+		return s.ID + " says that it leaves"
+	}
+	value := retryAfterValues[f.noticeRandom.IntN(len(retryAfterValues))]
+	busy := f.noticeRandom.IntN(2) == 0
+	s.SetRetryAfter(value)
+	s.SetBusy(busy)
+	return fmt.Sprintf("%s: Retry-After %q, refuses management calls: %v", s.ID, value, busy)
+}
+
+// restartServers ends what servers say about themselves, as another process does.
+func (f *injector) restartServers() {
+	for s := range f.noticeServers {
+		s.SetLeaving(false)
+		s.SetRetryAfter("")
+		s.SetBusy(false)
+		s.StartedAtMS++
+	}
 }
 
 func (f *injector) randomNode() *node {
@@ -63,9 +112,6 @@
 // pauseNode stops a random node with SIGSTOP, or resumes it if it is paused.
 func (f *injector) pauseNode() string {
 	n := f.randomNode()
-	if f.paused == nil {
-		f.paused = map[*node]bool{}
-	}
 	if f.paused[n] {
 		f.resumeNode(n)
 		return "resume " + n.name
@@ -181,6 +227,7 @@
 	f.site.store.SetWatchesStalled(false)
 	f.site.store.LoseNextResponses(0)
 	f.site.plan.SetNext()
+	f.restartServers()
 	for _, s := range f.site.servers {
 		s.proxy.SetMode(Pass)
 		s.proxy.Reset()
--- a/soak/run.go
+++ b/soak/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"syscall"
 	"time"
@@ -68,7 +67,7 @@
 		defer close(done)
 		c.run(callContext, options.Seed)
 	}()
-	faults := &injector{site: s, random: rand.New(rand.NewPCG(options.Seed, options.Seed))}
+	faults := newInjector(s, options.Seed)
 	for range options.Faults {
 		report.Injected = append(report.Injected, faults.inject())
 		sleep(ctx, time.Duration(faults.random.IntN(900))*time.Millisecond)
