node/process: hold back management calls in a longer delay

With a delay of 8 s TestManagementCallsHeldBack did not notice an order whose deadline is not extended: two orders fit into the 5 s that it counts. With 20 s it does (refused_call).

--- a/node/process/management_test.go
+++ b/node/process/management_test.go
@@ -17,7 +17,7 @@
 // load of weights that is lost because of it, and against an engine whose cache events
 // are not read again afterwards.
 func TestManagementCallsHeldBack(t *testing.T) {
-	const delay = 8 * time.Second
+	const delay = 20 * time.Second
 	for name, refuse := range map[string]func(*deployedSite, *deployedNode, *deployed.Server){
 		"refused call": func(_ *deployedSite, n *deployedNode, held *deployed.Server) {
 			held.Plan.SetNext(deployed.Shed)
