node/caches: read the events of a replaced engine at once

A follower slept until the end of the time for which its engine wanted no calls, up to a minute, also when another process had replaced the engine at the same address and the control thread had ended the hold.

--- a/node/caches/caches.go
+++ b/node/caches/caches.go
@@ -221,7 +221,8 @@
 		return f.copyFromPeer(ctx, target, position)
 	}
 	for wait := f.holds.wait(target); wait > 0; wait = f.holds.wait(target) {
-		if !worker.Sleep(ctx, wait) {
+		// A hold may end before its time.
+		if !worker.Sleep(ctx, min(wait, retryInterval)) {
 			return code.Wrap(code.StoreAway, "the target is not called yet", ctx.Err())
 		}
 	}
