soak: connections to the store that go silent

The proxies dropped bytes of all connections, new ones included, or closed them, but never left old connections silent while new ones worked.

One fault in six is followed by it for the connections of one node to the store, chosen by the second random source.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -14,8 +14,8 @@
 type injector struct {
 	site   *site
 	random *rand.Rand
-	// noticeRandom chooses what servers say about themselves. It is apart from random,
-	// so that the other faults of a seed stay the same.
+	// noticeRandom chooses what servers say about themselves and which connections go
+	// silent. It is apart from random, so that the other faults of a seed stay the same.
 	noticeRandom *rand.Rand
 	// paused has the nodes that are stopped with SIGSTOP.
 	paused map[*node]bool
@@ -45,11 +45,27 @@
 	if f.noticeRandom.IntN(noticeInterval) == 0 {
 		description += "; " + f.setServerNotice()
 	}
+	if f.noticeRandom.IntN(silenceInterval) == 0 {
+		description += "; " + f.silenceStoreConnections()
+	}
 	return description
 }
 
-// noticeInterval is the mean number of faults between two notices of servers.
-const noticeInterval = 3
+const (
+	// noticeInterval is the mean number of faults between two notices of servers.
+	noticeInterval = 3
+	// silenceInterval is the mean number of faults between two times at which the
+	// connections of a node to the store go silent.
+	silenceInterval = 6
+)
+
+// silenceStoreConnections makes the open connections of a node to the store deliver
+// nothing more without being closed.
+func (f *injector) silenceStoreConnections() string {
+	i := f.noticeRandom.IntN(len(f.site.storeProxies))
+	f.site.storeProxies[i].SilenceConnections()
+	return fmt.Sprintf("connections of node %d to the store go silent", i)
+}
 
 // retryAfterValues are values of Retry-After, also malformed ones.
 var retryAfterValues = []string{"", "0.5", "2", "90", "-1", "soon", "NaN", "1e400"}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -32,7 +32,8 @@
 	listener net.Listener
 	mode     atomic.Int32
 	mu       sync.Mutex
-	conns    map[net.Conn]bool
+	// conns has the open connections; those that are true are silent.
+	conns map[net.Conn]bool
 }
 
 // NewProxy returns a proxy that listens on a free loopback port and forwards to
@@ -57,6 +58,16 @@
 	p.mode.Store(int32(mode))
 }
 
+// SilenceConnections drops all further bytes of the open connections and leaves them
+// open. New connections work.
+func (p *Proxy) SilenceConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		p.conns[conn] = true
+	}
+}
+
 // Reset closes all open connections with a TCP reset.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -101,17 +112,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conn := range conns {
-		p.conns[conn] = true
+		p.conns[conn] = false
 	}
 }
 
+// silent reports whether a connection is silent.
+func (p *Proxy) silent(conn net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[conn]
+}
+
 // forward forwards bytes in one direction until either end closes.
 func (p *Proxy) forward(to, from net.Conn, responses bool) {
 	defer p.closeConns(to, from)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && p.shouldForward(responses) {
+		if n > 0 && p.shouldForward(responses) && !p.silent(from) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
