--- a/core/control/ordermessage.go
+++ b/core/control/ordermessage.go
@@ -59,6 +59,13 @@
 	Err *code.Error
 }
 
+// EngineResponse is the response of an engine to an order or to a read of its state.
+type EngineResponse struct {
+	Status order.Status
+	// Notice is what the engine says about itself, also beside an error.
+	Notice Notice
+}
+
 // WeightsNamed reports the weight version that the operator wants for a model
 // whose versions are named outside the rules.
 type WeightsNamed struct {
--- a/node/orders/engine.go
+++ b/node/orders/engine.go
@@ -15,14 +15,14 @@
 // sendOrder sends an order, unless its deadline has passed or the lease may
 // have expired. The call is cancelled at command.NotAfter, before another node
 // can hold the lease, so that a paused process sends nothing after that time.
-func (w *Workers) sendOrder(ctx context.Context, command control.SendOrder) (EngineResponse, *code.Error) {
+func (w *Workers) sendOrder(ctx context.Context, command control.SendOrder) (control.EngineResponse, *code.Error) {
 	if time.Until(command.Deadline) <= 0 || time.Until(command.NotAfter) <= 0 {
-		return EngineResponse{}, code.New(code.EngineAway, "the order was not sent because its deadline has passed or the lease has expired")
+		return control.EngineResponse{}, code.New(code.EngineAway, "the order was not sent because its deadline has passed or the lease has expired")
 	}
 	// The lease also expires while the machine is suspended, when the monotonic
 	// clock stops.
 	if confirmedAt, ok := w.lastConfirmed.Load().(clock.Instant); ok && confirmedAt.Suspended() >= time.Until(command.NotAfter) {
-		return EngineResponse{}, code.New(code.EngineAway, "the order was not sent because the machine was suspended")
+		return control.EngineResponse{}, code.New(code.EngineAway, "the order was not sent because the machine was suspended")
 	}
 	ctx, cancel := context.WithDeadline(ctx, command.NotAfter)
 	defer cancel()
@@ -37,7 +37,7 @@
 }
 
 // Order sends an order with the time that remains until its deadline.
-func (o OwnEngines) Order(ctx context.Context, command control.SendOrder) (EngineResponse, *code.Error) {
+func (o OwnEngines) Order(ctx context.Context, command control.SendOrder) (control.EngineResponse, *code.Error) {
 	client := o.client(command.Address)
 	defer client.Close()
 	status, err := client.Order(ctx, engine.Order{
@@ -46,15 +46,15 @@
 		DeadlineMS: time.Until(command.Deadline).Milliseconds(),
 		Desired:    engine.Desired(command.Desired),
 	})
-	return EngineResponse{Status: decodeStatus(status)}, err
+	return control.EngineResponse{Status: decodeStatus(status)}, err
 }
 
 // Status returns the state of an engine.
-func (o OwnEngines) Status(ctx context.Context, command control.ReadEngine) (EngineResponse, *code.Error) {
+func (o OwnEngines) Status(ctx context.Context, command control.ReadEngine) (control.EngineResponse, *code.Error) {
 	client := o.client(command.Address)
 	defer client.Close()
 	status, err := client.Status(ctx)
-	return EngineResponse{Status: decodeStatus(status)}, err
+	return control.EngineResponse{Status: decodeStatus(status)}, err
 }
 
 // client returns a new client for each call, so that no call reuses a
--- a/node/orders/orders.go
+++ b/node/orders/orders.go
@@ -18,7 +18,6 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
-	"tanagerspread/core/order"
 	"tanagerspread/node/clock"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/worker"
@@ -54,16 +53,9 @@
 	// Order sends an order. It returns code.OrderRefused when the engine refuses
 	// an old fencing number, and code.EngineAway when the engine may have
 	// accepted the order.
-	Order(ctx context.Context, command control.SendOrder) (EngineResponse, *code.Error)
+	Order(ctx context.Context, command control.SendOrder) (control.EngineResponse, *code.Error)
 	// Status returns the state of an engine.
-	Status(ctx context.Context, command control.ReadEngine) (EngineResponse, *code.Error)
-}
-
-// EngineResponse is the response of an engine to a management call.
-type EngineResponse struct {
-	Status order.Status
-	// Notice is what the engine says about itself, also beside an error.
-	Notice control.Notice
+	Status(ctx context.Context, command control.ReadEngine) (control.EngineResponse, *code.Error)
 }
 
 // Workers execute the commands of one node.
