--- a/core/control/active.go
+++ b/core/control/active.go
@@ -99,3 +99,12 @@
 func (req *activeRequest) mayHaveRun() bool {
 	return req.dispatches > 0
 }
+
+// sharedParts returns the prompt parts of a forwarded call that other calls may share,
+// which are all but the last one.
+func (req *activeRequest) sharedParts() []request.Part {
+	if req.Call == nil || len(req.Call.Parts) == 0 {
+		return nil
+	}
+	return req.Call.Parts[:len(req.Call.Parts)-1]
+}
--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"tanagerspread/core/cachekey"
+	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/quarantine"
@@ -29,12 +31,14 @@
 	}
 	s.recentPrefixes.DropServer(attempt.server.ID)
 	s.partIndex.DropServer(attempt.server.ID)
+	running := s.requestsOnServer(attempt)
 	var runs []quarantine.Run
-	for _, req := range s.requestsOnServer(attempt) {
+	for _, req := range running {
 		req.attempt.crashRecorded = true
 		runs = append(runs, quarantine.Run{Fingerprint: req.fingerprint, StartedAt: req.attempt.startedAt})
 	}
 	changed := s.quarantine.RecordCrash(now, attempt.server.ID, runs)
+	s.logCallsBroken(attempt.server, running)
 	if len(changed) == 0 {
 		return
 	}
@@ -42,6 +46,27 @@
 	s.countNewSuspects()
 }
 
+// maxLoggedParts bounds the prompt parts in one log line.
+const maxLoggedParts = 32
+
+// logCallsBroken logs the forwarded calls that ran on a server when a connection to it
+// broke, with the prompt parts that other calls may share.
+func (s *State) logCallsBroken(server *fleet.Server, running []*activeRequest) {
+	if !s.options.Forwarding {
+		return
+	}
+	var parts []string
+	for _, req := range running {
+		for _, part := range req.sharedParts() {
+			if !slices.Contains(parts, part.ID) && len(parts) < maxLoggedParts {
+				parts = append(parts, part.ID)
+			}
+		}
+	}
+	suspects, quarantined := s.quarantine.Counts()
+	s.logEvent(event.CallsBroken, "server", string(server.ID), "calls", len(running), "parts", strings.Join(parts, ","), "suspects", suspects, "quarantined", quarantined)
+}
+
 // requestsOnServer returns the requests that run on the server of the attempt,
 // sorted by identifier. Nothing of the attempt but its server is used.
 func (s *State) requestsOnServer(attempt *activeAttempt) []*activeRequest {
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -9,6 +9,7 @@
 	AttemptAssigned  = register(2300, LevelInfo, "request assigned to a backend server", "request", "attempt", "server", "route", "weights", "newer", "newer_ms", "prefix", "prompt", "prefill", "fetch", "save", "memory", "queue_ms", "version")
 	AttemptFailed    = register(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
 	AttemptStopped   = register(2302, LevelInfo, "attempt ended because the backend server has outdated weights and did not start it in time", "request", "attempt", "server", "weights", "newest", "age_ms")
+	CallsBroken      = register(2303, LevelInfo, "connection to a backend server broke while calls ran there", "server", "calls", "parts", "suspects", "quarantined")
 )
 
 // The events of backend servers and cache stores.
