--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -16,6 +18,8 @@
 	Host   string
 	Header http.Header
 	Body   string
+	// ReceivedAt is when the call arrived.
+	ReceivedAt time.Time
 	// Ran is true when the server executed the call, at least in part, and BeganAt is
 	// when it began to.
 	Ran     bool
@@ -122,6 +126,12 @@
 	Plan *Plan
 	// StartedAtMS is the start time of the process in Unix milliseconds.
 	StartedAtMS int64
+	// WorkTime is how long the server works on a call before it responds.
+	WorkTime time.Duration
+	// CrashPart is a prompt part that crashes the server when it begins a response to a
+	// call with it, or empty. Crash then ends the process.
+	CrashPart string
+	Crash     func()
 
 	// released is closed by Release.
 	released chan struct{}
@@ -236,7 +246,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	received := Request{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), Weights: s.weights,
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Body: string(body), Weights: s.weights, ReceivedAt: time.Now(),
 	}
 	expected := r.Header.Get("Expect-Version")
 	behaviour := Respond
@@ -306,6 +316,11 @@
 	case Slow:
 		<-time.After(time.Second)
 	}
+	<-time.After(s.WorkTime)
+	if s.CrashPart != "" && (Request{Header: r.Header}).HasSharedPart(s.CrashPart) {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(headerAttempt, id)
 	w.Header().Set("Server-Seal", "seal-"+s.ID)
 	switch {
@@ -323,6 +338,15 @@
 	}
 }
 
+// HasSharedPart reports whether the prompt of the call has a part that is not its last one.
+func (r Request) HasSharedPart(id string) bool {
+	parts := strings.Split(r.Header.Get("Prompt-Prefix"), ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		name, _, _ := strings.Cut(part, ":")
+		return name == id
+	})
+}
+
 // refuses responds that the call, or another one, was not executed when the behaviour
 // says so, and reports whether it does.
 func (s *Server) refuses(w http.ResponseWriter, r *http.Request, behaviour Behaviour) bool {
