core/quarantine: attribute crashes of servers to prompt parts

Callers saw server after server crash under calls that share one prompt part. Cause: only whole calls were quarantined, by a fingerprint of organisation, route and body, and no two of these calls are alike. Each call was new to every node, and was repeated after its crash as well.

A ledger of each node now holds which shared parts were in progress in which crash, and what contradicts it: a server that responded to a call with the part and went on. A part is quarantined when it was in more crashes than the share of broken calls explains, no response has contradicted that for 600 ms, and no other such part was in all of them. A broken connection counts after 200 ms without a sign of life of the server. Nodes exchange crashes, proofs and quarantines in urgent digests, at most one in 100 ms; quarantined parts are in the periodic digests, in the answer to a starting node and in the key-value service. After about ten minutes a node sends one call with the part again. A call with a quarantined part is refused at once as not run (1314, 503 with Retry-After), because the quarantine ends by itself.

--- a/core/code/table.go
+++ b/core/code/table.go
@@ -34,6 +34,7 @@
 	AnswerTooLarge         Code = 1311
 	QuarantinedRan         Code = 1312
 	OutdatedWeights        Code = 1313
+	PartQuarantined        Code = 1314
 	OrganisationLimit      Code = 1401
 	DeadlineTooShort       Code = 1402
 	DeadlinePassedNotRun   Code = 1403
@@ -109,6 +110,7 @@
 	{AnswerTooLarge, "answer-too-large", 502, Unknown, RetryNever, "the response is larger than the limit"},
 	{QuarantinedRan, "quarantined-ran", 502, Unknown, RetryNever, "the request crashed backend servers while it ran and is quarantined"},
 	{OutdatedWeights, "outdated-weights", 504, Unknown, RetryLater, "the backend server has outdated weights and did not start the request in time"},
+	{PartQuarantined, "part-quarantined", 503, NotRun, RetryLater, "a part of the prompt crashed backend servers and is quarantined"},
 	{OrganisationLimit, "organisation-limit", 429, NotRun, RetryLater, "the organisation has reached its rate limit"},
 	{DeadlineTooShort, "deadline-too-short", 504, NotRun, RetryNever, "the predicted wait is longer than the caller's deadline"},
 	{DeadlinePassedNotRun, "deadline-passed-not-run", 504, NotRun, RetryLater, "the deadline passed before the request was dispatched"},
--- a/core/control/active.go
+++ b/core/control/active.go
@@ -79,6 +79,8 @@
 	connectionDenied bool
 	// blockImport is the import of cache blocks before the attempt, or nil.
 	blockImport *transfer
+	// survived is true once the server has shown that the call does not crash it.
+	survived bool
 	// crashRecorded is true when the crash of the server has been recorded.
 	crashRecorded bool
 	// workUntil is when the engine was told to stop working on the call because of
--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -58,8 +58,8 @@
 		return code.New(code.DeadlinePassedNotRun, "the deadline passed before the request arrived")
 	}
 	req.fingerprint = quarantine.FingerprintOf(req.organisation, req.Route, req.BodyDigest)
-	if s.quarantine.IsQuarantined(req.fingerprint) {
-		return req.quarantinedError()
+	if s.isQuarantined(req) {
+		return s.quarantinedError(now, req)
 	}
 	if req.Call != nil {
 		return nil
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -93,7 +93,7 @@
 	}
 	server := req.attempt.server
 	mayRun := !server.Chart.Is(fleet.TagLeaving) && !server.Chart.Is(fleet.TagPaused) && s.sameWeights(req, server) && !s.weightsExpired(now, server)
-	if !mayRun || s.quarantine.IsQuarantined(req.fingerprint) {
+	if !mayRun || s.isQuarantined(req) {
 		// The requester closes the connection and reports a failed dial.
 		req.attempt.connectionDenied = true
 		s.refuse(m.Request, code.DialRefused, "the request may no longer be sent to the backend server")
@@ -111,6 +111,7 @@
 func (s *State) firstToken(now time.Time, m FirstToken) {
 	if req, ok := s.currentAttempt(m.Request, m.Attempt); ok {
 		s.fireAttemptEvent(req, "receive", now)
+		req.attempt.server.LastResponseAt = now
 		s.observeSpeed(req, m.Elapsed)
 		s.observeFirstTokenDelay(now, req, m.Elapsed)
 		s.releasePrefill(req.attempt)
@@ -147,6 +148,7 @@
 		return
 	}
 	s.recordServerReport(now, req.attempt, m)
+	s.recordPartOutcome(now, req, m)
 	newerWeights := s.updateReportedWeights(now, req.attempt.server, m)
 	if m.ConnectionBroken && !req.attempt.endedAtStartLimit(now, m) {
 		s.recordServerCrash(now, req.attempt)
@@ -271,7 +273,7 @@
 func (s *State) attemptFailed(now time.Time, req *activeRequest, event chart.Event, cause *code.Error) {
 	s.prepareRetry(req)
 	s.fireRequestEvent(req, event, now)
-	if s.quarantine.IsQuarantined(req.fingerprint) {
+	if s.isQuarantined(req) {
 		cause = code.New(code.QuarantinedRan, "the request crashed backend servers and is quarantined")
 	}
 	if cause == nil {
@@ -316,7 +318,7 @@
 	if int(req.attempts) >= maxAttempts {
 		return false
 	}
-	if req.deadlinePassed(now) || s.quarantine.IsQuarantined(req.fingerprint) {
+	if req.deadlinePassed(now) || s.isQuarantined(req) {
 		return false
 	}
 	return retry.FitsDeadline(now, req.backoff, req.Deadline) && s.retryBudgets.Allows(req.organisation)
--- a/core/control/decision.go
+++ b/core/control/decision.go
@@ -120,6 +120,10 @@
 // and sends suspect ones to peers.
 type PublishQuarantine struct {
 	Entries []quarantine.Entry
+	// Parts are quarantined prompt parts. The key-value service keeps each until
+	// PartsExpireAt.
+	Parts         []quarantine.PartQuarantine
+	PartsExpireAt time.Time
 }
 
 // ExportBlocks orders an engine to write cache blocks to a store. It is
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -157,7 +157,7 @@
 
 // mayRedial is the guard of an attempt after one that did not reach a server.
 func (s *State) mayRedial(req *activeRequest, now time.Time) bool {
-	return req.attempts < maxAssignments && !req.deadlinePassed(now) && !s.quarantine.IsQuarantined(req.fingerprint)
+	return req.attempts < maxAssignments && !req.deadlinePassed(now) && !s.isQuarantined(req)
 }
 
 // mayResend is the guard of an attempt after one that a server reported as not
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -75,7 +75,8 @@
 	if !reply {
 		d.WantsNamedWeights = s.lacksWeightsAge()
 		d.LeavingReports = s.sampleLeavingReports(now)
-		d.Quarantine = s.sampleQuarantined(now)
+		d.Parts.Quarantined = s.sampleQuarantinedParts(now)
+		d.Quarantine = s.sampleQuarantined(now, membership.MaxPeriodicItems-len(d.Parts.Quarantined))
 		return d
 	}
 	d.MemberListID, d.LastSeenAges = s.members.LastSeenAges(now, s.countsInMajority())
@@ -95,6 +96,7 @@
 	}
 	if question.State == membership.StateStarting {
 		d.Quarantine = quarantineStatuses(now, s.quarantine.DigestEntries())
+		d.Parts.Quarantined = quarantineAges(now, s.parts.QuarantinedParts())
 	}
 	return d
 }
@@ -121,6 +123,7 @@
 	}
 	s.recordPeerLeaving(now, askedAt, d.LeavingReports)
 	s.recordPeerQuarantine(now, d.Quarantine)
+	s.recordPeerParts(now, d.Parts)
 	if peer != nil {
 		s.recordPeerWeights(now, m)
 	}
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -139,6 +139,8 @@
 	// ServerError is true when the response reports a failure of the server
 	// itself.
 	ServerError bool
+	// Answered is true when the response to a forwarded call has a 2xx status.
+	Answered bool
 }
 
 // Recorded reports that the at-most-once record of a delivered or released
@@ -251,6 +253,8 @@
 // QuarantineSeen reports fingerprints that other nodes published.
 type QuarantineSeen struct {
 	Entries []quarantine.Entry
+	// Parts are quarantined prompt parts.
+	Parts []quarantine.PartQuarantine
 	// FromService is true when the entries come from the key-value service. All
 	// nodes read them there, so they need not be relayed.
 	FromService bool
--- /dev/null
+++ b/core/control/parts_test.go
@@ -0,0 +1,429 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"tanagerspread/chart"
+	"tanagerspread/core/code"
+	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
+	"tanagerspread/core/membership"
+	"tanagerspread/core/quarantine"
+	"tanagerspread/core/request"
+	"tanagerspread/core/retry"
+)
+
+const (
+	partStep = 50 * time.Millisecond
+	// partContactTime is the time after which all nodes must know of a part.
+	partContactTime = 3 * time.Second
+	// partRestart is how long after a crash a server is back under another id.
+	partRestart = 2500 * time.Millisecond
+	// partCulprit crashes servers, partCommon is the first part of all calls.
+	partCulprit quarantine.PartID = "culprit"
+	partCommon  quarantine.PartID = "common"
+)
+
+// The sizes of the plays with 100 nodes, which take about a second of processor time for
+// each second that they play. Longer plays are run by hand.
+var (
+	largeFleetSeeds = flag.Int("large-fleet-seeds", 1, "seeds of each play with 100 nodes")
+	largeFleetTime  = flag.Duration("large-fleet-time", 8*time.Second, "simulated time of each play with 100 nodes")
+)
+
+// fleetPlay returns the number of seeds and the simulated time of a play.
+func fleetPlay(nodes int) (uint64, time.Duration) {
+	if nodes < 100 {
+		return 3, 30 * time.Second
+	}
+	return uint64(*largeFleetSeeds), *largeFleetTime
+}
+
+// crashingFleet plays nodes whose engines crash, under calls with partCulprit or for
+// reasons of their own.
+type crashingFleet struct {
+	t      *testing.T
+	now    time.Time
+	random *rand.Rand
+	rules  *config.Rules
+	nodes  []*State
+	ids    map[string]int
+	// servers has the domain of each live engine, entries the list that the nodes get.
+	servers map[fleet.ServerID]bool
+	entries []VM
+	// entriesChanged is true when the nodes have to get the list again.
+	entriesChanged bool
+	started        int
+	running        map[request.ID]*crashCall
+	later          map[int][]func()
+	step           int
+	calls          int
+	// crashes has the times of the crashes under partCulprit.
+	crashes []time.Time
+	// late counts calls with partCulprit that reach servers after the limit.
+	late int
+	// lossRate is the share of messages between nodes that are lost.
+	lossRate float64
+	// sound and begun count the sound calls since the limit and those that a server began
+	// at the first attempt.
+	sound, begun int
+	blamed       map[quarantine.PartID]bool
+	refused      map[code.Code]int
+}
+
+type crashCall struct {
+	node    int
+	server  fleet.ServerID
+	attempt request.AttemptID
+	culprit bool
+}
+
+func newCrashingFleet(t *testing.T, nodes, servers int, seed uint64) *crashingFleet {
+	x := &crashingFleet{
+		t: t, now: testStart, rules: forwardRules(), random: rand.New(rand.NewPCG(seed, uint64(nodes))), ids: map[string]int{}, servers: map[fleet.ServerID]bool{},
+		running: map[request.ID]*crashCall{}, later: map[int][]func(){}, blamed: map[quarantine.PartID]bool{}, refused: map[code.Code]int{},
+	}
+	for i := range nodes {
+		id := fmt.Sprintf("n%03d", i)
+		x.ids[id] = i
+		x.entries = append(x.entries, VM{ID: id, Role: fleet.RoleEntryVM, PeerAddress: id, Domain: overloadDomain(i)})
+	}
+	for range servers {
+		x.startServer()
+	}
+	for i := range nodes {
+		s, err := New(Options{
+			Node: fmt.Sprintf("n%03d", i), Domain: overloadDomain(i), Charts: chart.Deployed(), Seed: seed<<8 + uint64(i),
+			Unfenced: true, Agents: true, Forwarding: true, OutdatedWeightsLimit: testWeightsLimit,
+			RepeatLimit: retry.RepeatLimit{Window: 10 * time.Second, Ratio: 0.2, BaseAllowance: 50},
+		}, testStart.Add(-time.Minute))
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.nodes = append(x.nodes, s)
+		x.confirm(i)
+		x.handle(i, VMList{VMs: x.entries})
+		for _, id := range slices.Sorted(maps.Keys(x.ids)) {
+			x.handle(i, PeerDigest{Digest: membership.Digest{Node: id, Incarnation: 1, State: "ready"}})
+		}
+	}
+	return x
+}
+
+// confirm lets a node read the configuration, which keeps it from fencing itself.
+func (x *crashingFleet) confirm(node int) {
+	x.handle(node, ConfigSeen{Current: config.Configuration{Version: 1, ApplyID: "one"}, Rules: x.rules, FromService: true, AskedAt: x.now})
+}
+
+func (x *crashingFleet) after(delay time.Duration, action func()) {
+	due := x.step + max(int(delay/partStep), 1)
+	x.later[due] = append(x.later[due], action)
+}
+
+func (x *crashingFleet) startServer() {
+	id := fmt.Sprintf("m%d", x.started)
+	x.servers[fleet.ServerID(id)] = true
+	x.entries = append(x.entries, VM{ID: id, Address: id, Role: fleet.RoleEngine, Serves: "models", Model: "m", Weights: 1, MaxConcurrency: 64, Domain: overloadDomain(x.started)})
+	x.started++
+}
+
+// crash ends a server: all connections break, and its entry is replaced later.
+func (x *crashingFleet) crash(id fleet.ServerID) {
+	if !x.servers[id] {
+		return
+	}
+	delete(x.servers, id)
+	for _, callID := range slices.Sorted(maps.Keys(x.running)) {
+		if call := x.running[callID]; call.server == id {
+			delete(x.running, callID)
+			x.handle(call.node, AttemptDone{Request: callID, Attempt: call.attempt, Outcome: Lost, ConnectionBroken: true, Cause: code.New(code.BackendLost, "")})
+		}
+	}
+	x.after(partRestart, func() {
+		x.entries = slices.DeleteFunc(x.entries, func(vm VM) bool { return vm.ID == string(id) })
+		x.startServer()
+		x.entriesChanged = true
+	})
+}
+
+// handle delivers a message to a node. Its messages reach the peers in a later step.
+func (x *crashingFleet) handle(node int, m Message) {
+	out := x.nodes[node].Handle(x.now, m)
+	replies, commands := slices.Clone(out.Replies), slices.Clone(out.Commands)
+	for _, reply := range replies {
+		if refusal, ok := reply.Decision.(Refusal); ok {
+			x.refused[refusal.Err.Code]++
+		}
+		if d, ok := reply.Decision.(Dispatch); ok {
+			x.after(0, func() { x.dial(node, reply.To, d) })
+		}
+	}
+	for _, command := range commands {
+		switch send := command.(type) {
+		case SendDigest:
+			x.tell(send.Targets, PeerDigest{Digest: send.Digest})
+		case SendWork:
+			x.tell(send.Targets, PeerWork{Node: send.Node, Work: send.Work, CallsWait: send.CallsWait})
+		}
+	}
+}
+
+// tell delivers a message to peers; a share of the messages is lost.
+func (x *crashingFleet) tell(targets []PeerTarget, m Message) {
+	for _, target := range targets {
+		if x.random.Float64() >= x.lossRate {
+			x.after(partStep, func() { x.handle(x.ids[target.Node], m) })
+		}
+	}
+}
+
+// dial sends an attempt to its server. The first event comes 40 to 200 ms later, the end
+// up to 2 s after it.
+func (x *crashingFleet) dial(node int, id request.ID, d Dispatch) {
+	if !x.servers[d.Server] {
+		x.handle(node, AttemptDone{Request: id, Attempt: d.Attempt, Outcome: DialFailed, Cause: code.New(code.DialRefused, "")})
+		return
+	}
+	x.handle(node, Connected{Request: id, Attempt: d.Attempt})
+	req, inProgress := x.nodes[node].requests[id]
+	if !inProgress || req.attempt == nil || !isRunning(req.attempt) {
+		return
+	}
+	call := &crashCall{node: node, server: d.Server, attempt: d.Attempt, culprit: req.hasPart(partCulprit)}
+	x.running[id] = call
+	if call.culprit && x.pastLimit() {
+		x.late++
+	}
+	sound := !call.culprit && d.Attempt == 1
+	x.after(40*time.Millisecond+time.Duration(x.random.Int64N(int64(160*time.Millisecond))), func() { x.begin(id, call, sound) })
+}
+
+func (x *crashingFleet) begin(id request.ID, call *crashCall, countsAsBegun bool) {
+	if x.running[id] != call {
+		return
+	}
+	if call.culprit {
+		x.crashes = append(x.crashes, x.now)
+		x.crash(call.server)
+		return
+	}
+	if countsAsBegun && x.pastLimit() {
+		x.begun++
+	}
+	x.handle(call.node, FirstToken{Request: id, Attempt: call.attempt, Elapsed: partStep})
+	x.after(time.Duration(x.random.Int64N(int64(2*time.Second))), func() {
+		if x.running[id] == call {
+			delete(x.running, id)
+			x.handle(call.node, AttemptDone{Request: id, Attempt: call.attempt, Outcome: Succeeded, Answered: true})
+		}
+	})
+}
+
+// pastLimit reports whether partContactTime has passed since the fifth crash.
+func (x *crashingFleet) pastLimit() bool {
+	return len(x.crashes) >= 5 && x.now.Sub(x.crashes[4]) > partContactTime
+}
+
+// play sends a call at each node every interval, one of culpritEvery with partCulprit, and
+// crashes a share of the servers every crashEvery.
+func (x *crashingFleet) play(duration, interval time.Duration, culpritEvery int, crashEvery time.Duration, share float64) {
+	for end := x.now.Add(duration); x.now.Before(end); x.now = x.now.Add(partStep) {
+		x.step++
+		due := x.later[x.step]
+		delete(x.later, x.step)
+		for _, action := range due {
+			action()
+		}
+		if crashEvery > 0 && x.step%int(crashEvery/partStep) == 0 {
+			for _, id := range slices.Sorted(maps.Keys(x.servers)) {
+				if x.random.Float64() < share {
+					x.crash(id)
+				}
+			}
+		}
+		for node := range x.nodes {
+			if x.entriesChanged {
+				x.handle(node, VMList{VMs: x.entries})
+			}
+			if x.step%20 == 0 {
+				x.confirm(node)
+			}
+			x.handle(node, Tick{})
+			if (x.step+node*7)%int(interval/partStep) == 0 {
+				x.call(node, culpritEvery)
+			}
+		}
+		x.entriesChanged = false
+		x.recordBlame()
+	}
+}
+
+func (x *crashingFleet) call(node, culpritEvery int) {
+	x.calls++
+	id := request.ID(fmt.Sprintf("call-%d", x.calls))
+	parts := []request.Part{{ID: string(partCommon), Tokens: 500}, {ID: fmt.Sprintf("doc-%d", x.random.IntN(60)), Tokens: 200}}
+	if culpritEvery > 0 && x.calls%culpritEvery == 0 {
+		parts = slices.Insert(parts, 1+x.random.IntN(2), request.Part{ID: string(partCulprit), Tokens: 100})
+	} else if x.pastLimit() {
+		x.sound++
+	}
+	parts = append(parts, request.Part{ID: "own-" + string(id), Tokens: 20})
+	x.handle(node, Admit{Request: request.Request{
+		ID: id, Route: request.Route{Kind: request.Forward}, Deadline: x.now.Add(5 * time.Second), BodyDigest: string(id),
+		Call: &request.Call{Host: "h", Path: "/review/x", Parts: parts},
+	}})
+	if _, admitted := x.nodes[node].requests[id]; admitted {
+		x.handle(node, Place{Request: id, PromptTokens: 820})
+	}
+}
+
+// recordBlame records the parts that any node refuses.
+func (x *crashingFleet) recordBlame() {
+	for _, s := range x.nodes {
+		for _, part := range s.parts.QuarantinedParts() {
+			x.blamed[part.Part] = true
+		}
+	}
+}
+
+// TestSoundPartsNotBlamed guards against a quarantine of parts that crash no server, above
+// all of the one that all calls share, on days on which many servers crash.
+func TestSoundPartsNotBlamed(t *testing.T) {
+	for _, c := range []struct {
+		nodes, servers int
+		interval       time.Duration
+		crashEvery     time.Duration
+		share          float64
+	}{
+		{7, 18, 100 * time.Millisecond, time.Second, 0.15},
+		{7, 18, 100 * time.Millisecond, 400 * time.Millisecond, 0.1},
+		{7, 18, 500 * time.Millisecond, time.Second, 0.3},
+		{7, 9, 60 * time.Millisecond, 300 * time.Millisecond, 0.2},
+		{100, 160, 200 * time.Millisecond, time.Second, 0.15},
+		{100, 160, time.Second, 500 * time.Millisecond, 0.1},
+	} {
+		t.Run(fmt.Sprintf("%d nodes, %d servers, %.0f%% crash every %v", c.nodes, c.servers, 100*c.share, c.crashEvery), func(t *testing.T) {
+			seeds, duration := fleetPlay(c.nodes)
+			for seed := range seeds {
+				x := newCrashingFleet(t, c.nodes, c.servers, seed)
+				x.lossRate = 0.1
+				x.play(duration, c.interval, 0, c.crashEvery, c.share)
+				if len(x.blamed) > 0 {
+					t.Errorf("seed %d: %v quarantined although no part crashes servers", seed, slices.Sorted(maps.Keys(x.blamed)))
+				}
+			}
+		})
+	}
+}
+
+// TestCulpritQuarantined guards against a part that goes on to crash servers, and against
+// sound calls that are refused beside it, also when servers crash for other reasons.
+func TestCulpritQuarantined(t *testing.T) {
+	for _, c := range []struct {
+		nodes, servers, culpritEvery int
+		interval                     time.Duration
+		crashEvery                   time.Duration
+	}{
+		{7, 18, 50, 100 * time.Millisecond, 0},
+		{7, 18, 10, 100 * time.Millisecond, 0},
+		{7, 18, 50, 100 * time.Millisecond, time.Second},
+		{7, 9, 40, 100 * time.Millisecond, 0},
+		{100, 160, 200, 200 * time.Millisecond, time.Second},
+		{100, 160, 50, time.Second, 0},
+	} {
+		t.Run(fmt.Sprintf("%d nodes, %d servers, 1 of %d calls, other crashes every %v", c.nodes, c.servers, c.culpritEvery, c.crashEvery), func(t *testing.T) {
+			seeds, duration := fleetPlay(c.nodes)
+			for seed := range seeds {
+				x := newCrashingFleet(t, c.nodes, c.servers, seed)
+				x.lossRate = 0.1
+				x.play(duration, c.interval, c.culpritEvery, c.crashEvery, 0.1)
+				if x.late > 3 {
+					t.Errorf("seed %d: %d calls with the part reached servers too late, %d crashed under it", seed, x.late, len(x.crashes))
+				}
+				delete(x.blamed, partCulprit)
+				if len(x.blamed) > 0 {
+					t.Errorf("seed %d: sound parts %v were quarantined", seed, slices.Sorted(maps.Keys(x.blamed)))
+				}
+				if x.begun*2 < x.sound {
+					t.Errorf("seed %d: servers began %d of %d sound calls at the first attempt; refusals by code: %v", seed, x.begun, x.sound, x.refused)
+				}
+			}
+		})
+	}
+}
+
+// TestPeriodicDigestBounded guards against periodic digests that exceed the bandwidth for
+// control messages while both fingerprints and parts are quarantined.
+func TestPeriodicDigestBounded(t *testing.T) {
+	s := forwardState(t, 1)
+	for i := range 5 {
+		s.parts.Learn(testStart, quarantine.PartQuarantine{Part: quarantine.PartID(fmt.Sprint(i)), At: testStart})
+		s.quarantine.MergeEntry(testStart, quarantine.Entry{Fingerprint: quarantine.Fingerprint{byte(i)}, Kind: quarantine.Quarantined, ExpiresAt: testStart.Add(time.Hour)})
+	}
+	d := s.digest(testStart, false)
+	if len(d.Parts.Quarantined) != 1 || len(d.Quarantine)+len(d.Parts.Quarantined) != membership.MaxPeriodicItems {
+		t.Errorf("%d fingerprints and %d parts", len(d.Quarantine), len(d.Parts.Quarantined))
+	}
+}
+
+// TestTrialSendsOneCall guards against several calls with a part on trial at once, each of
+// which could crash a server.
+func TestTrialSendsOneCall(t *testing.T) {
+	s := forwardState(t, 3)
+	s.parts.Learn(testStart, quarantine.PartQuarantine{Part: partCulprit, At: testStart})
+	parts := []request.Part{{ID: string(partCulprit), Tokens: 100}, {ID: "own", Tokens: 10}}
+	refusal, ok := placeCall(s, testStart, "refused", "review", parts...).(Refusal)
+	if !ok || refusal.Err.Code != code.PartQuarantined || refusal.RetryAfter < time.Minute {
+		t.Fatalf("a call with a quarantined part: %+v", refusal)
+	}
+	now := testStart
+	for !s.parts.OnTrial(partCulprit) {
+		now = now.Add(time.Minute)
+		s.Handle(now, Tick{})
+	}
+	s.Handle(now, VMList{VMs: forwardServers(3, 1)})
+	first, ok := placeCall(s, now, "first", "review", parts...).(Dispatch)
+	if !ok {
+		t.Fatal("the first call of the trial was not sent")
+	}
+	if got := placeCall(s, now, "second", "review", parts...); got != nil {
+		t.Errorf("a second call beside it: got %+v, want it to wait", got)
+	}
+	if _, ok := placeCall(s, now, "other", "review", request.Part{ID: "sound", Tokens: 100}, request.Part{ID: "last", Tokens: 10}).(Dispatch); !ok {
+		t.Error("a call without the part waits for the trial")
+	}
+	s.Handle(now, Connected{Request: "first", Attempt: first.Attempt})
+	out := s.Handle(now.Add(time.Second), AttemptDone{Request: "first", Attempt: first.Attempt, Outcome: Succeeded, Answered: true})
+	if _, ok := replyTo(t, out, "second").(Dispatch); !ok || s.parts.OnTrial(partCulprit) {
+		t.Errorf("after the response the second call got %+v", out.Replies)
+	}
+}
+
+// TestBrokenConnectionIsNoCrash guards against a server that breaks single connections and
+// counts as crashed each time, although it responds to other calls.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	s := forwardState(t, 1)
+	parts := []request.Part{{ID: "sound", Tokens: 100}, {ID: "own", Tokens: 10}}
+	now := testStart
+	for i := range 12 {
+		broken, alive := request.ID(fmt.Sprint("broken", i)), request.ID(fmt.Sprint("alive", i))
+		now = now.Add(500 * time.Millisecond)
+		for _, id := range []request.ID{broken, alive} {
+			if d, ok := placeCall(s, now, id, "lookup", parts...).(Dispatch); ok {
+				s.Handle(now, Connected{Request: id, Attempt: d.Attempt})
+			}
+		}
+		s.Handle(now.Add(10*time.Millisecond), AttemptDone{Request: broken, Attempt: 1, Outcome: Lost, ConnectionBroken: true})
+		s.Handle(now.Add(100*time.Millisecond), AttemptDone{Request: alive, Attempt: 1, Outcome: Succeeded})
+		s.Handle(now.Add(300*time.Millisecond), Tick{})
+	}
+	if suspects, quarantined := s.parts.Counts(); suspects+quarantined > 0 {
+		t.Errorf("%d suspect, %d quarantined parts", suspects, quarantined)
+	}
+}
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -109,11 +109,6 @@
 		code.New(code.RetriesExhausted, "the predicted wait after a failed attempt is longer than the deadline"))
 }
 
-func (req *activeRequest) quarantinedError() *code.Error {
-	const detail = "the request crashed backend servers and is quarantined"
-	return req.chooseError(code.New(code.Quarantined, detail), code.New(code.QuarantinedRan, detail))
-}
-
 func (s *State) noServerError(req *activeRequest) *code.Error {
 	servers := describeServers(s.group(req).Servers)
 	return req.chooseError(
@@ -142,10 +137,13 @@
 // quarantined. It returns whether the request was taken from the queue and, if
 // not, whether other requests may still be assigned.
 func (s *State) assign(now time.Time, req *activeRequest) limits.OfferResult {
-	if s.quarantine.IsQuarantined(req.fingerprint) {
-		s.finishWithError(now, req, "refuse", req.quarantinedError())
+	if s.isQuarantined(req) {
+		s.finishWithError(now, req, "refuse", s.quarantinedError(now, req))
 		return limits.Taken
 	}
+	if s.awaitsTrial(req) {
+		return limits.Skipped
+	}
 	suspect := s.quarantine.IsSuspect(req.fingerprint)
 	if suspect && s.suspectMustWait(now, req) {
 		return limits.Skipped
--- a/core/control/spread.go
+++ b/core/control/spread.go
@@ -43,11 +43,10 @@
 	}
 }
 
-// sampleQuarantined returns up to membership.MaxPeriodicItems random quarantined
-// fingerprints for a periodic digest, so that a node that missed the change learns
-// of it. Suspicions are left out, because a digest in flight would renew one that
+// sampleQuarantined returns up to count random quarantined fingerprints for a periodic
+// digest, so that a node that missed the change learns of it. Suspicions are left out, because a digest in flight would renew one that
 // was cleared.
-func (s *State) sampleQuarantined(now time.Time) []membership.QuarantineStatus {
+func (s *State) sampleQuarantined(now time.Time, count int) []membership.QuarantineStatus {
 	var quarantined []quarantine.Entry
 	for _, e := range s.quarantine.DigestEntries() {
 		if e.Kind == quarantine.Quarantined {
@@ -55,7 +54,7 @@
 		}
 	}
 	s.random.Shuffle(len(quarantined), func(i, j int) { quarantined[i], quarantined[j] = quarantined[j], quarantined[i] })
-	return quarantineStatuses(now, quarantined[:min(len(quarantined), membership.MaxPeriodicItems)])
+	return quarantineStatuses(now, quarantined[:min(len(quarantined), count)])
 }
 
 // quarantineStatuses returns the entries for a digest. They carry the time until
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -133,7 +133,13 @@
 	retryBudgets  *retry.Budgets
 	repeatWindows *retry.RepeatLimiter
 	quarantine    *quarantine.List
-	exports       *kvcache.Exports
+	// parts attributes crashes to prompt parts. brokenCalls are the calls whose
+	// connection broke and whose server may not have ended.
+	parts       *quarantine.PartLedger
+	brokenCalls []brokenCall
+	// partNewsAt is when the peers were last told about parts.
+	partNewsAt time.Time
+	exports    *kvcache.Exports
 	// runningExports holds the exports in progress by their identifier.
 	runningExports map[request.ID]*transfer
 	exportCount    uint64
@@ -190,6 +196,9 @@
 		return nil, fmt.Errorf("load charts: %w", err)
 	}
 	s.recordTracker = tracker
+	if s.parts, err = quarantine.NewPartLedger(options.Charts, s.random, now); err != nil {
+		return nil, fmt.Errorf("load charts: %w", err)
+	}
 	s.nodeChart = s.charts.node.Start(now)
 	s.announcedState = s.nodeChart.State
 	s.configuration.chart = s.charts.configuration.Start(now)
@@ -301,6 +310,7 @@
 	s.tickOrders(now)
 	s.expireTransfers(now)
 	s.quarantine.Expire(now)
+	s.tickParts(now)
 	s.stopLateStarts(now)
 	s.expireRequests(now)
 	s.recordTracker.Expire(now)
--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagerspread/core/cachekey"
+	"tanagerspread/core/code"
 	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/placement"
@@ -63,7 +64,7 @@
 			}
 		}
 	}
-	suspects, quarantined := s.quarantine.Counts()
+	suspects, quarantined := s.parts.Counts()
 	s.logEvent(event.CallsBroken, "server", string(server.ID), "calls", len(running), "parts", strings.Join(parts, ","), "suspects", suspects, "quarantined", quarantined)
 }
 
@@ -95,9 +96,32 @@
 	}
 }
 
+// isQuarantined reports whether the request, or a prompt part of it, crashed backend
+// servers and must not run.
+func (s *State) isQuarantined(req *activeRequest) bool {
+	_, refused := s.refusedPart(req)
+	return refused || s.quarantine.IsQuarantined(req.fingerprint)
+}
+
+// quarantinedError returns the error of a quarantined request. One with a quarantined
+// part may be repeated when this node tries the part again.
+func (s *State) quarantinedError(now time.Time, req *activeRequest) *code.Error {
+	part, refused := s.refusedPart(req)
+	if !refused {
+		const detail = "the request crashed backend servers and is quarantined"
+		return req.chooseError(code.New(code.Quarantined, detail), code.New(code.QuarantinedRan, detail))
+	}
+	req.advisedDelay = max(s.parts.RetryAt(part).Sub(now), 0)
+	const detail = "a part of the prompt crashed backend servers and is quarantined"
+	return req.chooseError(code.New(code.PartQuarantined, detail), code.New(code.QuarantinedRan, detail))
+}
+
 // quarantineSeen adds the entries of another node to the quarantine list. New
 // ones that came from a peer are relayed.
 func (s *State) quarantineSeen(now time.Time, m QuarantineSeen) {
+	for _, part := range m.Parts[:min(len(m.Parts), quarantine.MaxDigestEntries)] {
+		s.parts.Learn(now, part)
+	}
 	var changed []quarantine.Entry
 	for _, e := range m.Entries[:min(len(m.Entries), quarantine.MaxDigestEntries)] {
 		if s.quarantine.MergeEntry(now, e) {
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -10,6 +10,8 @@
 	AttemptFailed    = register(2301, LevelInfo, "attempt at a backend server failed", "request", "attempt", "server", "code")
 	AttemptStopped   = register(2302, LevelInfo, "attempt ended because the backend server has outdated weights and did not start it in time", "request", "attempt", "server", "weights", "newest", "age_ms")
 	CallsBroken      = register(2303, LevelInfo, "connection to a backend server broke while calls ran there", "server", "calls", "parts", "suspects", "quarantined")
+	PartQuarantined  = register(2304, LevelInfo, "prompt part crashed backend servers and is quarantined", "part", "trial", "crashes", "needed", "server", "learned")
+	PartInUse        = register(2305, LevelInfo, "calls with a quarantined prompt part are sent again", "part", "trial", "crashes", "needed", "server", "learned")
 )
 
 // The events of backend servers and cache stores.
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -69,6 +69,8 @@
 	// LastSuccessStart is when the attempt that succeeded last was started. Its
 	// success proves the server healthy at that time or later.
 	LastSuccessStart time.Time
+	// LastResponseAt is when this node last received a response from the server.
+	LastResponseAt time.Time
 	// MaxConcurrency is the number of requests that the server runs at once, or 0
 	// when unknown.
 	MaxConcurrency int
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -20,8 +20,8 @@
 	UnknownAge uint8 = 15
 	// MaxAgeSeconds is the largest last-seen age that a digest carries.
 	MaxAgeSeconds = 14
-	// MaxPeriodicItems bounds the quarantine list and the list of leaving
-	// reports in periodic digests. With two items in each list of a request and
+	// MaxPeriodicItems bounds the quarantined fingerprints and prompt parts together,
+	// and the list of leaving reports, in periodic digests. With two items in each list of a request and
 	// none in a response, digests stay within 3 KB/s at 340 nodes. A digest that
 	// announces a change of the quarantine, and the response to a starting node,
 	// may carry up to quarantine.MaxDigestEntries fingerprints.
@@ -65,6 +65,8 @@
 	LastSeenAges []uint8
 	// Quarantine lists suspect, quarantined and cleared fingerprints.
 	Quarantine []QuarantineStatus
+	// Parts is what the node reports about prompt parts that may crash servers.
+	Parts PartNews
 	// LeavingReports lists backend servers that reported that they are leaving or
 	// that the VM list shows as leaving.
 	LeavingReports []LeavingReport
@@ -96,6 +98,32 @@
 	ExpiresIn time.Duration
 }
 
+// PartNews is what a node reports about prompt parts that may crash servers. All times are
+// ages, since the clocks of two nodes may differ.
+type PartNews struct {
+	Crashes []PartCrash
+	// Proofs lists parts to whose calls a server responded, Quarantined those whose calls
+	// are refused.
+	Proofs      []PartAge
+	Quarantined []PartAge
+}
+
+// PartCrash is one crash that may be due to a prompt part.
+type PartCrash struct {
+	Part   quarantine.PartID
+	Server fleet.ServerID
+	// Age is the time since the connection of a call with the part broke.
+	Age time.Duration
+	// Depth is the number of parts before this one in the prompt.
+	Depth int
+}
+
+// PartAge is a prompt part with the time since it was proven or quarantined.
+type PartAge struct {
+	Part quarantine.PartID
+	Age  time.Duration
+}
+
 // LeavingReport is the notice that a backend server is leaving. It comes from the
 // server itself or from the VM list.
 type LeavingReport struct {
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -80,8 +80,9 @@
 	workCommands    chan control.SendWork
 	// lastParsed caches the rules file that was parsed last.
 	lastParsed atomic.Pointer[parsedRules]
-	// quarantineWrites queues the quarantined fingerprints that are to be stored.
-	quarantineWrites chan quarantine.Entry
+	// quarantineWrites queues the quarantined fingerprints and prompt parts that are to be
+	// stored.
+	quarantineWrites chan quarantineWrite
 	// firstQuarantineRead is closed after the first read of the quarantined
 	// fingerprints, whether or not it succeeded.
 	firstQuarantineRead     chan struct{}
@@ -100,7 +101,7 @@
 		peerCommands:    make(chan control.Command, commandQueueSize),
 		workCommands:    make(chan control.SendWork, workQueueSize),
 
-		quarantineWrites:    make(chan quarantine.Entry, quarantineQueueSize),
+		quarantineWrites:    make(chan quarantineWrite, quarantineQueueSize),
 		firstQuarantineRead: make(chan struct{}),
 	}
 }
@@ -151,9 +152,12 @@
 	case control.PublishQuarantine:
 		for _, entry := range c.Entries {
 			if entry.Kind == quarantine.Quarantined {
-				worker.Enqueue(a.options.Logger, a.quarantineWrites, entry)
+				worker.Enqueue(a.options.Logger, a.quarantineWrites, quarantineWrite{entry: entry, expiresAt: entry.ExpiresAt})
 			}
 		}
+		for _, part := range c.Parts {
+			worker.Enqueue(a.options.Logger, a.quarantineWrites, quarantineWrite{part: part, expiresAt: c.PartsExpireAt})
+		}
 	default:
 		return false
 	}
--- a/node/agent/quarantine.go
+++ b/node/agent/quarantine.go
@@ -13,20 +13,28 @@
 	"tanagerspread/node/worker"
 )
 
-// quarantineQueueSize is the maximum number of quarantined fingerprints that
-// wait to be stored.
+// quarantineQueueSize is the maximum number of quarantined fingerprints and prompt
+// parts that wait to be stored.
 const quarantineQueueSize = 256
 
-// runQuarantineWrites stores quarantined fingerprints one after the other. A
-// failed write is repeated until the quarantine expires, because no other node
-// stores the same entry.
+// quarantineWrite is a quarantined fingerprint, or a quarantined prompt part, to store
+// until expiresAt.
+type quarantineWrite struct {
+	entry     quarantine.Entry
+	part      quarantine.PartQuarantine
+	expiresAt time.Time
+}
+
+// runQuarantineWrites stores quarantined fingerprints and parts one after the other.
+// A failed write is repeated until the quarantine expires, because no other node
+// may store the same entry.
 func (a *Agents) runQuarantineWrites(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case entry := <-a.quarantineWrites:
-			for entry.ExpiresAt.After(time.Now()) && !a.storeQuarantineEntry(ctx, entry) {
+		case write := <-a.quarantineWrites:
+			for write.expiresAt.After(time.Now()) && !a.storeQuarantined(ctx, write) {
 				if !worker.Sleep(ctx, retryInterval) {
 					return
 				}
@@ -35,11 +43,17 @@
 	}
 }
 
-// storeQuarantineEntry stores one entry and returns whether it succeeded.
-func (a *Agents) storeQuarantineEntry(ctx context.Context, entry quarantine.Entry) bool {
+// storeQuarantined stores one fingerprint or part and returns whether it succeeded.
+func (a *Agents) storeQuarantined(ctx context.Context, write quarantineWrite) bool {
 	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
-	if err := confkv.WriteQuarantined(ctx, a.options.Service, entry); err != nil {
+	var err *code.Error
+	if write.part.Part != "" {
+		err = confkv.WriteQuarantinedPart(ctx, a.options.Service, write.part, write.expiresAt)
+	} else {
+		err = confkv.WriteQuarantined(ctx, a.options.Service, write.entry)
+	}
+	if err != nil {
 		a.logCallFailure("store quarantine", err)
 		return false
 	}
@@ -64,12 +78,12 @@
 func (a *Agents) readQuarantine(ctx context.Context) (kv.Revision, *code.Error) {
 	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
-	entries, revision, err := confkv.ListQuarantined(ctx, a.options.Service)
+	entries, parts, revision, err := confkv.ListQuarantined(ctx, a.options.Service)
 	if err != nil {
 		a.logCallFailure("read quarantine", err)
 		return revision, err
 	}
-	a.reportQuarantined(entries)
+	a.reportQuarantined(entries, parts)
 	return revision, nil
 }
 
@@ -88,21 +102,31 @@
 			return nil
 		}
 		var entries []quarantine.Entry
+		var parts []quarantine.PartQuarantine
 		for _, change := range changes {
-			if entry, ok := confkv.DecodeQuarantined(change.Entry); ok && !change.Deleted {
+			if change.Deleted {
+				continue
+			}
+			if entry, ok := confkv.DecodeQuarantined(change.Entry); ok {
 				entries = append(entries, entry)
 			}
+			if part, ok := confkv.DecodeQuarantinedPart(change.Entry); ok {
+				parts = append(parts, part)
+			}
 		}
-		a.reportQuarantined(entries)
+		a.reportQuarantined(entries, parts)
 		after = revision
 	}
 	return nil
 }
 
-// reportQuarantined reports entries in messages of at most
-// quarantine.MaxDigestEntries entries, the maximum that the control thread
+// reportQuarantined reports entries and parts in messages of at most
+// quarantine.MaxDigestEntries of them, the maximum that the control thread
 // accepts.
-func (a *Agents) reportQuarantined(entries []quarantine.Entry) {
+func (a *Agents) reportQuarantined(entries []quarantine.Entry, parts []quarantine.PartQuarantine) {
+	for chunk := range slices.Chunk(parts, quarantine.MaxDigestEntries) {
+		a.tell(control.QuarantineSeen{Parts: chunk, FromService: true})
+	}
 	for chunk := range slices.Chunk(entries, quarantine.MaxDigestEntries) {
 		a.tell(control.QuarantineSeen{Entries: chunk, FromService: true})
 	}
--- a/node/confkv/quarantine.go
+++ b/node/confkv/quarantine.go
@@ -42,20 +42,24 @@
 	return serviceErr
 }
 
-// ListQuarantined returns the stored fingerprints and the revision of the list.
-// It omits entries that cannot be decoded.
-func ListQuarantined(ctx context.Context, service kv.Service) ([]quarantine.Entry, kv.Revision, *code.Error) {
+// ListQuarantined returns the stored fingerprints and prompt parts and the revision of the
+// list. It omits entries that cannot be decoded.
+func ListQuarantined(ctx context.Context, service kv.Service) ([]quarantine.Entry, []quarantine.PartQuarantine, kv.Revision, *code.Error) {
 	stored, revision, err := service.List(ctx, PrefixQuarantine)
 	if err != nil {
-		return nil, kv.Absent, err
+		return nil, nil, kv.Absent, err
 	}
 	var entries []quarantine.Entry
+	var parts []quarantine.PartQuarantine
 	for _, entry := range stored {
 		if decoded, ok := DecodeQuarantined(entry); ok {
 			entries = append(entries, decoded)
 		}
+		if part, ok := DecodeQuarantinedPart(entry); ok {
+			parts = append(parts, part)
+		}
 	}
-	return entries, revision, nil
+	return entries, parts, revision, nil
 }
 
 // DecodeQuarantined returns the quarantined fingerprint of an entry, or false
--- a/node/egress/completion.go
+++ b/node/egress/completion.go
@@ -35,8 +35,9 @@
 	// report, or forward.InvalidWeights.
 	Weights int
 	// ServerError is true when the response to a forwarded call has a 5xx
-	// status.
+	// status, Answered when it has a 2xx status.
 	ServerError bool
+	Answered    bool
 }
 
 // Complete runs one completion and passes each verified event to receive. An
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -78,7 +78,7 @@
 	reader, stop := newGapReader(response.Body, timeouts.Gap, cancel)
 	defer stop()
 	if isStream(response) {
-		return bodyResult(ctx, Result{Weights: info.Weights}, receiveStream(reader, response, receiver))
+		return bodyResult(ctx, Result{Weights: info.Weights, Answered: true}, receiveStream(reader, response, receiver))
 	}
 	if attempt.Resumes {
 		return Result{Outcome: control.Lost, Cause: code.Newf(code.BackendLost, "the backend server responded with status %d to a resumed stream", response.StatusCode)}
@@ -89,6 +89,7 @@
 	}
 	result := bodyResult(ctx, Result{Weights: info.Weights}, err)
 	result.ServerError = response.StatusCode >= http.StatusInternalServerError
+	result.Answered = response.StatusCode/100 == http.StatusOK/100
 	return result
 }
 
--- a/node/ingress/exchange.go
+++ b/node/ingress/exchange.go
@@ -144,6 +144,7 @@
 			Leaving:          result.Leaving,
 			NoneRan:          x.sentAttempts.Load() == 0,
 			ConnectionBroken: result.ConnectionBroken,
+			Answered:         result.Answered,
 
 			OtherServer: result.OtherServer,
 			Weights:     result.Weights,
--- a/node/ingress/notrun_test.go
+++ b/node/ingress/notrun_test.go
@@ -175,6 +175,8 @@
 	code.OutdatedWeights,
 	// The quarantine tests in core/control.
 	code.Quarantined, code.QuarantinedRan,
+	// TestCrashingPartNotSent; only forwarded calls have prompt parts.
+	code.PartQuarantined,
 	// Not provoked at any fault point here.
 	code.RetriesExhaustedNotRun, code.DeadlineTooShort,
 	// Returned before admission: until the first configuration, under overload
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"net"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -164,3 +166,28 @@
 		t.Errorf("got an age of %s for a very large one", got)
 	}
 }
+
+// TestPartNewsInDigest guards against reports about prompt parts that are changed or lost
+// when a digest is encoded, and against malformed ones and lists without a bound.
+func TestPartNewsInDigest(t *testing.T) {
+	var digest membership.Digest
+	for i := range quarantine.MaxDigestEntries + 1 {
+		id := quarantine.PartID(strconv.Itoa(i))
+		digest.Parts.Crashes = append(digest.Parts.Crashes, membership.PartCrash{Part: id, Server: "s", Age: 1500 * time.Millisecond, Depth: 2})
+		digest.Parts.Proofs = append(digest.Parts.Proofs, membership.PartAge{Part: id, Age: time.Second})
+		digest.Parts.Quarantined = append(digest.Parts.Quarantined, membership.PartAge{Part: id, Age: time.Minute})
+	}
+	encoded := digestToWire(digest)
+	encoded.PartCrashes[1].AgeMS = -1
+	encoded.PartCrashes[2].Part = strings.Repeat("x", maxPartIDBytes+1)
+	encoded.PartCrashes[3].Server = ""
+	encoded.PartProofs[1].AgeMS = math.MaxInt64
+	encoded.QuarantinedParts[1] = "60 "
+	decoded := digestFromWire(encoded).Parts
+	if len(decoded.Crashes) != quarantine.MaxDigestEntries-3 || len(decoded.Proofs) != quarantine.MaxDigestEntries-1 || len(decoded.Quarantined) != quarantine.MaxDigestEntries-1 {
+		t.Fatalf("%d crashes, %d proofs, %d quarantined parts", len(decoded.Crashes), len(decoded.Proofs), len(decoded.Quarantined))
+	}
+	if decoded.Crashes[0] != digest.Parts.Crashes[0] || decoded.Proofs[0] != digest.Parts.Proofs[0] || decoded.Quarantined[0] != digest.Parts.Quarantined[0] {
+		t.Errorf("got %+v", decoded)
+	}
+}
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -47,7 +47,10 @@
 	Leaving            []leavingReportWire `json:"x,omitempty"`
 	NamedWeights       []namedWeightsWire  `json:"h,omitempty"`
 	// WantsNamedWeights is 1 for true, which is shorter.
-	WantsNamedWeights int `json:"y,omitempty"`
+	WantsNamedWeights int             `json:"y,omitempty"`
+	PartCrashes       []partCrashWire `json:"b,omitempty"`
+	PartProofs        []partAgeWire   `json:"p,omitempty"`
+	QuarantinedParts  []string        `json:"z,omitempty"`
 }
 
 // namedWeightsWire is the encoded form of a named weight version in a digest.
@@ -212,6 +215,7 @@
 	for _, status := range d.Quarantine[:min(len(d.Quarantine), quarantine.MaxDigestEntries)] {
 		w.Quarantine = append(w.Quarantine, encodeQuarantineStatus(status))
 	}
+	partNewsToWire(&w, d.Parts)
 	if d.WantsNamedWeights {
 		w.WantsNamedWeights = 1
 	}
@@ -250,6 +254,7 @@
 			d.Quarantine = append(d.Quarantine, status)
 		}
 	}
+	d.Parts = partNewsFromWire(w)
 	for _, report := range w.Leaving[:min(len(w.Leaving), membership.MaxPeriodicItems)] {
 		d.LeavingReports = append(d.LeavingReports, membership.LeavingReport{
 			Server: report.Server, Address: report.Address, Age: time.Duration(report.AgeMS) * time.Millisecond,
--- a/node/process/partcrash_test.go
+++ b/node/process/partcrash_test.go
@@ -119,7 +119,8 @@
 }
 
 // playCrashes sends ten calls a second for 20 s, half of them with crashPart, and returns
-// how many of the sound calls of the second half were served.
+// how many of the sound calls of the second half were served. The calls with crashPart of
+// the second half must be refused as not run.
 func (s *crashSite) playCrashes(nodes []*deployedNode, prompt, sound func(i int) []string) int {
 	const calls, interval = 200, 100 * time.Millisecond
 	var mu sync.Mutex
@@ -135,6 +136,9 @@
 			got, err := nodes[(i*5+i/7)%len(nodes)].tryCall("POST", "/review/", promptHeader(id, parts), "body of "+id)
 			mu.Lock()
 			defer mu.Unlock()
+			if i%2 == 0 && i >= calls/2 && (got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "") {
+				s.t.Errorf("call %d with the part got %+v", i, got)
+			}
 			if err == nil && got.status == http.StatusOK && !got.incomplete && i%2 == 1 && i >= calls/2 {
 				served++
 			}
@@ -181,3 +185,32 @@
 		t.Errorf("%d of 50 sound calls were served", served)
 	}
 }
+
+// TestQuarantinedPartKeptByStore guards against a part that crashes servers again after
+// all nodes that knew of it have ended.
+func TestQuarantinedPartKeptByStore(t *testing.T) {
+	runAtSite(t, func(base *deployedSite) {
+		s := &crashSite{deployedSite: base}
+		for range 12 {
+			s.startServerUnder()
+		}
+		s.writeConfiguration(testKey)
+		var nodes []*deployedNode
+		for i := range 3 {
+			nodes = append(nodes, s.startNode(fmt.Sprintf("n%d", i), "n0:peers"))
+		}
+		waitForRepeats()
+		s.playCrashes(nodes, func(int) []string { return []string{commonPart, crashPart} }, func(int) []string { return []string{commonPart} })
+		for _, n := range nodes {
+			n.kill()
+		}
+		n := s.startNode("n9")
+		waitForSync()
+		before := len(s.crashes)
+		got := n.call("POST", "/review/", promptHeader("later", []string{commonPart, crashPart}), "x")
+		if got.status != http.StatusServiceUnavailable || len(s.crashes) != before {
+			t.Errorf("a node that started later answered %+v; %d more servers crashed", got, len(s.crashes)-before)
+		}
+		time.Sleep(crashEntryTime)
+	})
+}
