core/control, node/agent: news of the quarantine is batched and fits the queue

Cause: each change of the quarantine was a digest to eight peers at once, and each peer relays each, while the queue held 16 messages; what was dropped was not sent again, so that nodes missed suspicions and quarantines.

Changes are now collected and sent at once, but at most every 50 ms with up to 64 entries, and the queue holds 256 messages.

--- a/core/control/config.go
+++ b/core/control/config.go
@@ -117,7 +117,7 @@
 	s.fireNodeEvent("configure", now)
 	if s.options.Unfenced {
 		s.fireNodeEvent("confirm", now)
-		s.gossip(now, nil)
+		s.gossip(now)
 	}
 	s.command(ConfigInForce{Version: s.version, Author: current.Author, Known: now.Sub(s.configuration.newestAt)})
 	s.assignQueued(now)
--- a/core/control/leaving.go
+++ b/core/control/leaving.go
@@ -74,7 +74,7 @@
 func (s *State) tickLeaving(now time.Time) {
 	if s.leavingReportPending {
 		s.leavingReportPending = false
-		s.gossip(now, nil)
+		s.gossip(now)
 	}
 }
 
--- a/core/control/spread.go
+++ b/core/control/spread.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"tanagerspread/core/membership"
@@ -17,14 +18,46 @@
 // to peers.
 func (s *State) publishQuarantine(now time.Time, changed []quarantine.Entry) {
 	s.command(PublishQuarantine{Entries: changed})
-	s.gossip(now, changed)
+	s.gossipQuarantine(now, changed)
 }
 
-// gossip sends a digest with the changed entries to random peers at once, without
-// waiting for the next gossip round.
-func (s *State) gossip(now time.Time, changed []quarantine.Entry) {
+const (
+	// quarantineNewsInterval is the shortest time between two urgent digests about the
+	// quarantine. Each goes to gossipPeers peers, and in a series of crashes each node
+	// learns of a change every few milliseconds.
+	quarantineNewsInterval = 50 * time.Millisecond
+	// maxQuarantineNews bounds the changed entries that wait to be sent.
+	maxQuarantineNews = 16 * quarantine.MaxDigestEntries
+)
+
+// gossipQuarantine sends changed entries to random peers, at once when the last such
+// digest is quarantineNewsInterval ago.
+func (s *State) gossipQuarantine(now time.Time, changed []quarantine.Entry) {
+	s.quarantineNews = append(s.quarantineNews, changed...)
+	if excess := len(s.quarantineNews) - maxQuarantineNews; excess > 0 {
+		s.quarantineNews = slices.Delete(s.quarantineNews, 0, excess)
+	}
+	s.sendQuarantineNews(now)
+}
+
+// sendQuarantineNews sends the changed entries that wait, as many as a digest carries.
+func (s *State) sendQuarantineNews(now time.Time) {
+	if len(s.quarantineNews) == 0 || now.Sub(s.quarantineNewsAt) < quarantineNewsInterval {
+		return
+	}
+	s.quarantineNewsAt = now
+	count := min(len(s.quarantineNews), quarantine.MaxDigestEntries)
+	digest := s.digest(now, false)
+	digest.Quarantine = quarantineStatuses(now, s.quarantineNews[:count])
+	s.quarantineNews = slices.Delete(s.quarantineNews, 0, count)
+	s.sendUrgent(digest)
+}
+
+// gossip sends a digest to random peers at once, without waiting for the next gossip
+// round.
+func (s *State) gossip(now time.Time) {
 	digest := s.digest(now, false)
-	digest.Quarantine = quarantineStatuses(now, changed)
+	digest.Quarantine = nil
 	s.sendUrgent(digest)
 }
 
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -140,6 +140,10 @@
 	// connection broke and whose server may not have ended.
 	parts       *quarantine.PartLedger
 	brokenCalls []brokenCall
+	// quarantineNews has changed entries of the quarantine that the peers are to be told,
+	// quarantineNewsAt is when they were last told any.
+	quarantineNews   []quarantine.Entry
+	quarantineNewsAt time.Time
 	// lastResponseBy is when the calls in progress of a stopping node get their final
 	// responses, or zero.
 	lastResponseBy time.Time
@@ -320,6 +324,7 @@
 	s.tickOrders(now)
 	s.expireTransfers(now)
 	s.quarantine.Expire(now)
+	s.sendQuarantineNews(now)
 	s.tickParts(now)
 	s.stopLateStarts(now)
 	s.endCallsAtStop(now)
--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -132,7 +132,7 @@
 		return
 	}
 	if !m.FromService {
-		s.gossip(now, changed)
+		s.gossipQuarantine(now, changed)
 	}
 	s.countNewSuspects()
 	s.assignQueued(now)
--- a/core/control/suspects_test.go
+++ b/core/control/suspects_test.go
@@ -348,3 +348,42 @@
 	}
 	return told
 }
+
+// TestQuarantineNewsBatched guards against news of suspects that is lost during a series of
+// crashes, because the node has more messages to send than its queue holds.
+func TestQuarantineNewsBatched(t *testing.T) {
+	var list []VM
+	for i := range 12 {
+		list = append(list, VM{ID: fmt.Sprintf("n%02d", i), Role: fleet.RoleEntryVM, PeerAddress: fmt.Sprintf("n%02d", i)})
+	}
+	s, err := New(Options{Node: "n00", Charts: chart.Embedded(), Seed: 1, Agents: true}, testStart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Handle(testStart, VMList{VMs: list})
+	const count = 2*quarantine.MaxDigestEntries + 1
+	told := map[quarantine.Fingerprint]bool{}
+	messages := 0
+	handle := func(now time.Time, m Message) {
+		for _, command := range s.Handle(now, m).Commands {
+			send, ok := command.(SendDigest)
+			if !ok || len(send.Digest.Quarantine) == 0 {
+				continue
+			}
+			messages++
+			for _, status := range send.Digest.Quarantine {
+				told[status.Fingerprint] = true
+			}
+		}
+	}
+	for i := range count {
+		entry := quarantine.Entry{Fingerprint: quarantine.Fingerprint{byte(i), byte(i >> 8)}, Kind: quarantine.Suspect, ExpiresAt: testStart.Add(time.Minute)}
+		handle(testStart.Add(time.Duration(i)*time.Microsecond), QuarantineSeen{Entries: []quarantine.Entry{entry}})
+	}
+	for i := range 5 {
+		handle(testStart.Add(time.Duration(i+1)*50*time.Millisecond), Tick{})
+	}
+	if len(told) != count || messages > 5 {
+		t.Errorf("%d of %d suspects in %d messages", len(told), count, messages)
+	}
+}
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -37,6 +37,9 @@
 	retryInterval = time.Second
 	// commandQueueSize is the maximum number of commands that wait for one agent.
 	commandQueueSize = 16
+	// peerQueueSize is the maximum number of messages to peers that wait. An urgent digest
+	// is one message for each of its targets.
+	peerQueueSize = 256
 	// workQueueSize is the maximum number of queued messages about prefill work.
 	workQueueSize = 64
 	// workSenders is the number of messages about prefill work that are sent
@@ -98,7 +101,7 @@
 		options:         options,
 		configCommands:  make(chan control.Command, commandQueueSize),
 		sessionCommands: make(chan control.SessionCommand, commandQueueSize),
-		peerCommands:    make(chan control.Command, commandQueueSize),
+		peerCommands:    make(chan control.Command, peerQueueSize),
 		workCommands:    make(chan control.SendWork, workQueueSize),
 
 		quarantineWrites:    make(chan quarantineWrite, quarantineQueueSize),
