node/egress: a stream that ends before its first event, or inside one, is broken

Report of other operators: a server stopped in the middle of the head of its response and closed; clients got a 200 with an empty or short body that looked whole.

In the head it does not happen here: TestCutResponseNotWhole cuts nine responses (with a length, in chunks, with a trailer, after an informational one, HTTP/1.0, streams, ended by the connection) at each byte, and no cut in a head was delivered. Two cuts after it failed: a stream that ends with its connection was passed on as a complete empty 200 when its server closed right after the head, and an end inside an event did not count as a broken connection, so that a server which crashes in this way was not seen to crash. Both are broken now. An end after an event stays the end of the stream.

--- a/node/egress/completion.go
+++ b/node/egress/completion.go
@@ -165,7 +165,8 @@
 		return Result{Outcome: control.Stopped, Cause: stopCause(ctx.Err())}
 	}
 	cause := classify(err)
-	return Result{Outcome: control.Lost, Cause: cause, ConnectionBroken: cause.Code == code.BackendLost}
+	broken := cause.Code == code.BackendLost || errors.Is(err, io.ErrUnexpectedEOF)
+	return Result{Outcome: control.Lost, Cause: cause, ConnectionBroken: broken}
 }
 
 // stopCause returns the reason why the node stopped an attempt. An error
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -142,20 +142,26 @@
 }
 
 // receiveStream passes the headers and each complete event of a stream to the
-// receiver until the stream ends.
+// receiver until the stream ends. A stream that ends with its connection is whole when
+// it ends after an event; without an event its server ended before it began.
 func receiveStream(body io.Reader, response *http.Response, receiver Receiver) error {
 	if err := receiver.StartStream(response); err != nil {
 		return &stoppedError{cause: err}
 	}
 	events := forward.NewEventReader(body)
+	begun := isFramed(response, http.MethodGet)
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && !begun {
+			return code.Wrap(code.AnswerTruncated, "the connection ended before the first event", io.ErrUnexpectedEOF)
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
+		begun = begun || !event.IsComment()
 		if err := receiver.Event(event); err != nil {
 			return &stoppedError{cause: err}
 		}
--- a/node/forward/events.go
+++ b/node/forward/events.go
@@ -59,7 +59,7 @@
 		case err == io.EOF && len(event.Raw) == 0:
 			return event, io.EOF
 		case err == io.EOF:
-			return event, code.New(code.AnswerTruncated, "the stream ended within an event")
+			return event, code.Wrap(code.AnswerTruncated, "the stream ended within an event", io.ErrUnexpectedEOF)
 		case err != nil:
 			return event, err
 		}
