node/egress: responses without end share a limit of memory

The bytes beyond 64 KiB of each response that is being read now count together, and a large response fails while they take more than the share of the memory that request bodies may take. Small responses are read in any case.

--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -83,7 +83,7 @@
 	if attempt.Resumes {
 		return Result{Outcome: control.Lost, Cause: code.Newf(code.BackendLost, "the backend server responded with status %d to a resumed stream", response.StatusCode)}
 	}
-	body, err := readBody(reader)
+	body, err := c.readBody(reader)
 	if err == nil {
 		receiver.CompleteResponse(response, body)
 	}
@@ -130,15 +130,30 @@
 	return err == nil && media == mediaTypeEventStream && response.StatusCode == http.StatusOK
 }
 
-func readBody(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxForwardResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(data) > maxForwardResponseBytes {
-		return nil, code.Newf(code.AnswerTooLarge, "the response is larger than %d bytes", maxForwardResponseBytes)
+// smallBodyBytes is the size up to which a response is read whatever others take, so that
+// servers that send without end do not fail the calls of others.
+const smallBodyBytes = 64 << 10
+
+// readBody reads a complete response. It returns code.AnswerTooLarge for a response of more
+// than maxForwardResponseBytes, and for a large one while others take the memory.
+func (c *Client) readBody(body io.Reader) ([]byte, error) {
+	counted := int64(0)
+	defer func() { c.largeBodies.Add(-counted) }()
+	var data bytes.Buffer
+	for {
+		n, err := io.CopyN(&data, body, smallBodyBytes)
+		if errors.Is(err, io.EOF) {
+			return data.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		counted += n
+		total := c.largeBodies.Add(n)
+		if data.Len() > maxForwardResponseBytes || c.maxLargeBodies > 0 && total > c.maxLargeBodies {
+			return nil, code.Newf(code.AnswerTooLarge, "the response is larger than %d bytes, or large responses take too much memory", maxForwardResponseBytes)
+		}
 	}
-	return data, nil
 }
 
 // receiveStream passes the headers and each complete event of a stream to the
--- a/node/egress/forward_test.go
+++ b/node/egress/forward_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,3 +151,38 @@
 		t.Error("the response to another attempt counts as a report of the server")
 	}
 }
+
+// TestManyBodiesWithoutEnd guards against servers that all send a body without end and fill
+// the memory of the node together, and against a small response that fails beside them.
+func TestManyBodiesWithoutEnd(t *testing.T) {
+	const calls, limit = 24, 16 << 20
+	client := NewClient(nil)
+	client.LimitLargeBodies(limit)
+	var most, failed atomic.Int64
+	var group sync.WaitGroup
+	for range calls {
+		group.Go(func() {
+			_, err := client.readBody(readerFunc(func(p []byte) (int, error) {
+				most.Store(max(most.Load(), client.largeBodies.Load()))
+				return len(p), nil
+			}))
+			if err != nil {
+				failed.Add(1)
+			}
+			if data, err := client.readBody(strings.NewReader("small")); err != nil || string(data) != "small" {
+				t.Errorf("a small response: %q, %v", data, err)
+			}
+		})
+	}
+	group.Wait()
+	if failed.Load() != calls || most.Load() > limit+calls*smallBodyBytes {
+		t.Errorf("%d of %d bodies without end failed; %d bytes were held", failed.Load(), calls, most.Load())
+	}
+	if left := client.largeBodies.Load(); left != 0 {
+		t.Errorf("%d bytes still count", left)
+	}
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -110,10 +110,12 @@
 	if recorder == nil {
 		recorder = n.newRecorder()
 	}
+	client := egress.NewClient(options.Dial)
+	client.LimitLargeBodies(options.MaxPendingBytes)
 	n.front = ingress.NewFrontend(ingress.Options{
 		Importer:     blocks.NewImporter(n.loop, wire.Dialer(options.Dial)),
 		Control:      options.Metrics.Observe(n.loop),
-		Egress:       egress.NewClient(options.Dial),
+		Egress:       client,
 		Recorder:     recorder,
 		Logger:       options.Logger,
 		Observer:     options.Metrics,
