soak: a prompt part that crashes servers

One in 50 calls to the model servers has a part that ends the connections of its server and keeps it down for a second. The checks that sound calls are served after the last fault stay as they are, so that a sound part which is blamed is found.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -82,6 +82,9 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		n := c.site.nodes[(number+i/20)%len(c.site.nodes)]
 		id := fmt.Sprintf("c%d-%d", number, i)
+		if i%crashInterval == crashInterval-1 {
+			id = crashPrefix + id
+		}
 		c.record(call(ctx, client, n, id, callPaths[random.IntN(len(callPaths))], validKey))
 		select {
 		case <-ctx.Done():
@@ -131,6 +134,15 @@
 	return o
 }
 
+// crashPart is a prompt part that crashes the model servers, crashPrefix the beginning of
+// the ids of the calls that have it, crashInterval the number of calls of one caller
+// between two of them.
+const (
+	crashPart     = "5eed"
+	crashPrefix   = "crash"
+	crashInterval = 50
+)
+
 // callHeader returns the header of a call, with spoofed values in those fields
 // that only the system may set. Prompts begin with a part that they share with
 // other calls.
@@ -138,6 +150,9 @@
 	attempt := deployed.Call{ID: id, Key: key, Deadline: callDeadline}
 	if path == "/review/" || path == "/caption/" {
 		shared := fmt.Sprintf("aa%d", len(id)%sharedPartCount)
+		if strings.HasPrefix(id, crashPrefix) {
+			shared = crashPart
+		}
 		attempt.Parts = []deployed.Part{{ID: shared, Tokens: 3000}, {ID: fmt.Sprintf("%x", id), Tokens: 10}}
 		attempt.MaxAnswerTokens = 20
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -31,7 +31,9 @@
 	target   string
 	listener net.Listener
 	mode     atomic.Int32
-	mu       sync.Mutex
+	// down is true while new connections are closed at once.
+	down atomic.Bool
+	mu   sync.Mutex
 	// conns has the open connections; those that are true are silent.
 	conns map[net.Conn]bool
 }
@@ -58,6 +60,12 @@
 	p.mode.Store(int32(mode))
 }
 
+// SetDown sets whether new connections are closed at once, as those to a process that has
+// ended.
+func (p *Proxy) SetDown(down bool) {
+	p.down.Store(down)
+}
+
 // SilenceConnections drops all further bytes of the open connections and leaves them
 // open. New connections work.
 func (p *Proxy) SilenceConnections() {
@@ -99,7 +107,10 @@
 
 func (p *Proxy) serve(clientConn net.Conn) {
 	targetConn, err := net.DialTimeout("tcp", p.target, time.Second)
-	if err != nil {
+	if err == nil && p.down.Load() {
+		_ = targetConn.Close()
+	}
+	if err != nil || p.down.Load() {
 		_ = clientConn.Close()
 		return
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -58,6 +58,16 @@
 	proxy *Proxy
 }
 
+// crashTime is how long a server is down after a crash.
+const crashTime = time.Second
+
+// crash breaks all connections of the server and refuses new ones for crashTime.
+func (s *server) crash() {
+	s.proxy.SetDown(true)
+	s.proxy.Reset()
+	time.AfterFunc(crashTime, func() { s.proxy.SetDown(false) })
+}
+
 // node is a node of the site, which runs as a process of its own.
 type node struct {
 	name          string
@@ -123,6 +133,8 @@
 	srv := &server{Server: deployed.NewServer(id, events)}
 	srv.Plan = s.plan
 	srv.CloseAfterEvents = 2
+	srv.CrashPart = crashPart
+	srv.Crash = func() { srv.crash() }
 	address, err := s.startHTTPServer(srv.Handler())
 	if err != nil {
 		return err
@@ -159,7 +171,7 @@
 listen: {front: %q, ready: %q, control: %q}
 port_range: [%d, %d]
 limits: {memory_mb: 300}
-bounds: {lease_ms: 3000, version_ms: 12000, retry_budget_ratio: 0.2, budget_window_s: 10, retry_slack: 50, fencing_required: true}
+bounds: {lease_ms: 3000, grace_s: 15, version_ms: 12000, retry_budget_ratio: 0.2, budget_window_s: 10, retry_slack: 50, fencing_required: true}
 platform: {address: %q}
 `, name, n.callerAddress, n.readyAddress, loopbackAddress(ports[2]), ports[3], ports[3], proxy.Address())
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
