--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -317,15 +317,9 @@
 	case Slow:
 		<-time.After(time.Second)
 	}
-	select {
-	case <-time.After(s.WorkTime):
-	case <-r.Context().Done():
+	if !s.work(r) {
 		return
 	}
-	if s.CrashPart != "" && (Request{Header: r.Header}).HasSharedPart(s.CrashPart) {
-		s.Crash()
-		panic(http.ErrAbortHandler)
-	}
 	w.Header().Set(headerAttempt, id)
 	w.Header().Set("Server-Seal", "seal-"+s.ID)
 	switch {
@@ -343,6 +337,21 @@
 	}
 }
 
+// work takes WorkTime and then ends the process when the prompt has CrashPart. It returns
+// false when the connection was closed meanwhile.
+func (s *Server) work(r *http.Request) bool {
+	select {
+	case <-time.After(s.WorkTime):
+	case <-r.Context().Done():
+		return false
+	}
+	if s.CrashPart != "" && (Request{Header: r.Header}).HasSharedPart(s.CrashPart) {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
 // HasSharedPart reports whether the prompt of the call has a part that is not its last one.
 func (r Request) HasSharedPart(id string) bool {
 	parts := strings.Split(r.Header.Get("Prompt-Prefix"), ",")
