core/quarantine: an index of the refused parts; responses on their way are no life

Read anew against the record: each report of a crash looked at all parts for one that explains it, 4,096 at worst, and a full ledger at all parts for the oldest one. Refused parts have an index now, and any suspect with one crash makes room. A response that a server sent just before it crashed and that is read after the first broken connection no longer counts as a sign of life.

--- a/core/control/parts.go
+++ b/core/control/parts.go
@@ -14,6 +14,8 @@
 	// crashConfirmationTime is how long a broken connection is held back as a sign of a
 	// crash. A server that shows signs of life in that time did not crash.
 	crashConfirmationTime = 200 * time.Millisecond
+	// lifeMargin is how long after a crash responses that were on their way may arrive.
+	lifeMargin = 50 * time.Millisecond
 	// survivalTime is how long a server must go on after the first part of a response
 	// until that shows that the call does not crash it.
 	survivalTime = 300 * time.Millisecond
@@ -113,7 +115,7 @@
 // showsLife reports whether a server did not crash at a time: it responded later, or a
 // call of this node that was sent before is still in progress there.
 func (s *State) showsLife(server *fleet.Server, at time.Time) bool {
-	if server.LastResponseAt.After(at) {
+	if server.LastResponseAt.After(at.Add(lifeMargin)) {
 		return true
 	}
 	for _, req := range s.requests {
--- a/core/quarantine/partledger.go
+++ b/core/quarantine/partledger.go
@@ -85,6 +85,8 @@
 	machine *chart.Machine[*part]
 	random  *rand.Rand
 	parts   map[PartID]*part
+	// refused has the parts whose calls are refused.
+	refused map[PartID]*part
 	proofs  proofs
 	rate    breakRate
 	news    partNews
@@ -94,7 +96,7 @@
 // NewPartLedger returns an empty ledger. It returns an error when the chart cannot be
 // loaded.
 func NewPartLedger(files fs.FS, random *rand.Rand, now time.Time) (*PartLedger, error) {
-	l := &PartLedger{random: random, parts: map[PartID]*part{}, proofs: newProofs(now), news: newPartNews()}
+	l := &PartLedger{random: random, parts: map[PartID]*part{}, refused: map[PartID]*part{}, proofs: newProofs(now), news: newPartNews()}
 	def, err := chart.Load(files, "prompt-part")
 	if err != nil {
 		return nil, err
@@ -118,8 +120,7 @@
 
 // Refuses reports whether calls with the part must not be sent.
 func (l *PartLedger) Refuses(id PartID) bool {
-	p := l.parts[id]
-	return p != nil && p.chart.Is(tagRefusesCalls)
+	return l.refused[id] != nil
 }
 
 // OnTrial reports whether calls with the part may be sent one at a time only.
@@ -139,14 +140,11 @@
 // Counts returns the numbers of suspect parts and of those that are quarantined.
 func (l *PartLedger) Counts() (suspects, quarantined int) {
 	for _, p := range l.parts {
-		switch {
-		case p.chart.Is(tagRefusesCalls):
-			quarantined++
-		case p.isSuspect():
+		if p.isSuspect() {
 			suspects++
 		}
 	}
-	return suspects, quarantined
+	return suspects, len(l.refused)
 }
 
 // ObserveCall records whether a call was broken off before its server had shown that the
@@ -231,7 +229,7 @@
 func (l *PartLedger) Review(now time.Time) []PartChange {
 	for _, p := range l.parts {
 		if expired, err := l.machine.Expire(&p.chart, p, now); expired && err == nil {
-			l.removeIfFinal(p)
+			l.index(p)
 		}
 	}
 	for _, p := range l.candidates(now) {
@@ -315,8 +313,8 @@
 
 // isExplained reports whether a quarantined part was in the same crash.
 func (l *PartLedger) isExplained(c PartCrash) bool {
-	for _, p := range l.parts {
-		if p.id != c.Part && p.chart.Is(tagRefusesCalls) && p.crashes.contain(c) {
+	for _, p := range l.refused {
+		if p.id != c.Part && p.crashes.contain(c) {
 			return true
 		}
 	}
@@ -379,19 +377,24 @@
 // fire applies an event. One that the chart refuses changes nothing.
 func (l *PartLedger) fire(p *part, event chart.Event, now time.Time) {
 	_ = l.machine.Fire(&p.chart, p, event, now)
-	l.removeIfFinal(p)
+	l.index(p)
 }
 
-func (l *PartLedger) removeIfFinal(p *part) {
-	if l.machine.IsFinal(&p.chart) {
+// index updates where a part is found after an event.
+func (l *PartLedger) index(p *part) {
+	delete(l.refused, p.id)
+	switch {
+	case l.machine.IsFinal(&p.chart):
 		delete(l.parts, p.id)
+	case p.chart.Is(tagRefusesCalls):
+		l.refused[p.id] = p
 	}
 }
 
-// add returns a new suspect part, or nil when there is no room for it. A suspect whose
-// last crash is older makes room.
+// add returns a new suspect part, or nil when there is no room for it. A suspect with one
+// crash makes room.
 func (l *PartLedger) add(now time.Time, id PartID) *part {
-	if len(l.parts) >= maxParts && !l.dropOldestSuspect() {
+	if len(l.parts) >= maxParts && !l.dropSuspect() {
 		return nil
 	}
 	p := &part{id: id, chart: l.machine.Start(now)}
@@ -399,19 +402,13 @@
 	return p
 }
 
-func (l *PartLedger) dropOldestSuspect() bool {
-	var oldest *part
+// dropSuspect removes any suspect with one crash and reports whether there was one.
+func (l *PartLedger) dropSuspect() bool {
 	for _, p := range l.parts {
-		if !p.isSuspect() {
-			continue
-		}
-		if oldest == nil || p.chart.Entered.Before(oldest.chart.Entered) {
-			oldest = p
+		if p.isSuspect() && len(p.crashes) <= 1 {
+			delete(l.parts, p.id)
+			return true
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	delete(l.parts, oldest.id)
-	return true
+	return false
 }
--- a/core/quarantine/partnews.go
+++ b/core/quarantine/partnews.go
@@ -81,10 +81,8 @@
 // QuarantinedParts returns up to MaxDigestEntries quarantined parts, the latest first.
 func (l *PartLedger) QuarantinedParts() []PartQuarantine {
 	var list []PartQuarantine
-	for _, p := range l.parts {
-		if p.chart.Is(tagRefusesCalls) {
-			list = append(list, PartQuarantine{Part: p.id, At: p.quarantinedAt})
-		}
+	for _, p := range l.refused {
+		list = append(list, PartQuarantine{Part: p.id, At: p.quarantinedAt})
 	}
 	sort.Slice(list, func(i, j int) bool {
 		if !list[i].At.Equal(list[j].At) {
