core/quarantine: five crashes at least, and proofs that arrive in time

Crashes count as simultaneous within 60 ms instead of 100, at least five are needed instead of four, a crash counts after 800 ms instead of 600, and a proof is told again after 200 ms instead of one second: the parts of most calls depend on proofs that contradict the reports of each crash. A sound part that was quarantined first is tried again at once when a part turns out to be in all of its crashes and in further ones.

--- a/core/quarantine/breakrate.go
+++ b/core/quarantine/breakrate.go
@@ -15,7 +15,7 @@
 	// server.
 	maxCoincidence = 1e-6
 	// minCrashes and maxCrashes bound the crashes after which a part is quarantined.
-	minCrashes = 4
+	minCrashes = 5
 	maxCrashes = 8
 )
 
--- a/core/quarantine/partcrash.go
+++ b/core/quarantine/partcrash.go
@@ -42,7 +42,7 @@
 	// server that comes back under its id takes longer.
 	sameCrashTime = 1500 * time.Millisecond
 	// simultaneousTime is the longest time between crashes that may have one cause.
-	simultaneousTime = 100 * time.Millisecond
+	simultaneousTime = 60 * time.Millisecond
 	// maxCrashAge is how long after a crash a report of it counts. Proofs are remembered
 	// at least as long, so that a late report cannot outlive the proof against it.
 	maxCrashAge = 30 * time.Second
--- a/core/quarantine/partledger.go
+++ b/core/quarantine/partledger.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io/fs"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -14,10 +15,12 @@
 const (
 	// settlingTime is the time after a crash until it counts. The proofs of the calls that
 	// are sent after the crash arrive in this time.
-	settlingTime = 600 * time.Millisecond
+	settlingTime = 800 * time.Millisecond
 	// inseparableCrashes is the number of further crashes after which one of several parts
 	// is quarantined that were in all of the same crashes.
 	inseparableCrashes = 2
+	// maxRivals bounds the other parts that are remembered with a quarantined one.
+	maxRivals = 8
 	// maxParts bounds the parts that a node remembers.
 	maxParts = 4096
 	// trialJitter is the largest change of the time after which a node tries a quarantined
@@ -30,7 +33,7 @@
 	// nodes that start.
 	PartQuarantineTTL = 10 * time.Minute
 	// proofInterval is the time between two reports of proofs of the same part.
-	proofInterval = time.Second
+	proofInterval = 200 * time.Millisecond
 )
 
 // The tags of the chart "prompt-part".
@@ -47,6 +50,9 @@
 	chart   chart.Instance
 	depth   int
 	crashes partCrashes
+	// rivals are the suspects that were in all of the crashes when the part was
+	// quarantined.
+	rivals []PartID
 	// quarantinedAt is when a node quarantined the part last, or zero.
 	quarantinedAt time.Time
 }
@@ -333,6 +339,7 @@
 // startTrial is the action of the end of a quarantine.
 func (l *PartLedger) startTrial(p *part, _ time.Time) {
 	p.crashes = nil
+	p.rivals = nil
 	l.recordChange(p, false)
 }
 
@@ -343,14 +350,23 @@
 	p.chart.TimeoutAt = p.quarantinedAt.Add(timeout + jitter)
 }
 
-// dropExplained forgets the crashes of other suspects that a quarantined part explains.
+// dropExplained forgets the crashes of other suspects that a quarantined part explains. A
+// part that was quarantined before, and whose crashes were all crashes of this part too, is
+// tried again: crashes went on without it.
 func (l *PartLedger) dropExplained(now time.Time, culprit *part) {
 	for _, p := range l.parts {
-		if p == culprit || !p.isSuspect() {
-			continue
+		if p != culprit && p.isSuspect() {
+			if p.crashes.covers(culprit.crashes) && len(culprit.rivals) < maxRivals {
+				culprit.rivals = append(culprit.rivals, p.id)
+			}
+			p.crashes = p.crashes.without(culprit.crashes)
+			l.clear(now, p)
+		}
+	}
+	for _, p := range l.refused {
+		if p != culprit && slices.Contains(p.rivals, culprit.id) {
+			l.fire(p, "try", now)
 		}
-		p.crashes = p.crashes.without(culprit.crashes)
-		l.clear(now, p)
 	}
 }
 
--- a/core/quarantine/partledger_test.go
+++ b/core/quarantine/partledger_test.go
@@ -32,7 +32,7 @@
 			c := crash(i, id, depth)
 			l.RecordCrash(c.BrokeAt, c)
 		}
-		l.Review(now.Add(time.Duration(i)*time.Second + 900*time.Millisecond))
+		l.Review(now.Add(time.Duration(i)*time.Second + settlingTime))
 	}
 }
 
@@ -166,6 +166,20 @@
 	}
 }
 
+// TestLaterCulpritFreesEarlierOne guards against a sound part that stays quarantined after
+// another part turned out to be in all of its crashes and in further ones.
+func TestLaterCulpritFreesEarlierOne(t *testing.T) {
+	l := newLedger(t)
+	recordCrashes(l, 0, 8, "culprit", "sound")
+	if !l.Refuses("sound") || l.Refuses("culprit") {
+		t.Fatalf("sound refused %t, culprit refused %t", l.Refuses("sound"), l.Refuses("culprit"))
+	}
+	recordCrashes(l, 8, 8, "culprit")
+	if !l.Refuses("culprit") || l.Refuses("sound") || !l.OnTrial("sound") {
+		t.Errorf("culprit refused %t; sound refused %t, on trial %t", l.Refuses("culprit"), l.Refuses("sound"), l.OnTrial("sound"))
+	}
+}
+
 // TestMoreCrashesNeededWhenMoreCallsBreak guards against a quarantine of sound parts on a
 // day on which many calls are broken off.
 func TestMoreCrashesNeededWhenMoreCallsBreak(t *testing.T) {
