core/control: a pause of the node proves nothing about prompt parts

Read anew: a server counted as having gone on when 300 ms had passed since the first part of its response, also when the node was paused in that time and the broken connection was read after it. A part that crashes servers would have been cleared on all nodes. After a pause of more than 200 ms between two ticks no proof is recorded, and a broken call never proves anything. TestPauseProvesNothing failed without it.

--- a/core/control/parts.go
+++ b/core/control/parts.go
@@ -16,6 +16,9 @@
 	crashConfirmationTime = 200 * time.Millisecond
 	// lifeMargin is how long after a crash responses that were on their way may arrive.
 	lifeMargin = 50 * time.Millisecond
+	// maxPartsPause is the longest time between two ticks after which the node counts as
+	// paused.
+	maxPartsPause = 200 * time.Millisecond
 	// survivalTime is how long a server must go on after the first part of a response
 	// until that shows that the call does not crash it.
 	survivalTime = 300 * time.Millisecond
@@ -38,7 +41,6 @@
 	if len(req.sharedParts()) == 0 {
 		return
 	}
-	s.proveSurvivor(now, req)
 	switch {
 	case attempt.survived:
 	case m.Outcome == Succeeded && m.Answered:
@@ -50,19 +52,21 @@
 }
 
 // proveSurvivors records proofs of the calls in progress whose server has gone on for
-// survivalTime.
+// survivalTime. After a pause of the node it records none, because messages about broken
+// connections may wait behind this tick.
 func (s *State) proveSurvivors(now time.Time) {
+	paused := now.Sub(s.partsCheckedAt) > maxPartsPause
+	s.partsCheckedAt = now
+	if paused {
+		return
+	}
 	for _, req := range s.requests {
-		if req.attempt != nil {
-			s.proveSurvivor(now, req)
+		if req.attempt == nil || req.attempt.survived || req.attempt.firstTokenAt.IsZero() {
+			continue
+		}
+		if now.Sub(req.attempt.firstTokenAt) >= survivalTime {
+			s.proveParts(now, req)
 		}
-	}
-}
-
-func (s *State) proveSurvivor(now time.Time, req *activeRequest) {
-	began := req.attempt.firstTokenAt
-	if !req.attempt.survived && !began.IsZero() && now.Sub(began) >= survivalTime {
-		s.proveParts(now, req)
 	}
 }
 
--- a/core/control/parts_test.go
+++ b/core/control/parts_test.go
@@ -427,3 +427,26 @@
 		t.Errorf("%d suspect, %d quarantined parts", suspects, quarantined)
 	}
 }
+
+// TestPauseProvesNothing guards against a part that counts as proven because the node was
+// paused and handles the broken connection of its call late.
+func TestPauseProvesNothing(t *testing.T) {
+	s := forwardState(t, 1)
+	s.Handle(testStart, Tick{})
+	parts := []request.Part{{ID: string(partCulprit), Tokens: 100}, {ID: "own", Tokens: 10}}
+	d, ok := placeCall(s, testStart, "a", "review", parts...).(Dispatch)
+	if !ok {
+		t.Fatal("the call was not sent")
+	}
+	s.Handle(testStart, Connected{Request: "a", Attempt: d.Attempt})
+	s.Handle(testStart, FirstToken{Request: "a", Attempt: d.Attempt})
+	after := testStart.Add(2 * time.Second)
+	s.Handle(after, Tick{})
+	s.Handle(after, AttemptDone{Request: "a", Attempt: d.Attempt, Outcome: Lost, ConnectionBroken: true})
+	for i := range 10 {
+		s.Handle(after.Add(time.Duration(i)*50*time.Millisecond), Tick{})
+	}
+	if suspects, _ := s.parts.Counts(); suspects != 1 {
+		t.Errorf("%d parts are suspect after the crash", suspects)
+	}
+}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -147,6 +147,8 @@
 	// lastResponseBy is when the calls in progress of a stopping node get their final
 	// responses, or zero.
 	lastResponseBy time.Time
+	// partsCheckedAt is when the calls in progress were last checked for proofs.
+	partsCheckedAt time.Time
 	// partNewsAt is when the peers were last told about parts.
 	partNewsAt time.Time
 	exports    *kvcache.Exports
