--- a/core/control/partnews.go
+++ b/core/control/partreports.go
@@ -7,22 +7,22 @@
 	"tanagerspread/core/quarantine"
 )
 
-// partNewsInterval is the shortest time between two messages to the peers about parts.
-const partNewsInterval = 100 * time.Millisecond
+// partReportInterval is the shortest time between two messages to the peers about parts.
+const partReportInterval = 100 * time.Millisecond
 
-// sendPartNews tells random peers what is new about parts. Each peer that learns it from
-// them relays it once.
-func (s *State) sendPartNews(now time.Time) {
-	if now.Sub(s.partNewsAt) < partNewsInterval {
+// sendPartReports sends what is new about parts to random peers. Each peer to which it is
+// new relays it once.
+func (s *State) sendPartReports(now time.Time) {
+	if now.Sub(s.partReportsAt) < partReportInterval {
 		return
 	}
-	news := s.parts.TakeNews()
-	if news.IsEmpty() {
+	reports := s.parts.TakeReports()
+	if reports.IsEmpty() {
 		return
 	}
-	s.partNewsAt = now
+	s.partReportsAt = now
 	digest := s.digest(now, false)
-	digest.Parts = reportedNews(now, news)
+	digest.Parts = digestReports(now, reports)
 	s.sendUrgent(digest)
 }
 
@@ -36,15 +36,15 @@
 	return quarantineAges(now, []quarantine.PartQuarantine{parts[s.random.IntN(len(parts))]})
 }
 
-// reportedNews returns the news for a digest.
-func reportedNews(now time.Time, news quarantine.PartNews) membership.PartNews {
-	reported := membership.PartNews{Quarantined: quarantineAges(now, news.Quarantined)}
-	for _, c := range news.Crashes {
+// digestReports returns the reports for a digest.
+func digestReports(now time.Time, reports quarantine.PartReports) membership.PartReports {
+	reported := membership.PartReports{Quarantined: quarantineAges(now, reports.Quarantined)}
+	for _, c := range reports.Crashes {
 		reported.Crashes = append(reported.Crashes, membership.PartCrash{
 			Part: c.Part, Server: c.Server, Age: now.Sub(c.BrokeAt), Depth: c.Depth,
 		})
 	}
-	for _, proof := range news.Proofs {
+	for _, proof := range reports.Proofs {
 		reported.Proofs = append(reported.Proofs, membership.PartAge{Part: proof.Part, Age: now.Sub(proof.At)})
 	}
 	return reported
@@ -60,14 +60,14 @@
 
 // recordPeerParts applies what a peer reports about parts. The proofs come first, so that
 // a crash that they disprove does not count.
-func (s *State) recordPeerParts(now time.Time, news membership.PartNews) {
-	for _, proof := range news.Proofs[:min(len(news.Proofs), quarantine.MaxDigestEntries)] {
+func (s *State) recordPeerParts(now time.Time, reports membership.PartReports) {
+	for _, proof := range reports.Proofs[:min(len(reports.Proofs), quarantine.MaxDigestEntries)] {
 		s.parts.RecordProof(now, quarantine.PartProof{Part: proof.Part, At: now.Add(-proof.Age)})
 	}
-	for _, c := range news.Crashes[:min(len(news.Crashes), quarantine.MaxDigestEntries)] {
+	for _, c := range reports.Crashes[:min(len(reports.Crashes), quarantine.MaxDigestEntries)] {
 		s.parts.RecordCrash(now, quarantine.PartCrash{Part: c.Part, Server: c.Server, BrokeAt: now.Add(-c.Age), Depth: c.Depth})
 	}
-	for _, part := range news.Quarantined[:min(len(news.Quarantined), quarantine.MaxDigestEntries)] {
+	for _, part := range reports.Quarantined[:min(len(reports.Quarantined), quarantine.MaxDigestEntries)] {
 		s.parts.Learn(now, quarantine.PartQuarantine{Part: part.Part, At: now.Add(-part.Age)})
 	}
 	s.reviewParts(now)
--- a/core/control/parts.go
+++ b/core/control/parts.go
@@ -12,10 +12,10 @@
 
 const (
 	// crashConfirmationTime is how long a broken connection is held back as a sign of a
-	// crash. A server that shows signs of life in that time did not crash.
+	// crash. A server that responds in that time did not crash.
 	crashConfirmationTime = 200 * time.Millisecond
-	// lifeMargin is how long after a crash responses that were on their way may arrive.
-	lifeMargin = 50 * time.Millisecond
+	// inFlightMargin is how long after a crash responses that were on their way may arrive.
+	inFlightMargin = 50 * time.Millisecond
 	// maxPartsPause is the longest time between two ticks after which the node counts as
 	// paused.
 	maxPartsPause = 200 * time.Millisecond
@@ -97,7 +97,7 @@
 }
 
 // tickParts records the crashes that are confirmed, applies the changes that follow, and
-// tells the peers.
+// sends the reports to the peers.
 func (s *State) tickParts(now time.Time) {
 	s.proveSurvivors(now)
 	s.brokenCalls = slices.DeleteFunc(s.brokenCalls, func(broken brokenCall) bool {
@@ -105,7 +105,7 @@
 		if now.Sub(brokeAt) < crashConfirmationTime {
 			return false
 		}
-		if !s.showsLife(broken.server, brokeAt) {
+		if !s.isAlive(broken.server, brokeAt) {
 			for _, crash := range broken.crashes {
 				s.parts.RecordCrash(now, crash)
 			}
@@ -113,13 +113,13 @@
 		return true
 	})
 	s.reviewParts(now)
-	s.sendPartNews(now)
+	s.sendPartReports(now)
 }
 
-// showsLife reports whether a server did not crash at a time: it responded later, or a
+// isAlive reports whether a server did not crash at a time: it responded later, or a
 // call of this node that was sent before is still in progress there.
-func (s *State) showsLife(server *fleet.Server, at time.Time) bool {
-	if server.LastResponseAt.After(at.Add(lifeMargin)) {
+func (s *State) isAlive(server *fleet.Server, at time.Time) bool {
+	if server.LastResponseAt.After(at.Add(inFlightMargin)) {
 		return true
 	}
 	for _, req := range s.requests {
--- a/core/control/parts_test.go
+++ b/core/control/parts_test.go
@@ -167,15 +167,15 @@
 	for _, command := range commands {
 		switch send := command.(type) {
 		case SendDigest:
-			x.tell(send.Targets, PeerDigest{Digest: send.Digest})
+			x.deliver(send.Targets, PeerDigest{Digest: send.Digest})
 		case SendWork:
-			x.tell(send.Targets, PeerWork{Node: send.Node, Work: send.Work, CallsWait: send.CallsWait})
+			x.deliver(send.Targets, PeerWork{Node: send.Node, Work: send.Work, CallsWait: send.CallsWait})
 		}
 	}
 }
 
-// tell delivers a message to peers; a share of the messages is lost.
-func (x *crashingFleet) tell(targets []PeerTarget, m Message) {
+// deliver sends a message to peers; a share of the messages is lost.
+func (x *crashingFleet) deliver(targets []PeerTarget, m Message) {
 	for _, target := range targets {
 		if x.random.Float64() >= x.lossRate {
 			x.after(partStep, func() { x.handle(x.ids[target.Node], m) })
--- a/core/control/spread.go
+++ b/core/control/spread.go
@@ -22,34 +22,34 @@
 }
 
 const (
-	// quarantineNewsInterval is the shortest time between two urgent digests about the
+	// quarantineDigestInterval is the shortest time between two urgent digests about the
 	// quarantine. Each goes to gossipPeers peers, and in a series of crashes each node
 	// learns of a change every few milliseconds.
-	quarantineNewsInterval = 50 * time.Millisecond
-	// maxQuarantineNews bounds the changed entries that wait to be sent.
-	maxQuarantineNews = 16 * quarantine.MaxDigestEntries
+	quarantineDigestInterval = 50 * time.Millisecond
+	// maxUnsentQuarantine bounds the changed entries that wait to be sent.
+	maxUnsentQuarantine = 16 * quarantine.MaxDigestEntries
 )
 
 // gossipQuarantine sends changed entries to random peers, at once when the last such
-// digest is quarantineNewsInterval ago.
+// digest is quarantineDigestInterval ago.
 func (s *State) gossipQuarantine(now time.Time, changed []quarantine.Entry) {
-	s.quarantineNews = append(s.quarantineNews, changed...)
-	if excess := len(s.quarantineNews) - maxQuarantineNews; excess > 0 {
-		s.quarantineNews = slices.Delete(s.quarantineNews, 0, excess)
+	s.unsentQuarantine = append(s.unsentQuarantine, changed...)
+	if excess := len(s.unsentQuarantine) - maxUnsentQuarantine; excess > 0 {
+		s.unsentQuarantine = slices.Delete(s.unsentQuarantine, 0, excess)
 	}
-	s.sendQuarantineNews(now)
+	s.sendQuarantine(now)
 }
 
-// sendQuarantineNews sends the changed entries that wait, as many as a digest carries.
-func (s *State) sendQuarantineNews(now time.Time) {
-	if len(s.quarantineNews) == 0 || now.Sub(s.quarantineNewsAt) < quarantineNewsInterval {
+// sendQuarantine sends the changed entries that wait, as many as a digest carries.
+func (s *State) sendQuarantine(now time.Time) {
+	if len(s.unsentQuarantine) == 0 || now.Sub(s.quarantineSentAt) < quarantineDigestInterval {
 		return
 	}
-	s.quarantineNewsAt = now
-	count := min(len(s.quarantineNews), quarantine.MaxDigestEntries)
+	s.quarantineSentAt = now
+	count := min(len(s.unsentQuarantine), quarantine.MaxDigestEntries)
 	digest := s.digest(now, false)
-	digest.Quarantine = quarantineStatuses(now, s.quarantineNews[:count])
-	s.quarantineNews = slices.Delete(s.quarantineNews, 0, count)
+	digest.Quarantine = quarantineStatuses(now, s.unsentQuarantine[:count])
+	s.unsentQuarantine = slices.Delete(s.unsentQuarantine, 0, count)
 	s.sendUrgent(digest)
 }
 
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -140,18 +140,18 @@
 	// connection broke and whose server may not have ended.
 	parts       *quarantine.PartLedger
 	brokenCalls []brokenCall
-	// quarantineNews has changed entries of the quarantine that the peers are to be told,
-	// quarantineNewsAt is when they were last told any.
-	quarantineNews   []quarantine.Entry
-	quarantineNewsAt time.Time
+	// unsentQuarantine has changed entries of the quarantine that are to be sent to the peers,
+	// quarantineSentAt is when the last ones were sent.
+	unsentQuarantine []quarantine.Entry
+	quarantineSentAt time.Time
 	// lastResponseBy is when the calls in progress of a stopping node get their final
 	// responses, or zero.
 	lastResponseBy time.Time
 	// partsCheckedAt is when the calls in progress were last checked for proofs.
 	partsCheckedAt time.Time
-	// partNewsAt is when the peers were last told about parts.
-	partNewsAt time.Time
-	exports    *kvcache.Exports
+	// partReportsAt is when the last reports about parts were sent.
+	partReportsAt time.Time
+	exports       *kvcache.Exports
 	// runningExports holds the exports in progress by their identifier.
 	runningExports map[request.ID]*transfer
 	exportCount    uint64
@@ -326,7 +326,7 @@
 	s.tickOrders(now)
 	s.expireTransfers(now)
 	s.quarantine.Expire(now)
-	s.sendQuarantineNews(now)
+	s.sendQuarantine(now)
 	s.tickParts(now)
 	s.stopLateStarts(now)
 	s.endCallsAtStop(now)
--- a/core/control/suspects_test.go
+++ b/core/control/suspects_test.go
@@ -349,9 +349,9 @@
 	return told
 }
 
-// TestQuarantineNewsBatched guards against news of suspects that is lost during a series of
+// TestQuarantineChangesBatched guards against changes of suspects that are lost during a series of
 // crashes, because the node has more messages to send than its queue holds.
-func TestQuarantineNewsBatched(t *testing.T) {
+func TestQuarantineChangesBatched(t *testing.T) {
 	var list []VM
 	for i := range 12 {
 		list = append(list, VM{ID: fmt.Sprintf("n%02d", i), Role: fleet.RoleEntryVM, PeerAddress: fmt.Sprintf("n%02d", i)})
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -66,7 +66,7 @@
 	// Quarantine lists suspect, quarantined and cleared fingerprints.
 	Quarantine []QuarantineStatus
 	// Parts is what the node reports about prompt parts that may crash servers.
-	Parts PartNews
+	Parts PartReports
 	// LeavingReports lists backend servers that reported that they are leaving or
 	// that the VM list shows as leaving.
 	LeavingReports []LeavingReport
@@ -98,9 +98,9 @@
 	ExpiresIn time.Duration
 }
 
-// PartNews is what a node reports about prompt parts that may crash servers. All times are
+// PartReports is what a node reports about prompt parts that may crash servers. All times are
 // ages, since the clocks of two nodes may differ.
-type PartNews struct {
+type PartReports struct {
 	Crashes []PartCrash
 	// Proofs lists parts to whose calls a server responded, Quarantined those whose calls
 	// are refused.
--- a/core/quarantine/partledger.go
+++ b/core/quarantine/partledger.go
@@ -95,14 +95,14 @@
 	refused map[PartID]*part
 	proofs  proofs
 	rate    breakRate
-	news    partNews
+	reports reportQueue
 	changes []PartChange
 }
 
 // NewPartLedger returns an empty ledger. It returns an error when the chart cannot be
 // loaded.
 func NewPartLedger(files fs.FS, random *rand.Rand, now time.Time) (*PartLedger, error) {
-	l := &PartLedger{random: random, parts: map[PartID]*part{}, refused: map[PartID]*part{}, proofs: newProofs(now), news: newPartNews()}
+	l := &PartLedger{random: random, parts: map[PartID]*part{}, refused: map[PartID]*part{}, proofs: newProofs(now), reports: newReportQueue()}
 	def, err := chart.Load(files, "prompt-part")
 	if err != nil {
 		return nil, err
@@ -179,7 +179,7 @@
 		return
 	}
 	p.depth = max(p.depth, c.Depth)
-	l.news.addCrash(c)
+	l.reports.addCrash(c)
 	l.fire(p, "crash", now)
 	if p.chart.Is(tagRefusesCalls) {
 		l.dropExplained(now, p)
@@ -200,7 +200,7 @@
 	if len(p.crashes) == before && !l.isDisproved(p) {
 		return
 	}
-	l.news.addProof(now, proof)
+	l.reports.addProof(now, proof)
 	l.clear(now, p)
 }
 
@@ -225,7 +225,7 @@
 	l.fire(p, "learn", now)
 	l.limitQuarantine(p)
 	l.dropExplained(now, p)
-	l.news.addQuarantine(q)
+	l.reports.addQuarantine(q)
 	l.recordChange(p, true)
 }
 
@@ -276,7 +276,7 @@
 }
 
 // isSingledOut reports whether the crashes are due to the part: there are enough of them,
-// and no other suspect part was in all of them. When parts cannot be told apart for long,
+// and no other suspect part was in all of them. When parts come together for long,
 // the most specific one is taken.
 func (l *PartLedger) isSingledOut(p *part, now time.Time) bool {
 	settled := now.Add(-settlingTime)
@@ -313,7 +313,7 @@
 	if !proven.After(at) {
 		return false
 	}
-	l.news.addProof(now, PartProof{Part: id, At: proven})
+	l.reports.addProof(now, PartProof{Part: id, At: proven})
 	return true
 }
 
@@ -332,7 +332,7 @@
 	p.quarantinedAt = now
 	l.limitQuarantine(p)
 	l.dropExplained(now, p)
-	l.news.addQuarantine(PartQuarantine{Part: p.id, At: now})
+	l.reports.addQuarantine(PartQuarantine{Part: p.id, At: now})
 	l.recordChange(p, false)
 }
 
--- a/core/quarantine/partledger_test.go
+++ b/core/quarantine/partledger_test.go
@@ -104,8 +104,8 @@
 	if suspects, quarantined := l.Counts(); suspects != 0 || quarantined != 0 {
 		t.Errorf("late reports made the part suspect (%d) or quarantined (%d)", suspects, quarantined)
 	}
-	if proofs := l.TakeNews().Proofs; len(proofs) != 1 || !proofs[0].At.Equal(at) {
-		t.Errorf("the peers are told the proofs %v", proofs)
+	if proofs := l.TakeReports().Proofs; len(proofs) != 1 || !proofs[0].At.Equal(at) {
+		t.Errorf("the proofs sent to the peers are %v", proofs)
 	}
 }
 
@@ -213,8 +213,8 @@
 	if remembered := len(l.proofs.current) + len(l.proofs.previous); remembered > 2*maxProofs {
 		t.Errorf("%d proofs are remembered", remembered)
 	}
-	if news := l.TakeNews(); len(news.Crashes) > MaxDigestEntries || len(l.news.pending.Crashes) > maxPendingCrashes {
-		t.Errorf("%d crashes in a message, %d wait", len(news.Crashes), len(l.news.pending.Crashes))
+	if reports := l.TakeReports(); len(reports.Crashes) > MaxDigestEntries || len(l.reports.pending.Crashes) > maxPendingCrashes {
+		t.Errorf("%d crashes in a message, %d wait", len(reports.Crashes), len(l.reports.pending.Crashes))
 	}
 }
 
--- a/core/quarantine/partnews.go
+++ b/core/quarantine/partreports.go
@@ -6,46 +6,46 @@
 	"time"
 )
 
-// maxPendingCrashes bounds the crashes that wait to be told.
+// maxPendingCrashes bounds the crashes that wait to be sent.
 const maxPendingCrashes = 16 * MaxDigestEntries
 
-// PartNews is what a node tells its peers about parts, at most MaxDigestEntries of each
+// PartReports is what a node reports to its peers about parts, at most MaxDigestEntries of each
 // kind.
-type PartNews struct {
+type PartReports struct {
 	Crashes     []PartCrash
 	Proofs      []PartProof
 	Quarantined []PartQuarantine
 }
 
-// IsEmpty reports whether there is nothing to tell.
-func (n PartNews) IsEmpty() bool {
+// IsEmpty reports whether there is nothing to send.
+func (n PartReports) IsEmpty() bool {
 	return len(n.Crashes) == 0 && len(n.Proofs) == 0 && len(n.Quarantined) == 0
 }
 
-// partNews collects what the peers are to be told.
-type partNews struct {
-	pending PartNews
-	// proofSent is when a proof of each part was last told.
+// reportQueue collects the reports to the peers.
+type reportQueue struct {
+	pending PartReports
+	// proofSent is when a proof of each part was last sent.
 	proofSent map[PartID]time.Time
 }
 
-func newPartNews() partNews {
-	return partNews{proofSent: map[PartID]time.Time{}}
+func newReportQueue() reportQueue {
+	return reportQueue{proofSent: map[PartID]time.Time{}}
 }
 
-// addCrash adds a crash. When too many are waiting, the oldest one is not told.
-func (n *partNews) addCrash(c PartCrash) {
+// addCrash adds a crash. When too many are waiting, the oldest one is dropped.
+func (n *reportQueue) addCrash(c PartCrash) {
 	if len(n.pending.Crashes) >= maxPendingCrashes {
 		n.pending.Crashes = slices.Delete(n.pending.Crashes, 0, 1)
 	}
 	n.pending.Crashes = append(n.pending.Crashes, c)
 }
 
-func (n *partNews) addQuarantine(q PartQuarantine) {
+func (n *reportQueue) addQuarantine(q PartQuarantine) {
 	n.pending.Quarantined = append(n.pending.Quarantined, q)
 }
 
-func (n *partNews) addProof(now time.Time, proof PartProof) {
+func (n *reportQueue) addProof(now time.Time, proof PartProof) {
 	if now.Sub(n.proofSent[proof.Part]) < proofInterval {
 		return
 	}
@@ -56,14 +56,14 @@
 	n.pending.Proofs = append(n.pending.Proofs, proof)
 }
 
-// TakeNews returns what the peers are to be told now. Crashes before a proof of their part
-// are left out, so that the parts that most calls share are rarely told at all.
-func (l *PartLedger) TakeNews() PartNews {
-	pending := &l.news.pending
+// TakeReports returns what is to be sent to the peers now. Crashes before a proof of their part
+// are left out, so that the parts that most calls share are rarely sent at all.
+func (l *PartLedger) TakeReports() PartReports {
+	pending := &l.reports.pending
 	pending.Crashes = slices.DeleteFunc(pending.Crashes, func(c PartCrash) bool {
 		return l.proofs.last(c.Part).After(c.BrokeAt)
 	})
-	return PartNews{
+	return PartReports{
 		Crashes:     takeFirst(&pending.Crashes),
 		Proofs:      takeFirst(&pending.Proofs),
 		Quarantined: takeFirst(&pending.Quarantined),
--- a/node/peer/parts.go
+++ b/node/peer/parts.go
@@ -33,14 +33,14 @@
 	AgeMS int64  `json:"a"`
 }
 
-func partNewsToWire(w *digestWire, news membership.PartNews) {
-	for _, c := range news.Crashes[:min(len(news.Crashes), quarantine.MaxDigestEntries)] {
+func partReportsToWire(w *digestWire, reports membership.PartReports) {
+	for _, c := range reports.Crashes[:min(len(reports.Crashes), quarantine.MaxDigestEntries)] {
 		w.PartCrashes = append(w.PartCrashes, partCrashWire{
 			Part: string(c.Part), Server: string(c.Server), AgeMS: ceilMS(c.Age), Depth: c.Depth,
 		})
 	}
-	w.PartProofs = partAgesToWire(news.Proofs)
-	for _, part := range news.Quarantined[:min(len(news.Quarantined), quarantine.MaxDigestEntries)] {
+	w.PartProofs = partAgesToWire(reports.Proofs)
+	for _, part := range reports.Quarantined[:min(len(reports.Quarantined), quarantine.MaxDigestEntries)] {
 		w.QuarantinedParts = append(w.QuarantinedParts, encodeQuarantinedPart(part))
 	}
 }
@@ -71,25 +71,25 @@
 	return encoded
 }
 
-// partNewsFromWire decodes what a peer reports about parts. It omits reports beyond
+// partReportsFromWire decodes what a peer reports about parts. It omits reports beyond
 // quarantine.MaxDigestEntries and malformed ones.
-func partNewsFromWire(w digestWire) membership.PartNews {
-	news := membership.PartNews{Proofs: partAgesFromWire(w.PartProofs)}
+func partReportsFromWire(w digestWire) membership.PartReports {
+	reports := membership.PartReports{Proofs: partAgesFromWire(w.PartProofs)}
 	for _, encoded := range w.QuarantinedParts[:min(len(w.QuarantinedParts), quarantine.MaxDigestEntries)] {
 		if part, ok := decodeQuarantinedPart(encoded); ok {
-			news.Quarantined = append(news.Quarantined, part)
+			reports.Quarantined = append(reports.Quarantined, part)
 		}
 	}
 	for _, c := range w.PartCrashes[:min(len(w.PartCrashes), quarantine.MaxDigestEntries)] {
 		if !isPartID(c.Part) || c.Server == "" || len(c.Server) > maxServerIDBytes || !isAge(c.AgeMS) || c.Depth < 0 || c.Depth > maxPartDepth {
 			continue
 		}
-		news.Crashes = append(news.Crashes, membership.PartCrash{
+		reports.Crashes = append(reports.Crashes, membership.PartCrash{
 			Part: quarantine.PartID(c.Part), Server: fleet.ServerID(c.Server),
 			Age: time.Duration(c.AgeMS) * time.Millisecond, Depth: c.Depth,
 		})
 	}
-	return news
+	return reports
 }
 
 func partAgesFromWire(encoded []partAgeWire) []membership.PartAge {
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -167,9 +167,9 @@
 	}
 }
 
-// TestPartNewsInDigest guards against reports about prompt parts that are changed or lost
+// TestPartReportsInDigest guards against reports about prompt parts that are changed or lost
 // when a digest is encoded, and against malformed ones and lists without a bound.
-func TestPartNewsInDigest(t *testing.T) {
+func TestPartReportsInDigest(t *testing.T) {
 	var digest membership.Digest
 	for i := range quarantine.MaxDigestEntries + 1 {
 		id := quarantine.PartID(strconv.Itoa(i))
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -215,7 +215,7 @@
 	for _, status := range d.Quarantine[:min(len(d.Quarantine), quarantine.MaxDigestEntries)] {
 		w.Quarantine = append(w.Quarantine, encodeQuarantineStatus(status))
 	}
-	partNewsToWire(&w, d.Parts)
+	partReportsToWire(&w, d.Parts)
 	if d.WantsNamedWeights {
 		w.WantsNamedWeights = 1
 	}
@@ -254,7 +254,7 @@
 			d.Quarantine = append(d.Quarantine, status)
 		}
 	}
-	d.Parts = partNewsFromWire(w)
+	d.Parts = partReportsFromWire(w)
 	for _, report := range w.Leaving[:min(len(w.Leaving), membership.MaxPeriodicItems)] {
 		d.LeavingReports = append(d.LeavingReports, membership.LeavingReport{
 			Server: report.Server, Address: report.Address, Age: time.Duration(report.AgeMS) * time.Millisecond,
