--- a/node/process/partcrash_test.go
+++ b/node/process/partcrash_test.go
@@ -29,7 +29,7 @@
 )
 
 // crashSite is a site whose servers crash under one prompt part and come back. The mutex
-// guards its fields.
+// guards its fields and the cleanups of the site.
 type crashSite struct {
 	*deployedSite
 	mu      sync.Mutex
@@ -61,10 +61,19 @@
 	}
 	listener := s.network.Listen(address)
 	s.running.Go(func() { _ = httpServer.Serve(listener) })
+	s.mu.Lock()
 	s.cleanups = append(s.cleanups, func() { _ = httpServer.Close() })
+	s.mu.Unlock()
 	s.store.RegisterServer(server, address, "ready", testMaxConcurrency)
 }
 
+// crashCount returns the number of crashes so far.
+func (s *crashSite) crashCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.crashes)
+}
+
 // replace ends a server and starts another one, as the platform does.
 func (s *crashSite) replace(server *deployed.Server, httpServer *http.Server) {
 	_ = httpServer.Close()
@@ -206,10 +215,10 @@
 		}
 		n := s.startNode("n9")
 		waitForSync()
-		before := len(s.crashes)
+		before := s.crashCount()
 		got := n.call("POST", "/review/", promptHeader("later", []string{commonPart, crashPart}), "x")
-		if got.status != http.StatusServiceUnavailable || len(s.crashes) != before {
-			t.Errorf("a node that started later answered %+v; %d more servers crashed", got, len(s.crashes)-before)
+		if got.status != http.StatusServiceUnavailable || s.crashCount() != before {
+			t.Errorf("a node that started later answered %+v; %d more servers crashed", got, s.crashCount()-before)
 		}
 		time.Sleep(crashEntryTime)
 	})
