--- a/review/cmd/memory/main.go
+++ b/review/cmd/memory/main.go
@@ -21,7 +21,7 @@
 	bodyBytes  = 4_000_000
 	chunkBytes = 40_000
 	// uploads begin within burstTime.
-	uploads   = 60
+	uploads   = 40
 	burstTime = 2 * time.Second
 	// uploadTime is how long a client takes to send its body; it is calmUploadTime where
 	// the bodies come a few at a time.
