--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -121,6 +121,11 @@
 		return
 	}
 	id := r.Header.Get("Request-Attempt-Id")
+	if id == "" {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	w.Header().Set("Request-Attempt-Id", id)
 	name, up := e.name()
 	if !up {
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -55,6 +55,11 @@
 		return
 	}
 	id := r.Header.Get("Request-Attempt-Id")
+	if id == "" {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	size, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return
