--- a/review/cmd/lookup/main.go
+++ b/review/cmd/lookup/main.go
@@ -17,7 +17,7 @@
 
 const (
 	// resets is how often connections are reset, resetPause the time between.
-	resets     = 3
+	resets     = 6
 	resetPause = 1500 * time.Millisecond
 	// recovery is recovery_s of the settings.
 	recovery = 12 * time.Second
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -59,11 +59,16 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.conn.Close() }
 
-// Head returns the head of a request with extra header lines.
+// Head returns the head of a request of the only tenant with extra header lines.
 func Head(method, target, id string, deadline time.Duration, extra ...string) string {
+	return HeadWithKey(Key, method, target, id, deadline, extra...)
+}
+
+// HeadWithKey returns the head of a request with an API key and extra header lines.
+func HeadWithKey(key, method, target, id string, deadline time.Duration, extra ...string) string {
 	lines := append([]string{
 		method + " " + target + " HTTP/1.1", "Host: " + Host, "Request-Attempt-Id: " + id,
-		fmt.Sprintf("Deadline-Ms: %d", deadline.Milliseconds()), "Api-Key: " + Key,
+		fmt.Sprintf("Deadline-Ms: %d", deadline.Milliseconds()), "Api-Key: " + key,
 	}, extra...)
 	return strings.Join(lines, "\r\n") + "\r\n\r\n"
 }
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -30,6 +30,47 @@
 	got    []Got
 	// down is true from a crash until Restart.
 	down bool
+	// cache has the tenant whose request made each part, by salt and part; reuses are the
+	// uses of parts that another tenant's request made.
+	cache  map[[2]string]string
+	reuses []Reuse
+}
+
+// Reuse is the use of a cached part by a request of another tenant than that which made it.
+type Reuse struct {
+	ID, Part, Salt string
+	MadeBy, UsedBy string
+	At             time.Time
+}
+
+// Reuses returns the uses of parts that another tenant's request made.
+func (e *Engine) Reuses() []Reuse {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Reuse(nil), e.reuses...)
+}
+
+// useCache looks up the parts of a prompt in order under its salt. The parts after the
+// first one that is missing are made by this request.
+func (e *Engine) useCache(id, salt, tenant string, parts []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cache == nil {
+		e.cache = map[[2]string]string{}
+	}
+	found := true
+	for _, part := range parts {
+		key := [2]string{salt, part}
+		maker, cached := e.cache[key]
+		if found = found && cached; !found {
+			e.cache[key] = tenant
+			continue
+		}
+		if maker != tenant {
+			e.reuses = append(e.reuses, Reuse{ID: id, Part: part, Salt: salt, MadeBy: maker, UsedBy: tenant, At: time.Now()})
+			e.record.Printf("server %s: %s of tenant %s uses part %s under the salt %q, which a request of tenant %s made", e.ID, id, tenant, part, salt, maker)
+		}
+	}
 }
 
 // Restart starts the engine as a new incarnation.
@@ -140,6 +181,7 @@
 		return
 	}
 	index, crashes := e.receive(id, r.Header.Get("Prompt-Prefix"))
+	e.useCache(id, r.Header.Get("Cache-Salt"), r.Header.Get("Tenant"), e.Got()[index].Parts)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Server-Seal", "seal."+name+"."+id)
 	w.Header().Set("Weight-Versions", "1")
