Review, case 2: a part whose crashed servers fall silent is never refused

Requests with a part that crashes servers come one at a time, every 2 s. The crashed servers fall silent for 5 s instead of resetting their connections. The proxy of the rig can make its target silent.

--- a/review/cmd/parts/main.go
+++ b/review/cmd/dark/main.go
@@ -1,12 +1,12 @@
-// Command parts sends rounds of requests with a part that crashes servers, one at each
-// machine, beside sound requests.
+// Command dark sends single requests with a part that crashes servers, which fall silent
+// for some seconds, beside sound requests.
 package main
 
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,13 +22,14 @@
 	contact = 3 * time.Second
 	// downTime is how long a server is down after a crash, entryTime how long its entry
 	// stays: three heartbeats.
-	downTime  = 3 * time.Second
+	downTime  = 5 * time.Second
 	entryTime = 3600 * time.Millisecond
-	// roundPause is the time between two rounds, spread that between the requests of one.
-	roundPause = 4 * time.Second
-	spread     = 30 * time.Millisecond
-	rounds     = 7
-	engines    = 9
+	// pause is the time between two requests with the part.
+	pause    = 2 * time.Second
+	requests = 24
+	engines  = 9
+	// patience is how long clients wait for an event: eight times the pause of the sheet.
+	patience = 3200 * time.Millisecond
 )
 
 func main() { rig.Main(run) }
@@ -39,6 +40,11 @@
 	at []time.Time
 }
 
+// sounds counts sound requests and those whose first event came at the first attempt.
+type sounds struct{ sent, begun atomic.Int32 }
+
+func (s *sounds) String() string { return fmt.Sprintf("%d of %d", s.begun.Load(), s.sent.Load()) }
+
 func run(site *rig.Site, trouble bool) (int, error) {
 	memory, err := site.Serve(rig.MemoryStore{})
 	if err != nil {
@@ -72,7 +78,9 @@
 	time.Sleep(7 * time.Second)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
-	var whole, cut, failed atomic.Int32
+	var before, after sounds
+	current := atomic.Pointer[sounds]{}
+	current.Store(&before)
 	for i := range 18 {
 		group.Go(func() {
 			for {
@@ -82,40 +90,39 @@
 				case <-time.After(300 * time.Millisecond):
 				}
 				id := rig.NextID("sound")
-				switch o := ask(site.Nodes[i%3], id, fmt.Sprintf("feed%04d", i%7)); {
-				case o.Complete && o.Status == http.StatusOK:
-					whole.Add(1)
-				default:
+				count := current.Load()
+				count.sent.Add(1)
+				o := ask(site.Nodes[i%3], id, fmt.Sprintf("feed%04d", i%7))
+				if o.Answered && o.Status == http.StatusOK {
+					count.begun.Add(1)
+				}
+				if !o.Complete || o.Status != http.StatusOK {
 					site.Record.Printf("client %s: %s", id, o)
-					if o.Answered && !o.Complete {
-						cut.Add(1)
-					} else {
-						failed.Add(1)
-					}
 				}
 			}
 		})
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(5 * time.Second)
 	part := badPart
 	if !trouble {
 		part = soundPart
 	}
-	for range rounds {
-		for _, node := range site.Nodes {
-			group.Go(func() {
-				time.Sleep(rand.N(spread))
-				id := rig.NextID("bad")
-				site.Record.Printf("client %s: %s", id, ask(node, id, part))
-			})
+	for i := range requests {
+		group.Go(func() {
+			id := rig.NextID("bad")
+			site.Record.Printf("client %s: %s", id, ask(site.Nodes[i%3], id, part))
+		})
+		time.Sleep(pause)
+		if crashed.mu.Lock(); len(crashed.at) >= 5 && time.Since(crashed.at[4]) > 2*contact {
+			current.Store(&after)
 		}
-		time.Sleep(roundPause)
+		crashed.mu.Unlock()
 	}
 	close(stop)
 	group.Wait()
 	count, late := countLate(&crashed, all)
-	return site.Conclude(late > 3, "%d crashes; %d requests with the part reached servers later than %v after the fifth; sound requests: %d whole, %d cut, %d failed",
-		count, late, contact, whole.Load(), cut.Load(), failed.Load()), nil
+	return site.Conclude(late > 3, "%d crashes; %d requests with the part reached servers later than %v after the fifth; sound requests that began at the first attempt: %s until %v after the fifth, %s later",
+		count, late, contact, &before, 2*contact, &after), nil
 }
 
 // addEngine starts an engine that comes back as a new incarnation after each crash.
@@ -132,14 +139,22 @@
 		crashed.mu.Lock()
 		crashed.at = append(crashed.at, time.Now())
 		crashed.mu.Unlock()
-		proxy.SetDown(true)
-		proxy.Reset()
+		// For comparison, RESET=1 lets the connections break instead of falling silent.
+		if os.Getenv("RESET") == "1" {
+			proxy.SetDown(true)
+			proxy.Reset()
+		} else if err := proxy.Darken(); err != nil {
+			site.Record.Printf("stand-in: %v", err)
+		}
 		before := engine.ID
 		time.AfterFunc(entryTime, func() { site.Store.Remove("servers/" + before) })
 		time.AfterFunc(downTime, func() {
 			starts++
 			engine.Restart(fmt.Sprintf("i-%d-%d", number, starts))
 			proxy.SetDown(false)
+			if err := proxy.Wake(); err != nil {
+				site.Record.Printf("stand-in: %v", err)
+			}
 			site.Store.Put("servers/"+engine.ID, engine.Entry(proxy.Address(), zone, "llm", 64))
 		})
 	}
@@ -175,7 +190,7 @@
 	defer conn.Close()
 	own := strings.ReplaceAll(id, "-", "")
 	body := "the prompt of " + id
-	return conn.Exchange("POST", 6*time.Second, func(w io.Writer) error {
+	return conn.Exchange("POST", patience, func(w io.Writer) error {
 		_, err := io.WriteString(w, rig.Head("POST", "/quote/q", id, 5*time.Second, "Model: m0", "Token-Count: 383,11",
 			"Prompt-Prefix: 5e5e5e5e:55,"+part+":246,"+own+":82", fmt.Sprintf("Content-Length: %d", len(body)))+body)
 		return err
