--- a/test.sh
+++ b/test.sh
@@ -63,35 +63,8 @@
 	' KNOWN-RED.txt "$log"
 }
 
-# Prints the packages whose test process the race detector ended by a crash of its own
-# while no test had failed, and removes their output from $log. On arm64 it does so now
-# and then, by SIGSEGV or by a failed check.
-take_crashed() {
-	local rest
-	rest=$(mktemp)
-	awk -v rest="$rest" '
-		{ output = output $0 "\n" }
-		/^SIGSEGV: segmentation violation|^ThreadSanitizer: CHECK failed/ { crashed = 1 }
-		/--- FAIL|DATA RACE|^panic:/ { failed = 1 }
-		/^(ok|FAIL|\?)[ \t]+tanagerspread\// {
-			if ($1 == "FAIL" && crashed && !failed) print $2; else printf "%s", output > rest
-			output = ""
-			crashed = failed = 0
-		}
-		END { printf "%s", output > rest }
-	' "$log"
-	mv "$rest" "$log"
-}
-
 echo "== tests"
 if ! run_tests "${patterns[@]}"; then
-	if [ "$(uname -m)" = aarch64 ]; then
-		mapfile -t crashed < <(take_crashed)
-		if [ "${#crashed[@]}" -gt 0 ]; then
-			echo "== the race detector crashed on arm64; again without it: ${crashed[*]}"
-			go test "${crashed[@]}"
-		fi
-	fi
 	if known_red; then
 		exit 0
 	fi
