core/pace: calls to cold servers are paced, zones are evacuated

Cause: nothing knew that a server is cold. When the engines of a zone came back together, all nodes sent to those that looked idle, and these failed again. Change: the entry of a server states how long it is cold, the configuration how many calls a second it bears. A few owners, chosen by rendezvous hash, send to a cold server at a rate that keeps any second within the bound; the rate follows the responses. A server that is no longer cold is approached gradually by all nodes. The key op/evacuate/ZONE excludes the servers of a zone, also on connections that are already open. Services without cold_per_s are served as before.

--- a/core/config/routes.go
+++ b/core/config/routes.go
@@ -82,6 +82,9 @@
 	CacheTokens int
 	// MaxFollowers bounds the nodes that may follow the event feed of one engine.
 	MaxFollowers int
+	// ColdRate is the number of calls a second that a cold server bears from all nodes
+	// together, or 0 when cold servers need no limit.
+	ColdRate float64
 }
 
 // CacheStore describes a cache store, which keeps parts of the engines' KV cache.
--- a/core/control/active.go
+++ b/core/control/active.go
@@ -77,6 +77,9 @@
 	// connectionDenied is true when the node refused to send on the open
 	// connection.
 	connectionDenied bool
+	// opensPaced is true while the attempt opens a connection to a server whose rate
+	// of calls is limited.
+	opensPaced bool
 	// blockImport is the import of cache blocks before the attempt, or nil.
 	blockImport *transfer
 	// survived is true once the server has shown that the call does not crash it.
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -93,7 +93,7 @@
 	}
 	server := req.attempt.server
 	mayRun := !server.Chart.Is(fleet.TagLeaving) && !server.Chart.Is(fleet.TagPaused) && s.sameWeights(req, server) && !s.weightsExpired(now, server)
-	if !mayRun || s.isQuarantined(req) || s.stopEnds(now) {
+	if !mayRun || s.isQuarantined(req) || s.stopEnds(now) || !s.maySend(now, req.attempt) {
 		// The requester closes the connection and reports a failed dial.
 		req.attempt.connectionDenied = true
 		s.refuse(m.Request, code.DialRefused, "the request may no longer be sent to the backend server")
@@ -114,6 +114,7 @@
 		req.attempt.server.LastResponseAt = now
 		s.observeSpeed(req, m.Elapsed)
 		s.observeFirstTokenDelay(now, req, m.Elapsed)
+		s.observePace(now, req, m.Elapsed)
 		s.releasePrefill(req.attempt)
 		req.attempt.firstTokenAt = now
 		req.attempt.prefillAtFirstToken = req.attempt.server.PrefillTokens
@@ -188,6 +189,7 @@
 func (s *State) backOff(now time.Time, server *fleet.Server, m AttemptDone) {
 	if s.options.Forwarding && !m.OtherServer {
 		server.BackoffUntil = now.Add(refusalBackoff)
+		s.pacer.Fail(&server.Pace, now)
 	}
 }
 
@@ -352,6 +354,7 @@
 }
 
 func (s *State) blameServer(req *activeRequest, now time.Time) {
+	s.pacer.Fail(&req.attempt.server.Pace, now)
 	req.attempt.server.RecordFailure(now)
 	s.fireServerEvent(req.attempt.server, "fail", now)
 }
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -179,7 +179,7 @@
 func (s *State) backoffUntil(req *activeRequest) time.Time {
 	var first time.Time
 	for _, server := range s.group(req).Servers {
-		if server.Chart.Is(fleet.TagLeaving) {
+		if server.Chart.Is(fleet.TagLeaving) || s.isEvacuated(server) {
 			continue
 		}
 		if !server.Chart.Is(fleet.TagBackingOff) {
--- a/core/control/holding.go
+++ b/core/control/holding.go
@@ -13,6 +13,7 @@
 	attempt.prefillTokens = attempt.choice.Prefill
 	attempt.server.PrefillTokens += attempt.prefillTokens
 	attempt.server.ReserveMemory(req.memory, now)
+	attempt.opensPaced = attempt.server.Pace.Open()
 	if s.quarantine.IsSuspect(req.fingerprint) {
 		s.countSuspect(req)
 	}
@@ -25,6 +26,9 @@
 	s.releaseLink(now, attempt, 0)
 	attempt.server.InFlight--
 	attempt.server.ReleaseMemory(req.memory)
+	if attempt.opensPaced {
+		attempt.server.Pace.Close()
+	}
 	s.releasePrefill(attempt)
 	if attempt.suspect {
 		attempt.server.SuspectAttempts--
--- a/core/control/inspect.go
+++ b/core/control/inspect.go
@@ -42,6 +42,10 @@
 	// the number of those that want no calls from this node for some time.
 	Leaving int
 	Paused  int
+	// Limited is the number of servers whose rate of calls is limited because they are
+	// cold or warm up, Evacuated the number of those in evacuated failure domains.
+	Limited   int
+	Evacuated int
 	// Budget is the number of retries left in the node's retry budget.
 	Budget float64
 }
@@ -98,6 +102,12 @@
 		if server.ReceivesWork() {
 			status.Available++
 		}
+		if server.Pace.Limited() {
+			status.Limited++
+		}
+		if s.isEvacuated(server) {
+			status.Evacuated++
+		}
 	}
 	status.Leaving, status.Paused = countResting(s.serverList)
 	return status
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -181,6 +181,8 @@
 	// 0 when the list does not state it. A server with another start time is another
 	// server, even under the same name.
 	StartedAtMS int64
+	// ColdFor is how much longer the server stays cold after its entry was written, or 0.
+	ColdFor time.Duration
 	// Revision is the revision of the VM's entry, or 0 when the list has none.
 	Revision uint64
 	// PeerAddress is the address for the nodes' own protocol; entry VMs only.
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -110,7 +110,7 @@
 }
 
 func (s *State) noServerError(req *activeRequest) *code.Error {
-	servers := describeServers(s.group(req).Servers)
+	servers := s.describeServers(s.group(req).Servers)
 	return req.chooseError(
 		code.Newf(code.NoServer, "no backend server can take the request; %s", servers),
 		code.Newf(code.RetriesExhausted, "no backend server can repeat the request; %s", servers))
@@ -254,7 +254,7 @@
 		if suspect && server.SuspectAttempts > 0 {
 			continue
 		}
-		if s.weightsExpired(now, server) || now.Before(server.BackoffUntil) {
+		if s.weightsExpired(now, server) || now.Before(server.BackoffUntil) || !server.Pace.Allows(now) || s.isEvacuated(server) {
 			continue
 		}
 		if server.ReceivesWork() && server.HasFreeSlot(s.nodeSlots(server)) && mayAddWork(now, req, server) && s.hasMemory(now, req, server) {
@@ -295,7 +295,7 @@
 func (s *State) canServe(req *activeRequest) bool {
 	live := false
 	for _, server := range s.group(req).Servers {
-		if server.Chart.Is(fleet.TagLeaving) {
+		if server.Chart.Is(fleet.TagLeaving) || s.isEvacuated(server) {
 			continue
 		}
 		if !slices.Contains(req.avoid, server.ID) {
--- a/core/control/reason.go
+++ b/core/control/reason.go
@@ -49,15 +49,24 @@
 }
 
 // describeServers describes the servers of a group for the detail of an error.
-func describeServers(servers []*fleet.Server) string {
+func (s *State) describeServers(servers []*fleet.Server) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%d are known", len(servers))
 	leaving, paused := countResting(servers)
+	evacuated := 0
+	for _, server := range servers {
+		if s.isEvacuated(server) {
+			evacuated++
+		}
+	}
 	if leaving > 0 {
 		fmt.Fprintf(&text, ", %d leave", leaving)
 	}
 	if paused > 0 {
 		fmt.Fprintf(&text, ", %d want no calls yet", paused)
 	}
+	if evacuated > 0 {
+		fmt.Fprintf(&text, ", %d are in evacuated failure domains", evacuated)
+	}
 	return text.String()
 }
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -70,7 +70,7 @@
 	server, ok := s.servers[fleet.ServerID(vm.ID)]
 	if !ok || server.Address != vm.Address || server.StartedAtMS != vm.StartedAtMS {
 		s.endPause(now, server)
-		server = &fleet.Server{ID: fleet.ServerID(vm.ID), Chart: s.charts.server.Start(now)}
+		server = &fleet.Server{ID: fleet.ServerID(vm.ID), Chart: s.charts.server.Start(now), Pace: s.pacer.Start(now)}
 		s.servers[server.ID] = server
 	}
 	s.recordOutdated(now, server)
@@ -88,6 +88,7 @@
 	server.Model = vm.Model
 	server.MaxConcurrency = vm.MaxConcurrency
 	server.StartedAtMS = vm.StartedAtMS
+	recordColdTime(now, server, vm)
 	server.EntryRevision = vm.Revision
 	s.updateLeaving(now, server, vm.Leaving)
 }
@@ -111,6 +112,7 @@
 		return
 	}
 	for _, server := range s.serverList {
+		s.applyColdTime(now, server)
 		server.LeavingByRule = s.rules.Servers[string(server.ID)].Leaving
 		if server.LeavingByRule {
 			s.fireServerEvent(server, "leave", now)
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -19,6 +19,7 @@
 	"tanagerspread/core/membership"
 	"tanagerspread/core/once"
 	"tanagerspread/core/order"
+	"tanagerspread/core/pace"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
@@ -66,6 +67,10 @@
 	OutdatedWeightsLimit time.Duration
 	// RepeatLimit limits the repeats of forwarded calls.
 	RepeatLimit retry.RepeatLimit
+	// ColdOvershoot and ColdSlack bound the calls that a cold server gets in a second:
+	// the rate of its service times ColdOvershoot, plus ColdSlack.
+	ColdOvershoot float64
+	ColdSlack     float64
 	// Prices are the cost factors by which the ways to serve a forwarded call
 	// are compared.
 	Prices placement.Prices
@@ -87,6 +92,10 @@
 	// serverList lists the servers by identifier.
 	serverList  []*fleet.Server
 	serverIndex fleet.Index
+	// pacer limits the calls to cold servers. evacuated has the failure domains whose
+	// servers get nothing because the operator wants it.
+	pacer     *pace.Pacer
+	evacuated map[fleet.Domain]bool
 	// scratch holds the eligible servers during one placement.
 	scratch []*fleet.Server
 	stores  map[fleet.ServerID]*fleet.Store
@@ -181,6 +190,7 @@
 		requests:        map[request.ID]*activeRequest{},
 		drains:          map[request.Class]*limits.Drain{},
 		servers:         map[fleet.ServerID]*fleet.Server{},
+		evacuated:       map[fleet.Domain]bool{},
 		stores:          map[fleet.ServerID]*fleet.Store{},
 		recentPrefixes:  placement.NewRecentPrefixes(),
 		partIndex:       placement.NewPartIndex(),
@@ -230,6 +240,9 @@
 	if s.recordTracker, err = once.NewTracker(s.options.Charts); err != nil {
 		return err
 	}
+	if s.pacer, err = pace.NewPacer(s.options.Charts); err != nil {
+		return err
+	}
 	s.parts, err = quarantine.NewPartLedger(s.options.Charts, s.random, now)
 	return err
 }
@@ -261,6 +274,8 @@
 		s.abandon(now, m)
 	case VMList:
 		s.vmList(now, m)
+	case EvacuationSeen:
+		s.evacuationSeen(now, m)
 	case ImportFound:
 		s.importFound(now, m)
 	case ImportDone:
@@ -320,6 +335,7 @@
 	s.expireNode(now)
 	s.tickAgents(now)
 	s.expireServers(now)
+	s.expirePaces(now)
 	s.expireStores(now)
 	s.expireCacheStores(now)
 	s.countContenders(now)
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -19,6 +19,8 @@
 	ServerStateChanged = register(2311, LevelInfo, "backend server changed its state", "server", "serves", "from", "to", "cause", "failures", "in_flight", "reason")
 	CacheStoreChanged  = register(2312, LevelInfo, "cache store changed its state", "store", "from", "to", "epoch", "tokens")
 	RetryAfterInvalid  = register(2315, LevelInfo, "backend server asks for a delay that is not a number of seconds", "node", "server")
+	PaceChanged        = register(2316, LevelInfo, "pace of calls to a backend server changed", "node", "server", "state", "rate", "cause")
+	EvacuationChanged  = register(2317, LevelInfo, "operator started or ended the evacuation of a failure domain", "node", "domain", "active", "version")
 	PartsFreed         = register(2313, LevelInfo, "cached parts of old weights were freed at a cache store", "store", "parts")
 	PartsNotFreed      = register(2314, LevelInfo, "cached parts of old weights could not be freed at a cache store", "store", "parts", "code")
 )
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagerspread/chart"
+	"tanagerspread/core/pace"
 )
 
 // ServerID identifies a backend server; it is the VM's name in the VM list.
@@ -109,6 +110,10 @@
 	// zero while it is listed.
 	RemoveAfter time.Time
 	Chart       chart.Instance
+	// ColdUntil is until when the entry of the server states that it is cold.
+	ColdUntil time.Time
+	// Pace limits the calls to the server while it is cold or warms up.
+	Pace pace.Pace
 	// workByPeer is the work that each peer reported, peerPrefillTokens the sum of
 	// its prefill work, advertisedWork the work of this node as last advertised.
 	workByPeer        map[string]reportedWork
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -37,11 +37,13 @@
 	gaugeAvailable = "servers_available"
 	gaugeLeaving   = "servers_leaving"
 	gaugePaused    = "servers_paused"
+	gaugeLimited   = "servers_rate_limited"
+	gaugeEvacuated = "servers_evacuated"
 	gaugeBudget    = "retry_budget"
 	gaugeVersion   = "configuration_version"
 )
 
-var gaugeNames = []string{gaugeQueue, gaugeRequests, gaugeServers, gaugeAvailable, gaugeLeaving, gaugePaused, gaugeBudget, gaugeVersion}
+var gaugeNames = []string{gaugeQueue, gaugeRequests, gaugeServers, gaugeAvailable, gaugeLeaving, gaugePaused, gaugeLimited, gaugeEvacuated, gaugeBudget, gaugeVersion}
 
 // durationBuckets holds the upper bounds of the buckets of all duration
 // histograms.
@@ -130,6 +132,8 @@
 	m.gauges[gaugeAvailable].ReportGauge(float64(s.Available))
 	m.gauges[gaugeLeaving].ReportGauge(float64(s.Leaving))
 	m.gauges[gaugePaused].ReportGauge(float64(s.Paused))
+	m.gauges[gaugeLimited].ReportGauge(float64(s.Limited))
+	m.gauges[gaugeEvacuated].ReportGauge(float64(s.Evacuated))
 	m.gauges[gaugeBudget].ReportGauge(s.Budget)
 	m.gauges[gaugeVersion].ReportGauge(float64(s.Version))
 }
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -188,6 +188,9 @@
 			RepeatLimit: retry.RepeatLimit{Window: s.RetryWindow, Ratio: s.RetryRatio, BaseAllowance: s.RetrySlack},
 			Prices:      options.Tuning.Prices,
 
+			ColdOvershoot: s.ColdOvershoot,
+			ColdSlack:     s.ColdSlack,
+
 			OutdatedWeightsLimit: max(s.OutdatedWeightsLimit-weightsMargin, 0),
 			MayIssueOrders:       true,
 			OrderParameters:      orderParameters(s),
@@ -221,7 +224,10 @@
 				WeightsPrefix: platform.PrefixWeights,
 				DecodeServer:  platform.DecodeServer,
 				DecodeWeights: platform.DecodeWeights,
-				Seeds:         s.Seeds,
+
+				EvacuationPrefix: platform.PrefixEvacuations,
+				DecodeEvacuation: platform.DecodeEvacuation,
+				Seeds:            s.Seeds,
 			},
 		},
 	}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -48,6 +48,10 @@
 	// DecodeWeights returns the named weights of an entry, or
 	// code.EntryInvalid.
 	DecodeWeights func(value []byte) (control.WeightsNamed, *code.Error)
+	// EvacuationPrefix is the key prefix of the failure domains to whose servers nothing
+	// may be sent. DecodeEvacuation returns the domain of a key, or code.EntryInvalid.
+	EvacuationPrefix string
+	DecodeEvacuation func(key string) (fleet.Domain, *code.Error)
 	// Seeds are the addresses of peers to contact before the entries of the nodes
 	// have been read.
 	Seeds []string
@@ -60,6 +64,8 @@
 	mu      sync.Mutex
 	servers map[string]control.VM
 	nodes   map[string]control.VM
+	// evacuations has the keys of the domains that are being evacuated.
+	evacuations map[string]bool
 	// issuer is the last node that held the issuer's key.
 	issuer string
 	// rejected has the keys of the entries that could not be decoded, which are logged
@@ -74,6 +80,8 @@
 		servers:  map[string]control.VM{},
 		nodes:    map[string]control.VM{},
 		rejected: map[string]bool{},
+
+		evacuations: map[string]bool{},
 	}
 }
 
@@ -86,6 +94,7 @@
 		{registry: r, prefix: orders.KeyIssuer},
 		{registry: r, prefix: r.options.WeightsPrefix},
 		{registry: r, prefix: orders.PrefixMarks},
+		{registry: r, prefix: r.options.EvacuationPrefix},
 	}
 	var group sync.WaitGroup
 	for i := range followers {
@@ -112,6 +121,11 @@
 			}
 		}
 	}
+	for key := range r.evacuations {
+		if strings.HasPrefix(key, prefix) && !listed[key] {
+			r.applyEvacuation(kv.Change{Entry: kv.Entry{Key: key}, Deleted: true})
+		}
+	}
 	if prefix == orders.KeyIssuer && len(entries) == 0 {
 		r.applyIssuer(kv.Change{Deleted: true})
 	}
@@ -132,7 +146,23 @@
 		r.applyIssuer(change)
 	case strings.HasPrefix(key, orders.PrefixMarks):
 		r.applyMark(change)
+	case strings.HasPrefix(key, r.options.EvacuationPrefix):
+		r.applyEvacuation(change)
+	}
+}
+
+// applyEvacuation reports that a failure domain is to be evacuated, or no longer.
+func (r *Registry) applyEvacuation(change kv.Change) {
+	domain, err := r.options.DecodeEvacuation(change.Entry.Key)
+	if err != nil {
+		r.logRejected(change.Entry, err)
+		return
+	}
+	delete(r.evacuations, change.Entry.Key)
+	if !change.Deleted {
+		r.evacuations[change.Entry.Key] = true
 	}
+	worker.Tell(r.options.Control, r.options.Logger, control.Message(control.EvacuationSeen{Domain: domain, Active: !change.Deleted}))
 }
 
 // reportVMs reports all servers and nodes to the control thread, including seeds
