core/shares: scarce engine memory is divided between organisations

Cause: a node queued its own organisations fairly, but all nodes with waiting calls had the same turn at free memory, so organisations on busy nodes were served less. Nodes counted the waiting peers differently in the same turn, so that engines were sent more calls than they hold (eight cases of TestEnginesNotOverfilled). Change: nodes report the work that waits at the begin of each turn, for each organisation, and divide free memory by it: every organisation gets the same part, spread over the nodes as its work. All nodes use the demand of the last turn and keep to it for the turn. A late call of an organisation with less than an equal part is not overtaken. Turns are 100 ms.

--- a/core/control/memory.go
+++ b/core/control/memory.go
@@ -5,6 +5,7 @@
 
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/placement"
+	"tanagerspread/core/shares"
 )
 
 const (
@@ -54,30 +55,45 @@
 	if req.classConfig.Priority == 0 {
 		return needed <= free
 	}
-	if !s.advertisedWaiting && (s.contenders > 1 || free < 2*needed) {
+	s.divideMemory(now)
+	if !s.advertisedWaiting && (s.division.Share < 1 || free < 2*needed) {
 		// The peers do not count this node among those that take turns yet. Without
 		// turns, two of them may use the last free memory at the same time.
 		return false
 	}
 	return placement.TakesTurn(now, server.ID, placement.FreeMemory{
-		Free: free, OwnInTurn: server.ReservedInTurn(now), Needed: needed, Contenders: s.contenders, Rank: s.contenderRank,
+		Free: free, AtTurnStart: server.FreeAtTurnStart(free, now), OwnInTurn: server.ReservedInTurn(now), Needed: needed,
+		Division: s.division,
 	})
 }
 
-// countContenders counts the nodes that have calls waiting for memory, this one
-// included, and determines the rank of this node among them.
-func (s *State) countContenders(now time.Time) {
-	s.contenders = 1
-	s.contenderRank = 0
+// divideMemory determines once in each turn which part of free memory the calls that wait
+// at this node may take beside those that wait at peers. All nodes divide by what waited
+// at the begin of the last turn, which each has heard of. A node whose calls have begun to
+// wait since then has no part yet.
+func (s *State) divideMemory(now time.Time) {
+	turn := fleet.TurnNumber(now)
+	if s.dividedTurn == turn {
+		return
+	}
+	s.dividedTurn = turn
+	s.division = shares.Whole()
+	clear(s.demandElsewhere)
+	demands := map[string]shares.Demand{}
 	for _, peer := range s.members.Peers() {
-		if !peer.CallsWait(now) {
+		demand := peer.WaitingIn(turn - 1)
+		if demand.Total() == 0 {
 			continue
 		}
-		s.contenders++
-		if peer.ID < s.options.Node {
-			s.contenderRank++
+		demands[peer.ID] = demand
+		for organisation, tokens := range demand {
+			s.demandElsewhere[organisation] += tokens
 		}
 	}
+	if len(demands) > 0 {
+		demands[s.options.Node] = s.waitingIn(turn - 1)
+		s.division = shares.Divide(s.options.Node, demands)
+	}
 }
 
 // mayLeaveDomain reports whether a call may go to an engine whose work this node does
--- a/core/control/overload_test.go
+++ b/core/control/overload_test.go
@@ -50,6 +50,7 @@
 
 // overloadRefusal is a refusal of a call that had waited for the given time.
 type overloadRefusal struct {
+	id       request.ID
 	decision Refusal
 	waited   time.Duration
 }
@@ -110,7 +111,7 @@
 		}
 		for _, target := range work.Targets {
 			x.pending = append(x.pending, func() {
-				x.handle(x.ids[target.Node], PeerWork{Node: work.Node, Work: work.Work, CallsWait: work.CallsWait})
+				x.handle(x.ids[target.Node], PeerWork{Node: work.Node, Work: work.Work, Waiting: work.Waiting})
 			})
 		}
 	}
@@ -148,7 +149,7 @@
 func (x *overload) refused(id request.ID, decision Refusal) {
 	call, runs := x.running[id]
 	if !runs {
-		x.refusals = append(x.refusals, overloadRefusal{decision: decision, waited: x.now.Sub(x.waiting[id])})
+		x.refusals = append(x.refusals, overloadRefusal{id: id, decision: decision, waited: x.now.Sub(x.waiting[id])})
 		delete(x.waiting, id)
 		return
 	}
@@ -159,21 +160,28 @@
 // play starts a call at each node every interval and plays the given time.
 func (x *overload) play(duration, interval time.Duration) {
 	for step := 0; time.Duration(step)*overloadStep < duration; step++ {
-		due := x.pending
-		x.pending = nil
-		for _, deliver := range due {
-			deliver()
-		}
-		x.endCalls()
-		for node := range x.nodes {
-			x.handle(node, ConfigSeen{Current: config.Configuration{Version: 1, ApplyID: "one"}, Rules: x.rules, FromService: true, AskedAt: x.now})
-			x.handle(node, Tick{})
+		x.step(func(node int) {
 			if (step+node)%int(interval/overloadStep) == 0 {
 				x.start(node, request.ID(fmt.Sprintf("call-%d-%d", step, node)))
 			}
-		}
-		x.now = x.now.Add(overloadStep)
+		})
+	}
+}
+
+// step plays one step, in which start starts the calls of each node.
+func (x *overload) step(start func(node int)) {
+	due := x.pending
+	x.pending = nil
+	for _, deliver := range due {
+		deliver()
+	}
+	x.endCalls()
+	for node := range x.nodes {
+		x.handle(node, ConfigSeen{Current: config.Configuration{Version: 1, ApplyID: "one"}, Rules: x.rules, FromService: true, AskedAt: x.now})
+		x.handle(node, Tick{})
+		start(node)
 	}
+	x.now = x.now.Add(overloadStep)
 }
 
 func (x *overload) start(node int, id request.ID) {
--- a/core/control/parts_fleet_test.go
+++ b/core/control/parts_fleet_test.go
@@ -178,7 +178,7 @@
 		case SendDigest:
 			x.deliver(send.Targets, PeerDigest{Digest: send.Digest})
 		case SendWork:
-			x.deliver(send.Targets, PeerWork{Node: send.Node, Work: send.Work, CallsWait: send.CallsWait})
+			x.deliver(send.Targets, PeerWork{Node: send.Node, Work: send.Work, Waiting: send.Waiting})
 		}
 	}
 }
--- a/core/control/peerload.go
+++ b/core/control/peerload.go
@@ -7,6 +7,7 @@
 
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/membership"
+	"tanagerspread/core/shares"
 )
 
 const (
@@ -15,6 +16,8 @@
 	// smallFleetPeers is the number of peers up to which a node reports all its work
 	// to all of them.
 	smallFleetPeers = 16
+	// maxReportedOrganisations bounds the organisations whose waiting work is reported.
+	maxReportedOrganisations = 64
 	// workRepeatInterval is the time after which unfinished work is reported
 	// again.
 	workRepeatInterval = time.Second
@@ -31,16 +34,16 @@
 type PeerWork struct {
 	Node string
 	Work []ServerWork
-	// CallsWait is true while calls wait at the peer for the memory of engines.
-	CallsWait bool
+	// Waiting is the work that waits at the peer for the memory of engines.
+	Waiting shares.TurnDemand
 }
 
 // SendWork reports the node's work to peers.
 type SendWork struct {
-	Targets   []PeerTarget
-	Node      string
-	Work      []ServerWork
-	CallsWait bool
+	Targets []PeerTarget
+	Node    string
+	Work    []ServerWork
+	Waiting shares.TurnDemand
 }
 
 func (PeerWork) message() {}
@@ -49,10 +52,7 @@
 // peerWork records the work that a peer reported.
 func (s *State) peerWork(now time.Time, m PeerWork) {
 	if peer := s.members.Peer(m.Node); peer != nil {
-		peer.WaitingReportedAt = time.Time{}
-		if m.CallsWait {
-			peer.WaitingReportedAt = now
-		}
+		peer.RecordWaiting(m.Waiting)
 	}
 	for _, work := range m.Work {
 		if server := s.servers[work.Server]; server != nil {
@@ -74,7 +74,7 @@
 		}
 		byDomain[server.Domain] = append(byDomain[server.Domain], ServerWork{Server: server.ID, Work: server.AdvertiseWork(now)})
 	}
-	if s.waitingNeedsAdvertising(now) && byDomain[s.options.Domain] == nil {
+	if s.recordWaiting(now) && byDomain[s.options.Domain] == nil {
 		byDomain[s.options.Domain] = []ServerWork{}
 	}
 	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
@@ -84,18 +84,32 @@
 	}
 }
 
-// waitingNeedsAdvertising reports whether peers must be told that calls have begun or
-// ceased to wait here, or still wait.
-func (s *State) waitingNeedsAdvertising(now time.Time) bool {
+// recordWaiting records the work that waits at the begin of a turn and reports whether
+// the peers must be told: that calls wait, have begun to wait or have ceased to.
+func (s *State) recordWaiting(now time.Time) bool {
 	waits := s.queue.Len() > 0
-	if waits == s.advertisedWaiting && (!waits || now.Sub(s.waitingAdvertisedAt) < workRepeatInterval) {
+	turn := fleet.TurnNumber(now)
+	if waits == s.advertisedWaiting && (!waits || turn == s.waiting[0].Turn) {
 		return false
 	}
 	s.advertisedWaiting = waits
-	s.waitingAdvertisedAt = now
+	if turn != s.waiting[0].Turn {
+		s.waiting[1] = s.waiting[0]
+		s.waiting[0] = shares.TurnDemand{Turn: turn, Demand: s.queue.Demand().Largest(maxReportedOrganisations)}
+	}
 	return true
 }
 
+// waitingIn returns the work of this node that waited at the begin of a turn.
+func (s *State) waitingIn(turn int64) shares.Demand {
+	for _, report := range s.waiting {
+		if report.Turn == turn {
+			return report.Demand
+		}
+	}
+	return nil
+}
+
 // sharesWork reports whether a peer is told of this node's work at the engines of a
 // failure domain: the peers of that domain and of the node's own one, or all peers.
 func (s *State) sharesWork(peer *membership.Peer, domain fleet.Domain) bool {
@@ -122,6 +136,6 @@
 		targets = append(targets, PeerTarget{Node: peer.ID, Address: peer.Address})
 	}
 	if len(targets) > 0 {
-		s.command(SendWork{Targets: targets, Node: s.options.Node, Work: work, CallsWait: s.queue.Len() > 0})
+		s.command(SendWork{Targets: targets, Node: s.options.Node, Work: work, Waiting: s.waiting[0]})
 	}
 }
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -10,6 +10,7 @@
 	"tanagerspread/core/limits"
 	"tanagerspread/core/placement"
 	"tanagerspread/core/request"
+	"tanagerspread/core/shares"
 )
 
 // maxNonUrgentQueueTime is the queue time up to which a server receives requests
@@ -78,6 +79,9 @@
 		Tokens:       req.PromptTokens,
 		OnTimeUntil:  req.onTimeUntil,
 	}
+	if elsewhere := s.demandElsewhere[req.organisation]; elsewhere > 0 && entry.Priority > 0 {
+		entry.Weight = shares.Weight(s.queue.Tokens(req.organisation)+req.PromptTokens, elsewhere)
+	}
 	if req.backoff > 0 {
 		entry.NotBefore = now.Add(req.backoff)
 	}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -24,6 +24,7 @@
 	"tanagerspread/core/quarantine"
 	"tanagerspread/core/request"
 	"tanagerspread/core/retry"
+	"tanagerspread/core/shares"
 )
 
 // Options are the properties of a node that do not change while it runs.
@@ -126,14 +127,15 @@
 	// fewEngines is true when the failure domains have fewer than minDomainEngines
 	// engines on average.
 	fewEngines bool
-	// contenders is the number of nodes that have calls waiting for the memory of
-	// engines, this one included, contenderRank the position of this node among them.
-	contenders    int
-	contenderRank int
-	// advertisedWaiting is whether calls waited here when peers were last told, at
-	// waitingAdvertisedAt.
-	advertisedWaiting   bool
-	waitingAdvertisedAt time.Time
+	// division is the part of the free memory of engines that calls of this node may
+	// take, demandElsewhere the work that waits for memory at other nodes.
+	division        shares.Division
+	dividedTurn     int64
+	demandElsewhere shares.Demand
+	// advertisedWaiting is whether calls waited here when peers were last told, waiting
+	// the work at the begin of the last two turns in which it was recorded.
+	advertisedWaiting bool
+	waiting           [2]shares.TurnDemand
 	// reservation records the engines that are reserved for short prompts.
 	reservation placement.Reservation
 	// placementTurn counts placements, from a random start; the round-robin
@@ -191,6 +193,8 @@
 		drains:          map[request.Class]*limits.Drain{},
 		servers:         map[fleet.ServerID]*fleet.Server{},
 		evacuated:       map[fleet.Domain]bool{},
+		division:        shares.Whole(),
+		demandElsewhere: shares.Demand{},
 		stores:          map[fleet.ServerID]*fleet.Store{},
 		recentPrefixes:  placement.NewRecentPrefixes(),
 		partIndex:       placement.NewPartIndex(),
@@ -338,7 +342,7 @@
 	s.expirePaces(now)
 	s.expireStores(now)
 	s.expireCacheStores(now)
-	s.countContenders(now)
+	s.divideMemory(now)
 	s.tickOrders(now)
 	s.expireTransfers(now)
 	s.quarantine.Expire(now)
--- a/core/control/waiting.go
+++ b/core/control/waiting.go
@@ -82,13 +82,13 @@
 }
 
 // refuseExpiredWait refuses a waiting call that can no longer start before its caller
-// abandons it, or that is late while calls wait that can still be on time: those come
-// first as long as the load lasts. It reports whether it did.
+// abandons it, or that is late and overtaken while calls wait that can still be on time:
+// those come first as long as the load lasts. It reports whether it did.
 func (s *State) refuseExpiredWait(now time.Time, req *activeRequest) bool {
 	if req.Call == nil || !req.chart.Is(tagPlaceable) {
 		return false
 	}
-	overtaken := !req.onTimeUntil.IsZero() && !now.Before(req.onTimeUntil) && s.queue.WaitsOnTime(req.class, now)
+	overtaken := s.queue.Overtaken(req.ID) && s.queue.WaitsOnTime(req.class, now)
 	if !overtaken && now.Before(req.startBy) {
 		return false
 	}
--- a/core/fleet/memory.go
+++ b/core/fleet/memory.go
@@ -34,7 +34,7 @@
 // TurnLength is the time for which nodes that see the same free memory of an engine
 // keep to their shares of it. It covers the time until the peers know of a call that a
 // node has sent.
-const TurnLength = 150 * time.Millisecond
+const TurnLength = 100 * time.Millisecond
 
 // turn is the memory that this node has taken in one turn.
 type turn struct {
@@ -42,6 +42,12 @@
 	tokens int
 }
 
+// turnStart is the memory that was free when this node first looked in a turn.
+type turnStart struct {
+	number int64
+	free   int
+}
+
 // TurnNumber returns the number of the turn that a time belongs to. It is the same on
 // all nodes whose clocks agree.
 func TurnNumber(now time.Time) int64 {
@@ -126,6 +132,15 @@
 	return s.turn.tokens
 }
 
+// FreeAtTurnStart returns the memory that was free when this node first looked in the
+// present turn, given what is free now.
+func (s *Server) FreeAtTurnStart(free int, now time.Time) int {
+	if number := TurnNumber(now); s.turnStart.number != number {
+		s.turnStart = turnStart{number: number, free: free + s.ReservedInTurn(now)}
+	}
+	return s.turnStart.free
+}
+
 // ReleaseMemory takes back ReserveMemory when the request has ended.
 func (s *Server) ReleaseMemory(use MemoryUse) {
 	s.ownMemory.remove(use)
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -124,5 +124,6 @@
 	ownMemory   memoryLedger
 	memory      memoryLedger
 	turn        turn
+	turnStart   turnStart
 	excessDelay decayingDelay
 }
--- a/core/limits/lane.go
+++ b/core/limits/lane.go
@@ -37,10 +37,17 @@
 func (s *subqueue) add(queued *queuedEntry) {
 	queued.subqueue = s
 	queued.startTag = s.nextStartTag(queued.Organisation)
-	s.finishTags[queued.Organisation] = queued.startTag + float64(max(queued.Tokens, 1))
+	s.finishTags[queued.Organisation] = queued.startTag + float64(max(queued.Tokens, 1))/queued.weight()
 	heap.Push(&s.waiting, queued)
 }
 
+func (e *Entry) weight() float64 {
+	if e.Weight <= 0 {
+		return 1
+	}
+	return e.Weight
+}
+
 func (s *subqueue) nextStartTag(organisation request.Organisation) float64 {
 	return max(s.virtualTime, s.finishTags[organisation])
 }
--- a/core/limits/queue.go
+++ b/core/limits/queue.go
@@ -11,6 +11,7 @@
 
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/request"
+	"tanagerspread/core/shares"
 )
 
 // Entry describes a request that is added to the queue.
@@ -27,6 +28,8 @@
 	// Tokens is the length of the prompt. Fair queueing counts it as the cost
 	// of the request.
 	Tokens int
+	// Weight is the weight of the organisation in fair queueing; 0 means 1.
+	Weight float64
 	// OnTimeUntil is when the request is no longer expected to be answered on time. From
 	// then on it comes after the requests of its priority that still are, which lose
 	// more by waiting. Zero means never.
@@ -114,6 +117,45 @@
 	return false
 }
 
+// Demand returns the prompt tokens of the waiting requests of each organisation that are
+// less urgent than priority 0.
+func (q *Queue) Demand() shares.Demand {
+	demand := shares.Demand{}
+	for _, queued := range q.entries {
+		if queued.Priority > 0 {
+			demand[queued.Organisation] += max(queued.Tokens, 1)
+		}
+	}
+	return demand
+}
+
+// Tokens returns the prompt tokens of the waiting requests of an organisation.
+func (q *Queue) Tokens(organisation request.Organisation) int {
+	tokens := 0
+	for _, queued := range q.entries {
+		if queued.Organisation == organisation {
+			tokens += queued.Tokens
+		}
+	}
+	return tokens
+}
+
+// Overtaken reports whether a waiting request comes after those that can still be on time.
+func (q *Queue) Overtaken(id request.ID) bool {
+	queued := q.entries[id]
+	return queued != nil && queued.subqueue != nil && queued.subqueue.key.late
+}
+
+// lateCheckInterval is the time after which a late request that keeps its place is
+// considered again.
+const lateCheckInterval = 100 * time.Millisecond
+
+// exceedsPart reports whether at least an equal part of the waiting work is that of an
+// organisation.
+func exceedsPart(demand shares.Demand, organisation request.Organisation) bool {
+	return demand[organisation]*len(demand) >= demand.Total()
+}
+
 // Push adds a request. It returns false when MaxWaiting requests of the class
 // are already waiting or the request itself is.
 func (q *Queue) Push(entry Entry, now time.Time) bool {
@@ -219,12 +261,15 @@
 	}
 }
 
-// moveLate moves the requests that can no longer be on time to the late subqueues.
+// moveLate moves the requests that can no longer be on time to the late subqueues, but for
+// those of organisations with less than an equal part of the waiting work: the requests
+// of a larger one must not overtake them.
 func (q *Queue) moveLate(now time.Time) {
 	if q.nextLate.IsZero() || now.Before(q.nextLate) {
 		return
 	}
 	q.nextLate = time.Time{}
+	demand := q.Demand()
 	var late []*queuedEntry
 	for _, s := range q.byPriority {
 		if s.key.late {
@@ -233,10 +278,12 @@
 		for _, queued := range s.waiting {
 			switch {
 			case queued.OnTimeUntil.IsZero():
-			case !now.Before(queued.OnTimeUntil):
-				late = append(late, queued)
-			default:
+			case now.Before(queued.OnTimeUntil):
 				q.expectLate(queued.OnTimeUntil)
+			case queued.Priority > 0 && !exceedsPart(demand, queued.Organisation):
+				q.expectLate(now.Add(lateCheckInterval))
+			default:
+				late = append(late, queued)
 			}
 		}
 	}
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -8,6 +8,7 @@
 
 	"tanagerspread/chart"
 	"tanagerspread/core/config"
+	"tanagerspread/core/shares"
 )
 
 // maxRememberedLists is the number of member lists that a node remembers. Older
@@ -30,20 +31,35 @@
 	KeyValueUnreachable bool
 	// LastReportAt is when this node received the last digest of the peer.
 	LastReportAt time.Time
-	// WaitingReportedAt is when the peer last reported that calls wait there for the memory
-	// of engines, or zero when none do.
-	WaitingReportedAt time.Time
+	// waiting has the work that waited there at the begin of the last two turns that the
+	// peer reported, the newer one first.
+	waiting [2]shares.TurnDemand
 	// LastSeen is the latest time at which the peer certainly had a configuration
 	// in force, according to its own digest or one relayed by another peer.
 	LastSeen time.Time
 }
 
-// waitingReportTTL is how long a peer's report that calls wait there is valid.
-const waitingReportTTL = 2500 * time.Millisecond
+// maxMissingTurns is the number of turns for which the last report of waiting work stays
+// valid when newer ones are missing.
+const maxMissingTurns = 3
 
-// CallsWait reports whether calls wait at the peer for the memory of engines.
-func (p *Peer) CallsWait(now time.Time) bool {
-	return !p.WaitingReportedAt.IsZero() && now.Sub(p.WaitingReportedAt) < waitingReportTTL
+// RecordWaiting records the work that waited at the peer at the begin of a turn.
+func (p *Peer) RecordWaiting(report shares.TurnDemand) {
+	if report.Turn > p.waiting[0].Turn {
+		p.waiting[1] = p.waiting[0]
+		p.waiting[0] = report
+	}
+}
+
+// WaitingIn returns the work that waited at the peer at the begin of a turn, or shortly
+// before when its report of that turn is missing.
+func (p *Peer) WaitingIn(turn int64) shares.Demand {
+	for _, report := range p.waiting {
+		if report.Turn <= turn && report.Turn >= turn-maxMissingTurns {
+			return report.Demand
+		}
+	}
+	return nil
 }
 
 // Table holds the member list and the peers.
--- a/core/placement/turns.go
+++ b/core/placement/turns.go
@@ -8,50 +8,63 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/shares"
 )
 
 // FreeMemory describes the free memory of an engine that several nodes see at the same
 // time, in tokens.
 type FreeMemory struct {
-	// Free is what is left, OwnInTurn what this node has taken since its turn began.
-	Free      int
-	OwnInTurn int
+	// Free is what is left, AtTurnStart what was left when the turn began, OwnInTurn what
+	// this node has taken since.
+	Free        int
+	AtTurnStart int
+	OwnInTurn   int
 	// Needed is what the next call of the node takes.
 	Needed int
-	// Contenders is the number of nodes that have calls waiting, this one included, and
-	// Rank the position of this node among them, from 0.
-	Contenders int
-	Rank       int
+	// Division is the part of the memory that this node may take.
+	Division shares.Division
 }
 
-// TakesTurn reports whether a node may send a call to an engine. Each node uses its
-// share of the free memory. Shares of less than one call go to some of the nodes, which
-// change with each turn, and are used in its first half, so that the peers know of these
-// calls before the next turn begins. So nodes that all have calls waiting and see the
-// same free memory together send about what the engine has room for.
+// TakesTurn reports whether a node may send a call to an engine. The memory that was free
+// when the turn began is divided into calls, each of which belongs to one node. They are
+// used in the first half of the turn, so that the peers know of them before the next turn
+// begins. So nodes that all have calls waiting and see the same free memory together send
+// what the engine has room for.
 func TakesTurn(now time.Time, engine fleet.ServerID, memory FreeMemory) bool {
 	if memory.Needed > memory.Free {
 		return false
 	}
-	needed := max(memory.Needed, 1)
-	// Memory that is left beside whole calls is not shared out.
-	whole := (memory.Free + memory.OwnInTurn) / needed
-	calls := float64(whole)/float64(memory.Contenders) - float64(memory.OwnInTurn)/float64(needed)
-	if calls >= 1 {
+	if memory.Division.Share >= 1 {
 		return true
 	}
-	late := now.UnixNano()%int64(fleet.TurnLength) > int64(fleet.TurnLength)/2
-	return !late && turnOffset(now, engine, memory) < calls
+	if now.UnixNano()%int64(fleet.TurnLength) > int64(fleet.TurnLength)/2 {
+		return false
+	}
+	needed := max(memory.Needed, 1)
+	taken := memory.OwnInTurn / needed
+	return taken < ownCalls(memory.AtTurnStart/needed, memory.Division, turnStart(now, engine))
+}
+
+// goldenRatio spaces the calls of a turn evenly, however many there are.
+const goldenRatio = 0.6180339887498949
+
+// ownCalls returns how many of a number of calls fall into the interval of a node. A node
+// that sees more free memory than another one agrees with it on the first calls.
+func ownCalls(calls int, division shares.Division, start float64) int {
+	own := 0
+	for i := range calls {
+		_, position := math.Modf(start + float64(i)*goldenRatio)
+		if position >= division.Offset && position < division.Offset+division.Share {
+			own++
+		}
+	}
+	return own
 }
 
-// turnOffset returns a number from 0 to 1 for a node in the present turn at an engine.
-// The numbers of the contenders are evenly spaced, so that the number of nodes with an
-// offset below a share is that share of the contenders.
-func turnOffset(now time.Time, engine fleet.ServerID, memory FreeMemory) float64 {
+// turnStart returns a number from 0 to 1 for the present turn at an engine.
+func turnStart(now time.Time, engine fleet.ServerID) float64 {
 	var buffer [hashInputCapacity]byte
 	input := append(buffer[:0], engine...)
 	input = strconv.AppendInt(input, fleet.TurnNumber(now), 16)
-	start := float64(xxhash.Sum64(input)) / math.MaxUint64
-	_, offset := math.Modf(start + float64(memory.Rank)/float64(memory.Contenders))
-	return offset
+	return float64(xxhash.Sum64(input)) / math.MaxUint64
 }
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -148,7 +148,7 @@
 		}
 	case control.SendWork:
 		for _, target := range c.Targets {
-			worker.Enqueue(a.options.Logger, a.workCommands, control.SendWork{Targets: []control.PeerTarget{target}, Node: c.Node, Work: c.Work, CallsWait: c.CallsWait})
+			worker.Enqueue(a.options.Logger, a.workCommands, control.SendWork{Targets: []control.PeerTarget{target}, Node: c.Node, Work: c.Work, Waiting: c.Waiting})
 		}
 	case control.FetchConfig:
 		worker.Enqueue(a.options.Logger, a.peerCommands, command)
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -12,6 +12,8 @@
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/membership"
 	"tanagerspread/core/quarantine"
+	"tanagerspread/core/request"
+	"tanagerspread/core/shares"
 	"tanagerspread/node/caches"
 	"tanagerspread/node/confkv"
 )
@@ -78,7 +80,10 @@
 	Prefill []int              `json:"p"`
 	Private []int              `json:"m"`
 	Shared  [][]sharedPartWire `json:"x"`
-	Waiting bool               `json:"w,omitempty"`
+	// Demand is the waiting work of each organisation in tokens.
+	Demand map[string]int `json:"d,omitempty"`
+	// Turn is the turn at the begin of which it waited.
+	Turn int64 `json:"t,omitempty"`
 }
 
 // sharedPartWire is the hash and the number of tokens of a shared part.
@@ -87,12 +92,21 @@
 const (
 	// maxWorkServers bounds the servers in one message of work.
 	maxWorkServers = 1024
+	// maxWorkOrganisations bounds the organisations in such a message.
+	maxWorkOrganisations = 256
 	// maxWorkParts bounds the shared parts of one server in such a message.
 	maxWorkParts = 256
 )
 
 func workToWire(m control.SendWork) workParams {
-	w := workParams{Node: m.Node, Waiting: m.CallsWait}
+	w := workParams{Node: m.Node}
+	w.Turn = m.Waiting.Turn
+	if len(m.Waiting.Demand) > 0 {
+		w.Demand = make(map[string]int, len(m.Waiting.Demand))
+	}
+	for organisation, tokens := range m.Waiting.Demand {
+		w.Demand[string(organisation)] = tokens
+	}
 	for _, serverWork := range m.Work[:min(len(m.Work), maxWorkServers)] {
 		w.Servers = append(w.Servers, string(serverWork.Server))
 		w.Prefill = append(w.Prefill, serverWork.PrefillTokens)
@@ -113,7 +127,13 @@
 // workFromWire decodes the work of a peer. It omits servers beyond maxWorkServers,
 // servers that lack a number, and negative numbers.
 func workFromWire(w workParams) control.PeerWork {
-	m := control.PeerWork{Node: w.Node, CallsWait: w.Waiting}
+	m := control.PeerWork{Node: w.Node}
+	if len(w.Demand) <= maxWorkOrganisations {
+		m.Waiting = shares.TurnDemand{Turn: w.Turn, Demand: shares.Demand{}}
+		for organisation, tokens := range w.Demand {
+			m.Waiting.Demand[request.Organisation(organisation)] = max(tokens, 0)
+		}
+	}
 	for i := range min(len(w.Servers), len(w.Prefill), len(w.Private), len(w.Shared), maxWorkServers) {
 		work := fleet.Work{
 			PrefillTokens: max(w.Prefill[i], 0),
