egress: send the request target byte for byte

Cause: net/http writes the scheme before an opaque target that begins with "//", so a server received //trips/7/confirm as http://trips/7/confirm, which is the path /7/confirm of another host. A target in absolute form was decoded and encoded again by url.URL.RequestURI.

Change: targetConn leaves the scheme out of the bytes that are sent, and RequestTarget cuts the scheme and host off the target as it was received.

--- a/node/egress/egress.go
+++ b/node/egress/egress.go
@@ -77,7 +77,7 @@
 func (c *Client) send(request *http.Request, timeouts Timeouts, checkSend SendCheck) (*http.Response, func(), error) {
 	request.GetBody = nil
 	transport := &http.Transport{
-		DialContext:           c.checkedDial(timeouts, checkSend),
+		DialContext:           c.checkedDial(request, timeouts, checkSend),
 		DisableKeepAlives:     true,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: timeouts.Header,
@@ -94,7 +94,7 @@
 
 // checkedDial returns a dial function that closes a new connection and returns an
 // error with NotSent if checkSend returns an error.
-func (c *Client) checkedDial(timeouts Timeouts, checkSend SendCheck) Dialer {
+func (c *Client) checkedDial(request *http.Request, timeouts Timeouts, checkSend SendCheck) Dialer {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		dialContext, cancel := context.WithTimeout(ctx, timeouts.Dial)
 		defer cancel()
@@ -105,7 +105,7 @@
 		if err := checkSend(ctx); err != nil {
 			return nil, &notSentError{cause: errors.Join(err, conn.Close())}
 		}
-		return newDeadlineConn(ctx, conn, timeouts.Header), nil
+		return newTargetConn(newDeadlineConn(ctx, conn, timeouts.Header), request), nil
 	}
 }
 
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -99,8 +99,7 @@
 	request := &http.Request{
 		Method: attempt.Method,
 		// net/http sends Opaque as the request target without decoding and
-		// encoding it again. Only before a target that begins with "//" does it
-		// write the scheme.
+		// encoding it again; newTargetConn removes the scheme that it adds to some.
 		URL:           &url.URL{Scheme: "http", Host: address, Opaque: attempt.Target},
 		Host:          attempt.Host,
 		Header:        attempt.Header,
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -153,11 +153,22 @@
 	return out
 }
 
-// RequestTarget returns the path and query of a call as the caller sent them,
-// without the scheme and host of a target in absolute form.
+// RequestTarget returns the path and query of a call byte for byte as the caller sent
+// them, without the scheme and host of a target in absolute form.
 func RequestTarget(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
+	target := r.RequestURI
+	if strings.HasPrefix(target, "/") {
+		return target
 	}
-	return r.URL.RequestURI()
+	_, rest, found := strings.Cut(target, ":")
+	if !found {
+		return target
+	}
+	if authority, ok := strings.CutPrefix(rest, "//"); ok {
+		rest = strings.TrimLeftFunc(authority, func(c rune) bool { return c != '/' && c != '?' })
+		if !strings.HasPrefix(rest, "/") {
+			rest = "/" + rest
+		}
+	}
+	return rest
 }
