ingress: answer a stream that ends before its first event

Cause: StartStream marked the response as begun when the headers of the server arrived, although net/http had only buffered them. Every end before the first event (time-out, deadline, start limit, end of the grace time, refusal by a second server) then closed the connection without an answer. A second server could not answer without a stream either.

Change: the headers of a stream are kept until its first event. Comments before it are held too, up to 4 KiB, because they say nothing about the call.

--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -168,8 +168,13 @@
 	// lastEventID is the id of the last event that the caller has received, or
 	// forward.NoEventID.
 	lastEventID int64
+	// stream holds the headers of the stream of the current attempt, or nil.
+	stream *http.Response
+	// heldComments holds the comments of that stream that are not written yet.
+	heldComments []byte
 	// streamStarted is true once the headers of a stream were written to the
-	// caller.
+	// caller. They are written with the first event: a stream that ends before it
+	// is answered like any other attempt.
 	streamStarted bool
 	// resumes is true when the attempt started after the headers were written.
 	resumes bool
@@ -186,6 +191,7 @@
 	c.dispatch = dispatch
 	c.attemptStartedAt = time.Now()
 	c.resumes = c.streamStarted
+	c.stream, c.heldComments = nil, nil
 	running, end := c.frontend.startAttempt(ctx, attemptKey{c.exchange.request.ID, dispatch.Attempt})
 	defer end()
 	c.running = running
@@ -257,22 +263,35 @@
 	c.firstPartAt = time.Now()
 }
 
-// StartStream writes the headers of the first stream. The headers of a resumed
+// maxHeldCommentBytes bounds the comments of a stream that are held until its first
+// event. Further ones start the response.
+const maxHeldCommentBytes = 4 << 10
+
+// StartStream stores the headers of a stream until its first event. Those of a resumed
 // stream are dropped.
 func (c *callRelay) StartStream(response *http.Response) error {
-	if c.streamStarted {
-		return nil
-	}
-	c.streamStarted = true
-	c.copyHeaders(response)
-	c.w.WriteHeader(response.StatusCode)
+	c.stream = response
 	return nil
 }
 
+// startStream writes the headers of the stream, if none were written, and the comments
+// that were held.
+func (c *callRelay) startStream() error {
+	if !c.streamStarted {
+		c.streamStarted = true
+		c.copyHeaders(c.stream)
+		c.w.WriteHeader(c.stream.StatusCode)
+	}
+	held := c.heldComments
+	c.heldComments = nil
+	_, err := c.w.Write(held)
+	return err
+}
+
 // Event writes the next event and flushes it. It skips events that the caller has
 // already received, and returns code.AnswerTruncated when an event id is missing, or
 // when events without ids do not show where a resumed stream continues. A comment is no
-// first part of the response.
+// first part of the response, and is held while the response has none.
 func (c *callRelay) Event(event forward.Event) error {
 	if !event.IsComment() {
 		if err := c.reportFirstEvent(); err != nil {
@@ -283,6 +302,9 @@
 			return code.New(code.AnswerTruncated, "the stream has events without ids and cannot be resumed")
 		}
 		c.unnumbered = c.unnumbered || !numbered
+	} else if !c.streamStarted && len(c.heldComments)+len(event.Raw) <= maxHeldCommentBytes {
+		c.heldComments = append(c.heldComments, event.Raw...)
+		return nil
 	}
 	if event.ID != forward.NoEventID {
 		if event.ID <= c.lastEventID {
@@ -294,6 +316,9 @@
 		c.lastEventID = event.ID
 	}
 	setWriteDeadline(c.w)
+	if err := c.startStream(); err != nil {
+		return errors.Join(errCallerGone, err)
+	}
 	if _, err := c.w.Write(event.Raw); err != nil {
 		return errors.Join(errCallerGone, err)
 	}
@@ -331,6 +356,9 @@
 		c.writeCompleteResponse()
 	case failure == nil:
 		c.recordCallDelivered(http.StatusOK)
+		setWriteDeadline(c.w)
+		// A failed write means that the caller has disconnected.
+		_ = c.startStream()
 	case c.streamStarted:
 		// Aborting the connection is the only way to show the caller that the
 		// stream is incomplete.
