egress: take no response as complete after a failed write

Cause: the kernel reports the reset of a connection once. When a server resets it while the request is being written, the write takes the error, and the next read reports an ordinary end, which completes a response without a length.

Change: at the end of the connection the reader waits for the write in progress and returns io.ErrUnexpectedEOF when a write has failed.

--- a/node/egress/guard.go
+++ b/node/egress/guard.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"sync"
 	"time"
 
 	"tanagerspread/core/code"
@@ -12,7 +15,9 @@
 // deadlineConn does not send the first byte after the deadline, because the
 // process may have been paused after the control thread permitted the dispatch.
 // It also sets a timeout for each write: net/http starts the timeout for the
-// response headers only after the entire request is written.
+// response headers only after the entire request is written. After a failed write it
+// reports no end of the response: the kernel reports a reset only once, so the read
+// after a write that took the error looks like an ordinary end of the connection.
 type deadlineConn struct {
 	net.Conn
 	deadline time.Time
@@ -21,6 +26,9 @@
 	arrived      clock.Instant
 	writeTimeout time.Duration
 	sent         bool
+	// writing is held during each write and protects writeFailed.
+	writing     sync.Mutex
+	writeFailed bool
 }
 
 func newDeadlineConn(ctx context.Context, conn net.Conn, writeTimeout time.Duration) *deadlineConn {
@@ -39,5 +47,24 @@
 	if err := c.SetWriteDeadline(now.Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.writeFailed = c.writeFailed || err != nil
+	return n, err
+}
+
+// Read reads from the connection. At its end it waits for the write in progress and
+// returns io.ErrUnexpectedEOF when a write has failed.
+func (c *deadlineConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeFailed {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
 }
