egress: accept only the statuses of final responses

Cause: net/http takes any number of three characters for a status, among them 000, 099, 600 and +20, and 101 for a final one. These passed as responses, and a status below 100 made WriteHeader panic.

Change: a final status outside 200 to 599 counts as a failed attempt that may have run. It is no broken connection, so it is no evidence of a crash.

Measured: before, TestStatusOutOfRange fails for 000, 001, 099, 101, 600, 999 and +20 (199 and statuses of other lengths were refused already); after, for none.

--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -62,6 +62,9 @@
 	}
 	defer closeConn()
 	defer func() { _ = response.Body.Close() }()
+	if !validStatus(response) {
+		return invalidStatusResult(response)
+	}
 	info := protocol.DecodeResponse(attempt.ID, response)
 	if notice, ok := info.Notice(); ok {
 		receiver.Notice(notice)
@@ -115,6 +118,17 @@
 	return request.WithContext(ctx)
 }
 
+// validStatus reports whether the status is one that a final response may have. net/http
+// takes any number of three characters for a status, and 101 for a final one.
+func validStatus(response *http.Response) bool {
+	return response.StatusCode >= http.StatusOK && response.StatusCode < 600
+}
+
+func invalidStatusResult(response *http.Response) Result {
+	cause := code.Newf(code.BackendLost, "the backend server responded with the invalid status %d", response.StatusCode)
+	return Result{Outcome: control.Lost, Cause: cause, ServerError: true}
+}
+
 func refusedResult(response *http.Response, info forward.ResponseInfo) Result {
 	return Result{
 		Outcome:     control.Rejected,
--- a/node/egress/service.go
+++ b/node/egress/service.go
@@ -55,6 +55,9 @@
 	}
 	defer closeConn()
 	defer func() { _ = response.Body.Close() }()
+	if !validStatus(response) {
+		return ServiceResponse{}, invalidStatusResult(response)
+	}
 	result := headerResult(response.Header)
 	if refusesRequest(response, call.RequestID) {
 		return ServiceResponse{}, errorStatusResult(result, response, true)
