process: a second SIGTERM interrupts no request

Cause: watchSignals ended the process on the second signal of any kind, so a platform that sends SIGTERM again aborted requests that healthy servers were processing.

Change: only the second SIGINT ends the process at once. Every other signal starts the planned stop, which a repeated one does not change.

Measured: before, TestSecondTermination gets a closed connection and Run returns ErrInterrupted; after, it passes in 2 of 2 runs with -race, as does TestSecondSignal, which sends SIGINT twice.

--- a/cmd/tanagerspread/main.go
+++ b/cmd/tanagerspread/main.go
@@ -33,7 +33,7 @@
 	exitUsage = 2
 	// exitFaults means that the settings have faults.
 	exitFaults = 3
-	// exitInterrupted means that a second signal ended the process before its
+	// exitInterrupted means that a second SIGINT ended the process before its
 	// planned stop was complete.
 	exitInterrupted = 4
 )
@@ -89,7 +89,7 @@
 	return exitUsage
 }
 
-// serve runs a node until its planned stop is complete or a second signal
+// serve runs a node until its planned stop is complete or a second SIGINT
 // arrives, and returns the exit code.
 func serve(path string, out, errOut io.Writer) int {
 	nodeSettings, faults := settings.Read(path)
@@ -108,7 +108,7 @@
 }
 
 // serveDeployed runs a node on the users' machines until its planned stop is
-// complete or a second signal arrives, and returns the exit code. With --check it
+// complete or a second SIGINT arrives, and returns the exit code. With --check it
 // only checks the settings.
 func serveDeployed(opts options, out, errOut io.Writer) int {
 	nodeSettings, faults := platform.ReadSettings(opts.DeployedFile)
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -77,8 +77,8 @@
 	// Log receives one JSON object a line.
 	Log      io.Writer
 	LogLevel event.Level
-	// Signals delivers signals. The first one starts the planned stop, the second
-	// one ends the process at once.
+	// Signals delivers signals. The first one starts the planned stop, a second
+	// SIGINT ends the process at once.
 	Signals <-chan os.Signal
 	// Reloads delivers the signals that request a reload of the settings file.
 	Reloads <-chan os.Signal
@@ -103,7 +103,7 @@
 }
 
 // RunDeployed serves until the planned stop is complete. It returns
-// ErrInterrupted after a second signal, and an error when a listener or the
+// ErrInterrupted after a second SIGINT, and an error when a listener or the
 // node cannot start.
 func RunDeployed(ctx context.Context, options DeployedOptions) error {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/node/process/process.go
+++ b/node/process/process.go
@@ -35,24 +35,24 @@
 	adminMaxHeaderBytes = 16 << 10
 )
 
-// ErrInterrupted is returned when a second signal ends the process before its
+// ErrInterrupted is returned when a second SIGINT ends the process before its
 // planned stop is complete.
-var ErrInterrupted = errors.New("interrupted by a second signal")
+var ErrInterrupted = errors.New("interrupted by a second SIGINT")
 
 // Options configures a process.
 type Options struct {
 	Settings *settings.Settings
 	// Log receives one JSON object a line.
 	Log io.Writer
-	// Signals delivers signals. The first one starts the planned stop, the second
-	// one ends the process at once.
+	// Signals delivers signals. The first one starts the planned stop, a second
+	// SIGINT ends the process at once.
 	Signals <-chan os.Signal
 	// Listen opens a listener; tests replace it.
 	Listen func(network, address string) (net.Listener, error)
 }
 
 // Run serves until the planned stop is complete. It returns ErrInterrupted
-// after a second signal, and an error when a listener or the node cannot
+// after a second SIGINT, and an error when a listener or the node cannot
 // start.
 func Run(ctx context.Context, options Options) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -137,18 +137,24 @@
 	}
 }
 
-// watchSignals starts the planned stop on the first signal and ends the
-// process on the second.
+// watchSignals starts the planned stop on the first signal and ends the process on the
+// second SIGINT. The platform may send SIGTERM several times, and kills the process after
+// its grace time anyway, so that SIGTERM never interrupts requests in progress.
 func watchSignals(ctx context.Context, cancel context.CancelCauseFunc, signals <-chan os.Signal, node *runtime.Node) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-signals:
-		node.Drain()
-	}
-	select {
-	case <-ctx.Done():
-	case <-signals:
-		cancel(ErrInterrupted)
+	interrupts := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case received := <-signals:
+			if received == os.Interrupt {
+				interrupts++
+			}
+			if interrupts == 2 {
+				cancel(ErrInterrupted)
+				return
+			}
+			node.Drain()
+		}
 	}
 }
--- a/node/process/process_test.go
+++ b/node/process/process_test.go
@@ -13,10 +13,12 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"tanagerspread/client/kv"
+	"tanagerspread/client/service"
 	"tanagerspread/client/vmlist"
 	"tanagerspread/core/config"
 	"tanagerspread/core/control"
@@ -225,6 +227,37 @@
 	}
 }
 
+// TestSecondTermination guards against a request that a healthy server runs and that is
+// aborted because the platform sends SIGTERM again.
+func TestSecondTermination(t *testing.T) {
+	reached, respond := make(chan struct{}), make(chan struct{})
+	s := startTestNode(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(reached)
+		<-respond
+		w.Header().Set(service.HeaderRequestID, r.Header.Get(service.HeaderRequestID))
+		_, _ = io.WriteString(w, "whole")
+	})
+	statuses := make(chan int, 1)
+	go func() {
+		defer close(statuses)
+		status, _, _ := s.do(http.MethodPost, s.callers+"/services/tide/x", token, "")
+		statuses <- status
+	}()
+	<-reached
+	s.signals <- syscall.SIGTERM
+	s.signals <- syscall.SIGTERM
+	s.signals <- os.Interrupt
+	time.Sleep(100 * time.Millisecond)
+	close(respond)
+	if status := <-statuses; status != http.StatusOK {
+		t.Errorf("got status %d, want the response of the server", status)
+	}
+	if err := <-s.done; err != nil {
+		t.Errorf("got error %v after a planned stop", err)
+	}
+}
+
 // TestSecondSignal guards against a process that cannot be stopped while a
 // request is in progress, and against a first signal that aborts the request.
 func TestSecondSignal(t *testing.T) {
