ingress: accept event ids that increase by more than one

Cause: Event ended a stream whose next id was not the last one plus one.

Change: events with an id that the caller has received are skipped, all others are passed on.

Measured: TestEventIDsMayHaveGaps fails before and passes after.

--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -289,9 +289,10 @@
 }
 
 // Event writes the next event and flushes it. It skips events that the caller has
-// already received, and returns code.AnswerTruncated when an event id is missing, or
-// when events without ids do not show where a resumed stream continues. A comment is no
-// first part of the response, and is held while the response has none.
+// already received, by their ids, which may increase by more than one. It returns
+// code.AnswerTruncated when events without ids do not show where a resumed stream
+// continues. A comment is no first part of the response, and is held while the response
+// has none.
 func (c *callRelay) Event(event forward.Event) error {
 	if !event.IsComment() {
 		if err := c.reportFirstEvent(); err != nil {
@@ -310,9 +311,6 @@
 		if event.ID <= c.lastEventID {
 			return nil
 		}
-		if c.lastEventID != forward.NoEventID && event.ID != c.lastEventID+1 {
-			return code.Newf(code.AnswerTruncated, "the stream has event %d after event %d", event.ID, c.lastEventID)
-		}
 		c.lastEventID = event.ID
 	}
 	setWriteDeadline(c.w)
--- a/node/ingress/streamstart_test.go
+++ b/node/ingress/streamstart_test.go
@@ -69,3 +69,21 @@
 		}
 	})
 }
+
+// TestEventIDsMayHaveGaps guards against a stream that is cut because its event ids
+// increase by more than one, and against an event twice when such a stream is resumed.
+func TestEventIDsMayHaveGaps(t *testing.T) {
+	const first, rest = "id: 1\ndata: a\n\nid: 30\ndata: b\n\n", "id: 31\ndata: c\n\nid: 700\ndata: d\n\n"
+	for name, responses := range map[string][][]string{
+		"one server":        {{streamHeaders + first + rest}},
+		"resumed":           {{streamHeaders + first + "id: 31"}, {streamHeaders + rest}},
+		"resumed too early": {{streamHeaders + first + "id: 31"}, {streamHeaders + first + rest}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			w, aborted := playAttempts(&stopControl{repeats: len(responses) - 1}, responses, func(int, func()) {})
+			if aborted || w.Body.String() != first+rest {
+				t.Errorf("%s: aborted %t, body %q", name, aborted, w.Body)
+			}
+		})
+	}
+}
