runtime: refuse OPTIONS * as a call without a route

Cause: net/http responds to OPTIONS * by itself with a 200, which a caller could take for the response of a server, although it has no seal.

Change: the general handler is disabled, so that the call gets 404, or 400 without an id, like any other call without a route.

--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -210,6 +210,9 @@
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+
+		// net/http would respond to "OPTIONS *" with a 200 that no server sealed.
+		DisableGeneralOptionsHandler: true,
 	}
 	serveErrors := make(chan error, 2)
 	go func() { serveErrors <- server.Serve(n.options.Listener) }()
