--- a/soak/run.go
+++ b/soak/run.go
@@ -50,7 +50,7 @@
 // Run runs one seed. It returns an error when the nodes do not start; violated
 // guarantees are in the report.
 func Run(ctx context.Context, options Options) (Report, error) {
-	s, err := startSite(options.Binary, options.Dir)
+	s, err := startSite(options.Binary, options.Dir, soakOptions)
 	if err != nil {
 		return Report{}, err
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	nodeCount        = 3
 	plainServerCount = 3
 	modelServerCount = 3
 	portsPerNode     = 4
@@ -36,8 +35,23 @@
 	logTailLines = 20
 )
 
+// siteOptions are the properties of a site that differ between runs.
+type siteOptions struct {
+	nodes int
+	// memoryMB and descriptors are the memory limit in MiB and the limit on file
+	// descriptors in the settings of each node.
+	memoryMB    int
+	descriptors int
+	// wrapServer wraps the handler of each server, or is nil.
+	wrapServer func(http.Handler) http.Handler
+}
+
+// soakOptions are the options of the runs of seeds.
+var soakOptions = siteOptions{nodes: 3, memoryMB: 300, descriptors: 4100}
+
 // site is the key-value store, the backend servers and the nodes of one run.
 type site struct {
+	options siteOptions
 	dir     string
 	binary  string
 	store   *deployed.Store
@@ -82,8 +96,8 @@
 
 // startSite starts the store, the servers and the nodes on loopback addresses
 // and writes their entries and settings.
-func startSite(binary, dir string) (*site, error) {
-	s := &site{dir: dir, binary: binary, store: deployed.NewStore(), plan: &deployed.Plan{}, weightsVersion: 1}
+func startSite(binary, dir string, options siteOptions) (*site, error) {
+	s := &site{options: options, dir: dir, binary: binary, store: deployed.NewStore(), plan: &deployed.Plan{}, weightsVersion: 1}
 	storeAddress, err := s.startHTTPServer(s.store.Handler())
 	if err != nil {
 		return nil, err
@@ -99,7 +113,7 @@
 			return nil, err
 		}
 	}
-	for i := range nodeCount {
+	for i := range options.nodes {
 		if err := s.addNode(fmt.Sprintf("node-%d", i), storeAddress); err != nil {
 			return nil, err
 		}
@@ -135,7 +149,11 @@
 	srv.CloseAfterEvents = 2
 	srv.CrashPart = crashPart
 	srv.Crash = func() { srv.crash() }
-	address, err := s.startHTTPServer(srv.Handler())
+	handler := srv.Handler()
+	if s.options.wrapServer != nil {
+		handler = s.options.wrapServer(handler)
+	}
+	address, err := s.startHTTPServer(handler)
 	if err != nil {
 		return err
 	}
@@ -170,10 +188,11 @@
 ip: "127.0.0.1"
 listen: {front: %q, ready: %q, control: %q}
 port_range: [%d, %d]
-limits: {memory_mb: 300}
+limits: {memory_mb: %d, fd_limit: %d}
 bounds: {lease_ms: 3000, grace_s: 15, version_ms: 12000, retry_budget_ratio: 0.2, budget_window_s: 10, retry_slack: 50, fencing_required: true}
 platform: {address: %q}
-`, name, n.callerAddress, n.readyAddress, loopbackAddress(ports[2]), ports[3], ports[3], proxy.Address())
+`, name, n.callerAddress, n.readyAddress, loopbackAddress(ports[2]), ports[3], ports[3],
+		s.options.memoryMB, s.options.descriptors, proxy.Address())
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,15 +34,22 @@
 	if testing.Short() {
 		t.Skip("starts processes of the program")
 	}
+	binary := buildProgram(t)
+	runSeed(t, binary, shortSeed, shortFaults)
+	for _, seed := range regressionSeeds {
+		runSeed(t, binary, seed, fullFaults)
+	}
+}
+
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "tanagerspread")
 	build := exec.Command("go", "build", "-o", binary, "tanagerspread/cmd/tanagerspread")
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
-	runSeed(t, binary, shortSeed, shortFaults)
-	for _, seed := range regressionSeeds {
-		runSeed(t, binary, seed, fullFaults)
-	}
+	return binary
 }
 
 func runSeed(t *testing.T, binary string, seed uint64, faults int) {
--- a/standin/deployed/operator.go
+++ b/standin/deployed/operator.go
@@ -74,6 +74,7 @@
 	}
 	s.Put("op/config", map[string]any{
 		"version": c.Version, "routes": c.routes(), "services": services,
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []map[string]any{{"name": c.Tenant, "api_keys": c.Keys}},
 	})
 }
