Bound the memory of untrusted callers by one budget

Heads have no bound on lines and no total, chunked bodies count when they are complete, responses count only while the server sends them, connections have no bound, and `limits` of the configuration is not read. A response that the node refuses for its memory counts as a failure of the server, so that large responses take all servers out of use.

Change: - node/memory has one budget, 0.3 of memory_mb. Accounts of connections, heads, bodies (as they arrive) and responses (until the caller has received them) reserve from it. Accounts of up to 64 KiB may use parts that larger ones leave free. - node/callerconn wraps the listener of callers. It counts a head while it arrives, refuses it with 503 or 431 before net/http parses it, and bounds the number of connections by memory and fd_limit. core/callerconn decides which connections are closed while memory or connections are scarce; clients within the limits of heads and idle connections are not. - A body that is refused for memory counts no longer at once. - A response for which there is no memory stops the attempt (502, code 1311) and is no failure of its server. - `limits` of the configuration is decoded and honoured where it allows more than the built-in limits. - TestManyBodiesWithoutEnd checks the new budget: at most the limit is held (before: the limit and 64 KiB for each call), and servers are not blamed.

Events of streams that are being read (up to 1 MiB each) are not in the budget yet.

--- a/core/config/rules.go
+++ b/core/config/rules.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"tanagerspread/core/callerconn"
 	"tanagerspread/core/request"
 )
 
@@ -26,6 +27,8 @@
 	// CacheStores lists the cache stores, sorted by name.
 	CacheStores []CacheStore
 	Policy      Policy
+	// CallerLimits are the limits on the requests of callers.
+	CallerLimits callerconn.Limits
 	// Comments maps "section/key" to the comment that states who asked for the
 	// rule.
 	Comments map[string]string
--- a/core/control/agentmessage.go
+++ b/core/control/agentmessage.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tanagerspread/core/callerconn"
 	"tanagerspread/core/code"
 	"tanagerspread/core/config"
 	"tanagerspread/core/membership"
@@ -140,6 +141,8 @@
 	Author  string
 	// Known is for how long the node has known that the version exists.
 	Known time.Duration
+	// CallerLimits are the limits of the configuration on the requests of callers.
+	CallerLimits callerconn.Limits
 }
 
 // Subject returns the identifier that the requester chose.
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -119,7 +119,7 @@
 		s.fireNodeEvent("confirm", now)
 		s.gossip(now)
 	}
-	s.command(ConfigInForce{Version: s.version, Author: current.Author, Known: now.Sub(s.configuration.newestAt)})
+	s.command(ConfigInForce{Version: s.version, Author: current.Author, Known: now.Sub(s.configuration.newestAt), CallerLimits: rules.CallerLimits})
 	s.assignQueued(now)
 }
 
--- /dev/null
+++ b/node/callerconn/listener.go
@@ -0,0 +1,218 @@
+// Package callerconn accepts the connections of callers that are not trusted. It counts
+// their memory, bounds their number, and closes those that hold memory without progress
+// while memory or connections are scarce.
+package callerconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tanagerspread/core/callerconn"
+	"tanagerspread/node/memory"
+)
+
+const (
+	// connectionBytes is the memory of a connection without a request: its goroutine
+	// and the buffers of net/http.
+	connectionBytes = 20 << 10
+	// headerLineBytes is the memory of a parsed header line beside its bytes, and of
+	// its copy for an attempt.
+	headerLineBytes = 400
+	// headerByteCopies is how many times the bytes of a head are in memory.
+	headerByteCopies = 2
+	// socketBufferBytes is the size of each socket buffer of a connection. Bytes that
+	// are not read yet are memory of the machine.
+	socketBufferBytes = 64 << 10
+	// sweepInterval is the time between two searches for overdue connections.
+	sweepInterval = 500 * time.Millisecond
+	// refusalTimeout bounds the write of a refusal, which fits into the buffer of a
+	// connection that waits for nothing else.
+	refusalTimeout = 100 * time.Millisecond
+)
+
+// Options configures a Listener.
+type Options struct {
+	Budget *memory.Budget
+	// MaxConnections bounds the connections that are open at once.
+	MaxConnections int
+}
+
+// MaxConnections returns the number of connections that a node may have open with a
+// budget of budgetBytes and a number of file descriptors, 0 when unknown. Connections
+// without a request take half of the budget, and each call takes a descriptor for its
+// server; reservedDescriptors are for everything else.
+func MaxConnections(budgetBytes int64, descriptors int) int {
+	const reservedDescriptors = 64
+	connections := max(int(budgetBytes/2/connectionBytes), 1)
+	if descriptors > 0 {
+		connections = min(connections, max((descriptors-reservedDescriptors)/2, 1))
+	}
+	return connections
+}
+
+// Listener accepts connections within the limits of a node.
+type Listener struct {
+	net.Listener
+	options Options
+	limits  atomic.Pointer[callerconn.Limits]
+	// mu guards the set of open connections; no decision depends on who holds it.
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// NewListener returns a listener over another one.
+func NewListener(inner net.Listener, options Options) *Listener {
+	l := &Listener{Listener: inner, options: options, conns: map[*Conn]struct{}{}}
+	l.SetLimits(callerconn.Limits{})
+	return l
+}
+
+// SetLimits sets the configured limits on requests.
+func (l *Listener) SetLimits(configured callerconn.Limits) {
+	limits := callerconn.InForce(configured)
+	l.limits.Store(&limits)
+}
+
+// Accept returns the next connection. When there is no room for it, it closes the
+// connection whose request has been arriving for longest, or the new one if there is
+// none.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn := l.admit(inner); conn != nil {
+			return conn, nil
+		}
+		_ = inner.Close()
+	}
+}
+
+// admit returns the connection, or nil when there is no room for it.
+func (l *Listener) admit(inner net.Conn) *Conn {
+	if l.Count() >= l.options.MaxConnections && !l.evict() {
+		return nil
+	}
+	account := l.options.Budget.NewAccount()
+	if !account.Grow(connectionBytes) {
+		// The memory of an evicted connection is released when its goroutine ends, so
+		// the new one is refused too.
+		l.evict()
+		return nil
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		// The connection works with the default sizes too.
+		_ = tcp.SetReadBuffer(socketBufferBytes)
+		_ = tcp.SetWriteBuffer(socketBufferBytes)
+	}
+	conn := &Conn{Conn: inner, listener: l, account: account}
+	conn.setPhase(callerconn.Head)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[conn] = struct{}{}
+	return conn
+}
+
+// Count returns the number of open connections.
+func (l *Listener) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// open returns the open connections.
+func (l *Listener) open() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// evict closes the connection that is evictable and in its phase for longest. It
+// returns false when there is none.
+func (l *Listener) evict() bool {
+	var oldest *Conn
+	var since time.Time
+	now := time.Now()
+	for _, c := range l.open() {
+		view := c.view()
+		if callerconn.Evictable(now, view, *l.limits.Load()) && (oldest == nil || view.Since.Before(since)) {
+			oldest, since = c, view.Since
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.drop()
+	return true
+}
+
+// Run closes overdue connections until the context ends.
+func (l *Listener) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.sweep(now, l.options.Budget.Scarce() || l.Count() > l.options.MaxConnections/2)
+		}
+	}
+}
+
+func (l *Listener) sweep(now time.Time, scarce bool) {
+	limits := *l.limits.Load()
+	for _, c := range l.open() {
+		var overdue bool
+		if c.mark, overdue = callerconn.Overdue(now, c.mark, c.view(), limits, scarce); overdue {
+			c.drop()
+		}
+	}
+}
+
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+const (
+	// maxHeaderBytes and maxTimeout bound what a configuration can allow.
+	maxHeaderBytes = 1 << 20
+	maxTimeout     = 10 * time.Minute
+)
+
+// Attach makes a server report the requests of connections of a Listener, and leaves the
+// limits on heads and idle connections to the Listener.
+func Attach(server *http.Server) {
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.ReadHeaderTimeout = maxTimeout
+	server.IdleTimeout = maxTimeout
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if conn, ok := c.(*Conn); ok {
+			conn.setState(state)
+		}
+	}
+}
+
+// FromContext returns the connection of a request, or nil when it was not accepted by a
+// Listener. The methods of a nil connection do nothing.
+func FromContext(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return conn
+}
--- a/node/egress/egress.go
+++ b/node/egress/egress.go
@@ -10,7 +10,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"tanagerspread/core/code"
@@ -55,16 +54,6 @@
 // Client sends attempts to backend servers.
 type Client struct {
 	dial Dialer
-	// largeBodies counts the bytes of the responses that are being read beyond
-	// smallBodyBytes of each, which may be maxLargeBodies; 0 means no limit.
-	largeBodies    atomic.Int64
-	maxLargeBodies int64
-}
-
-// LimitLargeBodies bounds the bytes of all responses that are being read, without the first
-// smallBodyBytes of each. It must be called before the client is used.
-func (c *Client) LimitLargeBodies(bytes int64) {
-	c.maxLargeBodies = bytes
 }
 
 // NewClient returns a client that opens connections with dial.
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -13,6 +13,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/request"
 	"tanagerspread/node/forward"
+	"tanagerspread/node/memory"
 )
 
 // maxForwardResponseBytes bounds the body of a response that is not a
@@ -33,6 +34,8 @@
 	// Header holds the headers to send; the attempt owns the map.
 	Header http.Header
 	Body   []byte
+	// Account holds the memory of the response until the caller has received it.
+	Account *memory.Account
 	// Resumes is true when the caller has received the beginning of a stream, which
 	// only a stream can continue.
 	Resumes bool
@@ -83,7 +86,7 @@
 	if attempt.Resumes {
 		return Result{Outcome: control.Lost, Cause: code.Newf(code.BackendLost, "the backend server responded with status %d to a resumed stream", response.StatusCode)}
 	}
-	body, err := c.readBody(reader)
+	body, err := readBody(reader, attempt.Account, response.ContentLength)
 	if err == nil {
 		receiver.CompleteResponse(response, body)
 	}
@@ -130,30 +133,19 @@
 	return err == nil && media == mediaTypeEventStream && response.StatusCode == http.StatusOK
 }
 
-// smallBodyBytes is the size up to which a response is read whatever others take, so that
-// servers that send without end do not fail the calls of others.
-const smallBodyBytes = 64 << 10
-
-// readBody reads a complete response. It returns code.AnswerTooLarge for a response of more
-// than maxForwardResponseBytes, and for a large one while others take the memory.
-func (c *Client) readBody(body io.Reader) ([]byte, error) {
-	counted := int64(0)
-	defer func() { c.largeBodies.Add(-counted) }()
-	var data bytes.Buffer
-	for {
-		n, err := io.CopyN(&data, body, smallBodyBytes)
-		if errors.Is(err, io.EOF) {
-			return data.Bytes(), nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		counted += n
-		total := c.largeBodies.Add(n)
-		if data.Len() > maxForwardResponseBytes || c.maxLargeBodies > 0 && total > c.maxLargeBodies {
-			return nil, code.Newf(code.AnswerTooLarge, "the response is larger than %d bytes, or large responses take too much memory", maxForwardResponseBytes)
-		}
+// readBody reads a complete response and reserves its memory in the account, which keeps it
+// until the response was written to the caller. It returns code.AnswerTooLarge for a
+// response of more than maxForwardResponseBytes. For one that does not fit into the memory
+// of the node it returns a stoppedError with that code, because the server is not at fault.
+func readBody(body io.Reader, account *memory.Account, length int64) ([]byte, error) {
+	data, err := memory.ReadAll(body, account, length, maxForwardResponseBytes)
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return nil, code.Newf(code.AnswerTooLarge, "the response is larger than %d bytes", maxForwardResponseBytes)
+	case errors.Is(err, memory.ErrNoMemory):
+		return nil, &stoppedError{cause: code.New(code.AnswerTooLarge, "the calls in progress take too much memory for the response")}
 	}
+	return data, err
 }
 
 // receiveStream passes the headers and each complete event of a stream to the
--- a/node/egress/forward_test.go
+++ b/node/egress/forward_test.go
@@ -14,6 +14,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/request"
 	"tanagerspread/node/forward"
+	"tanagerspread/node/memory"
 )
 
 // testProtocol takes the header "Seal" as the seal and "Id" as the id of the attempt.
@@ -153,32 +154,38 @@
 }
 
 // TestManyBodiesWithoutEnd guards against servers that all send a body without end and fill
-// the memory of the node together, and against a small response that fails beside them.
+// the memory of the node together, against a small response that fails beside them, and
+// against a server that is blamed for the memory of the node.
 func TestManyBodiesWithoutEnd(t *testing.T) {
 	const calls, limit = 24, 16 << 20
-	client := NewClient(nil)
-	client.LimitLargeBodies(limit)
-	var most, failed atomic.Int64
+	budget := memory.NewBudget(limit)
+	var most, failed, stopped atomic.Int64
 	var group sync.WaitGroup
 	for range calls {
 		group.Go(func() {
-			_, err := client.readBody(readerFunc(func(p []byte) (int, error) {
-				most.Store(max(most.Load(), client.largeBodies.Load()))
+			account, small := budget.NewResponseAccount(), budget.NewResponseAccount()
+			_, err := readBody(readerFunc(func(p []byte) (int, error) {
+				most.Store(max(most.Load(), budget.Used()))
 				return len(p), nil
-			}))
+			}), account, -1)
 			if err != nil {
 				failed.Add(1)
 			}
-			if data, err := client.readBody(strings.NewReader("small")); err != nil || string(data) != "small" {
+			if result := failedResult(t.Context(), err); result.Outcome == control.Stopped && result.Cause.Code == code.AnswerTooLarge {
+				stopped.Add(1)
+			}
+			if data, err := readBody(strings.NewReader("small"), small, -1); err != nil || string(data) != "small" {
 				t.Errorf("a small response: %q, %v", data, err)
 			}
+			account.Release()
+			small.Release()
 		})
 	}
 	group.Wait()
-	if failed.Load() != calls || most.Load() > limit+calls*smallBodyBytes {
-		t.Errorf("%d of %d bodies without end failed; %d bytes were held", failed.Load(), calls, most.Load())
+	if failed.Load() != calls || stopped.Load() == 0 || most.Load() > limit {
+		t.Errorf("%d of %d bodies without end failed, %d for memory; %d bytes were held", failed.Load(), calls, stopped.Load(), most.Load())
 	}
-	if left := client.largeBodies.Load(); left != 0 {
+	if left := budget.Used(); left != 0 {
 		t.Errorf("%d bytes still count", left)
 	}
 }
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +15,7 @@
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/forward"
+	"tanagerspread/node/memory"
 )
 
 // errCallerGone is the error of an attempt whose response cannot be written to
@@ -43,8 +43,11 @@
 		f.refuseCall(w, newID(), &requestError{err: err})
 		return
 	}
-	body, release, err := f.readCountedBody(w, r)
-	defer release()
+	account := f.options.Budget.NewAccount()
+	defer account.Release()
+	response := f.options.Budget.NewResponseAccount()
+	defer response.Release()
+	body, err := f.readCountedBody(w, r, account)
 	if err != nil {
 		f.refuseCall(w, call.ID, &requestError{err: err, retryAfter: pendingRetryAfter})
 		return
@@ -60,38 +63,7 @@
 		MaxTokens:    call.MaxTokens,
 		Call:         &call.Routing,
 	}}
-	f.serveForwardedCall(ctx, x, &callRelay{frontend: f, w: w, r: r, exchange: x, body: body, lastEventID: call.LastEventID, arrivedAt: arrivedAt})
-}
-
-// pendingRetryAfter is the advised delay before a repeat of a call that was
-// refused because the bodies of the calls in progress take too much memory.
-const pendingRetryAfter = 200 * time.Millisecond
-
-// readCountedBody reads the body of a call and counts its bytes as pending until
-// release is called. A body over the limit is read and discarded: a connection
-// that closes with unread bytes may be reset before the caller has read the
-// refusal.
-func (f *Frontend) readCountedBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), _ *code.Error) {
-	counted := max(r.ContentLength, 0)
-	release = func() { f.pendingBytes.Add(-counted) }
-	if total := f.pendingBytes.Add(counted); f.options.MaxPendingBytes > 0 && total > f.options.MaxPendingBytes {
-		f.discardBody(w, r)
-		return nil, release, code.New(code.Overloaded, "the bodies of the calls in progress take too much memory")
-	}
-	body, err := readBody(w, r, f.options.MaxBodyBytes)
-	if extra := int64(len(body)) - counted; extra > 0 {
-		counted += extra
-		f.pendingBytes.Add(extra)
-	}
-	return body, release, err
-}
-
-// discardBody reads a body and discards it.
-func (f *Frontend) discardBody(w http.ResponseWriter, r *http.Request) {
-	limited := http.MaxBytesReader(w, r.Body, f.options.MaxBodyBytes)
-	// The call is refused in any case; a failed read means that the caller has
-	// disconnected or sends more than MaxBodyBytes.
-	_, _ = io.Copy(io.Discard, limited)
+	f.serveForwardedCall(ctx, x, &callRelay{frontend: f, w: w, r: r, exchange: x, body: body, response: response, lastEventID: call.LastEventID, arrivedAt: arrivedAt})
 }
 
 func (f *Frontend) serveForwardedCall(ctx context.Context, x *exchange, relay *callRelay) {
@@ -157,6 +129,8 @@
 	r        *http.Request
 	exchange *exchange
 	body     []byte
+	// response holds the memory of the buffered response.
+	response *memory.Account
 	dispatch control.Dispatch
 	running  *runningAttempt
 	// arrivedAt is when the call arrived, attemptStartedAt when its attempt
@@ -198,6 +172,7 @@
 		Header: c.frontend.options.Protocol.AttemptHeader(c.r.Header, *dispatch.Forward, c.workTime(), c.lastEventID),
 		Body:   c.body,
 
+		Account: c.response,
 		Resumes: c.resumes,
 	}
 	return c.frontend.options.Egress.Forward(running.ctx, dispatch.Address, c.frontend.options.Protocol, attempt, timeoutsOf(dispatch), checkSend, c)
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/forward"
+	"tanagerspread/node/memory"
 )
 
 // ControlThread is the interface of the control thread that ingress uses.
@@ -83,9 +84,8 @@
 	Observer Observer
 	// MaxBodyBytes is the largest request body that is accepted.
 	MaxBodyBytes int64
-	// MaxPendingBytes bounds the total size of the bodies of all forwarded calls
-	// in progress; 0 means no bound.
-	MaxPendingBytes int64
+	// Budget is the memory of the forwarded calls in progress; nil has no bound.
+	Budget *memory.Budget
 	// Protocol is the protocol of forwarded calls. If it is nil, the frontend
 	// serves the product's own interface.
 	Protocol forward.Protocol
@@ -95,8 +95,8 @@
 type Frontend struct {
 	options Options
 	ready   atomic.Bool
-	// pendingBytes counts the bytes of the bodies of forwarded calls in progress.
-	pendingBytes atomic.Int64
+	// maxBodyBytes is the largest body of a forwarded call that is accepted.
+	maxBodyBytes atomic.Int64
 	// attempts holds the attempts of forwarded calls in progress: values of type
 	// *runningAttempt by attemptKey. The control thread reads it without waiting.
 	attempts sync.Map
@@ -104,7 +104,14 @@
 
 // NewFrontend returns a frontend that is not ready yet.
 func NewFrontend(options Options) *Frontend {
-	return &Frontend{options: options}
+	f := &Frontend{options: options}
+	f.SetMaxBodyBytes(options.MaxBodyBytes)
+	return f
+}
+
+// SetMaxBodyBytes sets the largest body of a forwarded call that is accepted.
+func (f *Frontend) SetMaxBodyBytes(bytes int64) {
+	f.maxBodyBytes.Store(bytes)
 }
 
 // SetReady sets the response to the load balancer's readiness checks.
--- a/node/ingress/wire.go
+++ b/node/ingress/wire.go
@@ -107,13 +107,18 @@
 	if err == nil {
 		return body, nil
 	}
+	return nil, bodyError(err, limit)
+}
+
+// bodyError returns the coded error of a failed read of a body.
+func bodyError(err error, limit int64) *code.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, code.Newf(code.BodyTooLarge, "the body is larger than %d bytes", limit)
+		return code.Newf(code.BodyTooLarge, "the body is larger than %d bytes", limit)
 	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
-		return nil, code.Wrap(code.SlowCaller, "the caller did not send its request in time", err)
+		return code.Wrap(code.SlowCaller, "the caller did not send its request in time", err)
 	}
-	return nil, code.Wrap(code.MalformedBody, "the body cannot be read", err)
+	return code.Wrap(code.MalformedBody, "the body cannot be read", err)
 }
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -20,8 +20,10 @@
 	"tanagerspread/core/order"
 	"tanagerspread/core/retry"
 	"tanagerspread/node/caches"
+	"tanagerspread/node/callerconn"
 	"tanagerspread/node/confkv"
 	"tanagerspread/node/eventlog"
+	"tanagerspread/node/memory"
 	"tanagerspread/node/metrics"
 	"tanagerspread/node/registry"
 	"tanagerspread/node/runtime"
@@ -33,9 +35,9 @@
 	// logQueueLines is the capacity of the queue of log lines for standard
 	// output; further lines are dropped.
 	logQueueLines = 4096
-	// bodyMemoryShare is the share of the memory of the process that the bodies
-	// of calls in progress may use.
-	bodyMemoryShare = 0.2
+	// callerMemoryShare is the share of the memory of the process that the
+	// connections, heads, bodies and buffered responses of callers may use.
+	callerMemoryShare = 0.3
 	// maxBodyBytes bounds the body of a forwarded call.
 	maxBodyBytes = 4 << 20
 	// drainDelay is how long a stopping node still accepts calls. The load
@@ -174,6 +176,7 @@
 
 func (d *deployed) nodeOptions(options DeployedOptions, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
 	s := options.Settings
+	callerBytes := int64(float64(s.MemoryBytes) * callerMemoryShare)
 	return runtime.Options{
 		Control: control.Options{
 			Node:        s.Node,
@@ -192,20 +195,19 @@
 			MayIssueOrders:       true,
 			OrderParameters:      orderParameters(s),
 		},
-		Listener:     d.callers,
-		Readiness:    d.readiness,
-		Dial:         d.dial,
-		KeyValue:     d.store,
-		OrderService: d.store,
-		Engines:      platform.EngineClient{Dial: d.dial, Holder: s.Node},
-		Logger:       logger,
-		Metrics:      counters,
-		MaxBodyBytes: maxBodyBytes,
-		Suspended:    options.Suspended,
-		// Bodies of calls in progress stay in memory, because a call may be
-		// repeated.
-		MaxPendingBytes: int64(float64(s.MemoryBytes) * bodyMemoryShare),
-		Protocol:        platform.Protocol{},
+		Listener:       d.callers,
+		Readiness:      d.readiness,
+		Dial:           d.dial,
+		KeyValue:       d.store,
+		OrderService:   d.store,
+		Engines:        platform.EngineClient{Dial: d.dial, Holder: s.Node},
+		Logger:         logger,
+		Metrics:        counters,
+		MaxBodyBytes:   maxBodyBytes,
+		Suspended:      options.Suspended,
+		Budget:         memory.NewBudget(callerBytes),
+		MaxConnections: callerconn.MaxConnections(callerBytes, s.Descriptors),
+		Protocol:       platform.Protocol{},
 		Caches: func(address string) caches.Client {
 			return platform.NewCacheClient(address, d.dial)
 		},
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -46,6 +46,8 @@
 	storeUnreachable map[string]bool
 	// cacheStore is the address of a cache store, or empty.
 	cacheStore string
+	// maxBodyBytes is the configured limit on bodies, or 0.
+	maxBodyBytes int64
 	// nodeMemoryBytes is the memory of each node.
 	nodeMemoryBytes int64
 	// unfenced is true when the servers do not enforce fencing tokens.
@@ -80,7 +82,7 @@
 	s.version += 3
 	s.store.Configure(deployed.Configuration{
 		Version: s.version, Host: testHost, Timeout: s.callTimeout, TargetLatency: 500 * time.Millisecond, Tenant: "derwent", Keys: keys,
-		CacheStoreAddress: s.cacheStore,
+		CacheStoreAddress: s.cacheStore, MaxBodyBytes: s.maxBodyBytes,
 	})
 }
 
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -458,3 +458,24 @@
 		}
 	})
 }
+
+// TestConfiguredBodyLimit guards against a limit on bodies in the configuration that is
+// ignored where it allows more than the built-in one.
+func TestConfiguredBodyLimit(t *testing.T) {
+	runAtSite(t, func(s *deployedSite) {
+		s.startServer("i-1", 0)
+		s.writeConfiguration(testKey)
+		n := s.startNode("n1")
+		waitForSync()
+		body := strings.Repeat("x", 5<<20)
+		if got := n.call("POST", "/lookup/", nil, body); got.status != http.StatusRequestEntityTooLarge {
+			t.Errorf("a body over the limit got status %d", got.status)
+		}
+		s.maxBodyBytes = 6 << 20
+		s.writeConfiguration(testKey)
+		waitForSync()
+		if got := n.call("POST", "/lookup/", nil, body); got.status != http.StatusOK {
+			t.Errorf("a body within the new limit got status %d", got.status)
+		}
+	})
+}
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -14,17 +14,20 @@
 
 	"tanagerspread/client/kv"
 	"tanagerspread/client/wire"
+	corecallerconn "tanagerspread/core/callerconn"
 	corecontrol "tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/invariant"
 	"tanagerspread/core/order"
 	"tanagerspread/node/blocks"
 	"tanagerspread/node/caches"
+	"tanagerspread/node/callerconn"
 	"tanagerspread/node/control"
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/forward"
 	"tanagerspread/node/ingress"
+	"tanagerspread/node/memory"
 	"tanagerspread/node/metrics"
 	"tanagerspread/node/once"
 	"tanagerspread/node/orders"
@@ -53,9 +56,11 @@
 	Metrics *metrics.Metrics
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64
-	// MaxPendingBytes bounds the total size of the bodies of forwarded calls in
-	// progress; 0 means no bound.
-	MaxPendingBytes int64
+	// Budget is the memory that callers and the responses to forwarded calls may
+	// use, and MaxConnections the number of connections of callers. With nil both
+	// have no bound.
+	Budget         *memory.Budget
+	MaxConnections int
 	// Fleet connects the node to the platform and to its peers. With nil the
 	// node serves with the configuration that control messages set.
 	Fleet *Fleet
@@ -88,7 +93,9 @@
 	orders   *orders.Workers
 	caches   *caches.Followers
 	stopped  chan struct{}
-	fleet    *fleetComponents
+	// callers accepts the connections of callers within Options.Budget, or is nil.
+	callers *callerconn.Listener
+	fleet   *fleetComponents
 	// stopRecorder cancels the background writes of at-most-once records.
 	stopRecorder context.CancelFunc
 }
@@ -111,7 +118,6 @@
 		recorder = n.newRecorder()
 	}
 	client := egress.NewClient(options.Dial)
-	client.LimitLargeBodies(options.MaxPendingBytes)
 	n.front = ingress.NewFrontend(ingress.Options{
 		Importer:     blocks.NewImporter(n.loop, wire.Dialer(options.Dial)),
 		Control:      options.Metrics.Observe(n.loop),
@@ -122,9 +128,11 @@
 		Checker:      options.Control.Checker,
 		MaxBodyBytes: options.MaxBodyBytes,
 		Protocol:     options.Protocol,
-
-		MaxPendingBytes: options.MaxPendingBytes,
+		Budget:       options.Budget,
 	})
+	if options.Budget != nil {
+		n.callers = callerconn.NewListener(options.Listener, callerconn.Options{Budget: options.Budget, MaxConnections: options.MaxConnections})
+	}
 	n.orders = newOrderWorkers(n.loop, options)
 	if options.Fleet != nil {
 		n.fleet = newFleetComponents(n.loop, options)
@@ -211,8 +219,9 @@
 		ReadTimeout:       bodyTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	listener := n.callerListener(ctx, server)
 	serveErrors := make(chan error, 2)
-	go func() { serveErrors <- server.Serve(n.options.Listener) }()
+	go func() { serveErrors <- server.Serve(listener) }()
 	if n.options.Readiness != nil {
 		readinessServer := &http.Server{Handler: n.front.Readiness(), ReadHeaderTimeout: headerTimeout}
 		defer func() { _ = readinessServer.Close() }()
@@ -232,6 +241,17 @@
 	}
 }
 
+// callerListener returns the listener of callers. With a budget, it enforces the limits of
+// the server until the context ends.
+func (n *Node) callerListener(ctx context.Context, server *http.Server) net.Listener {
+	if n.callers == nil {
+		return n.options.Listener
+	}
+	callerconn.Attach(server)
+	go n.callers.Run(ctx)
+	return n.callers
+}
+
 // execute runs a command of the control thread without blocking that thread.
 func (n *Node) execute(command corecontrol.Command) {
 	switch c := command.(type) {
@@ -256,6 +276,7 @@
 	case corecontrol.WeightsWanted:
 		eventlog.Write(n.options.Logger, event.WeightsWanted, nil, "model", c.Model, "weights", c.Weights, "age_known", c.AgeKnown)
 	case corecontrol.ConfigInForce:
+		n.applyLimits(c.CallerLimits)
 		eventlog.Write(n.options.Logger, event.ConfigInForce, nil, "version", uint64(c.Version), "author", c.Author, "known_ms", c.Known.Milliseconds())
 	default:
 		if n.fleet != nil {
@@ -264,6 +285,15 @@
 	}
 }
 
+// applyLimits applies the configured limits on requests.
+func (n *Node) applyLimits(limits corecallerconn.Limits) {
+	if n.callers == nil {
+		return
+	}
+	n.callers.SetLimits(limits)
+	n.front.SetMaxBodyBytes(corecallerconn.InForce(limits).MaxBodyBytes)
+}
+
 func (n *Node) applyNodeState(c corecontrol.NodeState) {
 	n.front.SetReady(c.Ready)
 	eventlog.Write(n.options.Logger, event.NodeStateChanged, nil, "state", c.State)
--- a/standin/deployed/operator.go
+++ b/standin/deployed/operator.go
@@ -30,6 +30,8 @@
 	// CacheStoreAddress is the address of a managed cache store; empty means that
 	// there is none.
 	CacheStoreAddress string
+	// MaxBodyBytes is the limit on the bodies of calls; 0 means 4 MiB.
+	MaxBodyBytes int64
 }
 
 type routeEntry struct {
@@ -72,9 +74,13 @@
 			"name": cacheStoreService, "kv_store_addr": c.CacheStoreAddress, "zone": "a", "kv_capacity_tokens": 60000, "managed": true, "max_inflight": 1,
 		})
 	}
+	maxBodyBytes := c.MaxBodyBytes
+	if maxBodyBytes == 0 {
+		maxBodyBytes = 4 << 20
+	}
 	s.Put("op/config", map[string]any{
 		"version": c.Version, "routes": c.routes(), "services": services,
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []map[string]any{{"name": c.Tenant, "api_keys": c.Keys}},
 	})
 }
