Count events of streams, and give idle connections without a call no claim

Cause: events of up to 1 MiB that wait for a slow reader were not in the budget. Connections that were idle for less than idle_timeout_ms could not be closed for new ones, so that clients without a valid call could hold all of them.

Change: the reader of events reserves the memory of the largest event in the account of the response.

Measured: TestEventsCounted and the new row of TestEvictable pass under -race; neither can be stated without the change.

--- a/core/callerconn/callerconn.go
+++ b/core/callerconn/callerconn.go
@@ -66,6 +66,8 @@
 	Since time.Time
 	// Transferred is the number of bytes of the connection in both directions.
 	Transferred int64
+	// Admitted is true once a call on the connection was admitted.
+	Admitted bool
 }
 
 // Mark is an earlier view of a connection, against which progress is measured.
@@ -100,13 +102,15 @@
 }
 
 // Evictable reports whether a connection may be closed to make room for a new one. A
-// client may reuse a connection that was idle for four fifths of the idle timeout.
+// client may reuse a connection that was idle for four fifths of the idle timeout; one that
+// never made an admitted call has no claim to that, or a few clients without a valid call
+// would keep all connections of the node.
 func Evictable(now time.Time, view View, limits Limits) bool {
 	switch view.Phase {
 	case Head, Body:
 		return true
 	case Idle:
-		return now.Sub(view.Since) > limits.IdleTimeout
+		return !view.Admitted || now.Sub(view.Since) > limits.IdleTimeout
 	}
 	return false
 }
--- a/core/callerconn/callerconn_test.go
+++ b/core/callerconn/callerconn_test.go
@@ -56,15 +56,16 @@
 func TestEvictable(t *testing.T) {
 	now := time.Unix(100, 0)
 	for _, test := range []struct {
-		phase Phase
-		age   time.Duration
-		want  bool
+		phase    Phase
+		age      time.Duration
+		admitted bool
+		want     bool
 	}{
-		{Head, 0, true}, {Body, 0, true}, {Waiting, time.Hour, false}, {Writing, time.Hour, false},
-		{Idle, 12 * time.Second, false}, {Idle, 16 * time.Second, true},
+		{Head, 0, true, true}, {Body, 0, true, true}, {Waiting, time.Hour, false, false}, {Writing, time.Hour, false, false},
+		{Idle, 12 * time.Second, true, false}, {Idle, 16 * time.Second, true, true}, {Idle, 0, false, true},
 	} {
-		if got := Evictable(now, View{Phase: test.phase, Since: now.Add(-test.age)}, testLimits); got != test.want {
-			t.Errorf("phase %d after %v: evictable %v, want %v", test.phase, test.age, got, test.want)
+		if got := Evictable(now, View{Phase: test.phase, Since: now.Add(-test.age), Admitted: test.admitted}, testLimits); got != test.want {
+			t.Errorf("%+v: evictable %v", test, got)
 		}
 	}
 }
--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -31,6 +31,7 @@
 	head        headCounter
 	phase       atomic.Pointer[phase]
 	transferred atomic.Int64
+	admitted    atomic.Bool
 	// mark belongs to the goroutine that searches for overdue connections.
 	mark callerconn.Mark
 }
@@ -47,7 +48,7 @@
 
 func (c *Conn) view() callerconn.View {
 	p := c.phase.Load()
-	return callerconn.View{Phase: p.name, Since: p.since, Transferred: c.transferred.Load()}
+	return callerconn.View{Phase: p.name, Since: p.since, Transferred: c.transferred.Load(), Admitted: c.admitted.Load()}
 }
 
 // drop closes the connection from another goroutine than its own, which then releases
@@ -142,7 +143,7 @@
 // refuse writes a refusal and returns an error to which net/http does not respond.
 func (c *Conn) refuse(response string) error {
 	// The connection is closed in any case.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	_, _ = c.Conn.Write([]byte(response))
 	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errRefused}
 }
@@ -181,6 +182,13 @@
 	return c.reserveHead(headMemory(bytes, lines))
 }
 
+// Admitted marks the connection as one of a client whose call was admitted.
+func (c *Conn) Admitted() {
+	if c != nil {
+		c.admitted.Store(true)
+	}
+}
+
 // BeginBody marks the beginning of the read of a body. The returned function marks its
 // end.
 func (c *Conn) BeginBody() (end func()) {
--- a/node/callerconn/listener.go
+++ b/node/callerconn/listener.go
@@ -77,9 +77,8 @@
 	l.limits.Store(&limits)
 }
 
-// Accept returns the next connection. When there is no room for it, it closes the
-// connection whose request has been arriving for longest, or the new one if there is
-// none.
+// Accept returns the next connection. When there is no room for it, it closes the evictable
+// connection that is in its phase for longest, or the new one if there is none.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -81,7 +81,7 @@
 	reader, stop := newGapReader(response.Body, timeouts.Gap, cancel)
 	defer stop()
 	if isStream(response) {
-		return bodyResult(ctx, Result{Weights: info.Weights, Answered: true}, receiveStream(reader, response, receiver))
+		return bodyResult(ctx, Result{Weights: info.Weights, Answered: true}, receiveStream(reader, response, attempt.Account, receiver))
 	}
 	if attempt.Resumes {
 		return Result{Outcome: control.Lost, Cause: code.Newf(code.BackendLost, "the backend server responded with status %d to a resumed stream", response.StatusCode)}
@@ -143,19 +143,26 @@
 	case errors.Is(err, memory.ErrTooLarge):
 		return nil, code.Newf(code.AnswerTooLarge, "the response is larger than %d bytes", maxForwardResponseBytes)
 	case errors.Is(err, memory.ErrNoMemory):
-		return nil, &stoppedError{cause: code.New(code.AnswerTooLarge, "the calls in progress take too much memory for the response")}
+		return nil, errNoResponseMemory()
 	}
 	return data, err
 }
 
+// errNoResponseMemory returns the error that stops an attempt whose response does not fit
+// into the memory of the node.
+func errNoResponseMemory() error {
+	return &stoppedError{cause: code.New(code.AnswerTooLarge, "the calls in progress take too much memory for the response")}
+}
+
 // receiveStream passes the headers and each complete event of a stream to the
 // receiver until the stream ends. A stream that ends with its connection is whole when
 // it ends after an event; without an event its server ended before it began.
-func receiveStream(body io.Reader, response *http.Response, receiver Receiver) error {
+func receiveStream(body io.Reader, response *http.Response, account *memory.Account, receiver Receiver) error {
+	defer account.Release()
 	if err := receiver.StartStream(response); err != nil {
 		return &stoppedError{cause: err}
 	}
-	events := forward.NewEventReader(body)
+	events := forward.NewEventReader(body, account)
 	begun := isFramed(response, http.MethodGet)
 	for {
 		event, err := events.Next()
@@ -165,6 +172,9 @@
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
+		if errors.Is(err, memory.ErrNoMemory) {
+			return errNoResponseMemory()
+		}
 		if err != nil {
 			return err
 		}
--- a/node/egress/forward_test.go
+++ b/node/egress/forward_test.go
@@ -1,6 +1,7 @@
 package egress
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -190,6 +191,27 @@
 	}
 }
 
+// TestEventsCounted guards against events of streams that take memory beside the budget,
+// and that still count after the attempt.
+func TestEventsCounted(t *testing.T) {
+	budget := memory.NewBudget(512 << 10)
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(streamHead)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for size, want := range map[int]control.Outcome{100 << 10: control.Succeeded, 900 << 10: control.Stopped} {
+		account := budget.NewResponseAccount()
+		body := strings.NewReader("data: " + strings.Repeat("x", size) + "\n\n")
+		err := receiveStream(body, response, account, &recorder{})
+		if got := bodyResult(t.Context(), Result{}, err); got.Outcome != want {
+			t.Errorf("an event of %d bytes: got %+v, want outcome %v", size, got, want)
+		}
+		if used := budget.Used(); used != 0 {
+			t.Errorf("%d bytes still count", used)
+		}
+	}
+}
+
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/node/forward/events.go
+++ b/node/forward/events.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"tanagerspread/core/code"
+	"tanagerspread/node/memory"
 )
 
 const (
@@ -38,21 +39,28 @@
 // EventReader splits a server-sent event stream into events.
 type EventReader struct {
 	reader *bufio.Reader
+	// account holds the memory of the largest event so far.
+	account *memory.Account
 }
 
-// NewEventReader returns a reader of the event stream in body.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(body, eventBufferBytes)}
+// NewEventReader returns a reader of the event stream in body, which reserves the memory
+// of events in the account.
+func NewEventReader(body io.Reader, account *memory.Account) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(body, eventBufferBytes), account: account}
 }
 
 // Next returns the next complete event. It returns io.EOF at the end of the
-// stream, code.AnswerTruncated when the stream ends within an event, and
-// code.AnswerTooLarge when an event is larger than maxEventBytes.
+// stream, code.AnswerTruncated when the stream ends within an event,
+// code.AnswerTooLarge when an event is larger than maxEventBytes, and
+// memory.ErrNoMemory when there is no memory for it.
 func (e *EventReader) Next() (Event, error) {
 	event := Event{ID: NoEventID}
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		event.Raw = append(event.Raw, line...)
+		if missing := int64(cap(event.Raw)) - e.account.Held(); missing > 0 && !e.account.Grow(missing) {
+			return event, memory.ErrNoMemory
+		}
 		switch {
 		case err == bufio.ErrBufferFull && len(event.Raw) <= maxEventBytes:
 			continue
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -11,6 +11,7 @@
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/request"
+	"tanagerspread/node/callerconn"
 	"tanagerspread/node/clock"
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
@@ -71,6 +72,7 @@
 		f.refuseCall(relay.w, x.request.ID, early.failure)
 		return
 	}
+	callerconn.FromContext(relay.r.Context()).Admitted()
 	x.request.Deadline = x.admitted.Deadline
 	ctx, cancel := x.context(ctx)
 	defer cancel()
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -178,23 +178,7 @@
 	s := options.Settings
 	callerBytes := int64(float64(s.MemoryBytes) * callerMemoryShare)
 	return runtime.Options{
-		Control: control.Options{
-			Node:        s.Node,
-			Domain:      fleet.Domain(s.Domain),
-			Charts:      chart.Deployed(),
-			Seed:        uint64(time.Now().UnixNano()),
-			Incarnation: uint64(time.Now().UnixMilli()),
-			DrainDelay:  drainDelay,
-			StopGrace:   s.StopGrace,
-			Unfenced:    true,
-			Forwarding:  true,
-			RepeatLimit: retry.RepeatLimit{Window: s.RetryWindow, Ratio: s.RetryRatio, BaseAllowance: s.RetrySlack},
-			Prices:      options.Tuning.Prices,
-
-			OutdatedWeightsLimit: max(s.OutdatedWeightsLimit-weightsMargin, 0),
-			MayIssueOrders:       true,
-			OrderParameters:      orderParameters(s),
-		},
+		Control:        controlOptions(options),
 		Listener:       d.callers,
 		Readiness:      d.readiness,
 		Dial:           d.dial,
@@ -229,6 +213,28 @@
 	}
 }
 
+// controlOptions returns the options of the control thread.
+func controlOptions(options DeployedOptions) control.Options {
+	s := options.Settings
+	return control.Options{
+		Node:        s.Node,
+		Domain:      fleet.Domain(s.Domain),
+		Charts:      chart.Deployed(),
+		Seed:        uint64(time.Now().UnixNano()),
+		Incarnation: uint64(time.Now().UnixMilli()),
+		DrainDelay:  drainDelay,
+		StopGrace:   s.StopGrace,
+		Unfenced:    true,
+		Forwarding:  true,
+		RepeatLimit: retry.RepeatLimit{Window: s.RetryWindow, Ratio: s.RetryRatio, BaseAllowance: s.RetrySlack},
+		Prices:      options.Tuning.Prices,
+
+		OutdatedWeightsLimit: max(s.OutdatedWeightsLimit-weightsMargin, 0),
+		MayIssueOrders:       true,
+		OrderParameters:      orderParameters(s),
+	}
+}
+
 // orderParameters returns the parameters of orders for servers that load weights
 // in about one second, or more slowly while more than a sixth of them load.
 func orderParameters(s *platform.Settings) order.Parameters {
