Isolation: parts made before a change of isolated tenants are not shared after it

The shared salt was model/version/ whichever tenants were isolated. A tenant that became isolated got a salt of its own, but the others still found the parts that it had made under the shared one.

The scope in the salt now changes with the set of isolated tenants. It follows from the configuration and a record in the store (config-isolation), which one node writes for each change under a condition; the chart isolation repeats the write. Without any isolated tenant the salt is the same text as before. Parts of earlier scopes are freed in managed stores after an hour. A call that arrived while its tenant was isolated stays behind the wall of that tenant.

--- a/core/control/active.go
+++ b/core/control/active.go
@@ -18,9 +18,12 @@
 	chart        chart.Instance
 	machine      *chart.Machine[*activeRequest]
 	organisation request.Organisation
-	class        request.Class
-	fingerprint  quarantine.Fingerprint
-	classConfig  config.Class
+	// isolated is whether the organisation shared no cached parts with others when the
+	// request arrived.
+	isolated    bool
+	class       request.Class
+	fingerprint quarantine.Fingerprint
+	classConfig config.Class
 	// route and service are set for a forwarded call.
 	route   *config.Route
 	service string
--- a/core/control/agentmessage.go
+++ b/core/control/agentmessage.go
@@ -174,6 +174,8 @@
 		s.beginStop(now)
 	case ConfigSeen:
 		s.configSeen(now, m)
+	case IsolationSeen:
+		s.isolationSeen(now, m)
 	case ServiceReached:
 		s.recordContact(m.AskedAt)
 	case PeerDigest:
@@ -206,6 +208,7 @@
 	s.expireConfiguration(now)
 	s.expirePeers(now)
 	s.tickSession(now)
+	_, _ = s.charts.isolation.Expire(&s.isolation.chart, s, now)
 	s.tickDigests(now)
 	s.tickWork(now)
 	s.tickRefresh(now)
--- a/core/control/charts.go
+++ b/core/control/charts.go
@@ -29,10 +29,11 @@
 	blockImport *chart.Machine[*transfer]
 	blockExport *chart.Machine[*transfer]
 	peer        *chart.Machine[*membership.Peer]
-	// configuration and session are the charts of the node's own configuration
-	// and session entry.
+	// configuration, session and isolation are the charts of the node's own
+	// configuration and session entry and of the record of isolated organisations.
 	configuration *chart.Machine[*State]
 	session       *chart.Machine[*State]
+	isolation     *chart.Machine[*State]
 }
 
 func (s *State) loadCharts(files fs.FS) error {
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -60,7 +60,7 @@
 }
 
 // loadAgentCharts loads the charts of the control state that the agents report
-// on: the peers, the configuration and the session entry.
+// on: the peers, the configuration, the isolated organisations and the session entry.
 func (s *State) loadAgentCharts(files fs.FS) error {
 	var err error
 	if s.charts.peer, err = loadMachine(files, "peer", peerBindings()); err != nil {
@@ -69,6 +69,9 @@
 	if s.charts.configuration, err = loadMachine(files, "configuration", configurationBindings()); err != nil {
 		return err
 	}
+	if s.charts.isolation, err = loadMachine(files, "isolation", isolationBindings()); err != nil {
+		return err
+	}
 	s.charts.session, err = loadMachine(files, "session", sessionBindings())
 	return err
 }
@@ -107,6 +110,7 @@
 	s.configuration.current = current
 	s.rules = rules
 	s.policy = policyOf(rules.Policy.Placement)
+	s.updateIsolation(now)
 	s.journal.rules = rules
 	s.journal.version = s.version
 	s.applyServerRules(now)
--- a/core/control/forward.go
+++ b/core/control/forward.go
@@ -98,6 +98,7 @@
 	if err := s.authenticateCall(req); err != nil {
 		return err
 	}
+	req.isolated = s.rules.Organisations[req.organisation].Isolated
 	req.class = request.Class(route.Name)
 	req.classConfig = config.Class{Priority: s.callPriority(req), QueueLimit: maxWaitingCalls, FirstTokenTarget: route.FirstPartTarget}
 	if limit := now.Add(route.Timeout); route.Timeout > 0 && limit.Before(req.Deadline) {
@@ -220,19 +221,10 @@
 	query.Parts = req.Call.Parts
 	query.Bytes = req.Call.BodyBytes
 	query.Target = req.route.FirstPartTarget
-	query.Isolation = s.isolatedOrganisation(req)
+	query.Scope = s.cacheScope(req)
 	return query
 }
 
-// isolatedOrganisation returns the organisation of the request when its cached
-// parts are not shared with other organisations, or an empty text.
-func (s *State) isolatedOrganisation(req *activeRequest) string {
-	if s.rules.Organisations[req.organisation].Isolated {
-		return string(req.organisation)
-	}
-	return ""
-}
-
 // forwarding returns how to forward the current attempt of a call, or nil for
 // other requests.
 func (s *State) forwarding(now time.Time, req *activeRequest) *Forwarding {
@@ -257,7 +249,7 @@
 	if f.ModelEngine {
 		f.Weights = attempt.weights
 		f.NewerWeights, f.NewerAge = s.newerWeights(now, modelOf(attempt.server), attempt.weights)
-		f.Salt = placement.Salt(attempt.server.Model, attempt.weights, s.isolatedOrganisation(req))
+		f.Salt = placement.Salt(attempt.server.Model, attempt.weights, s.cacheScope(req))
 		f.FetchFrom = attempt.choice.FetchFrom
 		f.SaveTo = attempt.choice.SaveTo
 		f.FetchUntilMS = attempt.choice.FetchUntilMS
@@ -294,7 +286,7 @@
 	}
 	server := req.attempt.server
 	capacity := s.rules.Pools[server.Serves].CacheTokens
-	salt := placement.Salt(server.Model, req.attempt.weights, s.isolatedOrganisation(req))
+	salt := placement.Salt(server.Model, req.attempt.weights, s.cacheScope(req))
 	for _, part := range req.Call.Parts {
 		s.partIndex.Expect(now, server.ID, placement.PartKey{Salt: salt, ID: part.ID}, part.Tokens, capacity)
 	}
--- a/core/control/freeparts.go
+++ b/core/control/freeparts.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// freeParts frees the parts of outdated weights in managed stores. These stores
+// freeParts frees the parts of outdated weights and of earlier scopes in managed stores. These stores
 // evict nothing on their own, and no call can use parts under an old salt. The
 // node whose turn it is to read all entries does this; freeing a part twice is
 // harmless.
@@ -50,7 +50,7 @@
 	if s.rules == nil || now.Sub(s.lastOutdated) < freeDelay || now.Sub(s.following.since) < freeDelay {
 		return
 	}
-	lowestByModel := s.lowestWeights()
+	lowestByModel, scopes := s.lowestWeights(), s.usableScopes(now)
 	for _, store := range s.cacheStoreList {
 		if !store.Managed || !store.Savable() {
 			continue
@@ -58,7 +58,7 @@
 		outdated := s.partIndex.LeastRecent(store.ID, freeBatch, func(key placement.PartKey) bool {
 			model, weights := placement.WeightsOf(key.Salt)
 			lowest, ok := lowestByModel[model]
-			return ok && weights < lowest
+			return ok && (weights < lowest || scopes != nil && !scopes[placement.ScopeOf(key.Salt)])
 		})
 		if len(outdated) > 0 {
 			s.command(FreeParts{
--- a/core/control/memory.go
+++ b/core/control/memory.go
@@ -26,9 +26,9 @@
 		return fleet.MemoryUse{}
 	}
 	use := fleet.MemoryUse{Private: req.PromptTokens + req.MaxTokens}
-	isolation := s.isolatedOrganisation(req)
+	scope := s.cacheScope(req)
 	for _, part := range placement.SharedParts(req.Call.Parts) {
-		use.Shared = append(use.Shared, fleet.SharedPart{Hash: placement.PartHash(part.ID, isolation), Tokens: part.Tokens})
+		use.Shared = append(use.Shared, fleet.SharedPart{Hash: placement.PartHash(part.ID, scope), Tokens: part.Tokens})
 		use.Private -= part.Tokens
 	}
 	use.Private = max(use.Private, 0)
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -164,9 +164,10 @@
 	recordTracker   *once.Tracker
 	output          Output
 	members         *membership.Table
-	// configuration, session and digestRounds belong to the agents' part of
-	// the control state: config.go, session.go and members.go.
+	// configuration, isolation, session and digestRounds belong to the agents' part
+	// of the control state: config.go, isolation.go, session.go and members.go.
 	configuration configuration
+	isolation     isolation
 	session       session
 	digestRounds  digestRounds
 }
@@ -212,6 +213,7 @@
 	s.configuration.startedAt = now
 	s.randomizeReadAge()
 	s.session.chart = s.charts.session.Start(now)
+	s.isolation.chart = s.charts.isolation.Start(now)
 	s.orders.issuer.Parameters = options.OrderParameters
 	if options.OrderParameters.LeaseTTL == 0 {
 		s.orders.issuer.Parameters = order.OwnParameters()
--- a/core/control/tags.go
+++ b/core/control/tags.go
@@ -43,6 +43,10 @@
 	tagCountsAsLoad chart.Tag = "counts_as_load"
 	// tagConfirmed marks a configuration that is confirmed to be in force.
 	tagConfirmed chart.Tag = "confirmed"
+	// tagUnread marks a record of isolated organisations that was not read yet,
+	// tagRecorded one that is up to date.
+	tagUnread   chart.Tag = "unread"
+	tagRecorded chart.Tag = "recorded"
 
 	// tagMayTransfer marks imports whose blocks are verified and are to be
 	// transferred, tagMayWriteManifest marks exports whose blocks are verified, so
@@ -85,6 +89,7 @@
 	peerTags        = []chart.Tag{tagPresent, tagDead}
 	sessionTags     = []chart.Tag{tagHeld}
 	configTags      = []chart.Tag{tagConfirmed}
+	isolationTags   = []chart.Tag{tagUnread, tagRecorded}
 	orderTags       = []chart.Tag{tagCountsAsLoad}
 	issuerTags      = []chart.Tag{tagMayIssue, tagAwaitsLease, tagStandsBy}
 	blockImportTags = []chart.Tag{tagMayTransfer}
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -54,6 +54,7 @@
 	ConfigReceived    = register(2606, LevelInfo, "entry of the configuration was received", "revision", "source", "peer")
 	ConfigUnreadable  = register(2602, LevelError, "configuration cannot be parsed; the current one stays in force", "version", "code")
 	ConfigRepaired    = register(2603, LevelInfo, "key-value service held an older configuration; the newer one was written back", "version", "replaced")
+	IsolationChanged  = register(2607, LevelInfo, "cached parts that were made before are no longer shared", "node", "scope", "isolated")
 	ConfigNotRepaired = register(2604, LevelError, "key-value service holds an older configuration and could not be repaired", "version", "replaced", "code")
 )
 
--- a/core/placement/appraisal.go
+++ b/core/placement/appraisal.go
@@ -171,7 +171,7 @@
 	key := weightsKey{model: server.Model, version: server.Weights}
 	salt, ok := m.saltByWeights[key]
 	if !ok {
-		salt = Salt(server.Model, server.Weights, m.query.Isolation)
+		salt = Salt(server.Model, server.Weights, m.query.Scope)
 		m.saltByWeights[key] = salt
 	}
 	return salt
--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -161,8 +161,7 @@
 	return xxhash.Sum64(input)
 }
 
-// PartHash returns a hash of a prompt part. Parts of isolated organisations have hashes
-// of their own.
-func PartHash(part, isolation string) uint32 {
-	return uint32(partWeight(part, fleet.ServerID(isolation)))
+// PartHash returns a hash of a prompt part in a scope.
+func PartHash(part, scope string) uint32 {
+	return uint32(partWeight(part, fleet.ServerID(scope)))
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -22,9 +22,8 @@
 	Parts  []request.Part
 	Bytes  int
 	Target time.Duration
-	// Isolation is the organisation that shares no cached parts with others, or
-	// empty.
-	Isolation string
+	// Scope separates the cached parts of the call from those that it must not use.
+	Scope string
 }
 
 // View is the input of a policy, which must not change it.
--- a/core/placement/salt.go
+++ b/core/placement/salt.go
@@ -8,11 +8,20 @@
 // saltFields is the number of fields of a salt.
 const saltFields = 3
 
-// Salt returns the text that binds cached parts to a model, a weight version and an
-// isolated organisation. No server reports under which weight version a part was
-// computed, so only the salt keeps versions and organisations apart.
-func Salt(model string, weights int, isolation string) string {
-	return model + "/" + strconv.Itoa(weights) + "/" + isolation
+// Salt returns the text that binds cached parts to a model, a weight version and the
+// scope of the organisations that share them. No server reports under which weight version
+// a part was computed, so only the salt keeps versions and organisations apart.
+func Salt(model string, weights int, scope string) string {
+	return model + "/" + strconv.Itoa(weights) + "/" + scope
+}
+
+// ScopeOf returns the scope of a salt, or an empty text for a text that is not a salt.
+func ScopeOf(salt string) string {
+	fields := strings.SplitN(salt, "/", saltFields)
+	if len(fields) < saltFields {
+		return ""
+	}
+	return fields[saltFields-1]
 }
 
 // WeightsOf returns the model and the weight version of a salt. They are empty and 0
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -138,7 +138,7 @@
 // timeout. Submit returns false for a command of another package.
 func (a *Agents) Submit(command control.Command) bool {
 	switch c := command.(type) {
-	case control.ReadConfig, control.WriteConfig:
+	case control.ReadConfig, control.WriteConfig, control.WriteIsolation:
 		worker.Enqueue(a.options.Logger, a.configCommands, command)
 	case control.SessionCommand:
 		worker.Enqueue(a.options.Logger, a.sessionCommands, c)
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -84,7 +84,8 @@
 	a.reportConfig(current, true, startedAt)
 }
 
-// runConfigCommands executes commands that read or repair the configuration.
+// runConfigCommands executes commands that read or repair the configuration or write the
+// record of the isolated organisations.
 func (a *Agents) runConfigCommands(ctx context.Context) {
 	if !a.awaitQuarantineRead(ctx) {
 		return
@@ -94,11 +95,14 @@
 		case <-ctx.Done():
 			return
 		case command := <-a.configCommands:
-			if write, ok := command.(control.WriteConfig); ok {
-				a.repairConfig(ctx, write)
-				continue
+			switch c := command.(type) {
+			case control.WriteConfig:
+				a.repairConfig(ctx, c)
+			case control.WriteIsolation:
+				a.writeIsolation(ctx, c)
+			default:
+				_, _ = a.readConfig(ctx)
 			}
-			_, _ = a.readConfig(ctx)
 		}
 	}
 }
@@ -129,6 +133,16 @@
 	eventlog.Write(a.options.Logger, event.ConfigRepaired, nil, fields...)
 }
 
+// writeIsolation writes the record of the isolated organisations. A node that finds that
+// another one wrote it sees the result in the entries.
+func (a *Agents) writeIsolation(ctx context.Context, command control.WriteIsolation) {
+	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+	defer cancel()
+	if err := confkv.WriteIsolation(ctx, a.options.Service, command); err != nil && err.Code != code.CompareFailed {
+		a.logCallFailure("write isolated organisations", err)
+	}
+}
+
 // reportConfig parses a configuration and reports it. A configuration that
 // cannot be parsed is reported without rules, so that the control thread knows
 // its version.
--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -50,6 +50,8 @@
 	nodeMemoryBytes int64
 	// unfenced is true when the servers do not enforce fencing tokens.
 	unfenced bool
+	// isolated is true when the tenant shares no cached parts with others.
+	isolated bool
 	// callTimeout is the time limit of the routes.
 	callTimeout time.Duration
 	cleanups    []func()
@@ -80,7 +82,7 @@
 	s.version += 3
 	s.store.Configure(deployed.Configuration{
 		Version: s.version, Host: testHost, Timeout: s.callTimeout, TargetLatency: 500 * time.Millisecond, Tenant: "derwent", Keys: keys,
-		CacheStoreAddress: s.cacheStore,
+		CacheStoreAddress: s.cacheStore, Isolated: s.isolated,
 	})
 }
 
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -1,6 +1,6 @@
-// Package registry follows the entries of servers, nodes, the order issuer and
-// named weights in the key-value service and reports them to the control thread.
-// It makes no decisions.
+// Package registry follows the entries of servers, nodes, the order issuer, named
+// weights and the record of the isolated organisations in the key-value service and
+// reports them to the control thread. It makes no decisions.
 package registry
 
 import (
@@ -86,6 +86,7 @@
 		{registry: r, prefix: orders.KeyIssuer},
 		{registry: r, prefix: r.options.WeightsPrefix},
 		{registry: r, prefix: orders.PrefixMarks},
+		{registry: r, prefix: confkv.KeyIsolation},
 	}
 	var group sync.WaitGroup
 	for i := range followers {
@@ -115,6 +116,9 @@
 	if prefix == orders.KeyIssuer && len(entries) == 0 {
 		r.applyIssuer(kv.Change{Deleted: true})
 	}
+	if prefix == confkv.KeyIsolation && !listed[confkv.KeyIsolation] {
+		r.applyIsolation(kv.Change{Deleted: true})
+	}
 }
 
 // apply applies one change, or an entry of a list of all entries when listed is true.
@@ -132,6 +136,8 @@
 		r.applyIssuer(change)
 	case strings.HasPrefix(key, orders.PrefixMarks):
 		r.applyMark(change)
+	case key == confkv.KeyIsolation:
+		r.applyIsolation(change)
 	}
 }
 
@@ -228,6 +234,22 @@
 	worker.Tell(r.options.Control, r.options.Logger, control.Message(seen))
 }
 
+// applyIsolation reports the record of the isolated organisations, or that there is none.
+// A record that cannot be decoded is reported as one without content, so that a node that
+// knows the isolated organisations replaces it.
+func (r *Registry) applyIsolation(change kv.Change) {
+	seen := control.IsolationSeen{}
+	if !change.Deleted {
+		record, err := confkv.DecodeIsolation(change.Entry)
+		if err != nil {
+			r.logRejected(change.Entry, err)
+			record.Revision = uint64(change.Entry.Revision)
+		}
+		seen = record
+	}
+	worker.Tell(r.options.Control, r.options.Logger, control.Message(seen))
+}
+
 // logRejected logs an entry that could not be decoded, unless an earlier revision of it
 // was logged.
 func (r *Registry) logRejected(entry kv.Entry, err *code.Error) {
--- a/standin/deployed/operator.go
+++ b/standin/deployed/operator.go
@@ -27,6 +27,8 @@
 	Tenant        string
 	// Keys are the valid API keys of the tenant.
 	Keys []string
+	// Isolated is true when the tenant shares no cached parts with others.
+	Isolated bool
 	// CacheStoreAddress is the address of a managed cache store; empty means that
 	// there is none.
 	CacheStoreAddress string
@@ -74,7 +76,7 @@
 	}
 	s.Put("op/config", map[string]any{
 		"version": c.Version, "routes": c.routes(), "services": services,
-		"tenants": []map[string]any{{"name": c.Tenant, "api_keys": c.Keys}},
+		"tenants": []map[string]any{{"name": c.Tenant, "api_keys": c.Keys, "isolated": c.Isolated}},
 	})
 }
 
