--- a/core/config/routes.go
+++ b/core/config/routes.go
@@ -36,6 +36,7 @@
 // Route describes the forwarded calls of one host and path prefix.
 type Route struct {
 	Name string
+	// Host is in lower case and has no port.
 	Host string
 	// Prefix begins and ends with a slash.
 	Prefix string
