--- a/core/control/notice.go
+++ b/core/control/notice.go
@@ -11,6 +11,10 @@
 // server has turned away together do not come back together.
 const pauseJitter = 250 * time.Millisecond
 
+// maxOrderPause bounds how long an order waits for the state of an engine that wants
+// nothing from this node. A longer wait would occupy the load of the rollout.
+const maxOrderPause = time.Minute
+
 // serverNotice applies what the server of an attempt says about itself.
 func (s *State) serverNotice(now time.Time, m ServerNotice) {
 	req, ok := s.currentAttempt(m.Request, m.Attempt)
@@ -68,6 +72,19 @@
 	}
 }
 
+// orderPauseEnd returns until when the order of a paused engine waits for its state, and
+// whether the engine is paused.
+func (s *State) orderPauseEnd(id fleet.ServerID) (time.Time, bool) {
+	end, paused := s.pauseEnd(id)
+	if !paused {
+		return time.Time{}, false
+	}
+	if limit := s.servers[id].Chart.Entered.Add(maxOrderPause); limit.Before(end) {
+		end = limit
+	}
+	return end, true
+}
+
 // pauseEnd returns when a server that wants nothing from this node may be called again,
 // and whether it is paused.
 func (s *State) pauseEnd(id fleet.ServerID) (time.Time, bool) {
--- a/core/control/notice_test.go
+++ b/core/control/notice_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/order"
 	"tanagerspread/core/request"
 )
 
@@ -135,3 +136,16 @@
 		t.Errorf("reasons %v", reasons)
 	}
 }
+
+// TestOrderOfPausedEngineEnds guards against an order that counts as a load for as long as
+// a server wants no calls, which may be hours, so that the rollout stands still.
+func TestOrderOfPausedEngineEnds(t *testing.T) {
+	s := forwardState(t, 1)
+	engine := &order.Engine{ID: "m0"}
+	outstanding := &order.Order{Engine: engine}
+	s.pauseServer(testStart, s.servers["m0"], 3*time.Hour)
+	s.readEngineOfOrder(outstanding, testStart.Add(time.Second))
+	if limit := testStart.Add(maxOrderPause + s.orderParameters().MaxOrderTime); engine.CallInProgress || outstanding.Deadline.After(limit) || outstanding.Deadline.Before(testStart) {
+		t.Errorf("call in progress %v, deadline of the order %v, want none and at most %v", engine.CallInProgress, outstanding.Deadline, limit)
+	}
+}
--- a/core/control/orders.go
+++ b/core/control/orders.go
@@ -274,9 +274,9 @@
 
 // readEngineOfOrder reads the state of the engine of an order, unless a call of
 // the engine is in progress. While the engine wants nothing from this node, the read
-// waits and the order does not expire.
+// waits, and for the first maxOrderPause the order does not expire.
 func (s *State) readEngineOfOrder(o *order.Order, now time.Time) {
-	if end, paused := s.pauseEnd(o.Engine.ID); paused {
+	if end, paused := s.orderPauseEnd(o.Engine.ID); paused {
 		if deadline := end.Add(s.orderParameters().MaxOrderTime); o.Deadline.Before(deadline) {
 			o.Deadline = deadline
 		}
