Retry-After: a pause outlasts the entry of the server

When the entry of a server expired and was written again, the node took it for a new server and sent calls in the time for which the server wanted none. The pause of a removed server is now kept until its end and restored when the entry shows the same process.

--- a/core/control/notice.go
+++ b/core/control/notice.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"tanagerspread/core/event"
@@ -50,7 +51,10 @@
 // Afterwards the server is probed with one call at a time, so that the waiting calls do
 // not all go to the first server that wants calls again.
 func (s *State) pauseServer(now time.Time, server *fleet.Server, pause time.Duration) {
-	until := now.Add(pause + time.Duration(s.random.Int64N(int64(pauseJitter))))
+	s.pauseServerUntil(now, server, now.Add(pause+time.Duration(s.random.Int64N(int64(pauseJitter)))))
+}
+
+func (s *State) pauseServerUntil(now time.Time, server *fleet.Server, until time.Time) {
 	if server.Chart.Is(fleet.TagPaused) && server.Chart.TimeoutAt.After(until) {
 		return
 	}
@@ -64,6 +68,32 @@
 	}
 }
 
+// removedPause is the pause of a server whose entry is missing.
+type removedPause struct {
+	address     string
+	startedAtMS int64
+	until       time.Time
+}
+
+// rememberPause keeps the pause of a server that is removed, because its process may run
+// and its entry return.
+func (s *State) rememberPause(now time.Time, server *fleet.Server) {
+	maps.DeleteFunc(s.removedPauses, func(_ fleet.ServerID, pause removedPause) bool { return !now.Before(pause.until) })
+	if server.Chart.Is(fleet.TagPaused) && now.Before(server.Chart.TimeoutAt) {
+		s.removedPauses[server.ID] = removedPause{server.Address, server.StartedAtMS, server.Chart.TimeoutAt}
+	}
+}
+
+// restorePause pauses a server whose entry has returned until the end of its pause.
+// Another process has made no such request.
+func (s *State) restorePause(now time.Time, server *fleet.Server) {
+	pause, removed := s.removedPauses[server.ID]
+	delete(s.removedPauses, server.ID)
+	if removed && pause.address == server.Address && pause.startedAtMS == server.StartedAtMS && now.Before(pause.until) {
+		s.pauseServerUntil(now, server, pause.until)
+	}
+}
+
 // endPause lets the cache events of a server be read at once when another process
 // replaces the one that wanted no calls. The server is nil when there was none.
 func (s *State) endPause(now time.Time, server *fleet.Server) {
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -58,6 +58,7 @@
 
 func (s *State) removeServer(now time.Time, server *fleet.Server) {
 	s.recordOutdated(now, server)
+	s.rememberPause(now, server)
 	s.fireServerEvent(server, "remove", now)
 	delete(s.servers, server.ID)
 	s.recentPrefixes.DropServer(server.ID)
@@ -89,6 +90,9 @@
 	server.MaxConcurrency = vm.MaxConcurrency
 	server.StartedAtMS = vm.StartedAtMS
 	server.EntryRevision = vm.Revision
+	if !ok {
+		s.restorePause(now, server)
+	}
 	s.updateLeaving(now, server, vm.Leaving)
 }
 
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -84,6 +84,8 @@
 	rules          *config.Rules
 	requests       map[request.ID]*activeRequest
 	servers        map[fleet.ServerID]*fleet.Server
+	// removedPauses has the pauses of servers whose entries are missing.
+	removedPauses map[fleet.ServerID]removedPause
 	// serverList lists the servers by identifier.
 	serverList  []*fleet.Server
 	serverIndex fleet.Index
@@ -182,6 +184,7 @@
 		requests:        map[request.ID]*activeRequest{},
 		drains:          map[request.Class]*limits.Drain{},
 		servers:         map[fleet.ServerID]*fleet.Server{},
+		removedPauses:   map[fleet.ServerID]removedPause{},
 		stores:          map[fleet.ServerID]*fleet.Store{},
 		recentPrefixes:  placement.NewRecentPrefixes(),
 		partIndex:       placement.NewPartIndex(),
