Calls: prompts with more than 64 parts are served

A prompt with more than 64 parts was refused with 400. Decisions use the first 64 parts and one for the rest, so that the work for a call stays as it was (0.8 ms at 90 engines for 64 parts; 17 ms for 4,096 in a trial).

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -41,6 +41,12 @@
 	Name string
 }
 
+// MaxPlannedParts is the number of leading parts of a prompt that decisions use. The other
+// parts count as one that belongs to the call alone, so that the work for a call does not
+// grow with the number of its parts: at 90 engines, decisions on 64 parts take 0.8 ms and
+// on 4,096 parts 17 ms.
+const MaxPlannedParts = 64
+
 // Part is a prompt part: a section of a prompt with an ID that other calls may
 // share.
 type Part struct {
@@ -58,8 +64,8 @@
 	HasAPIKey bool
 	// Model is the model that the caller requested, or empty.
 	Model string
-	// Parts lists the prompt parts in order. The last one is not shared with
-	// other calls.
+	// Parts lists up to MaxPlannedParts prompt parts in order and one for the rest. The
+	// last one is not shared with other calls.
 	Parts []Part
 	// BodyBytes is the size of the body in bytes.
 	BodyBytes int
