Mirror: nodes leave a source that is cut off from the store in time

A node that copies the entries from another one waited until its own wait of 1.5 s had passed after that node had given up its watch of the store (after 2.25 s of a contact time of 3 s): up to 3.75 s, when drain_ms is 2000.

--- a/node/mirror/follow.go
+++ b/node/mirror/follow.go
@@ -23,8 +23,10 @@
 	// batchDelay is the pause between two watches, so that one watch returns all
 	// changes of a burst.
 	batchDelay = 100 * time.Millisecond
-	// peerCopyWait is the time that a peer waits for a change before it responds.
-	peerCopyWait = 1500 * time.Millisecond
+	// peerCopyWait is the time that a peer waits for a change before it responds. A peer
+	// that does not respond is left soon enough after it that a server that leaves gets
+	// nothing two seconds after the service accepted its leaving.
+	peerCopyWait = 800 * time.Millisecond
 	// peerRetryInterval is the time after which a peer that did not respond is asked
 	// again; the service is watched until then.
 	peerRetryInterval = 10 * time.Second
--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -19,6 +19,11 @@
 // earlier ones.
 const maxTombstones = 4096
 
+// lossGrace is how long after a failed call to the source the copies of the mirror wait
+// for a successful one. A call that fails once is repeated at once, and copies that all
+// turned to the service for it would add to its load.
+const lossGrace = 150 * time.Millisecond
+
 // entry is the latest state of one key. A deleted entry is a tombstone.
 type entry struct {
 	kv.Entry
@@ -44,6 +49,10 @@
 	// a call last succeeded after a failed one.
 	unreachable bool
 	recoveredAt time.Time
+	// lost is true while the source has been unreachable for lossGrace, which lossTimer
+	// measures.
+	lost      bool
+	lossTimer *time.Timer
 }
 
 // New returns an empty mirror.
@@ -107,14 +116,32 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case err != nil:
+	case err != nil && !m.unreachable:
 		m.unreachable = true
-	case m.unreachable:
+		m.lossTimer = time.AfterFunc(lossGrace, m.recordLoss)
+	case err == nil && m.unreachable:
 		m.unreachable = false
+		m.lost = false
+		m.lossTimer.Stop()
 		m.recoveredAt = time.Now()
 	}
 }
 
+// recordLoss ends the waits of the copies, which need another source.
+func (m *Mirror) recordLoss() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lost = m.unreachable
+	m.notifyWatchers()
+}
+
+// isLost reports whether the source has been unreachable for lossGrace.
+func (m *Mirror) isLost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost
+}
+
 // RecoveredAt returns when the source was last reached again after it had been
 // unreachable, or zero.
 func (m *Mirror) RecoveredAt() time.Time {
@@ -219,11 +246,11 @@
 
 // Copy returns what a copy of this mirror lacks: the changes after a revision,
 // for which it waits up to wait, or all entries and snapshot true when the
-// revision is 0 or deletions after it were forgotten. It returns code.KeyValueAway when the last call to the source
-// of the mirror failed.
+// revision is 0 or deletions after it were forgotten. It returns code.KeyValueAway when
+// the last call to the source of the mirror failed, and ends its wait lossGrace after that.
 func (m *Mirror) Copy(ctx context.Context, after kv.Revision, wait time.Duration) (changes []kv.Change, at kv.Revision, snapshot bool, _ *code.Error) {
 	if after > 0 {
-		changes, at, err := m.Watch(ctx, "", after, wait)
+		changes, at, err := m.watch(ctx, "", after, wait, m.isLost)
 		if err == nil {
 			err = m.checkUpToDate()
 		}
@@ -257,6 +284,12 @@
 // returns code.HistoryGone when deletions after the revision were forgotten; the caller
 // must then list again.
 func (m *Mirror) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Change, kv.Revision, *code.Error) {
+	return m.watch(ctx, prefix, after, wait, func() bool { return false })
+}
+
+// watch is Watch, whose wait ends without a change when isOver reports true after
+// notifyWatchers was called.
+func (m *Mirror) watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration, isOver func() bool) ([]kv.Change, kv.Revision, *code.Error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -267,6 +300,9 @@
 		if len(changes) > 0 {
 			return changes, at, nil
 		}
+		if isOver() {
+			return nil, max(after, at), nil
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
