--- a/core/control/state.go
+++ b/core/control/state.go
@@ -90,6 +90,8 @@
 	rules          *config.Rules
 	requests       map[request.ID]*activeRequest
 	servers        map[fleet.ServerID]*fleet.Server
+	// removedPauses has the pauses of servers whose entries are missing.
+	removedPauses map[fleet.ServerID]removedPause
 	// serverList lists the servers by identifier.
 	serverList  []*fleet.Server
 	serverIndex fleet.Index
@@ -175,9 +177,10 @@
 	recordTracker   *once.Tracker
 	output          Output
 	members         *membership.Table
-	// configuration, session and digestRounds belong to the agents' part of
-	// the control state: config.go, session.go and members.go.
+	// configuration, isolation, session and digestRounds belong to the agents' part
+	// of the control state: config.go, isolation.go, session.go and members.go.
 	configuration configuration
+	isolation     isolation
 	session       session
 	digestRounds  digestRounds
 }
@@ -195,6 +198,7 @@
 		evacuated:       map[fleet.Domain]bool{},
 		division:        shares.Whole(),
 		demandElsewhere: shares.Demand{},
+		removedPauses:   map[fleet.ServerID]removedPause{},
 		stores:          map[fleet.ServerID]*fleet.Store{},
 		recentPrefixes:  placement.NewRecentPrefixes(),
 		partIndex:       placement.NewPartIndex(),
@@ -226,6 +230,7 @@
 	s.configuration.startedAt = now
 	s.randomizeReadAge()
 	s.session.chart = s.charts.session.Start(now)
+	s.isolation.chart = s.charts.isolation.Start(now)
 	s.orders.issuer.Parameters = options.OrderParameters
 	if options.OrderParameters.LeaseTTL == 0 {
 		s.orders.issuer.Parameters = order.OwnParameters()
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -92,8 +92,8 @@
 
 const (
 	// MaxRetryAfter bounds RetryAfter, so that a wrong value does not keep a server out
-	// of use for long. After it the server is probed with one call.
-	MaxRetryAfter = time.Minute
+	// of use until the node restarts. After it the server is probed with one call.
+	MaxRetryAfter = time.Hour
 	// InvalidRetryAfter is the RetryAfter of a response whose header is not a number of
 	// seconds.
 	InvalidRetryAfter time.Duration = -1
