core/quarantine: a broken connection alone quarantines no request

A request was quarantined for 24 h on all nodes as soon as it was in progress at two servers whose connections broke, also at one moment and although the servers went on serving.

Whole requests now have the protections of prompt parts: crashes within 60 ms count once, a response of the server at any node within 1.5 s disproves a crash, and a completed run clears. A request that was served lately needs five crashes in a row and is then paused for 2 s; any other quarantine lasts 10 min. A trial ends both, and the node that sees the response deletes the stored key. The states are in the chart poison-request. Digests state the time left of an entry in milliseconds, because crashes and clears are compared by their times.

TestRecordCrash and TestMergeEntry had two crashes at one moment count twice and a quarantine that no run clears. They now crash at different moments, and TestNoCrash and TestQuarantineEnds check the new rules. In TestLateSuspicionAfterClear a clear is compared with the time of the crash instead of hiding all crashes for 30 s.

--- a/core/control/active.go
+++ b/core/control/active.go
@@ -81,8 +81,8 @@
 	blockImport *transfer
 	// survived is true once the server has shown that the call does not crash it.
 	survived bool
-	// crashRecorded is true when the crash of the server has been recorded.
-	crashRecorded bool
+	// crashRecordedAt is when a crash of the server was last recorded, or zero.
+	crashRecordedAt time.Time
 	// workUntil is when the engine was told to stop working on the call because of
 	// its weights, or zero.
 	workUntil time.Time
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -111,7 +111,7 @@
 func (s *State) firstToken(now time.Time, m FirstToken) {
 	if req, ok := s.currentAttempt(m.Request, m.Attempt); ok {
 		s.fireAttemptEvent(req, "receive", now)
-		req.attempt.server.LastResponseAt = now
+		s.recordResponse(now, req.attempt.server)
 		s.observeSpeed(req, m.Elapsed)
 		s.observeFirstTokenDelay(now, req, m.Elapsed)
 		s.releasePrefill(req.attempt)
@@ -235,7 +235,7 @@
 	if req.Call == nil {
 		s.retryBudgets.Credit(req.organisation)
 	}
-	s.clearSuspicion(now, req)
+	s.recordServed(now, req)
 	s.considerExport(now, req, server)
 	req.responded = true
 	s.reply(req.ID, Deliver{Record: req.atMostOnce()})
--- a/core/control/capacity_bench_test.go
+++ b/core/control/capacity_bench_test.go
@@ -154,11 +154,14 @@
 // BenchmarkFullQuarantine measures the check of a full quarantine list for
 // expired entries, which each tick makes.
 func BenchmarkFullQuarantine(b *testing.B) {
-	list := quarantine.NewList()
+	list, err := quarantine.NewList(chart.Embedded(), testStart)
+	if err != nil {
+		b.Fatal(err)
+	}
 	fillQuarantine(list, 4096)
 	b.ResetTimer()
 	for range b.N {
-		list.Expire(testStart)
+		list.Review(testStart, nil)
 	}
 }
 
@@ -191,7 +194,10 @@
 			exports.RecordExported(testStart, []cachekey.Key{key(i)})
 		}
 		exported := heapBytes()
-		list := quarantine.NewList()
+		list, err := quarantine.NewList(chart.Embedded(), testStart)
+		if err != nil {
+			b.Fatal(err)
+		}
 		fillQuarantine(list, count)
 		quarantined := heapBytes()
 		members := membership.NewTable(benchMember(0))
--- a/core/control/parts.go
+++ b/core/control/parts.go
@@ -14,8 +14,6 @@
 	// crashConfirmationTime is how long a broken connection is held back as a sign of a
 	// crash. A server that responds in that time did not crash.
 	crashConfirmationTime = 200 * time.Millisecond
-	// inFlightMargin is how long after a crash responses that were on their way may arrive.
-	inFlightMargin = 50 * time.Millisecond
 	// maxPartsPause is the longest time between two ticks after which the node counts as
 	// paused.
 	maxPartsPause = 200 * time.Millisecond
@@ -36,7 +34,7 @@
 func (s *State) recordPartOutcome(now time.Time, req *activeRequest, m AttemptDone) {
 	attempt := req.attempt
 	if m.Outcome == Succeeded || m.Outcome == Rejected && !m.OtherServer {
-		attempt.server.LastResponseAt = now
+		s.recordResponse(now, attempt.server)
 	}
 	if len(req.sharedParts()) == 0 {
 		return
@@ -119,9 +117,15 @@
 // isAlive reports whether a server did not crash at a time: it responded later, or a
 // call of this node that was sent before is still in progress there.
 func (s *State) isAlive(server *fleet.Server, at time.Time) bool {
-	if server.LastResponseAt.After(at.Add(inFlightMargin)) {
+	if server.LastResponseAt.After(at.Add(quarantine.InFlightMargin)) {
 		return true
 	}
+	return s.hasOlderRun(server, at)
+}
+
+// hasOlderRun reports whether a call of this node that was sent before a time is still in
+// progress at a server.
+func (s *State) hasOlderRun(server *fleet.Server, at time.Time) bool {
 	for _, req := range s.requests {
 		if req.attempt != nil && req.attempt.server == server && isRunning(req.attempt) && req.attempt.startedAt.Before(at) {
 			return true
--- a/core/control/parts_fleet_test.go
+++ b/core/control/parts_fleet_test.go
@@ -75,8 +75,15 @@
 	calls          int
 	// crashes has the times of the crashes under partCulprit.
 	crashes []time.Time
-	// late counts calls with partCulprit that reach servers after the limit.
-	late int
+	// limitCrashes is the number of crashes after which, and partContactTime, the limit is
+	// reached. late counts calls with partCulprit, or poisonous ones, that reach servers then.
+	limitCrashes, late int
+	// resetShare is the share of its responses that a server resets, served the number of
+	// calls that got their response.
+	resetShare map[fleet.ServerID]float64
+	served     int
+	// maxWork is the longest time from the first event of a response to its end.
+	maxWork time.Duration
 	// lossRate is the share of messages between nodes that are lost.
 	lossRate float64
 	// sound and begun count the sound calls since the limit and those that a server began
@@ -95,7 +102,7 @@
 
 func newCrashingFleet(t *testing.T, nodes, servers int, seed uint64) *crashingFleet {
 	x := &crashingFleet{
-		t: t, now: testStart, rules: forwardRules(), random: rand.New(rand.NewPCG(seed, uint64(nodes))), ids: map[string]int{}, servers: map[fleet.ServerID]bool{},
+		t: t, limitCrashes: 5, maxWork: 2 * time.Second, now: testStart, rules: forwardRules(), random: rand.New(rand.NewPCG(seed, uint64(nodes))), ids: map[string]int{}, servers: map[fleet.ServerID]bool{},
 		running: map[request.ID]*crashCall{}, later: map[int][]func(){}, blamed: map[quarantine.PartID]bool{}, refused: map[code.Code]int{},
 	}
 	for i := range nodes {
@@ -169,6 +176,9 @@
 		if refusal, ok := reply.Decision.(Refusal); ok {
 			x.refused[refusal.Err.Code]++
 		}
+		if _, ok := reply.Decision.(Deliver); ok {
+			x.served++
+		}
 		if d, ok := reply.Decision.(Dispatch); ok {
 			x.after(0, func() { x.dial(node, reply.To, d) })
 		}
@@ -204,7 +214,7 @@
 	if !inProgress || req.attempt == nil || !isRunning(req.attempt) {
 		return
 	}
-	call := &crashCall{node: node, server: d.Server, attempt: d.Attempt, culprit: req.hasPart(partCulprit)}
+	call := &crashCall{node: node, server: d.Server, attempt: d.Attempt, culprit: req.hasPart(partCulprit) || req.BodyDigest == poisonDigest}
 	x.running[id] = call
 	if call.culprit && x.pastLimit() {
 		x.late++
@@ -222,11 +232,16 @@
 		x.crash(call.server)
 		return
 	}
+	if x.random.Float64() < x.resetShare[call.server] {
+		delete(x.running, id)
+		x.handle(call.node, AttemptDone{Request: id, Attempt: call.attempt, Outcome: Lost, ConnectionBroken: true, Cause: code.New(code.BackendLost, "")})
+		return
+	}
 	if countsAsBegun && x.pastLimit() {
 		x.begun++
 	}
 	x.handle(call.node, FirstToken{Request: id, Attempt: call.attempt, Elapsed: partStep})
-	x.after(time.Duration(x.random.Int64N(int64(2*time.Second))), func() {
+	x.after(time.Duration(x.random.Int64N(int64(x.maxWork))), func() {
 		if x.running[id] == call {
 			delete(x.running, id)
 			x.handle(call.node, AttemptDone{Request: id, Attempt: call.attempt, Outcome: Succeeded, Answered: true})
@@ -234,9 +249,9 @@
 	})
 }
 
-// pastLimit reports whether partContactTime has passed since the fifth crash.
+// pastLimit reports whether partContactTime has passed since the crash of the limit.
 func (x *crashingFleet) pastLimit() bool {
-	return len(x.crashes) >= 5 && x.now.Sub(x.crashes[4]) > partContactTime
+	return len(x.crashes) >= x.limitCrashes && x.now.Sub(x.crashes[x.limitCrashes-1]) > partContactTime
 }
 
 // play sends a call at each node every interval, one of culpritEvery with partCulprit, and
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -145,7 +145,7 @@
 		return limits.Skipped
 	}
 	suspect := s.quarantine.IsSuspect(req.fingerprint)
-	if suspect && s.suspectMustWait(now, req) {
+	if s.suspectMustWait(now, req) {
 		return limits.Skipped
 	}
 	choice := s.policy.Pick(now, s.query(req), s.view(now, req, suspect))
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -191,7 +191,6 @@
 		retryBudgets:    retry.NewBudgets(),
 		repeatWindows:   retry.NewRepeatLimiter(options.RepeatLimit, now),
 		serverIndex:     fleet.Index{ByService: options.Forwarding},
-		quarantine:      quarantine.NewList(),
 		exports:         kvcache.NewExports(),
 		runningExports:  map[request.ID]*transfer{},
 		suspectAttempts: map[quarantine.Fingerprint]int{},
@@ -230,6 +229,9 @@
 	if s.recordTracker, err = once.NewTracker(s.options.Charts); err != nil {
 		return err
 	}
+	if s.quarantine, err = quarantine.NewList(s.options.Charts, now); err != nil {
+		return err
+	}
 	s.parts, err = quarantine.NewPartLedger(s.options.Charts, s.random, now)
 	return err
 }
@@ -325,7 +327,7 @@
 	s.countContenders(now)
 	s.tickOrders(now)
 	s.expireTransfers(now)
-	s.quarantine.Expire(now)
+	s.reviewQuarantine(now)
 	s.sendQuarantine(now)
 	s.tickParts(now)
 	s.stopLateStarts(now)
--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -27,7 +27,7 @@
 // recordServerCrash records the crash of a server once for all requests that this
 // node had running there.
 func (s *State) recordServerCrash(now time.Time, attempt *activeAttempt) {
-	if attempt.crashRecorded {
+	if now.Sub(attempt.crashRecordedAt) < quarantine.SameCrashTime {
 		return
 	}
 	s.recentPrefixes.DropServer(attempt.server.ID)
@@ -35,7 +35,7 @@
 	running := s.requestsOnServer(attempt)
 	var runs []quarantine.Run
 	for _, req := range running {
-		req.attempt.crashRecorded = true
+		req.attempt.crashRecordedAt = now
 		runs = append(runs, quarantine.Run{Fingerprint: req.fingerprint, StartedAt: req.attempt.startedAt})
 	}
 	changed := s.quarantine.RecordCrash(now, attempt.server.ID, runs)
@@ -138,17 +138,43 @@
 	s.assignQueued(now)
 }
 
-// clearSuspicion clears the suspicion against a request that ran to completion.
-func (s *State) clearSuspicion(now time.Time, req *activeRequest) {
-	if s.quarantine.Clear(now, req.fingerprint) {
-		s.publishQuarantine(now, []quarantine.Entry{{Fingerprint: req.fingerprint, Kind: quarantine.Cleared}})
+// recordServed records that a request ran to completion, which clears it.
+func (s *State) recordServed(now time.Time, req *activeRequest) {
+	if changed := s.quarantine.RecordServed(now, req.fingerprint); len(changed) > 0 {
+		s.publishQuarantine(now, changed)
+	}
+}
+
+// recordResponse records a response of a server, which did not crash shortly before.
+func (s *State) recordResponse(now time.Time, server *fleet.Server) {
+	server.LastResponseAt = now
+	if changed := s.quarantine.RecordResponse(now, server.ID); len(changed) > 0 {
+		s.publishQuarantine(now, changed)
+	}
+}
+
+// reviewQuarantine quarantines the requests that were in progress in several crashes. A
+// server at which a call goes on that was sent before did not crash.
+func (s *State) reviewQuarantine(now time.Time) {
+	changed := s.quarantine.Review(now, func(id fleet.ServerID, at time.Time) bool {
+		server, listed := s.servers[id]
+		return listed && s.hasOlderRun(server, at)
+	})
+	if len(changed) > 0 {
+		s.publishQuarantine(now, changed)
 	}
 }
 
 // suspectMustWait reports whether a suspect may not run yet because a request of
-// the same fingerprint runs or other nodes may not have learned yet that it is
-// suspect.
+// the same fingerprint runs, other nodes may not have learned yet that it is
+// suspect, or it is being decided whether it is quarantined.
 func (s *State) suspectMustWait(now time.Time, req *activeRequest) bool {
+	if s.quarantine.IsHeld(req.fingerprint) {
+		return true
+	}
+	if !s.quarantine.IsSuspect(req.fingerprint) {
+		return false
+	}
 	unpropagated := s.options.Agents && now.Sub(s.quarantine.SuspectSince(req.fingerprint)) < suspicionPropagationTime
 	return unpropagated || s.suspectAttempts[req.fingerprint] > 0
 }
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -2,23 +2,31 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io/fs"
 	"sort"
 	"time"
 
+	"tanagerspread/chart"
 	"tanagerspread/core/fleet"
 )
 
 const (
-	// SuspicionTTL is how long a fingerprint stays suspect.
+	// SuspicionTTL is how long a fingerprint stays suspect after a crash.
 	SuspicionTTL = 10 * time.Minute
-	// QuarantineTTL is how long a fingerprint stays quarantined.
-	QuarantineTTL = 24 * time.Hour
-	// ClearedTTL is how long a node ignores a peer's suspicion of a fingerprint after
-	// it was cleared. It is longer than a message between peers takes, so that a late
-	// copy does not make the fingerprint suspect again.
+	// QuarantineTTL is the longest time for which a fingerprint stays quarantined.
+	QuarantineTTL = 10 * time.Minute
+	// ClearedTTL is how long after a run was served, or after a response of a server, peers
+	// are told of it.
 	ClearedTTL = 30 * time.Second
-	// maxCleared bounds the cleared fingerprints that a node remembers.
-	maxCleared = 4096
+	// neededCrashes is the number of crashes after which a fingerprint is quarantined,
+	// neededThoughServed that for one which was served lately. Of 100 servers that reset 45
+	// of 100 responses, two resets in a row are common, and five are rare.
+	neededCrashes      = 2
+	neededThoughServed = 5
+	// learnedPauseShare is by how much longer other nodes pause a fingerprint than the one
+	// that paused it, so that this node tries it first.
+	learnedPauseShare = 0.5
 	// maxSuspects bounds the suspect fingerprints that a node remembers.
 	maxSuspects = 4096
 	// maxQuarantined bounds the quarantined fingerprints of a node.
@@ -27,29 +35,45 @@
 	MaxDigestEntries = 64
 )
 
+// The tags of the chart "poison-request".
+const (
+	// tagRefusesRuns marks fingerprints whose runs are refused.
+	tagRefusesRuns chart.Tag = "refuses_runs"
+	// tagLasting marks those of them that the key-value service keeps.
+	tagLasting chart.Tag = "lasting"
+	// tagHeld marks fingerprints whose runs wait for a decision.
+	tagHeld chart.Tag = "held"
+	// tagOnTrial marks fingerprints that were quarantined and are run again, one at a time.
+	tagOnTrial chart.Tag = "on_trial"
+)
+
 // Kind is the state of a fingerprint.
 type Kind int
 
 // The kinds of entries.
 const (
-	// Suspect fingerprints were running on a server when it crashed.
+	// Suspect fingerprints were running on a server when it seemed to crash.
 	Suspect Kind = iota + 1
-	// Quarantined fingerprints crashed two servers and must not run.
+	// Quarantined fingerprints crashed servers and must not run.
 	Quarantined
-	// Cleared fingerprints were suspect and then ran without a crash. They are
-	// remembered for ClearedTTL.
+	// Cleared fingerprints were served, or with a server, that server did not crash.
 	Cleared
 )
 
-// Entry is the state of one fingerprint as nodes exchange it.
+// Entry is what nodes tell each other of one fingerprint.
 type Entry struct {
 	Fingerprint Fingerprint
 	Kind        Kind
 	// Server is the backend server whose crash made the fingerprint suspect or
-	// quarantined.
+	// quarantined. In a Cleared entry it is the server that did not crash, or empty when
+	// the fingerprint was served.
 	Server fleet.ServerID
-	// ExpiresAt is when the entry expires.
+	// ExpiresAt is when the entry expires: SuspicionTTL after the crash of a suspect, and
+	// ClearedTTL after the time of a clear.
 	ExpiresAt time.Time
+	// Stored is true when the key-value service may have the fingerprint. Nodes do not
+	// send it to each other.
+	Stored bool
 }
 
 // Run is one run of a fingerprint on a backend server.
@@ -59,33 +83,87 @@
 }
 
 // List holds the suspect and quarantined fingerprints of a node.
+//
+// A fingerprint is quarantined when it was in progress in several crashes, and neither was
+// it served nor did the servers respond since. Other nodes that see a response tell so.
 type List struct {
-	entries map[Fingerprint]learnedEntry
-	// cleared has the time until which a peer's suspicion of a fingerprint is ignored.
-	cleared     map[Fingerprint]time.Time
+	machine *chart.Machine[*poison]
+	entries map[Fingerprint]*poison
+	// served has the times at which fingerprints were served last, responded those of the
+	// last responses of servers.
+	served      proofs[Fingerprint]
+	responded   proofs[fleet.ServerID]
+	changed     []Entry
 	suspects    int
 	quarantined int
 }
 
-// learnedEntry is an entry with the time at which this node learned it.
-type learnedEntry struct {
-	Entry
-	learnedAt time.Time
+// poison is a fingerprint that may crash servers.
+type poison struct {
+	id      Fingerprint
+	chart   chart.Instance
+	crashes crashes
+	// learnedAt is when this node learned that the fingerprint is suspect, or of its
+	// quarantine.
+	learnedAt     time.Time
+	quarantinedAt time.Time
+	// learnedUntil is when a quarantine of another node expires.
+	learnedUntil time.Time
+	// server is the server of the last crash.
+	server fleet.ServerID
+	// stored is true when the fingerprint was quarantined for long.
+	stored bool
 }
 
-// NewList returns an empty list.
-func NewList() *List {
-	return &List{entries: map[Fingerprint]learnedEntry{}, cleared: map[Fingerprint]time.Time{}}
+// NewList returns an empty list. It returns an error when the chart cannot be loaded.
+func NewList(files fs.FS, now time.Time) (*List, error) {
+	l := &List{entries: map[Fingerprint]*poison{}, served: newProofs[Fingerprint](now), responded: newProofs[fleet.ServerID](now)}
+	def, err := chart.Load(files, "poison-request")
+	if err != nil {
+		return nil, err
+	}
+	l.machine, err = chart.NewMachine(def, chart.Bindings[*poison]{
+		Tags: []chart.Tag{tagRefusesRuns, tagLasting, tagHeld, tagOnTrial},
+		Guards: map[string]func(*poison, time.Time) bool{
+			"recurs":               func(p *poison, _ time.Time) bool { return l.recurs(p) },
+			"recurs_though_served": func(p *poison, _ time.Time) bool { return l.recurs(p) && p.crashes.hasOwn() && l.wasServed(p.id) },
+			"recurs_here":          func(p *poison, _ time.Time) bool { return l.recurs(p) && p.crashes.hasOwn() },
+			"crashed_here":         func(p *poison, _ time.Time) bool { return p.crashes.hasOwn() },
+			"lasts":                l.lasts,
+		},
+		Actions: map[string]func(*poison, time.Time){
+			"quarantine":  l.quarantine,
+			"start_trial": func(p *poison, _ time.Time) { p.crashes = nil },
+		},
+	})
+	if err != nil {
+		return nil, fmt.Errorf("bind chart: %w", err)
+	}
+	return l, nil
 }
 
 // IsQuarantined reports whether the fingerprint must not run.
 func (l *List) IsQuarantined(f Fingerprint) bool {
-	return l.entries[f].Kind == Quarantined
+	p := l.entries[f]
+	return p != nil && p.chart.Is(tagRefusesRuns)
 }
 
-// IsSuspect reports whether the fingerprint is suspect.
+// IsSuspect reports whether the fingerprint may run on its own only. One that was served
+// lately runs as usual until it is quarantined, because many callers may share it.
 func (l *List) IsSuspect(f Fingerprint) bool {
-	return l.entries[f].Kind == Suspect
+	p := l.entries[f]
+	return p != nil && l.runsAlone(p)
+}
+
+func (l *List) runsAlone(p *poison) bool {
+	return p.chart.Is(tagOnTrial) || !p.chart.Is(tagRefusesRuns) && !l.wasServed(p.id)
+}
+
+// IsHeld reports whether the fingerprint has to wait until it is decided whether it is
+// quarantined.
+func (l *List) IsHeld(f Fingerprint) bool {
+	p := l.entries[f]
+	return p != nil && p.chart.Is(tagHeld)
 }
 
 // SuspectSince returns when this node learned that the fingerprint is suspect,
@@ -97,139 +175,55 @@
 	return l.entries[f].learnedAt
 }
 
-// RecordCrash records the crash of a server that ran the given fingerprints and
-// returns the entries that changed. If exactly one of them was already suspect
-// because of an earlier crash, the crash is attributed to it: it is
-// quarantined, and the others stay as they are. Otherwise each fingerprint
-// becomes or stays suspect. Nothing changes when another node has already
-// attributed this crash.
-func (l *List) RecordCrash(now time.Time, server fleet.ServerID, running []Run) []Entry {
-	if cause, ok := l.attributeCrash(server, running); ok {
-		e := Entry{Fingerprint: cause, Kind: Quarantined, Server: server, ExpiresAt: now.Add(QuarantineTTL)}
-		l.put(now, e)
-		return []Entry{e}
-	}
-	if l.alreadyAttributed(server, running) {
-		return nil
-	}
-	var changed []Entry
-	for _, r := range running {
-		if _, listed := l.entries[r.Fingerprint]; listed {
-			continue
-		}
-		e := Entry{Fingerprint: r.Fingerprint, Kind: Suspect, Server: server, ExpiresAt: now.Add(SuspicionTTL)}
-		if l.put(now, e) {
-			changed = append(changed, e)
-		}
-	}
-	return changed
+// wasServed reports whether the fingerprint was served at this node, or at another one
+// that told so, in the last maxCrashAge or a little longer.
+func (l *List) wasServed(f Fingerprint) bool {
+	return !l.served.last(f).IsZero()
 }
 
-// alreadyAttributed reports whether a fingerprint was quarantined because of
-// this server after one of the runs started, so that the crash is already
-// attributed to it.
-func (l *List) alreadyAttributed(server fleet.ServerID, running []Run) bool {
-	for _, e := range l.entries {
-		if e.Kind != Quarantined || e.Server != server {
-			continue
-		}
-		for _, r := range running {
-			if !e.learnedAt.Before(r.StartedAt) {
-				return true
-			}
-		}
+// recurs reports whether the fingerprint was in progress in enough crashes.
+func (l *List) recurs(p *poison) bool {
+	needed := neededCrashes
+	if l.wasServed(p.id) {
+		needed = neededThoughServed
 	}
-	return false
+	return p.crashes.events() >= needed
 }
 
-// attributeCrash returns the fingerprint that was suspect because of an earlier
-// crash, and whether there is exactly one.
-func (l *List) attributeCrash(server fleet.ServerID, running []Run) (Fingerprint, bool) {
-	var suspect Fingerprint
-	count := 0
-	for _, r := range running {
-		if l.suspectOfEarlierCrash(server, r) && (count == 0 || r.Fingerprint != suspect) {
-			suspect = r.Fingerprint
-			count++
-		}
-	}
-	return suspect, count == 1
+// lasts reports whether a quarantine that was learned is longer than a pause.
+func (l *List) lasts(p *poison, now time.Time) bool {
+	return p.learnedUntil.Sub(now) > l.machine.Timeout(tagRefusesRuns)
 }
 
-// suspectOfEarlierCrash reports whether the fingerprint of the run is suspect
-// because of an earlier crash, and not because of a late report of the same
-// crash. The crash is another one when it is on another server, or when the run
-// started after this node learned of the suspicion.
-func (l *List) suspectOfEarlierCrash(server fleet.ServerID, r Run) bool {
-	if !l.IsSuspect(r.Fingerprint) {
-		return false
-	}
-	e := l.entries[r.Fingerprint]
-	return e.Server != server || r.StartedAt.After(e.learnedAt)
+// quarantine is the action of each transition with which this node quarantines a
+// fingerprint.
+func (l *List) quarantine(p *poison, now time.Time) {
+	p.quarantinedAt = now
+	p.learnedAt = now
+	p.stored = p.stored || p.chart.Is(tagLasting)
+	l.changed = append(l.changed, p.quarantineEntry())
 }
 
-// MergeEntry adds an entry from another node and reports whether it changed the
-// list. A quarantine replaces a suspicion; of two suspicions the first one is
-// kept, and none is added within ClearedTTL of a clear. The expiry is limited to the
-// one that this node would set itself.
-func (l *List) MergeEntry(now time.Time, e Entry) bool {
-	if e.Kind == Cleared {
-		return l.mergeClear(now, e.Fingerprint)
-	}
-	if e.Kind == Suspect && l.isCleared(now, e.Fingerprint) {
-		return false
-	}
-	ttl := SuspicionTTL
-	if e.Kind == Quarantined {
-		ttl = QuarantineTTL
-	}
-	if e.ExpiresAt.After(now.Add(ttl)) {
-		e.ExpiresAt = now.Add(ttl)
-	}
-	if !e.ExpiresAt.After(now) {
-		return false
-	}
-	before, listed := l.entries[e.Fingerprint]
-	if listed && (before.Kind == Quarantined || e.Kind != Quarantined) {
-		return false
-	}
-	return l.put(now, e)
+func (p *poison) quarantineEntry() Entry {
+	return Entry{Fingerprint: p.id, Kind: Quarantined, Server: p.server, ExpiresAt: p.chart.TimeoutAt, Stored: p.chart.Is(tagLasting)}
 }
 
-// Clear removes a suspect fingerprint that has run without a crash and reports
-// whether it was suspect.
-func (l *List) Clear(now time.Time, f Fingerprint) bool {
-	if !l.IsSuspect(f) {
-		return false
-	}
-	l.remove(f)
-	l.rememberClear(now, f)
-	return true
-}
-
-// mergeClear clears a fingerprint that another node cleared and reports whether this
-// is news. It is remembered also when the fingerprint is not suspect here, because the
-// message with the suspicion may arrive later.
-func (l *List) mergeClear(now time.Time, f Fingerprint) bool {
-	if l.IsQuarantined(f) {
-		return false
-	}
-	known := l.isCleared(now, f)
-	return l.Clear(now, f) || !known && l.rememberClear(now, f)
-}
-
-// rememberClear remembers a clear and reports whether there was room for it.
-func (l *List) rememberClear(now time.Time, f Fingerprint) bool {
-	if _, listed := l.cleared[f]; !listed && len(l.cleared) >= maxCleared {
-		return false
+// Review fires the expired timeouts and returns the entries that this node quarantined. It
+// forgets the crashes of this node's runs whose servers are alive. The caller must not keep
+// the slice.
+func (l *List) Review(now time.Time, isAlive func(server fleet.ServerID, at time.Time) bool) []Entry {
+	l.changed = l.changed[:0]
+	for _, p := range l.entries {
+		if p.chart.TimeoutAt.After(now) {
+			continue
+		}
+		p.crashes = p.crashes.without(func(c runCrash) bool { return c.own && isAlive(c.server, c.at) })
+		l.change(p, func() { _, _ = l.machine.Expire(&p.chart, p, now) })
+		if len(p.crashes) == 0 && !l.machine.IsFinal(&p.chart) && !p.chart.Is(tagRefusesRuns) && !p.chart.Is(tagOnTrial) {
+			l.fire(p, "clear", now)
+		}
 	}
-	l.cleared[f] = now.Add(ClearedTTL)
-	return true
-}
-
-// isCleared reports whether the fingerprint was cleared within ClearedTTL.
-func (l *List) isCleared(now time.Time, f Fingerprint) bool {
-	return now.Before(l.cleared[f])
+	return l.changed
 }
 
 // HasHighestWeight reports whether no suspect has a higher weight than the
@@ -237,35 +231,27 @@
 // agree on the one that may run there.
 func (l *List) HasHighestWeight(f Fingerprint, weight func(Fingerprint) uint64) bool {
 	own := weight(f)
-	for other, e := range l.entries {
-		if e.Kind == Suspect && weight(other) > own {
+	for other, p := range l.entries {
+		if weight(other) > own && l.runsAlone(p) {
 			return false
 		}
 	}
 	return true
 }
 
-// Expire removes the entries and the clears that have expired.
-func (l *List) Expire(now time.Time) {
-	for f, until := range l.cleared {
-		if !now.Before(until) {
-			delete(l.cleared, f)
-		}
-	}
-	for f, e := range l.entries {
-		if !e.ExpiresAt.After(now) {
-			l.remove(f)
-		}
-	}
-}
-
 // DigestEntries returns the entries to gossip to a peer, at most
 // MaxDigestEntries: quarantined ones first, then suspects, each with the
 // latest expiry first.
 func (l *List) DigestEntries() []Entry {
 	out := make([]Entry, 0, len(l.entries))
-	for _, e := range l.entries {
-		out = append(out, e.Entry)
+	for _, p := range l.entries {
+		if p.chart.Is(tagRefusesRuns) {
+			out = append(out, p.quarantineEntry())
+			continue
+		}
+		for _, c := range p.crashes {
+			out = append(out, c.entry(p.id))
+		}
 	}
 	sort.Slice(out, func(i, j int) bool { return digestOrder(out[i], out[j]) })
 	return out[:min(len(out), MaxDigestEntries)]
@@ -286,27 +272,43 @@
 	return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) < 0
 }
 
-// put stores an entry and reports whether it did. It does not when the number
-// of entries of its kind has reached the limit.
-func (l *List) put(now time.Time, e Entry) bool {
-	if e.Kind == Quarantined && l.quarantined >= maxQuarantined || e.Kind == Suspect && l.suspects >= maxSuspects {
-		return false
+// add returns the entry of a fingerprint, which may be a new suspect. It returns nil when
+// there are too many suspects.
+func (l *List) add(now time.Time, f Fingerprint) *poison {
+	if p := l.entries[f]; p != nil {
+		return p
 	}
-	l.remove(e.Fingerprint)
-	l.entries[e.Fingerprint] = learnedEntry{Entry: e, learnedAt: now}
-	l.updateCounts(e, 1)
-	return true
+	if l.suspects >= maxSuspects {
+		return nil
+	}
+	return l.start(now, f)
+}
+
+func (l *List) start(now time.Time, f Fingerprint) *poison {
+	p := &poison{id: f, chart: l.machine.Start(now), learnedAt: now}
+	l.entries[f] = p
+	l.suspects++
+	return p
 }
 
-func (l *List) remove(f Fingerprint) {
-	if e, listed := l.entries[f]; listed {
-		l.updateCounts(e.Entry, -1)
-		delete(l.entries, f)
+// fire applies an event. One that the chart refuses changes nothing.
+func (l *List) fire(p *poison, event chart.Event, now time.Time) {
+	l.change(p, func() { _ = l.machine.Fire(&p.chart, p, event, now) })
+}
+
+// change lets an entry change its state and keeps the counts up to date.
+func (l *List) change(p *poison, apply func()) {
+	l.count(p, -1)
+	apply()
+	if l.machine.IsFinal(&p.chart) {
+		delete(l.entries, p.id)
+		return
 	}
+	l.count(p, 1)
 }
 
-func (l *List) updateCounts(e Entry, change int) {
-	if e.Kind == Quarantined {
+func (l *List) count(p *poison, change int) {
+	if p.chart.Is(tagRefusesRuns) {
 		l.quarantined += change
 		return
 	}
--- a/core/quarantine/partcrash.go
+++ b/core/quarantine/partcrash.go
@@ -38,9 +38,9 @@
 }
 
 const (
-	// sameCrashTime is the longest time between two broken connections of one crash. A
+	// SameCrashTime is the longest time between two broken connections of one crash. A
 	// server that comes back under its id takes longer.
-	sameCrashTime = 1500 * time.Millisecond
+	SameCrashTime = 1500 * time.Millisecond
 	// simultaneousTime is the longest time between crashes that may have one cause.
 	simultaneousTime = 60 * time.Millisecond
 	// maxCrashAge is how long after a crash a report of it counts. Proofs are remembered
@@ -52,7 +52,7 @@
 
 // isSameCrash reports whether two broken connections belong to one crash of a server.
 func (c PartCrash) isSameCrash(other PartCrash) bool {
-	return c.Server == other.Server && c.BrokeAt.Sub(other.BrokeAt).Abs() < sameCrashTime
+	return c.Server == other.Server && c.BrokeAt.Sub(other.BrokeAt).Abs() < SameCrashTime
 }
 
 // isRecent reports whether a crash is not too old to count.
--- a/core/quarantine/partledger.go
+++ b/core/quarantine/partledger.go
@@ -93,7 +93,7 @@
 	parts   map[PartID]*part
 	// refused has the parts whose calls are refused.
 	refused map[PartID]*part
-	proofs  proofs
+	proofs  proofs[PartID]
 	rate    breakRate
 	reports reportQueue
 	changes []PartChange
@@ -102,7 +102,7 @@
 // NewPartLedger returns an empty ledger. It returns an error when the chart cannot be
 // loaded.
 func NewPartLedger(files fs.FS, random *rand.Rand, now time.Time) (*PartLedger, error) {
-	l := &PartLedger{random: random, parts: map[PartID]*part{}, refused: map[PartID]*part{}, proofs: newProofs(now), reports: newReportQueue()}
+	l := &PartLedger{random: random, parts: map[PartID]*part{}, refused: map[PartID]*part{}, proofs: newProofs[PartID](now), reports: newReportQueue()}
 	def, err := chart.Load(files, "prompt-part")
 	if err != nil {
 		return nil, err
@@ -188,7 +188,7 @@
 
 // RecordProof records that a server responded to a call with a part.
 func (l *PartLedger) RecordProof(now time.Time, proof PartProof) {
-	if proof.At.After(now) || !l.proofs.record(now, proof) {
+	if proof.At.After(now) || !l.proofs.record(now, proof.Part, proof.At) {
 		return
 	}
 	p := l.parts[proof.Part]
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -19,7 +19,6 @@
 	"tanagerspread/core/config"
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
-	"tanagerspread/core/quarantine"
 	"tanagerspread/node/confkv"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/peer"
@@ -154,7 +153,7 @@
 		worker.Enqueue(a.options.Logger, a.peerCommands, command)
 	case control.PublishQuarantine:
 		for _, entry := range c.Entries {
-			if entry.Kind == quarantine.Quarantined {
+			if entry.Stored {
 				worker.Enqueue(a.options.Logger, a.quarantineWrites, quarantineWrite{entry: entry, expiresAt: entry.ExpiresAt})
 			}
 		}
--- a/node/agent/quarantine.go
+++ b/node/agent/quarantine.go
@@ -18,7 +18,7 @@
 const quarantineQueueSize = 256
 
 // quarantineWrite is a quarantined fingerprint, or a quarantined prompt part, to store
-// until expiresAt.
+// until expiresAt, or a cleared fingerprint to delete.
 type quarantineWrite struct {
 	entry     quarantine.Entry
 	part      quarantine.PartQuarantine
@@ -48,9 +48,12 @@
 	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
 	var err *code.Error
-	if write.part.Part != "" {
+	switch {
+	case write.entry.Kind == quarantine.Cleared:
+		err = confkv.DeleteQuarantined(ctx, a.options.Service, write.entry.Fingerprint)
+	case write.part.Part != "":
 		err = confkv.WriteQuarantinedPart(ctx, a.options.Service, write.part, write.expiresAt)
-	} else {
+	default:
 		err = confkv.WriteQuarantined(ctx, a.options.Service, write.entry)
 	}
 	if err != nil {
--- a/node/confkv/quarantine.go
+++ b/node/confkv/quarantine.go
@@ -42,6 +42,19 @@
 	return serviceErr
 }
 
+// DeleteQuarantined deletes a fingerprint. It returns no error when none is stored.
+func DeleteQuarantined(ctx context.Context, service kv.Service, f quarantine.Fingerprint) *code.Error {
+	key := PrefixQuarantine + hex.EncodeToString(f[:])
+	entry, err := service.Get(ctx, key)
+	if err == nil {
+		err = service.Delete(ctx, key, entry.Revision)
+	}
+	if err != nil && (err.Code == code.KeyMissing || err.Code == code.CompareFailed) {
+		return nil
+	}
+	return err
+}
+
 // ListQuarantined returns the stored fingerprints and prompt parts and the revision of the
 // list. It omits entries that cannot be decoded.
 func ListQuarantined(ctx context.Context, service kv.Service) ([]quarantine.Entry, []quarantine.PartQuarantine, kv.Revision, *code.Error) {
--- a/node/peer/fingerprint.go
+++ b/node/peer/fingerprint.go
@@ -11,23 +11,26 @@
 
 // The sizes in bytes of the fields of a packed quarantine status, in their order,
 // and the size of all of them. The last field is the time left until the expiry,
-// in seconds.
+// in milliseconds.
 const (
 	kindBytes        = 1
 	fingerprintBytes = len(quarantine.Fingerprint{})
-	secondsLeftBytes = 3
-	packedBytes      = kindBytes + fingerprintBytes + secondsLeftBytes
+	leftBytes        = 3
+	packedBytes      = kindBytes + fingerprintBytes + leftBytes
 )
 
+// maxLeft is the longest time left that a packed status can state, in milliseconds.
+const maxLeft = 1<<(8*leftBytes) - 1
+
 // encodeQuarantineStatus returns the packed status in base64, followed by the
-// identifier of the server. The time left is rounded down to whole seconds, so
-// that gossip never extends the life of an entry.
+// identifier of the server. The time left is rounded down to whole
+// milliseconds, so that gossip never extends the life of an entry.
 func encodeQuarantineStatus(status membership.QuarantineStatus) string {
-	secondsLeft := uint32(max(status.ExpiresIn/time.Second, 0))
+	left := uint32(min(max(status.ExpiresIn.Milliseconds(), 0), maxLeft))
 	packed := make([]byte, 0, packedBytes)
 	packed = append(packed, byte(status.Kind))
 	packed = append(packed, status.Fingerprint[:]...)
-	packed = append(packed, byte(secondsLeft>>16), byte(secondsLeft>>8), byte(secondsLeft))
+	packed = append(packed, byte(left>>16), byte(left>>8), byte(left))
 	return base64.RawURLEncoding.EncodeToString(packed) + string(status.Server)
 }
 
@@ -46,7 +49,7 @@
 	status := membership.QuarantineStatus{Kind: quarantine.Kind(packed[0]), Server: fleet.ServerID(encoded[size:])}
 	copy(status.Fingerprint[:], packed[kindBytes:])
 	expiryBytes := packed[kindBytes+fingerprintBytes:]
-	secondsLeft := uint32(expiryBytes[0])<<16 | uint32(expiryBytes[1])<<8 | uint32(expiryBytes[2])
-	status.ExpiresIn = time.Duration(secondsLeft) * time.Second
+	left := uint32(expiryBytes[0])<<16 | uint32(expiryBytes[1])<<8 | uint32(expiryBytes[2])
+	status.ExpiresIn = time.Duration(left) * time.Millisecond
 	return status, status.Kind >= quarantine.Suspect && status.Kind <= quarantine.Cleared
 }
