core: a server that falls silent and is no longer listed has crashed

Only a broken connection counted as a crash. A server that lost power breaks none: its callers give up, its entry expires and it comes back under another id.

A call that ended without any sign of its server is now remembered for 30 s. It counts, like one in progress, when the server is removed from the list without having been leaving, or when another id has its address. The crash is dated at the end of the call: a response of the server to any node after that disproves it, and a node that has seen one tells the others, so that a node which is cut off blames nothing. Calls of one ended server count once, whenever they ended.

--- a/core/control/active.go
+++ b/core/control/active.go
@@ -74,6 +74,10 @@
 	prefillAtFirstToken int
 	// suspect is true when the attempt counts as a suspect on its server.
 	suspect bool
+	// sentAt is when the node allowed the attempt to be sent, or zero. conclusive is true when
+	// it ended by a response of the server or of its connection.
+	sentAt     time.Time
+	conclusive bool
 	// connectionDenied is true when the node refused to send on the open
 	// connection.
 	connectionDenied bool
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -41,6 +41,7 @@
 		return
 	}
 	s.group(req).ObserveSlotTime(now.Sub(req.attempt.startedAt))
+	s.rememberSilentCall(now, req)
 	s.releaseServer(now, req)
 	req.attempt = nil
 }
@@ -104,6 +105,7 @@
 		return
 	}
 	s.fireAttemptEvent(req, "connect", now)
+	req.attempt.sentAt = now
 	req.attempt.backlogAtSend = int(req.attempt.server.Backlog(now))
 	s.reply(req.ID, Proceed{})
 }
@@ -147,6 +149,7 @@
 		s.refuseStaleAttempt(req, m)
 		return
 	}
+	req.attempt.conclusive = m.isConclusive()
 	s.recordServerReport(now, req.attempt, m)
 	s.recordPartOutcome(now, req, m)
 	newerWeights := s.updateReportedWeights(now, req.attempt.server, m)
@@ -179,6 +182,13 @@
 	s.assignQueued(now)
 }
 
+// isConclusive reports whether an attempt ended by a response of the server or of its
+// connection, and not because the node waited no longer.
+func (m AttemptDone) isConclusive() bool {
+	ended := m.Outcome == Succeeded || m.Outcome == Rejected || m.Outcome == DialFailed
+	return ended || m.ConnectionBroken || m.ServerError
+}
+
 // refusalBackoff is how long a server that refused a call gets no other call,
 // because it has no free slot or loads weights.
 const refusalBackoff = 250 * time.Millisecond
--- a/core/control/capacity_bench_test.go
+++ b/core/control/capacity_bench_test.go
@@ -154,7 +154,7 @@
 // BenchmarkFullQuarantine measures the check of a full quarantine list for
 // expired entries, which each tick makes.
 func BenchmarkFullQuarantine(b *testing.B) {
-	list, err := quarantine.NewList(chart.Embedded(), testStart)
+	list, err := quarantine.NewList(chart.Embedded(), quarantine.NewServers(testStart), testStart)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -194,7 +194,7 @@
 			exports.RecordExported(testStart, []cachekey.Key{key(i)})
 		}
 		exported := heapBytes()
-		list, err := quarantine.NewList(chart.Embedded(), testStart)
+		list, err := quarantine.NewList(chart.Embedded(), quarantine.NewServers(testStart), testStart)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/core/control/partreports.go
+++ b/core/control/partreports.go
@@ -65,7 +65,9 @@
 		s.parts.RecordProof(now, quarantine.PartProof{Part: proof.Part, At: now.Add(-proof.Age)})
 	}
 	for _, c := range reports.Crashes[:min(len(reports.Crashes), quarantine.MaxDigestEntries)] {
-		s.parts.RecordCrash(now, quarantine.PartCrash{Part: c.Part, Server: c.Server, BrokeAt: now.Add(-c.Age), Depth: c.Depth})
+		if brokeAt := now.Add(-c.Age); !s.contradict(now, c.Server, brokeAt) {
+			s.parts.RecordCrash(now, quarantine.PartCrash{Part: c.Part, Server: c.Server, BrokeAt: brokeAt, Depth: c.Depth})
+		}
 	}
 	for _, part := range reports.Quarantined[:min(len(reports.Quarantined), quarantine.MaxDigestEntries)] {
 		s.parts.Learn(now, quarantine.PartQuarantine{Part: part.Part, At: now.Add(-part.Age)})
--- a/core/control/parts.go
+++ b/core/control/parts.go
@@ -82,16 +82,21 @@
 }
 
 func (s *State) holdBrokenCall(now time.Time, req *activeRequest) {
-	broken := brokenCall{server: req.attempt.server}
+	if crashes := partCrashes(now, req); len(crashes) > 0 {
+		s.brokenCalls = append(s.brokenCalls, brokenCall{server: req.attempt.server, crashes: crashes})
+	}
+}
+
+// partCrashes returns the crash that each shared part of a call may be due to.
+func partCrashes(at time.Time, req *activeRequest) []quarantine.PartCrash {
+	var crashes []quarantine.PartCrash
 	for depth, part := range req.sharedParts() {
-		broken.crashes = append(broken.crashes, quarantine.PartCrash{
+		crashes = append(crashes, quarantine.PartCrash{
 			Part: quarantine.PartID(part.ID), Server: req.attempt.server.ID,
-			BrokeAt: now, Depth: depth, Own: true,
+			BrokeAt: at, Depth: depth, Own: true,
 		})
 	}
-	if len(broken.crashes) > 0 {
-		s.brokenCalls = append(s.brokenCalls, broken)
-	}
+	return crashes
 }
 
 // tickParts records the crashes that are confirmed, applies the changes that follow, and
--- a/core/control/parts_fleet_test.go
+++ b/core/control/parts_fleet_test.go
@@ -25,6 +25,11 @@
 	partContactTime = 3 * time.Second
 	// partRestart is how long after a crash a server is back under another id.
 	partRestart = 2500 * time.Millisecond
+	// darkPatience is how long callers of a silent server wait, darkEntryTime how long its
+	// entry stays, and darkRestart the time after which it is back under another id.
+	darkPatience  = 3200 * time.Millisecond
+	darkEntryTime = 3600 * time.Millisecond
+	darkRestart   = 5 * time.Second
 	// partCulprit crashes servers, partCommon is the first part of all calls.
 	partCulprit quarantine.PartID = "culprit"
 	partCommon  quarantine.PartID = "common"
@@ -84,6 +89,9 @@
 	served     int
 	// maxWork is the longest time from the first event of a response to its end.
 	maxWork time.Duration
+	// dark makes servers fall silent when they crash: their calls end only when the callers
+	// give up, and their entries are removed before they come back.
+	dark bool
 	// lossRate is the share of messages between nodes that are lost.
 	lossRate float64
 	// sound and begun count the sound calls since the limit and those that a server began
@@ -155,6 +163,10 @@
 		return
 	}
 	delete(x.servers, id)
+	if x.dark {
+		x.goDark(id)
+		return
+	}
 	for _, callID := range slices.Sorted(maps.Keys(x.running)) {
 		if call := x.running[callID]; call.server == id {
 			delete(x.running, callID)
@@ -168,6 +180,26 @@
 	})
 }
 
+// goDark lets a server fall silent.
+func (x *crashingFleet) goDark(id fleet.ServerID) {
+	for _, callID := range slices.Sorted(maps.Keys(x.running)) {
+		if call := x.running[callID]; call.server == id {
+			delete(x.running, callID)
+			x.after(darkPatience, func() {
+				x.handle(call.node, AttemptDone{Request: callID, Attempt: call.attempt, Outcome: Stopped, Cause: code.New(code.CallerGone, "")})
+			})
+		}
+	}
+	x.after(darkEntryTime, func() {
+		x.entries = slices.DeleteFunc(x.entries, func(vm VM) bool { return vm.ID == string(id) })
+		x.entriesChanged = true
+	})
+	x.after(darkRestart, func() {
+		x.startServer()
+		x.entriesChanged = true
+	})
+}
+
 // handle delivers a message to a node. Its messages reach the peers in a later step.
 func (x *crashingFleet) handle(node int, m Message) {
 	out := x.nodes[node].Handle(x.now, m)
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -58,6 +58,7 @@
 
 func (s *State) removeServer(now time.Time, server *fleet.Server) {
 	s.recordOutdated(now, server)
+	s.serverEnded(now, server)
 	s.fireServerEvent(server, "remove", now)
 	delete(s.servers, server.ID)
 	s.recentPrefixes.DropServer(server.ID)
@@ -70,6 +71,10 @@
 	server, ok := s.servers[fleet.ServerID(vm.ID)]
 	if !ok || server.Address != vm.Address || server.StartedAtMS != vm.StartedAtMS {
 		s.endPause(now, server)
+		if ok {
+			s.serverEnded(now, server)
+		}
+		s.endReplaced(now, vm)
 		server = &fleet.Server{ID: fleet.ServerID(vm.ID), Chart: s.charts.server.Start(now)}
 		s.servers[server.ID] = server
 	}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -140,6 +140,10 @@
 	// connection broke and whose server may not have ended.
 	parts       *quarantine.PartLedger
 	brokenCalls []brokenCall
+	// silentCalls are the calls that ended without a sign of their servers, which may have
+	// crashed. serverEnds has what is known of that.
+	silentCalls []silentCall
+	serverEnds  *quarantine.Servers
 	// unsentQuarantine has changed entries of the quarantine that are to be sent to the peers,
 	// quarantineSentAt is when the last ones were sent.
 	unsentQuarantine []quarantine.Entry
@@ -229,10 +233,11 @@
 	if s.recordTracker, err = once.NewTracker(s.options.Charts); err != nil {
 		return err
 	}
-	if s.quarantine, err = quarantine.NewList(s.options.Charts, now); err != nil {
+	s.serverEnds = quarantine.NewServers(now)
+	if s.quarantine, err = quarantine.NewList(s.options.Charts, s.serverEnds, now); err != nil {
 		return err
 	}
-	s.parts, err = quarantine.NewPartLedger(s.options.Charts, s.random, now)
+	s.parts, err = quarantine.NewPartLedger(s.options.Charts, s.serverEnds, s.random, now)
 	return err
 }
 
--- a/core/control/suspects.go
+++ b/core/control/suspects.go
@@ -124,9 +124,15 @@
 	}
 	var changed []quarantine.Entry
 	for _, e := range m.Entries[:min(len(m.Entries), quarantine.MaxDigestEntries)] {
+		if e.Kind == quarantine.Suspect && s.contradict(now, e.Server, e.ExpiresAt.Add(-quarantine.SuspicionTTL)) {
+			continue
+		}
 		if s.quarantine.MergeEntry(now, e) {
 			changed = append(changed, e)
 		}
+		if e.Kind == quarantine.Cleared && e.Server != "" {
+			s.parts.RecordResponse(now, e.Server)
+		}
 	}
 	if len(changed) == 0 {
 		return
@@ -145,9 +151,14 @@
 	}
 }
 
-// recordResponse records a response of a server, which did not crash shortly before.
+// recordResponse records a response of a server, which did not crash shortly before. One that
+// is no longer listed did not crash at all.
 func (s *State) recordResponse(now time.Time, server *fleet.Server) {
 	server.LastResponseAt = now
+	if s.serverEnds.HasEnded(server.ID) {
+		s.parts.RecordResponse(now, server.ID)
+		defer s.tellAlive(now, server.ID)
+	}
 	if changed := s.quarantine.RecordResponse(now, server.ID); len(changed) > 0 {
 		s.publishQuarantine(now, changed)
 	}
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -49,11 +49,19 @@
 }
 
 // events returns the number of crashes, counting those that follow each other within
-// simultaneousTime once, because they may have one cause outside.
-func (cs crashes) events() int {
+// simultaneousTime once, because they may have one cause outside, and those of a server that
+// ended once.
+func (l *List) events(p *poison) int {
 	count := 0
 	var last time.Time
-	for _, c := range cs {
+	var ended []fleet.ServerID
+	for _, c := range p.crashes {
+		if slices.Contains(ended, c.server) {
+			continue
+		}
+		if l.servers.isProven(c.server, c.at) {
+			ended = append(ended, c.server)
+		}
 		if count == 0 || c.at.Sub(last) > simultaneousTime {
 			count++
 			last = c.at
@@ -67,9 +75,8 @@
 // an earlier crash, the crash counts against it alone. Otherwise each fingerprint becomes
 // or stays suspect. Nothing changes when another node has already attributed this crash.
 func (l *List) RecordCrash(now time.Time, server fleet.ServerID, running []Run) []Entry {
-	c := runCrash{server: server, at: now, own: true}
 	if culprit, ok := l.attribute(server, running); ok {
-		return l.recordCrash(now, culprit, c)
+		return l.recordOwnCrash(now, server, culprit)
 	}
 	if l.alreadyAttributed(server, running) {
 		return nil
@@ -77,12 +84,25 @@
 	var changed []Entry
 	for _, r := range running {
 		if l.entries[r.Fingerprint] == nil {
-			changed = append(changed, l.recordCrash(now, r.Fingerprint, c)...)
+			changed = append(changed, l.recordOwnCrash(now, server, r)...)
 		}
 	}
 	return changed
 }
 
+// recordOwnCrash records the crash of a server under a run of this node. One that a response
+// of the server, or a run that was served since, disproves does not count.
+func (l *List) recordOwnCrash(now time.Time, server fleet.ServerID, r Run) []Entry {
+	c := runCrash{server: server, at: now, own: true}
+	if !r.BrokeAt.IsZero() {
+		c.at = r.BrokeAt
+	}
+	if !r.BrokeAt.IsZero() && l.served.last(r.Fingerprint).After(r.StartedAt) || l.servers.Disproves(server, c.at) {
+		return nil
+	}
+	return l.recordCrash(now, r.Fingerprint, c)
+}
+
 func (l *List) recordCrash(now time.Time, f Fingerprint, c runCrash) []Entry {
 	p := l.add(now, f)
 	if p == nil {
@@ -113,22 +133,23 @@
 
 // attribute returns the fingerprint that was suspect because of an earlier crash, and
 // whether there is exactly one. Those that were served lately count when there is no other.
-func (l *List) attribute(server fleet.ServerID, running []Run) (Fingerprint, bool) {
-	var suspects, served []Fingerprint
+func (l *List) attribute(server fleet.ServerID, running []Run) (Run, bool) {
+	var suspects, served []Run
 	for _, r := range running {
 		list := &suspects
 		if l.wasServed(r.Fingerprint) {
 			list = &served
 		}
-		if l.suspectOfEarlierCrash(server, r) && !slices.Contains(*list, r.Fingerprint) {
-			*list = append(*list, r.Fingerprint)
+		same := func(other Run) bool { return other.Fingerprint == r.Fingerprint }
+		if l.suspectOfEarlierCrash(server, r) && !slices.ContainsFunc(*list, same) {
+			*list = append(*list, r)
 		}
 	}
 	if len(suspects) == 0 {
 		suspects = served
 	}
 	if len(suspects) != 1 {
-		return Fingerprint{}, false
+		return Run{}, false
 	}
 	return suspects[0], true
 }
@@ -171,35 +192,38 @@
 }
 
 // RecordResponse records a response of a server, which did not crash shortly before, and
-// returns the entries that changed.
+// returns what to tell the peers.
 func (l *List) RecordResponse(now time.Time, server fleet.ServerID) []Entry {
-	l.responded.record(now, server, now)
-	var changed []Entry
+	l.servers.responded.record(now, server, now)
+	if l.forgetCrashes(now, server) {
+		return []Entry{AliveEntry(now, server)}
+	}
+	return nil
+}
+
+// AliveEntry returns the report to peers that a server responded at a time.
+func AliveEntry(at time.Time, server fleet.ServerID) Entry {
+	return Entry{Kind: Cleared, Server: server, ExpiresAt: at.Add(ClearedTTL)}
+}
+
+// forgetCrashes forgets the crashes of a server that its last response disproves, and
+// reports whether there were any.
+func (l *List) forgetCrashes(now time.Time, server fleet.ServerID) bool {
+	forgot := false
 	for _, p := range l.entries {
-		if l.forgetCrash(now, p, server, now) {
-			changed = append(changed, Entry{Fingerprint: p.id, Kind: Cleared, Server: server, ExpiresAt: now.Add(ClearedTTL)})
-		}
+		forgot = l.forgetCrash(now, p, server) || forgot
 	}
-	return changed
+	return forgot
 }
 
-// forgetCrash forgets the crashes of a server that responded at a time, and reports whether
-// there were any. A server that really crashed takes longer to come back.
-func (l *List) forgetCrash(now time.Time, p *poison, server fleet.ServerID, respondedAt time.Time) bool {
+func (l *List) forgetCrash(now time.Time, p *poison, server fleet.ServerID) bool {
 	before := len(p.crashes)
 	if before == 0 || p.chart.Is(tagRefusesRuns) {
 		return false
 	}
-	p.crashes = p.crashes.without(func(c runCrash) bool { return c.server == server && isDisproved(c, respondedAt) })
+	p.crashes = p.crashes.without(func(c runCrash) bool { return c.server == server && l.servers.Disproves(server, c.at) })
 	if len(p.crashes) == 0 && before > 0 && !p.chart.Is(tagOnTrial) {
 		l.fire(p, "clear", now)
 	}
 	return len(p.crashes) < before
 }
-
-// isDisproved reports whether a response of the server of a crash shows that it did not
-// crash.
-func isDisproved(c runCrash, respondedAt time.Time) bool {
-	delay := respondedAt.Sub(c.at)
-	return delay > InFlightMargin && delay < SameCrashTime
-}
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -56,7 +56,7 @@
 	Suspect Kind = iota + 1
 	// Quarantined fingerprints crashed servers and must not run.
 	Quarantined
-	// Cleared fingerprints were served, or with a server, that server did not crash.
+	// Cleared fingerprints were served. With a server, that server responded.
 	Cleared
 )
 
@@ -65,8 +65,8 @@
 	Fingerprint Fingerprint
 	Kind        Kind
 	// Server is the backend server whose crash made the fingerprint suspect or
-	// quarantined. In a Cleared entry it is the server that did not crash, or empty when
-	// the fingerprint was served.
+	// quarantined. A Cleared entry with a server says that this server responded, whatever
+	// the fingerprint; one without says that the fingerprint was served.
 	Server fleet.ServerID
 	// ExpiresAt is when the entry expires: SuspicionTTL after the crash of a suspect, and
 	// ClearedTTL after the time of a clear.
@@ -80,6 +80,8 @@
 type Run struct {
 	Fingerprint Fingerprint
 	StartedAt   time.Time
+	// BrokeAt is when the server seemed to crash, or zero when it did just now.
+	BrokeAt time.Time
 }
 
 // List holds the suspect and quarantined fingerprints of a node.
@@ -89,10 +91,9 @@
 type List struct {
 	machine *chart.Machine[*poison]
 	entries map[Fingerprint]*poison
-	// served has the times at which fingerprints were served last, responded those of the
-	// last responses of servers.
+	// served has the times at which fingerprints were served last.
 	served      proofs[Fingerprint]
-	responded   proofs[fleet.ServerID]
+	servers     *Servers
 	changed     []Entry
 	suspects    int
 	quarantined int
@@ -116,8 +117,8 @@
 }
 
 // NewList returns an empty list. It returns an error when the chart cannot be loaded.
-func NewList(files fs.FS, now time.Time) (*List, error) {
-	l := &List{entries: map[Fingerprint]*poison{}, served: newProofs[Fingerprint](now), responded: newProofs[fleet.ServerID](now)}
+func NewList(files fs.FS, servers *Servers, now time.Time) (*List, error) {
+	l := &List{entries: map[Fingerprint]*poison{}, served: newProofs[Fingerprint](now), servers: servers}
 	def, err := chart.Load(files, "poison-request")
 	if err != nil {
 		return nil, err
@@ -187,7 +188,7 @@
 	if l.wasServed(p.id) {
 		needed = neededThoughServed
 	}
-	return p.crashes.events() >= needed
+	return l.events(p) >= needed
 }
 
 // lasts reports whether a quarantine that was learned is longer than a pause.
--- a/core/quarantine/list_test.go
+++ b/core/quarantine/list_test.go
@@ -21,7 +21,7 @@
 
 func newList(t *testing.T) *List {
 	t.Helper()
-	l, err := NewList(chart.Embedded(), now)
+	l, err := NewList(chart.Embedded(), NewServers(now), now)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,7 +30,7 @@
 
 // review lets the list decide on the crashes until a time.
 func review(l *List, at time.Time) []Entry {
-	return l.Review(at.Add(settlingTime), func(fleet.ServerID, time.Time) bool { return false })
+	return l.Review(at.Add(l.machine.Timeout(tagHeld)), func(fleet.ServerID, time.Time) bool { return false })
 }
 
 // TestRecordCrash guards against crashes that are attributed to unrelated
@@ -74,7 +74,7 @@
 		"a response at another node": func(l *List) {
 			l.MergeEntry(shortly, Entry{Fingerprint: f, Kind: Cleared, Server: "s2", ExpiresAt: shortly.Add(ClearedTTL)})
 		},
-		"a call that goes on": func(l *List) { l.Review(second.Add(settlingTime), alive) },
+		"a call that goes on": func(l *List) { l.Review(second.Add(l.machine.Timeout(tagHeld)), alive) },
 		"a completed run":     func(l *List) { l.RecordServed(shortly, f) },
 		"a completed run at another node": func(l *List) {
 			l.MergeEntry(shortly, Entry{Fingerprint: f, Kind: Cleared, ExpiresAt: shortly.Add(ClearedTTL)})
--- a/core/quarantine/merge.go
+++ b/core/quarantine/merge.go
@@ -29,7 +29,7 @@
 	if c.at.After(now) {
 		c.at = now
 	}
-	if !c.at.After(l.served.last(e.Fingerprint).Add(reportTolerance)) || isDisproved(c, l.responded.last(e.Server)) {
+	if !c.at.After(l.served.last(e.Fingerprint).Add(reportTolerance)) || l.servers.Disproves(e.Server, c.at) {
 		return false
 	}
 	p := l.entries[e.Fingerprint]
@@ -42,7 +42,7 @@
 // contain reports whether a report is one of these crashes.
 func (cs crashes) contain(c runCrash) bool {
 	return slices.ContainsFunc(cs, func(other runCrash) bool {
-		return c.server == other.server && c.at.Sub(other.at).Abs() < reportTolerance
+		return c.server == other.server && c.at.Sub(other.at).Abs() < SameCrashTime
 	})
 }
 
@@ -81,11 +81,12 @@
 	if e.ExpiresAt.IsZero() || at.After(now) {
 		at = now
 	}
-	p := l.entries[e.Fingerprint]
 	if e.Server != "" {
-		l.responded.record(now, e.Server, at)
-		return p != nil && l.forgetCrash(now, p, e.Server, at)
+		news := at.Sub(l.servers.responded.last(e.Server)) >= relayInterval
+		l.servers.responded.record(now, e.Server, at)
+		return l.forgetCrashes(now, e.Server) || news
 	}
+	p := l.entries[e.Fingerprint]
 	news := at.Sub(l.served.last(e.Fingerprint)) >= relayInterval
 	if news {
 		l.served.record(now, e.Fingerprint, at)
--- a/core/quarantine/partcrash.go
+++ b/core/quarantine/partcrash.go
@@ -22,6 +22,9 @@
 	Depth int
 	// Own is true when the call was one of this node.
 	Own bool
+	// Proven is true when the server ended: it is no longer listed, or came back under
+	// another id.
+	Proven bool
 }
 
 // PartProof shows that a part crashes no server: a server began a response to a call with
@@ -50,9 +53,13 @@
 	maxPartCrashes = 16
 )
 
-// isSameCrash reports whether two broken connections belong to one crash of a server.
+// isSameCrash reports whether two calls belong to one crash of a server. Calls whose server
+// fell silent have no common time, but a server ends only once under its id.
 func (c PartCrash) isSameCrash(other PartCrash) bool {
-	return c.Server == other.Server && c.BrokeAt.Sub(other.BrokeAt).Abs() < SameCrashTime
+	if c.Server != other.Server {
+		return false
+	}
+	return c.Proven && other.Proven || c.BrokeAt.Sub(other.BrokeAt).Abs() < SameCrashTime
 }
 
 // isRecent reports whether a crash is not too old to count.
--- a/core/quarantine/partledger.go
+++ b/core/quarantine/partledger.go
@@ -90,6 +90,7 @@
 type PartLedger struct {
 	machine *chart.Machine[*part]
 	random  *rand.Rand
+	servers *Servers
 	parts   map[PartID]*part
 	// refused has the parts whose calls are refused.
 	refused map[PartID]*part
@@ -101,8 +102,8 @@
 
 // NewPartLedger returns an empty ledger. It returns an error when the chart cannot be
 // loaded.
-func NewPartLedger(files fs.FS, random *rand.Rand, now time.Time) (*PartLedger, error) {
-	l := &PartLedger{random: random, parts: map[PartID]*part{}, refused: map[PartID]*part{}, proofs: newProofs[PartID](now), reports: newReportQueue()}
+func NewPartLedger(files fs.FS, servers *Servers, random *rand.Rand, now time.Time) (*PartLedger, error) {
+	l := &PartLedger{servers: servers, random: random, parts: map[PartID]*part{}, refused: map[PartID]*part{}, proofs: newProofs[PartID](now), reports: newReportQueue()}
 	def, err := chart.Load(files, "prompt-part")
 	if err != nil {
 		return nil, err
@@ -162,9 +163,10 @@
 // RecordCrash records a crash that may be due to a part. A crash that a quarantined part
 // explains, and one before a proof of the part, do not count.
 func (l *PartLedger) RecordCrash(now time.Time, c PartCrash) {
-	if !c.isRecent(now) || l.isContradicted(now, c.Part, c.BrokeAt) || l.isExplained(c) {
+	if !c.isRecent(now) || l.isContradicted(now, c.Part, c.BrokeAt) || l.servers.Disproves(c.Server, c.BrokeAt) || l.isExplained(c) {
 		return
 	}
+	c.Proven = l.servers.isProven(c.Server, c.BrokeAt)
 	p := l.parts[c.Part]
 	if p == nil {
 		if p = l.add(now, c.Part); p == nil {
@@ -186,6 +188,40 @@
 	}
 }
 
+// IsProvenSince reports whether a server responded to a call with the part after a time.
+func (l *PartLedger) IsProvenSince(id PartID, at time.Time) bool {
+	return l.proofs.last(id).After(at)
+}
+
+// RecordEnd records that a server ended, which proves its crashes to be one.
+func (l *PartLedger) RecordEnd(server fleet.ServerID) {
+	for _, p := range l.parts {
+		proven := false
+		p.crashes = slices.DeleteFunc(p.crashes, func(c PartCrash) bool {
+			again := proven && c.Server == server
+			proven = proven || c.Server == server && l.servers.isProven(server, c.BrokeAt)
+			return again
+		})
+		for i, c := range p.crashes {
+			p.crashes[i].Proven = c.Proven || c.Server == server && proven
+		}
+	}
+}
+
+// RecordResponse forgets the crashes of a server that its last response disproves.
+func (l *PartLedger) RecordResponse(now time.Time, server fleet.ServerID) {
+	for _, p := range l.parts {
+		before := len(p.crashes)
+		if !p.isSuspect() {
+			continue
+		}
+		p.crashes = slices.DeleteFunc(p.crashes, func(c PartCrash) bool { return c.Server == server && l.servers.Disproves(server, c.BrokeAt) })
+		if len(p.crashes) < before {
+			l.clear(now, p)
+		}
+	}
+}
+
 // RecordProof records that a server responded to a call with a part.
 func (l *PartLedger) RecordProof(now time.Time, proof PartProof) {
 	if proof.At.After(now) || !l.proofs.record(now, proof.Part, proof.At) {
--- a/core/quarantine/partledger_test.go
+++ b/core/quarantine/partledger_test.go
@@ -13,7 +13,7 @@
 
 func newLedger(t *testing.T) *PartLedger {
 	t.Helper()
-	l, err := NewPartLedger(chart.Embedded(), rand.New(rand.NewPCG(1, 1)), now)
+	l, err := NewPartLedger(chart.Embedded(), NewServers(now), rand.New(rand.NewPCG(1, 1)), now)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,6 +71,29 @@
 	}
 }
 
+// TestSilentCallsOfOneServerCountOnce guards against one crash that counts for each node whose
+// calls ended at another time, because the server fell silent.
+func TestSilentCallsOfOneServerCountOnce(t *testing.T) {
+	for name, endAfter := range map[string]int{"end known first": 0, "end known later": 4, "end known last": 8} {
+		l := newLedger(t)
+		end := now.Add(20 * time.Second)
+		for i := range 8 {
+			if i == endAfter {
+				l.servers.RecordEnd(end, "s")
+				l.RecordEnd("s")
+			}
+			c := crash(2*i, "part", 0)
+			c.Server = "s"
+			l.RecordCrash(end, c)
+		}
+		l.servers.RecordEnd(end, "s")
+		l.RecordEnd("s")
+		if crashes := len(l.parts["part"].crashes); crashes != 1 {
+			t.Errorf("%s: %d crashes of one server", name, crashes)
+		}
+	}
+}
+
 // TestReportsOfOneCrashCountOnce guards against one crash that several nodes report and
 // that counts once for each.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
--- /dev/null
+++ b/core/quarantine/servers.go
@@ -0,0 +1,56 @@
+package quarantine
+
+import (
+	"time"
+
+	"tanagerspread/core/fleet"
+)
+
+// Servers has what a node knows of the servers that seemed to crash: the last responses to
+// it and its peers, and the servers that ended, because they are no longer listed or came
+// back under another id.
+type Servers struct {
+	responded, ended proofs[fleet.ServerID]
+	// told is when the peers were last told that a server responded.
+	told proofs[fleet.ServerID]
+}
+
+// NewServers returns an empty record.
+func NewServers(now time.Time) *Servers {
+	return &Servers{responded: newProofs[fleet.ServerID](now), ended: newProofs[fleet.ServerID](now), told: newProofs[fleet.ServerID](now)}
+}
+
+// RecordEnd records that a server ended.
+func (s *Servers) RecordEnd(now time.Time, server fleet.ServerID) {
+	s.ended.record(now, server, now)
+}
+
+// HasEnded reports whether a server ended lately.
+func (s *Servers) HasEnded(server fleet.ServerID) bool {
+	return !s.ended.last(server).IsZero()
+}
+
+// RespondedAt returns when a server last responded to this node, or to a peer that told so.
+func (s *Servers) RespondedAt(server fleet.ServerID) time.Time {
+	return s.responded.last(server)
+}
+
+// isProven reports whether a server ended after it seemed to crash at a time.
+func (s *Servers) isProven(server fleet.ServerID, at time.Time) bool {
+	ended := s.ended.last(server)
+	return !ended.IsZero() && !ended.Before(at)
+}
+
+// Disproves reports whether a response of a server shows that it did not crash at a time. A
+// server that really crashed takes longer to come back under its id. One that is no longer
+// listed does not come back under it at all, so that any later response counts.
+func (s *Servers) Disproves(server fleet.ServerID, at time.Time) bool {
+	delay := s.responded.last(server).Sub(at)
+	return delay > InFlightMargin && (delay < SameCrashTime || s.isProven(server, at))
+}
+
+// ShouldTell reports whether the peers have not been told lately that a server responded. It
+// counts as told from then on.
+func (s *Servers) ShouldTell(now time.Time, server fleet.ServerID) bool {
+	return now.Sub(s.told.last(server)) >= relayInterval && s.told.record(now, server, now)
+}
