core/quarantine: a test covers the time in which proofs may arrive

TestProofMayArriveLater lets a proof arrive 750 ms after the last crash, and checks that a part without one is quarantined within a second.

--- a/core/quarantine/partledger_test.go
+++ b/core/quarantine/partledger_test.go
@@ -71,6 +71,32 @@
 	}
 }
 
+// TestProofMayArriveLater guards against a sound part that is quarantined before the responses
+// to calls which were sent after the crash can have arrived, and against a part that stays in
+// use until long after that.
+func TestProofMayArriveLater(t *testing.T) {
+	for _, proven := range []bool{true, false} {
+		l := newLedger(t)
+		var last time.Time
+		for i := range minCrashes {
+			c := crash(i, "part", 0)
+			last = c.BrokeAt
+			l.RecordCrash(last, c)
+		}
+		for delay := time.Duration(0); delay < 750*time.Millisecond; delay += 50 * time.Millisecond {
+			if l.Review(last.Add(delay)); l.Refuses("part") {
+				t.Fatalf("quarantined %v after the last crash", delay)
+			}
+		}
+		if proven {
+			l.RecordProof(last.Add(750*time.Millisecond), PartProof{Part: "part", At: last.Add(400 * time.Millisecond)})
+		}
+		if l.Review(last.Add(time.Second)); l.Refuses("part") == proven {
+			t.Errorf("proven %t, quarantined %t after a second", proven, l.Refuses("part"))
+		}
+	}
+}
+
 // TestSilentCallsOfOneServerCountOnce guards against one crash that counts for each node whose
 // calls ended at another time, because the server fell silent.
 func TestSilentCallsOfOneServerCountOnce(t *testing.T) {
