core/quarantine: proven crashes of one moment count individually

Crashes within 60 ms counted once, because a power cut ends many servers at one moment. A part that crashed servers at several nodes at the same moment therefore stayed in use for longer than the rule allows.

Crashes whose servers ended (no longer listed, or replaced under another id) now count individually. They still count once when a server ended within 1.5 s of them that had no call with the part, as in a power cut.

TestProvenCrashesOfOneMoment: before, five proven crashes of one moment left the part in use; after, it is quarantined, and it is not when a server responds or an idle server ended with them.

--- a/core/quarantine/partcrash.go
+++ b/core/quarantine/partcrash.go
@@ -83,6 +83,11 @@
 	return cs, true
 }
 
+// hasServer reports whether one of the crashes is that of a server.
+func (cs partCrashes) hasServer(server fleet.ServerID) bool {
+	return slices.ContainsFunc(cs, func(c PartCrash) bool { return c.Server == server })
+}
+
 func (cs partCrashes) contain(c PartCrash) bool {
 	return slices.ContainsFunc(cs, c.isSameCrash)
 }
@@ -114,15 +119,15 @@
 
 // events returns the number of crashes until a time, counting those that follow each other
 // within simultaneousTime once: they may have one cause outside, and then all calls that
-// are in progress share them, whatever their parts.
-func (cs partCrashes) events(until time.Time) int {
+// are in progress share them, whatever their parts. Those that are separate count anyway.
+func (cs partCrashes) events(until time.Time, isSeparate func(PartCrash) bool) int {
 	count := 0
 	var last time.Time
 	for _, c := range cs {
 		if c.BrokeAt.After(until) {
 			break
 		}
-		if count == 0 || c.BrokeAt.Sub(last) > simultaneousTime {
+		if count == 0 || c.BrokeAt.Sub(last) > simultaneousTime || isSeparate(c) {
 			count++
 			last = c.BrokeAt
 		}
--- a/core/quarantine/partledger.go
+++ b/core/quarantine/partledger.go
@@ -288,13 +288,13 @@
 	settled := now.Add(-settlingTime)
 	var candidates []*part
 	for _, p := range l.parts {
-		if len(p.crashes) >= needed && p.isSuspect() && p.crashes.events(settled) >= needed {
+		if len(p.crashes) >= needed && p.isSuspect() && l.events(p, settled) >= needed {
 			candidates = append(candidates, p)
 		}
 	}
 	sort.Slice(candidates, func(i, j int) bool {
 		a, b := candidates[i], candidates[j]
-		if first, second := a.crashes.events(settled), b.crashes.events(settled); first != second {
+		if first, second := l.events(a, settled), l.events(b, settled); first != second {
 			return first > second
 		}
 		return a.isMoreSpecific(b)
@@ -302,6 +302,15 @@
 	return candidates
 }
 
+// events returns the number of crashes of a part until a time. Crashes of one moment count
+// separately when the servers ended, and no server ended with them that had no call with the
+// part, as it would if they had lost power together.
+func (l *PartLedger) events(p *part, until time.Time) int {
+	return p.crashes.events(until, func(c PartCrash) bool {
+		return c.Proven && !l.servers.endedBeside(c.Server, p.crashes.hasServer)
+	})
+}
+
 // isMoreSpecific orders parts by their depth in the prompt. Fewer calls share a part that
 // is deeper.
 func (p *part) isMoreSpecific(other *part) bool {
@@ -317,7 +326,7 @@
 func (l *PartLedger) isSingledOut(p *part, now time.Time) bool {
 	settled := now.Add(-settlingTime)
 	needed := l.rate.neededCrashes()
-	events := p.crashes.events(settled)
+	events := l.events(p, settled)
 	if events < needed {
 		return false
 	}
--- a/core/quarantine/partledger_test.go
+++ b/core/quarantine/partledger_test.go
@@ -71,6 +71,42 @@
 	}
 }
 
+// TestProvenCrashesOfOneMoment guards against a part that stays in use because the servers
+// which it crashes at several nodes end at one moment, against a server that counts as ended
+// although it responds, and against a quarantine of the parts in progress when many servers
+// lose power together.
+func TestProvenCrashesOfOneMoment(t *testing.T) {
+	for name, c := range map[string]struct {
+		ended, alive, idle int
+		refused            bool
+	}{
+		"none ended": {0, 0, 0, false}, "all ended": {minCrashes, 0, 0, true}, "one responds": {minCrashes, 1, 0, false},
+		"an idle server ended too": {minCrashes, 0, 1, false},
+	} {
+		l := newLedger(t)
+		end := now.Add(4 * time.Second)
+		for i := range minCrashes {
+			crash := crash(i, "part", 0)
+			crash.BrokeAt = now.Add(time.Duration(i) * time.Millisecond)
+			l.RecordCrash(now.Add(time.Second), crash)
+			if i < c.ended {
+				l.servers.RecordEnd(end, crash.Server)
+				l.RecordEnd(crash.Server)
+			}
+			if i < c.alive {
+				l.servers.responded.record(end, crash.Server, end)
+				l.RecordResponse(end, crash.Server)
+			}
+		}
+		if c.idle > 0 {
+			l.servers.RecordEnd(end.Add(time.Second), "idle")
+		}
+		if l.Review(end.Add(time.Second)); l.Refuses("part") != c.refused {
+			t.Errorf("%s: quarantined %t", name, l.Refuses("part"))
+		}
+	}
+}
+
 // TestProofMayArriveLater guards against a sound part that is quarantined before the responses
 // to calls which were sent after the crash can have arrived, and against a part that stays in
 // use until long after that.
--- a/core/quarantine/servers.go
+++ b/core/quarantine/servers.go
@@ -6,6 +6,10 @@
 	"tanagerspread/core/fleet"
 )
 
+// sameEndTime is the longest time between the removals of two servers that crashed at one
+// moment. Their entries expire up to a heartbeat apart.
+const sameEndTime = 1500 * time.Millisecond
+
 // Servers has what a node knows of the servers that seemed to crash: the last responses to
 // it and its peers, and the servers that ended, because they are no longer listed or came
 // back under another id.
@@ -35,6 +39,20 @@
 	return s.responded.last(server)
 }
 
+// endedBeside reports whether a server ended within sameEndTime of another one, and is none
+// of those that are expected.
+func (s *Servers) endedBeside(server fleet.ServerID, expected func(fleet.ServerID) bool) bool {
+	at := s.ended.last(server)
+	for _, ended := range []map[fleet.ServerID]time.Time{s.ended.current, s.ended.previous} {
+		for other, otherAt := range ended {
+			if otherAt.Sub(at).Abs() <= sameEndTime && !expected(other) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isProven reports whether a server ended after it seemed to crash at a time.
 func (s *Servers) isProven(server fleet.ServerID, at time.Time) bool {
 	ended := s.ended.last(server)
