--- a/core/control/active.go
+++ b/core/control/active.go
@@ -77,6 +77,10 @@
 	prefillAtFirstToken int
 	// suspect is true when the attempt counts as a suspect on its server.
 	suspect bool
+	// sentAt is when the node allowed the attempt to be sent, or zero. conclusive is true when
+	// it ended by a response of the server or of its connection.
+	sentAt     time.Time
+	conclusive bool
 	// connectionDenied is true when the node refused to send on the open
 	// connection.
 	connectionDenied bool
@@ -87,8 +91,8 @@
 	blockImport *transfer
 	// survived is true once the server has shown that the call does not crash it.
 	survived bool
-	// crashRecorded is true when the crash of the server has been recorded.
-	crashRecorded bool
+	// crashRecordedAt is when a crash of the server was last recorded, or zero.
+	crashRecordedAt time.Time
 	// workUntil is when the engine was told to stop working on the call because of
 	// its weights, or zero.
 	workUntil time.Time
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -41,6 +41,7 @@
 		return
 	}
 	s.group(req).ObserveSlotTime(now.Sub(req.attempt.startedAt))
+	s.rememberSilentCall(now, req)
 	s.releaseServer(now, req)
 	req.attempt = nil
 }
@@ -104,6 +105,7 @@
 		return
 	}
 	s.fireAttemptEvent(req, "connect", now)
+	req.attempt.sentAt = now
 	req.attempt.backlogAtSend = int(req.attempt.server.Backlog(now))
 	s.reply(req.ID, Proceed{})
 }
@@ -111,7 +113,7 @@
 func (s *State) firstToken(now time.Time, m FirstToken) {
 	if req, ok := s.currentAttempt(m.Request, m.Attempt); ok {
 		s.fireAttemptEvent(req, "receive", now)
-		req.attempt.server.LastResponseAt = now
+		s.recordResponse(now, req.attempt.server)
 		s.observeSpeed(req, m.Elapsed)
 		s.observeFirstTokenDelay(now, req, m.Elapsed)
 		s.observePace(now, req, m.Elapsed)
@@ -148,6 +150,7 @@
 		s.refuseStaleAttempt(req, m)
 		return
 	}
+	req.attempt.conclusive = m.isConclusive()
 	s.recordServerReport(now, req.attempt, m)
 	s.recordPartOutcome(now, req, m)
 	newerWeights := s.updateReportedWeights(now, req.attempt.server, m)
@@ -180,6 +183,13 @@
 	s.assignQueued(now)
 }
 
+// isConclusive reports whether an attempt ended by a response of the server or of its
+// connection, and not because the node waited no longer.
+func (m AttemptDone) isConclusive() bool {
+	ended := m.Outcome == Succeeded || m.Outcome == Rejected || m.Outcome == DialFailed
+	return ended || m.ConnectionBroken || m.ServerError
+}
+
 // refusalBackoff is how long a server that refused a call gets no other call,
 // because it has no free slot or loads weights.
 const refusalBackoff = 250 * time.Millisecond
@@ -237,7 +247,7 @@
 	if req.Call == nil {
 		s.retryBudgets.Credit(req.organisation)
 	}
-	s.clearSuspicion(now, req)
+	s.recordServed(now, req)
 	s.considerExport(now, req, server)
 	req.responded = true
 	s.reply(req.ID, Deliver{Record: req.atMostOnce()})
--- a/core/control/parts.go
+++ b/core/control/parts.go
@@ -14,8 +14,6 @@
 	// crashConfirmationTime is how long a broken connection is held back as a sign of a
 	// crash. A server that responds in that time did not crash.
 	crashConfirmationTime = 200 * time.Millisecond
-	// inFlightMargin is how long after a crash responses that were on their way may arrive.
-	inFlightMargin = 50 * time.Millisecond
 	// maxPartsPause is the longest time between two ticks after which the node counts as
 	// paused.
 	maxPartsPause = 200 * time.Millisecond
@@ -36,7 +34,7 @@
 func (s *State) recordPartOutcome(now time.Time, req *activeRequest, m AttemptDone) {
 	attempt := req.attempt
 	if m.Outcome == Succeeded || m.Outcome == Rejected && !m.OtherServer {
-		attempt.server.LastResponseAt = now
+		s.recordResponse(now, attempt.server)
 	}
 	if len(req.sharedParts()) == 0 {
 		return
@@ -84,16 +82,21 @@
 }
 
 func (s *State) holdBrokenCall(now time.Time, req *activeRequest) {
-	broken := brokenCall{server: req.attempt.server}
+	if crashes := partCrashes(now, req); len(crashes) > 0 {
+		s.brokenCalls = append(s.brokenCalls, brokenCall{server: req.attempt.server, crashes: crashes})
+	}
+}
+
+// partCrashes returns the crash that each shared part of a call may be due to.
+func partCrashes(at time.Time, req *activeRequest) []quarantine.PartCrash {
+	var crashes []quarantine.PartCrash
 	for depth, part := range req.sharedParts() {
-		broken.crashes = append(broken.crashes, quarantine.PartCrash{
+		crashes = append(crashes, quarantine.PartCrash{
 			Part: quarantine.PartID(part.ID), Server: req.attempt.server.ID,
-			BrokeAt: now, Depth: depth, Own: true,
+			BrokeAt: at, Depth: depth, Own: true,
 		})
 	}
-	if len(broken.crashes) > 0 {
-		s.brokenCalls = append(s.brokenCalls, broken)
-	}
+	return crashes
 }
 
 // tickParts records the crashes that are confirmed, applies the changes that follow, and
@@ -119,9 +122,15 @@
 // isAlive reports whether a server did not crash at a time: it responded later, or a
 // call of this node that was sent before is still in progress there.
 func (s *State) isAlive(server *fleet.Server, at time.Time) bool {
-	if server.LastResponseAt.After(at.Add(inFlightMargin)) {
+	if server.LastResponseAt.After(at.Add(quarantine.InFlightMargin)) {
 		return true
 	}
+	return s.hasOlderRun(server, at)
+}
+
+// hasOlderRun reports whether a call of this node that was sent before a time is still in
+// progress at a server.
+func (s *State) hasOlderRun(server *fleet.Server, at time.Time) bool {
 	for _, req := range s.requests {
 		if req.attempt != nil && req.attempt.server == server && isRunning(req.attempt) && req.attempt.startedAt.Before(at) {
 			return true
--- a/core/control/parts_fleet_test.go
+++ b/core/control/parts_fleet_test.go
@@ -25,6 +25,11 @@
 	partContactTime = 3 * time.Second
 	// partRestart is how long after a crash a server is back under another id.
 	partRestart = 2500 * time.Millisecond
+	// darkPatience is how long callers of a silent server wait, darkEntryTime how long its
+	// entry stays, and darkRestart the time after which it is back under another id.
+	darkPatience  = 3200 * time.Millisecond
+	darkEntryTime = 3600 * time.Millisecond
+	darkRestart   = 5 * time.Second
 	// partCulprit crashes servers, partCommon is the first part of all calls.
 	partCulprit quarantine.PartID = "culprit"
 	partCommon  quarantine.PartID = "common"
@@ -75,8 +80,18 @@
 	calls          int
 	// crashes has the times of the crashes under partCulprit.
 	crashes []time.Time
-	// late counts calls with partCulprit that reach servers after the limit.
-	late int
+	// limitCrashes is the number of crashes after which, and partContactTime, the limit is
+	// reached. late counts calls with partCulprit, or poisonous ones, that reach servers then.
+	limitCrashes, late int
+	// resetShare is the share of its responses that a server resets, served the number of
+	// calls that got their response.
+	resetShare map[fleet.ServerID]float64
+	served     int
+	// maxWork is the longest time from the first event of a response to its end.
+	maxWork time.Duration
+	// dark makes servers fall silent when they crash: their calls end only when the callers
+	// give up, and their entries are removed before they come back.
+	dark bool
 	// lossRate is the share of messages between nodes that are lost.
 	lossRate float64
 	// sound and begun count the sound calls since the limit and those that a server began
@@ -95,7 +110,7 @@
 
 func newCrashingFleet(t *testing.T, nodes, servers int, seed uint64) *crashingFleet {
 	x := &crashingFleet{
-		t: t, now: testStart, rules: forwardRules(), random: rand.New(rand.NewPCG(seed, uint64(nodes))), ids: map[string]int{}, servers: map[fleet.ServerID]bool{},
+		t: t, limitCrashes: 5, maxWork: 2 * time.Second, now: testStart, rules: forwardRules(), random: rand.New(rand.NewPCG(seed, uint64(nodes))), ids: map[string]int{}, servers: map[fleet.ServerID]bool{},
 		running: map[request.ID]*crashCall{}, later: map[int][]func(){}, blamed: map[quarantine.PartID]bool{}, refused: map[code.Code]int{},
 	}
 	for i := range nodes {
@@ -148,6 +163,10 @@
 		return
 	}
 	delete(x.servers, id)
+	if x.dark {
+		x.goDark(id)
+		return
+	}
 	for _, callID := range slices.Sorted(maps.Keys(x.running)) {
 		if call := x.running[callID]; call.server == id {
 			delete(x.running, callID)
@@ -161,6 +180,26 @@
 	})
 }
 
+// goDark lets a server fall silent.
+func (x *crashingFleet) goDark(id fleet.ServerID) {
+	for _, callID := range slices.Sorted(maps.Keys(x.running)) {
+		if call := x.running[callID]; call.server == id {
+			delete(x.running, callID)
+			x.after(darkPatience, func() {
+				x.handle(call.node, AttemptDone{Request: callID, Attempt: call.attempt, Outcome: Stopped, Cause: code.New(code.CallerGone, "")})
+			})
+		}
+	}
+	x.after(darkEntryTime, func() {
+		x.entries = slices.DeleteFunc(x.entries, func(vm VM) bool { return vm.ID == string(id) })
+		x.entriesChanged = true
+	})
+	x.after(darkRestart, func() {
+		x.startServer()
+		x.entriesChanged = true
+	})
+}
+
 // handle delivers a message to a node. Its messages reach the peers in a later step.
 func (x *crashingFleet) handle(node int, m Message) {
 	out := x.nodes[node].Handle(x.now, m)
@@ -169,6 +208,9 @@
 		if refusal, ok := reply.Decision.(Refusal); ok {
 			x.refused[refusal.Err.Code]++
 		}
+		if _, ok := reply.Decision.(Deliver); ok {
+			x.served++
+		}
 		if d, ok := reply.Decision.(Dispatch); ok {
 			x.after(0, func() { x.dial(node, reply.To, d) })
 		}
@@ -204,7 +246,7 @@
 	if !inProgress || req.attempt == nil || !isRunning(req.attempt) {
 		return
 	}
-	call := &crashCall{node: node, server: d.Server, attempt: d.Attempt, culprit: req.hasPart(partCulprit)}
+	call := &crashCall{node: node, server: d.Server, attempt: d.Attempt, culprit: req.hasPart(partCulprit) || req.BodyDigest == poisonDigest}
 	x.running[id] = call
 	if call.culprit && x.pastLimit() {
 		x.late++
@@ -222,11 +264,16 @@
 		x.crash(call.server)
 		return
 	}
+	if x.random.Float64() < x.resetShare[call.server] {
+		delete(x.running, id)
+		x.handle(call.node, AttemptDone{Request: id, Attempt: call.attempt, Outcome: Lost, ConnectionBroken: true, Cause: code.New(code.BackendLost, "")})
+		return
+	}
 	if countsAsBegun && x.pastLimit() {
 		x.begun++
 	}
 	x.handle(call.node, FirstToken{Request: id, Attempt: call.attempt, Elapsed: partStep})
-	x.after(time.Duration(x.random.Int64N(int64(2*time.Second))), func() {
+	x.after(time.Duration(x.random.Int64N(int64(x.maxWork))), func() {
 		if x.running[id] == call {
 			delete(x.running, id)
 			x.handle(call.node, AttemptDone{Request: id, Attempt: call.attempt, Outcome: Succeeded, Answered: true})
@@ -234,9 +281,9 @@
 	})
 }
 
-// pastLimit reports whether partContactTime has passed since the fifth crash.
+// pastLimit reports whether partContactTime has passed since the crash of the limit.
 func (x *crashingFleet) pastLimit() bool {
-	return len(x.crashes) >= 5 && x.now.Sub(x.crashes[4]) > partContactTime
+	return len(x.crashes) >= x.limitCrashes && x.now.Sub(x.crashes[x.limitCrashes-1]) > partContactTime
 }
 
 // play sends a call at each node every interval, one of culpritEvery with partCulprit, and
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -153,6 +153,10 @@
 	// connection broke and whose server may not have ended.
 	parts       *quarantine.PartLedger
 	brokenCalls []brokenCall
+	// silentCalls are the calls that ended without a sign of their servers, which may have
+	// crashed. serverEnds has what is known of that.
+	silentCalls []silentCall
+	serverEnds  *quarantine.Servers
 	// unsentQuarantine has changed entries of the quarantine that are to be sent to the peers,
 	// quarantineSentAt is when the last ones were sent.
 	unsentQuarantine []quarantine.Entry
@@ -209,7 +213,6 @@
 		retryBudgets:    retry.NewBudgets(),
 		repeatWindows:   retry.NewRepeatLimiter(options.RepeatLimit, now),
 		serverIndex:     fleet.Index{ByService: options.Forwarding},
-		quarantine:      quarantine.NewList(),
 		exports:         kvcache.NewExports(),
 		runningExports:  map[request.ID]*transfer{},
 		suspectAttempts: map[quarantine.Fingerprint]int{},
@@ -252,7 +255,11 @@
 	if s.pacer, err = pace.NewPacer(s.options.Charts); err != nil {
 		return err
 	}
-	s.parts, err = quarantine.NewPartLedger(s.options.Charts, s.random, now)
+	s.serverEnds = quarantine.NewServers(now)
+	if s.quarantine, err = quarantine.NewList(s.options.Charts, s.serverEnds, now); err != nil {
+		return err
+	}
+	s.parts, err = quarantine.NewPartLedger(s.options.Charts, s.serverEnds, s.random, now)
 	return err
 }
 
@@ -350,7 +357,7 @@
 	s.divideMemory(now)
 	s.tickOrders(now)
 	s.expireTransfers(now)
-	s.quarantine.Expire(now)
+	s.reviewQuarantine(now)
 	s.sendQuarantine(now)
 	s.tickParts(now)
 	s.stopLateStarts(now)
--- a/core/quarantine/partcrash.go
+++ b/core/quarantine/partcrash.go
@@ -22,6 +22,9 @@
 	Depth int
 	// Own is true when the call was one of this node.
 	Own bool
+	// Proven is true when the server ended: it is no longer listed, or came back under
+	// another id.
+	Proven bool
 }
 
 // PartProof shows that a part crashes no server: a server began a response to a call with
@@ -38,9 +41,9 @@
 }
 
 const (
-	// sameCrashTime is the longest time between two broken connections of one crash. A
+	// SameCrashTime is the longest time between two broken connections of one crash. A
 	// server that comes back under its id takes longer.
-	sameCrashTime = 1500 * time.Millisecond
+	SameCrashTime = 1500 * time.Millisecond
 	// simultaneousTime is the longest time between crashes that may have one cause.
 	simultaneousTime = 60 * time.Millisecond
 	// maxCrashAge is how long after a crash a report of it counts. Proofs are remembered
@@ -50,9 +53,13 @@
 	maxPartCrashes = 16
 )
 
-// isSameCrash reports whether two broken connections belong to one crash of a server.
+// isSameCrash reports whether two calls belong to one crash of a server. Calls whose server
+// fell silent have no common time, but a server ends only once under its id.
 func (c PartCrash) isSameCrash(other PartCrash) bool {
-	return c.Server == other.Server && c.BrokeAt.Sub(other.BrokeAt).Abs() < sameCrashTime
+	if c.Server != other.Server {
+		return false
+	}
+	return c.Proven && other.Proven || c.BrokeAt.Sub(other.BrokeAt).Abs() < SameCrashTime
 }
 
 // isRecent reports whether a crash is not too old to count.
@@ -76,6 +83,11 @@
 	return cs, true
 }
 
+// hasServer reports whether one of the crashes is that of a server.
+func (cs partCrashes) hasServer(server fleet.ServerID) bool {
+	return slices.ContainsFunc(cs, func(c PartCrash) bool { return c.Server == server })
+}
+
 func (cs partCrashes) contain(c PartCrash) bool {
 	return slices.ContainsFunc(cs, c.isSameCrash)
 }
@@ -107,15 +119,15 @@
 
 // events returns the number of crashes until a time, counting those that follow each other
 // within simultaneousTime once: they may have one cause outside, and then all calls that
-// are in progress share them, whatever their parts.
-func (cs partCrashes) events(until time.Time) int {
+// are in progress share them, whatever their parts. Those that are separate count anyway.
+func (cs partCrashes) events(until time.Time, isSeparate func(PartCrash) bool) int {
 	count := 0
 	var last time.Time
 	for _, c := range cs {
 		if c.BrokeAt.After(until) {
 			break
 		}
-		if count == 0 || c.BrokeAt.Sub(last) > simultaneousTime {
+		if count == 0 || c.BrokeAt.Sub(last) > simultaneousTime || isSeparate(c) {
 			count++
 			last = c.BrokeAt
 		}
--- a/core/quarantine/partledger_test.go
+++ b/core/quarantine/partledger_test.go
@@ -13,7 +13,7 @@
 
 func newLedger(t *testing.T) *PartLedger {
 	t.Helper()
-	l, err := NewPartLedger(chart.Embedded(), rand.New(rand.NewPCG(1, 1)), now)
+	l, err := NewPartLedger(chart.Embedded(), NewServers(now), rand.New(rand.NewPCG(1, 1)), now)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,6 +71,91 @@
 	}
 }
 
+// TestProvenCrashesOfOneMoment guards against a part that stays in use because the servers
+// which it crashes at several nodes end at one moment, against a server that counts as ended
+// although it responds, and against a quarantine of the parts in progress when many servers
+// lose power together.
+func TestProvenCrashesOfOneMoment(t *testing.T) {
+	for name, c := range map[string]struct {
+		ended, alive, idle int
+		refused            bool
+	}{
+		"none ended": {0, 0, 0, false}, "all ended": {minCrashes, 0, 0, true}, "one responds": {minCrashes, 1, 0, false},
+		"an idle server ended too": {minCrashes, 0, 1, false},
+	} {
+		l := newLedger(t)
+		end := now.Add(4 * time.Second)
+		for i := range minCrashes {
+			crash := crash(i, "part", 0)
+			crash.BrokeAt = now.Add(time.Duration(i) * time.Millisecond)
+			l.RecordCrash(now.Add(time.Second), crash)
+			if i < c.ended {
+				l.servers.RecordEnd(end, crash.Server)
+				l.RecordEnd(crash.Server)
+			}
+			if i < c.alive {
+				l.servers.responded.record(end, crash.Server, end)
+				l.RecordResponse(end, crash.Server)
+			}
+		}
+		if c.idle > 0 {
+			l.servers.RecordEnd(end.Add(time.Second), "idle")
+		}
+		if l.Review(end.Add(time.Second)); l.Refuses("part") != c.refused {
+			t.Errorf("%s: quarantined %t", name, l.Refuses("part"))
+		}
+	}
+}
+
+// TestProofMayArriveLater guards against a sound part that is quarantined before the responses
+// to calls which were sent after the crash can have arrived, and against a part that stays in
+// use until long after that.
+func TestProofMayArriveLater(t *testing.T) {
+	for _, proven := range []bool{true, false} {
+		l := newLedger(t)
+		var last time.Time
+		for i := range minCrashes {
+			c := crash(i, "part", 0)
+			last = c.BrokeAt
+			l.RecordCrash(last, c)
+		}
+		for delay := time.Duration(0); delay < 750*time.Millisecond; delay += 50 * time.Millisecond {
+			if l.Review(last.Add(delay)); l.Refuses("part") {
+				t.Fatalf("quarantined %v after the last crash", delay)
+			}
+		}
+		if proven {
+			l.RecordProof(last.Add(750*time.Millisecond), PartProof{Part: "part", At: last.Add(400 * time.Millisecond)})
+		}
+		if l.Review(last.Add(time.Second)); l.Refuses("part") == proven {
+			t.Errorf("proven %t, quarantined %t after a second", proven, l.Refuses("part"))
+		}
+	}
+}
+
+// TestSilentCallsOfOneServerCountOnce guards against one crash that counts for each node whose
+// calls ended at another time, because the server fell silent.
+func TestSilentCallsOfOneServerCountOnce(t *testing.T) {
+	for name, endAfter := range map[string]int{"end known first": 0, "end known later": 4, "end known last": 8} {
+		l := newLedger(t)
+		end := now.Add(20 * time.Second)
+		for i := range 8 {
+			if i == endAfter {
+				l.servers.RecordEnd(end, "s")
+				l.RecordEnd("s")
+			}
+			c := crash(2*i, "part", 0)
+			c.Server = "s"
+			l.RecordCrash(end, c)
+		}
+		l.servers.RecordEnd(end, "s")
+		l.RecordEnd("s")
+		if crashes := len(l.parts["part"].crashes); crashes != 1 {
+			t.Errorf("%s: %d crashes of one server", name, crashes)
+		}
+	}
+}
+
 // TestReportsOfOneCrashCountOnce guards against one crash that several nodes report and
 // that counts once for each.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
