platform: revisions and leases carry the era of the store

Cause: after the store comes back from a copy, it assigns revisions and leases again. A watch continues from a number that names another change, a conditional write replaces another one, and a key is written under the lease of another node.

Change: Store reads Store-Era from every response and combines it with each revision and lease. A watch whose response has another era returns HistoryGone; writes and renewals with positions of an earlier era are not sent.

Before (header ignored): TestRevertedStore and TestWriteWhileStoreReverts fail. After: both pass.

--- a/client/kv/kv.go
+++ b/client/kv/kv.go
@@ -12,7 +12,8 @@
 // MaxValueBytes bounds one value.
 const MaxValueBytes = 1 << 20
 
-// Revision is the number of a write to the service. It increases with each write.
+// Revision is the number of a write to the service, with the era of the service. It
+// increases with each write.
 type Revision uint64
 
 // Absent is the expected revision of a key that must not exist.
--- a/client/wire/wire.go
+++ b/client/wire/wire.go
@@ -100,35 +100,32 @@
 
 // CallWithin is Call with the given timeout instead of Options.Timeout.
 func (c *Client) CallWithin(ctx context.Context, timeout time.Duration, method, path string, in, out any) *code.Error {
-	return c.callMessage(ctx, timeout, Message{Method: method, Path: path}, in, out)
+	_, err := c.Exchange(ctx, timeout, Message{Method: method, Path: path}, in, out)
+	return err
 }
 
-// Read is Call of a GET on a connection of its own, see Message.NewConnection.
-func (c *Client) Read(ctx context.Context, path string, out any) *code.Error {
-	return c.callMessage(ctx, c.options.Timeout, Message{Method: http.MethodGet, Path: path, NewConnection: true}, nil, out)
-}
-
-// callMessage sends a message with the body in and decodes the response into out.
-func (c *Client) callMessage(ctx context.Context, timeout time.Duration, message Message, in, out any) *code.Error {
+// Exchange sends a message with the body in, decodes the response into out and returns
+// the header of the response, also with the error of a status.
+func (c *Client) Exchange(ctx context.Context, timeout time.Duration, message Message, in, out any) (http.Header, *code.Error) {
 	message.Header = http.Header{"Content-Type": {"application/json"}}
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
-			return code.Wrap(code.Internal, "the message cannot be encoded", err)
+			return nil, code.Wrap(code.Internal, "the message cannot be encoded", err)
 		}
 		message.Body = data
 	}
 	response, err := c.Send(ctx, timeout, message)
 	if err != nil {
-		return err
+		return response.Header, err
 	}
 	if out == nil {
-		return nil
+		return response.Header, nil
 	}
 	if err := json.Unmarshal(response.Body, out); err != nil {
-		return code.Wrap(c.options.UnreachableCode, "the response is malformed", err)
+		return response.Header, code.Wrap(c.options.UnreachableCode, "the response is malformed", err)
 	}
-	return nil
+	return response.Header, nil
 }
 
 // Message is a request to a service. The body may be other than JSON.
--- a/standin/deployed/store.go
+++ b/standin/deployed/store.go
@@ -56,6 +56,8 @@
 	// without a response.
 	loseNextResponses int
 	callCounts        map[string]int
+	// era is the value of the header Store-Era; without one, the header is not sent.
+	era uint64
 }
 
 // NewStore returns an empty store at revision 1.
@@ -155,6 +157,7 @@
 		s.mu.Lock()
 		s.callCounts[r.URL.Path]++
 		status := s.errorStatus
+		s.setEraHeader(w)
 		s.mu.Unlock()
 		if status != 0 {
 			w.WriteHeader(status)
@@ -164,6 +167,14 @@
 	})
 }
 
+// lock locks the store for a response: it sets the header Store-Era and ends the leases
+// that are due.
+func (s *Store) lock(w http.ResponseWriter) {
+	s.mu.Lock()
+	s.setEraHeader(w)
+	s.expire()
+}
+
 func (s *Store) write(item Item) {
 	item.Revision = s.revision
 	item.Created = s.revision
@@ -211,9 +222,8 @@
 }
 
 func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
+	s.lock(w)
 	defer s.mu.Unlock()
-	s.expire()
 	item, exists := s.items[r.URL.Query().Get("key")]
 	if !exists {
 		w.WriteHeader(http.StatusNotFound)
@@ -226,9 +236,8 @@
 }
 
 func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
+	s.lock(w)
 	defer s.mu.Unlock()
-	s.expire()
 	query := r.URL.Query()
 	var keys []string
 	for key := range s.items {
@@ -260,14 +269,14 @@
 	after := queryUint(query, "after")
 	timeout := time.NewTimer(time.Duration(queryUint(query, "wait_ms")) * time.Millisecond)
 	defer timeout.Stop()
+	startEra := s.Era()
 	for {
-		s.mu.Lock()
-		s.expire()
-		if s.errorStatus != 0 {
+		s.lock(w)
+		if s.errorStatus != 0 || s.era != startEra {
 			s.mu.Unlock()
 			panic(http.ErrAbortHandler) // net/http closes the connection.
 		}
-		if after < s.compactedRevision && !s.watchesStalled {
+		if (after < s.compactedRevision || after > s.revision) && !s.watchesStalled {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -311,9 +320,8 @@
 	if !decode(w, r, &request) {
 		return
 	}
-	s.mu.Lock()
+	s.lock(w)
 	defer s.mu.Unlock()
-	s.expire()
 	for _, expected := range request.Expected {
 		if s.items[expected.Key].Revision != expected.Revision {
 			w.WriteHeader(http.StatusPreconditionFailed)
@@ -347,7 +355,7 @@
 	if !decode(w, r, &request) {
 		return
 	}
-	s.mu.Lock()
+	s.lock(w)
 	defer s.mu.Unlock()
 	s.revision++
 	ttl := time.Duration(request.TTLMS) * time.Millisecond
@@ -356,9 +364,8 @@
 }
 
 func (s *Store) handleKeepAlive(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
+	s.lock(w)
 	defer s.mu.Unlock()
-	s.expire()
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	granted := s.leases[id]
 	if granted == nil {
@@ -370,7 +377,7 @@
 }
 
 func (s *Store) handleLeaseEnd(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
+	s.lock(w)
 	defer s.mu.Unlock()
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	s.endLease(id)
