node/mirror: entries of two eras of the store are not mixed

Cause: a mirror whose revision is ahead of a store that came back from a copy keeps entries that the store lost, ignores older ones that are in force again, and a copy from a peer continues across the return.

Change: a full read of a later era replaces everything; changes and lists of another era are refused; a peer sends all entries across a rise and refuses to continue a later era than its own, so that the copying node leaves it for the store. Entries that are missing after a rise count like those after an outage.

--- a/node/mirror/follow.go
+++ b/node/mirror/follow.go
@@ -238,7 +238,9 @@
 		if err != nil {
 			return err
 		}
-		f.options.Mirror.Apply(changes, at)
+		if err := f.options.Mirror.Apply(changes, at); err != nil {
+			return err
+		}
 		f.logConfig(sourceWatch, "")
 		if !worker.Sleep(ctx, batchDelay) {
 			return nil
@@ -257,7 +259,9 @@
 		return 0, err
 	}
 	f.recordSuccess()
-	f.options.Mirror.Replace(entries, at)
+	if err := f.options.Mirror.Replace(entries, at); err != nil {
+		return 0, err
+	}
 	f.logConfig(way, "")
 	return at, nil
 }
@@ -273,9 +277,12 @@
 		}
 		f.recordSuccess()
 		if snapshot {
-			f.options.Mirror.Replace(existingEntries(changes), next)
+			err = f.options.Mirror.Replace(existingEntries(changes), next)
 		} else {
-			f.options.Mirror.Apply(changes, next)
+			err = f.options.Mirror.Apply(changes, next)
+		}
+		if err != nil {
+			return err
 		}
 		f.logConfig(sourcePeer, source.Node)
 		at = next
--- a/node/mirror/mirror.go
+++ b/node/mirror/mirror.go
@@ -32,6 +32,9 @@
 	// revision is the revision up to which the copy is complete. No entry is newer:
 	// a reader that continues from it would miss the changes before that entry.
 	revision kv.Revision
+	// copyEnd is the revision of the first full read of the present era, or zero when
+	// the era has not risen since the first read.
+	copyEnd kv.Revision
 	// tombstones is the number of deleted entries, forgotten the newest revision of
 	// those that were removed.
 	tombstones int
@@ -54,9 +57,13 @@
 // Replace replaces all entries by a list that was read at a revision. Entries and
 // deletions of the mirror that are newer than the list stay. Entries of the list that
 // are newer than its revision, from pages that were read later, are left to the watch.
-func (m *Mirror) Replace(entries []kv.Entry, at kv.Revision) {
+// Replace returns code.KeyValueAway for a list of an earlier era than that of the mirror.
+func (m *Mirror) Replace(entries []kv.Entry, at kv.Revision) *code.Error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.beginEra(at); err != nil {
+		return err
+	}
 	listed := map[string]bool{}
 	for _, e := range entries {
 		listed[e.Key] = true
@@ -74,16 +81,23 @@
 		m.loaded = true
 		m.notifyWatchers()
 	}
+	return nil
 }
 
-// Apply applies changes, after which the copy is complete up to a revision.
-func (m *Mirror) Apply(changes []kv.Change, at kv.Revision) {
+// Apply applies changes, after which the copy is complete up to a revision. It returns
+// code.HistoryGone for changes of another era, which do not continue the entries of the
+// mirror.
+func (m *Mirror) Apply(changes []kv.Change, at kv.Revision) *code.Error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if at.Era() != m.revision.Era() {
+		return code.New(code.HistoryGone, "the changes are of another era of the key-value service")
+	}
 	for _, change := range changes {
 		m.put(change.Entry, change.Deleted)
 	}
 	m.advanceTo(at)
+	return nil
 }
 
 // EntryRevision returns the revision of a key, or kv.Absent.
@@ -219,14 +233,12 @@
 
 // Copy returns what a copy of this mirror lacks: the changes after a revision,
 // for which it waits up to wait, or all entries and snapshot true when the
-// revision is 0 or deletions after it were forgotten. It returns code.KeyValueAway when the last call to the source
-// of the mirror failed.
+// revision is 0 or of an earlier era, or deletions after it were forgotten. It returns
+// code.KeyValueAway when the last call to the source of the mirror failed, or the mirror is
+// of an earlier era than the revision.
 func (m *Mirror) Copy(ctx context.Context, after kv.Revision, wait time.Duration) (changes []kv.Change, at kv.Revision, snapshot bool, _ *code.Error) {
 	if after > 0 {
-		changes, at, err := m.Watch(ctx, "", after, wait)
-		if err == nil {
-			err = m.checkUpToDate()
-		}
+		changes, at, err := m.copyChanges(ctx, after, wait)
 		if err == nil || err.Code != code.HistoryGone {
 			return changes, at, false, err
 		}
@@ -241,6 +253,22 @@
 	return changes, at, true, err
 }
 
+// copyChanges returns the changes after a revision, or code.HistoryGone when they do not
+// continue it.
+func (m *Mirror) copyChanges(ctx context.Context, after kv.Revision, wait time.Duration) ([]kv.Change, kv.Revision, *code.Error) {
+	if m.Revision().Era() < after.Era() {
+		return nil, 0, code.New(code.KeyValueAway, "the entries are of an earlier era of the key-value service")
+	}
+	changes, at, err := m.Watch(ctx, "", after, wait)
+	if err == nil {
+		err = m.checkUpToDate()
+	}
+	if err == nil && at.Era() != after.Era() {
+		return nil, 0, code.New(code.HistoryGone, "the key-value service has reverted since the revision")
+	}
+	return changes, at, err
+}
+
 // checkUpToDate returns code.KeyValueAway when the last call to the source
 // failed.
 func (m *Mirror) checkUpToDate() *code.Error {
