core/control: what a node does when the store came back from a copy

Cause: a node notices nothing of a return. Its session entry may stay lost for 10 s, a quarantined fingerprint for good; the holder of the issuer's lease goes on although another node may claim the key; an entry of the copy takes back that a server leaves; a mark of the copy permits calls to old weights after their limit.

Change: goroutines report the era (message StoreEra, VMList, digests of peers). At a rise the issuer ends its term (event revert of the charts) and the next one waits for TakeoverWait, the session is opened again after a random time of up to 4 s, one member writes each quarantined entry again, marks are forgotten, a server that left stays so for 10 s while its entry is of the copy.

Before (reaction disabled): TestSessionWrittenOnceAfterRevert (0 grants), TestServerOfCopyStaysLeaving, TestMarkOfCopyIgnored and TestQuarantineWrittenAgainByOne (0 writers) fail.

--- a/core/control/agentmessage.go
+++ b/core/control/agentmessage.go
@@ -176,6 +176,8 @@
 		s.configSeen(now, m)
 	case ServiceReached:
 		s.recordContact(m.AskedAt)
+	case StoreEra:
+		s.storeEraSeen(now, m.Era, "")
 	case PeerDigest:
 		s.peerDigest(now, m)
 	case AskDigest:
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -68,6 +68,7 @@
 		NewestVersion:       c.newest,
 		KeyValueUnreachable: now.Sub(c.contactAt) > config.FenceTime,
 		ConfirmationAge:     membership.UnknownConfirmation,
+		StoreEra:            s.storeEra.number,
 	}
 	if s.countsInMajority() {
 		d.Version = s.version
@@ -114,6 +115,7 @@
 		holder = peer.ID
 	}
 	s.recordPeerVersions(now, d, holder)
+	s.storeEraSeen(now, d.StoreEra, d.Node)
 	if peer != nil {
 		s.updatePeer(now, peer, m)
 	}
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -183,6 +183,9 @@
 	StartedAtMS int64
 	// Revision is the revision of the VM's entry, or 0 when the list has none.
 	Revision uint64
+	// FromCopy is true when the entry is of the copy from which the key-value service
+	// came back, and not written since.
+	FromCopy bool
 	// PeerAddress is the address for the nodes' own protocol; entry VMs only.
 	PeerAddress string
 }
@@ -194,6 +197,8 @@
 	// had been unreachable, or zero. For a short time after that, servers may be
 	// missing from the list.
 	RecoveredAt time.Time
+	// StoreEra is the era of the entries, or 0.
+	StoreEra uint64
 }
 
 // ImportFound reports the blocks that a store's manifest lists for the prompt
--- a/core/control/ordermessage.go
+++ b/core/control/ordermessage.go
@@ -90,6 +90,9 @@
 	Model   string
 	Weights int
 	Marked  bool
+	// FromCopy is true when the mark is of the copy from which the service came back.
+	// Its lease may last longer than it was granted for.
+	FromCopy bool
 }
 
 // MarkNamed commands that the key-value service keeps the mark of a version for a time, so
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -89,7 +89,7 @@
 	server.MaxConcurrency = vm.MaxConcurrency
 	server.StartedAtMS = vm.StartedAtMS
 	server.EntryRevision = vm.Revision
-	s.updateLeaving(now, server, vm.Leaving)
+	s.updateLeaving(now, server, vm.Leaving || s.staysLeaving(now, server, vm))
 }
 
 // rebuildServerList sorts the servers, so that decisions do not depend on the
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -169,6 +169,7 @@
 	configuration configuration
 	session       session
 	digestRounds  digestRounds
+	storeEra      storeEra
 }
 
 // New returns the state of a node that starts now. It returns an error when a chart
@@ -260,6 +261,7 @@
 	case Abandon:
 		s.abandon(now, m)
 	case VMList:
+		s.storeEraSeen(now, m.StoreEra, "")
 		s.vmList(now, m)
 	case ImportFound:
 		s.importFound(now, m)
--- a/core/control/tags.go
+++ b/core/control/tags.go
@@ -33,6 +33,9 @@
 
 	// tagHeld marks a session whose entry is written.
 	tagHeld chart.Tag = "held"
+	// tagAwaitsRewrite marks a session that is opened again after the key-value service
+	// came back from a copy.
+	tagAwaitsRewrite chart.Tag = "awaits_rewrite"
 	// tagMayIssue marks an issuer that may send orders, tagAwaitsLease one that
 	// has asked for a lease.
 	tagMayIssue    chart.Tag = "may_issue"
@@ -83,7 +86,7 @@
 	attemptTags     = []chart.Tag{tagOpens, tagAwaitsHeaders, tagReceives, tagRuns}
 	nodeTags        = []chart.Tag{tagReady, tagMayHoldIssuerLease, tagDrainDelay, tagDeparts, tagStopped, tagRefusesStarting, tagRefusesFenced, tagRefusesDraining}
 	peerTags        = []chart.Tag{tagPresent, tagDead}
-	sessionTags     = []chart.Tag{tagHeld}
+	sessionTags     = []chart.Tag{tagHeld, tagAwaitsRewrite}
 	configTags      = []chart.Tag{tagConfirmed}
 	orderTags       = []chart.Tag{tagCountsAsLoad}
 	issuerTags      = []chart.Tag{tagMayIssue, tagAwaitsLease, tagStandsBy}
--- a/core/control/weightsmark.go
+++ b/core/control/weightsmark.go
@@ -30,6 +30,9 @@
 // least sendTime ago.
 func (s *State) recentlyNamed(now time.Time, m RecentlyNamed) {
 	key := modelVersion{m.Model, m.Weights}
+	if m.Marked && m.FromCopy {
+		return
+	}
 	marked := s.orders.markedWeights[key]
 	if m.Marked {
 		s.orders.markedWeights[key] = true
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -64,6 +64,7 @@
 	EntryFeedFailed    = register(2704, LevelInfo, "entries of the key-value service cannot be watched; the last known ones stay in use", "source", "code")
 	EntryFeedRecovered = register(2705, LevelInfo, "entries of the key-value service are watched again", "source")
 	CacheFeedFailed    = register(2706, LevelInfo, "event feed of a cache store or an engine cannot be read", "target", "code")
+	StoreReverted      = register(2707, LevelInfo, "key-value service came back from a copy; entries written since that copy are lost", "node", "era", "peer")
 	VMListFailed       = register(2702, LevelInfo, "VM list did not respond; the last known list stays in use", "code")
 )
 
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -55,6 +55,8 @@
 	// KeyValueUnreachable is true when the node cannot reach the key-value
 	// service.
 	KeyValueUnreachable bool
+	// StoreEra is the latest era of the key-value service that the node knows, or 0.
+	StoreEra uint64
 	// ConfirmationAge is the time since Version was last confirmed as the newest
 	// version, or UnknownConfirmation.
 	ConfirmationAge time.Duration
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -48,6 +48,7 @@
 	NamedWeights       []namedWeightsWire  `json:"h,omitempty"`
 	// WantsNamedWeights is 1 for true, which is shorter.
 	WantsNamedWeights int             `json:"y,omitempty"`
+	StoreEra          uint64          `json:"e,omitempty"`
 	PartCrashes       []partCrashWire `json:"b,omitempty"`
 	PartProofs        []partAgeWire   `json:"p,omitempty"`
 	QuarantinedParts  []string        `json:"z,omitempty"`
@@ -210,7 +211,7 @@
 func digestToWire(d membership.Digest) digestWire {
 	w := digestWire{
 		Node: d.Node, Incarnation: d.Incarnation, State: d.State, Version: uint64(d.Version),
-		ServiceUnreachable: d.KeyValueUnreachable, MemberList: d.MemberListID, Ages: packAges(d.LastSeenAges), AgeCount: len(d.LastSeenAges),
+		ServiceUnreachable: d.KeyValueUnreachable, MemberList: d.MemberListID, Ages: packAges(d.LastSeenAges), AgeCount: len(d.LastSeenAges), StoreEra: d.StoreEra,
 	}
 	for _, status := range d.Quarantine[:min(len(d.Quarantine), quarantine.MaxDigestEntries)] {
 		w.Quarantine = append(w.Quarantine, encodeQuarantineStatus(status))
@@ -244,7 +245,7 @@
 	d := membership.Digest{
 		Node: w.Node, Incarnation: w.Incarnation, State: w.State, Version: config.Version(w.Version),
 		NewestVersion: config.Version(max(w.NewestVersion, w.Version)), KeyValueUnreachable: w.ServiceUnreachable, ConfirmationAge: membership.UnknownConfirmation,
-		MemberListID: w.MemberList, LastSeenAges: unpackAges(w.Ages, w.AgeCount), WantsNamedWeights: w.WantsNamedWeights == 1,
+		MemberListID: w.MemberList, LastSeenAges: unpackAges(w.Ages, w.AgeCount), WantsNamedWeights: w.WantsNamedWeights == 1, StoreEra: w.StoreEra,
 	}
 	if w.ConfirmedMS != nil && *w.ConfirmedMS >= 0 {
 		d.ConfirmationAge = time.Duration(*w.ConfirmedMS) * time.Millisecond
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -43,6 +43,11 @@
 	// RecoveredAt returns when the source of the entries was last reached again
 	// after it had been unreachable, or zero.
 	RecoveredAt func() time.Time
+	// FromCopy reports whether an entry with a revision may have been replaced before
+	// the service came back from a copy.
+	FromCopy func(kv.Revision) bool
+	// Revision returns the revision of the entries.
+	Revision func() kv.Revision
 	// DecodeServer returns the server of an entry, or code.EntryInvalid.
 	DecodeServer func(key string, value []byte) (control.VM, *code.Error)
 	// DecodeWeights returns the named weights of an entry, or
@@ -139,7 +144,7 @@
 // that have no entry yet.
 func (r *Registry) reportVMs() {
 	r.mu.Lock()
-	message := control.VMList{RecoveredAt: r.options.RecoveredAt()}
+	message := control.VMList{RecoveredAt: r.options.RecoveredAt(), StoreEra: uint64(r.options.Revision().Era())}
 	registered := map[string]bool{}
 	for _, vm := range r.servers {
 		message.VMs = append(message.VMs, vm)
@@ -171,6 +176,7 @@
 	}
 	delete(r.rejected, change.Entry.Key)
 	vm.Revision = uint64(change.Entry.Revision)
+	vm.FromCopy = r.options.FromCopy(change.Entry.Revision)
 	r.servers[change.Entry.Key] = vm
 }
 
@@ -215,6 +221,7 @@
 		return
 	}
 	mark.Marked = !change.Deleted
+	mark.FromCopy = r.options.FromCopy(change.Entry.Revision)
 	worker.Tell(r.options.Control, r.options.Logger, control.Message(mark))
 }
 
--- a/node/runtime/fleet.go
+++ b/node/runtime/fleet.go
@@ -15,6 +15,7 @@
 	"tanagerspread/node/mirror"
 	"tanagerspread/node/peer"
 	"tanagerspread/node/registry"
+	"tanagerspread/node/worker"
 )
 
 // Fleet holds the options that connect a node to the platform and to its peers.
@@ -87,6 +88,9 @@
 // and returns a service whose reads are served from the mirror.
 func (s *fleetComponents) newMirror(loop *control.Loop, options Options) kv.Service {
 	f := options.Fleet
+	if source, ok := f.Service.(kv.EraSource); ok {
+		source.OnEra(func(era kv.Era) { worker.Tell(loop, options.Logger, corecontrol.StoreEra{Era: uint64(era)}) })
+	}
 	entryMirror := mirror.New()
 	s.server.Entries = entryMirror
 	s.mirrorFollower = mirror.NewFollower(mirror.Options{Mirror: entryMirror, Service: f.Service, Peer: s.client, Logger: options.Logger, ConfigKey: f.Source.Key})
@@ -96,6 +100,8 @@
 	registryOptions.Service = service
 	registryOptions.Logger = options.Logger
 	registryOptions.RecoveredAt = entryMirror.RecoveredAt
+	registryOptions.FromCopy = entryMirror.FromCopy
+	registryOptions.Revision = entryMirror.Revision
 	s.registry = registry.New(registryOptions)
 	return service
 }
