--- a/core/control/storeera_test.go
+++ b/core/control/storeera_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"tanagerspread/core/fleet"
+	"tanagerspread/core/membership"
+	"tanagerspread/core/order"
 	"tanagerspread/core/quarantine"
 )
 
@@ -133,3 +135,54 @@
 	}
 	return list
 }
+
+// runIssuer handles ticks and answers all calls of the issuer at once, as a service
+// without another holder and engines with weights 1 do. It returns when the first order was
+// sent, or the zero time when none was within the limit.
+func runIssuer(s *State, start time.Time, limit time.Duration) time.Time {
+	for now := start; now.Before(start.Add(limit)); now = now.Add(50 * time.Millisecond) {
+		pending := s.Handle(now, Tick{}).Commands
+		for len(pending) > 0 {
+			var answer Message
+			switch c := pending[0].(type) {
+			case SendOrder:
+				return now
+			case IssuerCommand:
+				answer = IssuerResult{Step: c.Step, Attempt: c.Attempt, AskedAt: now, Lease: "lease", Revision: 7}
+			case ReadEngine:
+				answer = EngineStatus{Engine: c.Engine, Call: c.Call, Status: order.Status{Current: order.Desired{Model: "m", Weights: 1}, ReportsCountOnly: true}}
+			}
+			pending = pending[1:]
+			if answer != nil {
+				pending = append(pending, s.Handle(now, answer).Commands...)
+			}
+		}
+	}
+	return time.Time{}
+}
+
+// TestIssuerAfterRevert guards against orders of a new holder while one of the earlier era,
+// whose lease the service forgot, may still act, and against a holder that goes on although
+// a peer has seen the return.
+func TestIssuerAfterRevert(t *testing.T) {
+	list := vms(2, 0, 0)
+	for i := range list {
+		list[i].Model, list[i].Weights = "m", 1
+	}
+	s := newDeployedState(t, "n1", testStart, list)
+	s.Handle(testStart, StoreEra{Era: 1})
+	s.Handle(testStart, WeightsNamed{Model: "m", Weights: 2})
+	first := runIssuer(s, testStart.Add(time.Minute), time.Minute)
+	if first.IsZero() || !s.mayIssue(first) {
+		t.Fatal("the node sends no order")
+	}
+	reverted := first.Add(100 * time.Millisecond)
+	s.Handle(reverted, PeerDigest{Digest: membership.Digest{Node: "n2", StoreEra: 2}})
+	if s.mayIssue(reverted) {
+		t.Error("the holder may send orders after the return")
+	}
+	again := runIssuer(s, reverted, time.Minute)
+	if wait := again.Sub(reverted); again.IsZero() || wait < s.orderParameters().TakeoverWait {
+		t.Errorf("the next order is sent %s after the return", wait)
+	}
+}
--- a/node/orders/lease.go
+++ b/node/orders/lease.go
@@ -83,9 +83,22 @@
 	if !holdsRecord(entry, ownRecord) {
 		return control.IssuerResult{Held: true}
 	}
+	if entry.Lease != kv.LeaseID(command.Lease) {
+		return w.dropClaim(ctx, entry)
+	}
 	return control.IssuerResult{Revision: uint64(entry.Revision)}
 }
 
+// dropClaim deletes a key that this claim created under another lease than its own: the
+// service came back from a copy in between and has assigned the number of the lease again.
+func (w *Workers) dropClaim(ctx context.Context, entry kv.Entry) control.IssuerResult {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	// A failed deletion leaves the key for as long as the other lease lasts.
+	_ = w.options.Service.Delete(ctx, KeyIssuer, entry.Revision)
+	return control.IssuerResult{Err: code.New(code.LeaseLapsed, "the key of the issuer has the lease of another node")}
+}
+
 // renewLease extends the lease and checks that the key still belongs to this
 // claim. A service that was restored from an older copy may have the lease but
 // not the key.
--- a/standin/deployed/management.go
+++ b/standin/deployed/management.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -54,6 +55,7 @@
 func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var request struct {
 		Version      int    `json:"version"`
+		Holder       string `json:"holder"`
 		FencingToken uint64 `json:"fencing_token"`
 		Expected     uint64 `json:"expected"`
 	}
@@ -62,6 +64,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.orders = append(s.orders, Order{At: time.Now(), Holder: request.Holder, FencingToken: request.FencingToken})
 	switch {
 	case request.FencingToken < s.fencingToken:
 		w.WriteHeader(http.StatusPreconditionFailed)
@@ -76,3 +79,17 @@
 	s.weights = request.Version
 	w.WriteHeader(http.StatusAccepted)
 }
+
+// Order is an order that arrived at a server, whether or not it was accepted.
+type Order struct {
+	At           time.Time
+	Holder       string
+	FencingToken uint64
+}
+
+// Orders returns the orders that arrived.
+func (s *Server) Orders() []Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.orders)
+}
--- a/standin/deployed/server.go
+++ b/standin/deployed/server.go
@@ -153,6 +153,7 @@
 	sequence       uint64
 	fencingToken   uint64
 	acceptedOrders int
+	orders         []Order
 }
 
 // NewServer returns a server with an empty plan and weight version 1. If events is
