core/control: a starting node asks a peer before it uses a configuration of a copy

Cause: a node that starts between the return of the store and the operator's write uses the older configuration of the copy, and accepts a revoked key.

Before: TestNodeStartsBeforeConfigurationReturns gets 200 with a revoked key. After: it passes.

--- a/core/control/agentmessage.go
+++ b/core/control/agentmessage.go
@@ -206,6 +206,7 @@
 		return
 	}
 	s.expireConfiguration(now)
+	s.releaseFirstConfig(now)
 	s.expirePeers(now)
 	s.tickSession(now)
 	s.tickDigests(now)
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -55,6 +55,7 @@
 	// readAge is the age of the last confirmation at which the node reads the
 	// key-value service.
 	readAge   time.Duration
+	first     firstConfig
 	nextRead  time.Time
 	nextFetch time.Time
 }
@@ -129,6 +130,9 @@
 		s.recordContact(m.AskedAt)
 		s.repairService(m.Current)
 	}
+	if s.holdFirstConfig(now, m) {
+		return
+	}
 	s.putInForce(now, m.Current, m.Rules)
 	if m.FromService && m.Current.SameApply(s.configuration.current) {
 		s.confirm(now, m.AskedAt)
--- a/core/control/members.go
+++ b/core/control/members.go
@@ -132,6 +132,7 @@
 	if m.AskedAt.IsZero() {
 		return
 	}
+	s.recordFirstAnswer(now, d)
 	s.members.MergeLastSeen(d.MemberListID, d.LastSeenAges, m.AskedAt)
 	if d.Version == s.version && d.ConfirmationAge >= 0 {
 		s.confirmByPeerReport(now, m.AskedAt.Add(-d.ConfirmationAge))
--- a/node/process/storeera_test.go
+++ b/node/process/storeera_test.go
@@ -127,3 +127,30 @@
 	s.writeServers(servers)
 	pause(4 * time.Second)
 }
+
+// TestNodeStartsBeforeConfigurationReturns guards against a node that starts while the store
+// holds an older configuration than before, and accepts a revoked key.
+func TestNodeStartsBeforeConfigurationReturns(t *testing.T) {
+	runAtSite(t, func(s *deployedSite) {
+		s.store.SetEra(1)
+		s.startServer("desk", 0)
+		s.writeConfiguration(testKey)
+		s.startNode("n1", "n2:peers")
+		time.Sleep(5 * time.Second)
+		before := s.store.Copy()
+		s.writeConfiguration("other")
+		time.Sleep(time.Second)
+		s.store.Revert(before)
+		time.Sleep(time.Second)
+		n := s.startNode("n2", "n1:peers")
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			if got := n.call("GET", "/lookup/", nil, ""); got.status != http.StatusServiceUnavailable && got.status != http.StatusUnauthorized {
+				t.Fatalf("got %d with a revoked key", got.status)
+			}
+		}
+		if got := n.call("GET", "/nowhere/", nil, ""); got.status == http.StatusServiceUnavailable {
+			t.Error("the node has no configuration")
+		}
+	})
+}
