--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -24,7 +24,7 @@
 	s.updateStores(now, m)
 	listed := map[fleet.ServerID]bool{}
 	for _, vm := range m.VMs {
-		if vm.Role != fleet.RoleEngine && vm.Role != fleet.RoleService {
+		if vm.Role != fleet.RoleEngine && vm.Role != fleet.RoleService || s.hasLeft(now, vm) {
 			continue
 		}
 		listed[fleet.ServerID(vm.ID)] = true
@@ -58,6 +58,7 @@
 
 func (s *State) removeServer(now time.Time, server *fleet.Server) {
 	s.recordOutdated(now, server)
+	s.recordLeft(now, server)
 	s.fireServerEvent(server, "remove", now)
 	delete(s.servers, server.ID)
 	s.recentPrefixes.DropServer(server.ID)
--- a/core/control/storeera.go
+++ b/core/control/storeera.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"tanagerspread/core/event"
@@ -31,8 +32,21 @@
 type storeEra struct {
 	number uint64
 	seenAt time.Time
+	// left has the servers that left and were removed in the last time.
+	left map[fleet.ServerID]leftServer
 }
 
+// leftServer is a server that left, until the time at which it is forgotten.
+type leftServer struct {
+	address     string
+	startedAtMS int64
+	until       time.Time
+}
+
+// leftMemory is how long a server that left is remembered: the age of a copy, the
+// time for which the service is away and oldEntryTime together are shorter.
+const leftMemory = time.Minute
+
 // storeEraSeen handles an era that this node, or a peer, read from a response of the
 // key-value service. Orders of an earlier holder may be in flight, also when this is
 // the first era that the node knows: that holder may act until its lease is no longer
@@ -42,7 +56,7 @@
 	if era <= before {
 		return
 	}
-	s.storeEra = storeEra{number: era, seenAt: now}
+	s.storeEra.number, s.storeEra.seenAt = era, now
 	s.orders.issuer.OtherHolderSeenAt = now
 	if before == 0 {
 		return
@@ -105,3 +119,21 @@
 func (s *State) staysLeaving(now time.Time, server *fleet.Server, vm VM) bool {
 	return vm.FromCopy && (server.LeavingByList || server.LeavingRevision != 0) && now.Sub(s.storeEra.seenAt) < oldEntryTime
 }
+
+// recordLeft remembers a server that is removed after it left.
+func (s *State) recordLeft(now time.Time, server *fleet.Server) {
+	if !server.LeavingByList && !server.LeavingByResponse && server.LeavingRevision == 0 {
+		return
+	}
+	if s.storeEra.left == nil {
+		s.storeEra.left = map[fleet.ServerID]leftServer{}
+	}
+	maps.DeleteFunc(s.storeEra.left, func(_ fleet.ServerID, l leftServer) bool { return now.After(l.until) })
+	s.storeEra.left[server.ID] = leftServer{address: server.Address, startedAtMS: server.StartedAtMS, until: now.Add(leftMemory)}
+}
+
+// hasLeft reports whether an entry of the copy shows a server that has left since.
+func (s *State) hasLeft(now time.Time, vm VM) bool {
+	l, found := s.storeEra.left[fleet.ServerID(vm.ID)]
+	return found && vm.FromCopy && now.Sub(s.storeEra.seenAt) < oldEntryTime && l.address == vm.Address && l.startedAtMS == vm.StartedAtMS
+}
--- a/core/control/storeera_test.go
+++ b/core/control/storeera_test.go
@@ -92,6 +92,25 @@
 	}
 }
 
+// TestServerThatLeftStaysAway guards against calls to a server that left and whose entry the
+// copy still has.
+func TestServerThatLeftStaysAway(t *testing.T) {
+	s := newState(t, 1, nil, rulesFor(1, ""))
+	vm := VM{ID: "e1", Address: "e1", Role: fleet.RoleEngine, Serves: "m", Leaving: true}
+	s.Handle(testStart, VMList{VMs: []VM{vm}, StoreEra: 1})
+	s.Handle(testStart, VMList{StoreEra: 1})
+	vm.Leaving, vm.FromCopy = false, true
+	s.Handle(testStart, VMList{VMs: []VM{vm}, StoreEra: 2})
+	if s.servers["e1"] != nil {
+		t.Error("a server that left is listed again")
+	}
+	vm.FromCopy = false
+	s.Handle(testStart, VMList{VMs: []VM{vm}, StoreEra: 2})
+	if s.servers["e1"] == nil {
+		t.Error("a server that wrote its entry again is not listed")
+	}
+}
+
 // TestMarkOfCopyIgnored guards against calls to old weights because the lease of a mark
 // began again when the service came back.
 func TestMarkOfCopyIgnored(t *testing.T) {
