--- a/node/mirror/mirror_test.go
+++ b/node/mirror/mirror_test.go
@@ -30,19 +30,19 @@
 func TestLateChangeReachesWatchers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := mirror.New()
-		m.Replace([]kv.Entry{entryAt("op/config", 50)}, 50)
+		_ = m.Replace([]kv.Entry{entryAt("op/config", 50)}, 50)
 		_, copied, _, err := m.Copy(t.Context(), 0, time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
 		// The configuration changes to revision 101 after its page was read, the server's
 		// entry to 102 before its page is read.
-		m.Replace([]kv.Entry{entryAt("op/config", 50), entryAt("servers/i-1", 102)}, 100)
+		_ = m.Replace([]kv.Entry{entryAt("op/config", 50), entryAt("servers/i-1", 102)}, 100)
 		_, copied, _, err = m.Copy(t.Context(), copied, time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
-		m.Apply([]kv.Change{{Entry: entryAt("op/config", 101)}}, 102)
+		_ = m.Apply([]kv.Change{{Entry: entryAt("op/config", 101)}}, 102)
 		changes, _, snapshot, err := m.Copy(t.Context(), copied, time.Second)
 		if err != nil || snapshot || keysOf(changes)["op/config"] != 101 {
 			t.Errorf("a copy got %v, snapshot %t, error %v, want the configuration at 101", keysOf(changes), snapshot, err)
@@ -59,12 +59,12 @@
 	for i := range keys {
 		entries = append(entries, entryAt(fmt.Sprintf("servers/i-%d", i), 1))
 	}
-	m.Replace(entries, 1)
+	_ = m.Replace(entries, 1)
 	_, at, err := m.List(t.Context(), "")
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.Apply([]kv.Change{{Entry: entryAt("servers/i-0", 2), Deleted: true}, {Entry: entryAt("servers/new", 3)}}, 3)
+	_ = m.Apply([]kv.Change{{Entry: entryAt("servers/i-0", 2), Deleted: true}, {Entry: entryAt("servers/new", 3)}}, 3)
 	changes, _, err := m.Watch(t.Context(), "servers/", at, time.Second)
 	if err != nil || len(changes) != 2 {
 		t.Errorf("%d changes, error %v, want the deletion and the new entry", len(changes), err)
@@ -76,7 +76,7 @@
 func TestOldPositionsListAgain(t *testing.T) {
 	const deletions = 10000
 	m := mirror.New()
-	m.Replace([]kv.Entry{entryAt("op/config", 1)}, 1)
+	_ = m.Replace([]kv.Entry{entryAt("op/config", 1)}, 1)
 	_, at, err := m.List(t.Context(), "")
 	if err != nil {
 		t.Fatal(err)
@@ -84,8 +84,8 @@
 	for i := range deletions {
 		revision := kv.Revision(2 * (i + 1))
 		key := fmt.Sprintf("servers/i-%d", i)
-		m.Apply([]kv.Change{{Entry: entryAt(key, revision)}}, revision)
-		m.Apply([]kv.Change{{Entry: entryAt(key, revision+1), Deleted: true}}, revision+1)
+		_ = m.Apply([]kv.Change{{Entry: entryAt(key, revision)}}, revision)
+		_ = m.Apply([]kv.Change{{Entry: entryAt(key, revision+1), Deleted: true}}, revision+1)
 	}
 	if changes, _, err := m.Watch(t.Context(), "servers/", at, time.Second); err == nil || err.Code != code.HistoryGone {
 		t.Errorf("a watcher got %d changes, error %v, want code %d", len(changes), err, code.HistoryGone)
