--- a/soak/faults.go
+++ b/soak/faults.go
@@ -17,6 +17,8 @@
 	// noticeRandom chooses what servers say about themselves and which connections go
 	// silent. It is apart from random, so that the other faults of a seed stay the same.
 	noticeRandom *rand.Rand
+	// returns copies the store and lets it revert.
+	returns storeReturns
 	// paused has the nodes that are stopped with SIGSTOP.
 	paused map[*node]bool
 	// noticeServers has the servers whose statements only another process takes back.
@@ -26,7 +28,7 @@
 // newInjector returns an injector whose faults the seed determines.
 func newInjector(s *site, seed uint64) *injector {
 	return &injector{
-		site: s, random: rand.New(rand.NewPCG(seed, seed)), noticeRandom: rand.New(rand.NewPCG(seed, seed+1)),
+		site: s, random: rand.New(rand.NewPCG(seed, seed)), noticeRandom: rand.New(rand.NewPCG(seed, seed+1)), returns: newStoreReturns(s, seed),
 		paused: map[*node]bool{}, noticeServers: map[*server]bool{},
 	}
 }
@@ -48,6 +50,9 @@
 	if f.noticeRandom.IntN(silenceInterval) == 0 {
 		description += "; " + f.silenceStoreConnections()
 	}
+	if f.returns.random.IntN(returnInterval) == 0 {
+		description += "; " + f.returns.play()
+	}
 	return description
 }
 
--- a/soak/site.go
+++ b/soak/site.go
@@ -84,6 +84,7 @@
 // and writes their entries and settings.
 func startSite(binary, dir string) (*site, error) {
 	s := &site{dir: dir, binary: binary, store: deployed.NewStore(), plan: &deployed.Plan{}, weightsVersion: 1}
+	s.store.SetEra(1)
 	storeAddress, err := s.startHTTPServer(s.store.Handler())
 	if err != nil {
 		return nil, err
@@ -120,10 +121,13 @@
 	return listener.Addr().String(), nil
 }
 
+// configStep is the difference between two versions of the configuration.
+const configStep = 2
+
 // writeConfiguration writes the next version of the configuration, in which the
 // keys are valid.
 func (s *site) writeConfiguration(keys ...string) {
-	s.configVersion += 2
+	s.configVersion += configStep
 	s.store.Configure(deployed.Configuration{
 		Version: s.configVersion, Host: soakHost, Timeout: callDeadline, TargetLatency: soakLatencyTarget, Tenant: soakTenant, Keys: keys,
 	})
