--- a/core/control/agentmessage.go
+++ b/core/control/agentmessage.go
@@ -181,6 +181,8 @@
 		s.isolationSeen(now, m)
 	case ServiceReached:
 		s.recordContact(m.AskedAt)
+	case StoreEra:
+		s.storeEraSeen(now, m.Era, "")
 	case PeerDigest:
 		s.peerDigest(now, m)
 	case AskDigest:
@@ -209,6 +211,7 @@
 		return
 	}
 	s.expireConfiguration(now)
+	s.releaseFirstConfig(now)
 	s.expirePeers(now)
 	s.tickSession(now)
 	_, _ = s.charts.isolation.Expire(&s.isolation.chart, s, now)
--- a/core/control/message.go
+++ b/core/control/message.go
@@ -185,6 +185,9 @@
 	ColdFor time.Duration
 	// Revision is the revision of the VM's entry, or 0 when the list has none.
 	Revision uint64
+	// FromCopy is true when the entry is of the copy from which the key-value service
+	// came back, and not written since.
+	FromCopy bool
 	// PeerAddress is the address for the nodes' own protocol; entry VMs only.
 	PeerAddress string
 }
@@ -196,6 +199,8 @@
 	// had been unreachable, or zero. For a short time after that, servers may be
 	// missing from the list.
 	RecoveredAt time.Time
+	// StoreEra is the era of the entries, or 0.
+	StoreEra uint64
 }
 
 // ImportFound reports the blocks that a store's manifest lists for the prompt
--- a/core/control/servers.go
+++ b/core/control/servers.go
@@ -24,7 +24,7 @@
 	s.updateStores(now, m)
 	listed := map[fleet.ServerID]bool{}
 	for _, vm := range m.VMs {
-		if vm.Role != fleet.RoleEngine && vm.Role != fleet.RoleService {
+		if vm.Role != fleet.RoleEngine && vm.Role != fleet.RoleService || s.hasLeft(now, vm) {
 			continue
 		}
 		listed[fleet.ServerID(vm.ID)] = true
@@ -60,6 +60,7 @@
 	s.recordOutdated(now, server)
 	s.rememberPause(now, server)
 	s.serverEnded(now, server)
+	s.recordLeft(now, server)
 	s.fireServerEvent(server, "remove", now)
 	delete(s.servers, server.ID)
 	s.recentPrefixes.DropServer(server.ID)
@@ -99,7 +100,7 @@
 	if !ok {
 		s.restorePause(now, server)
 	}
-	s.updateLeaving(now, server, vm.Leaving)
+	s.updateLeaving(now, server, vm.Leaving || s.staysLeaving(now, server, vm))
 }
 
 // rebuildServerList sorts the servers, so that decisions do not depend on the
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -187,6 +187,7 @@
 	isolation     isolation
 	session       session
 	digestRounds  digestRounds
+	storeEra      storeEra
 }
 
 // New returns the state of a node that starts now. It returns an error when a chart
@@ -289,6 +290,7 @@
 	case Abandon:
 		s.abandon(now, m)
 	case VMList:
+		s.storeEraSeen(now, m.StoreEra, "")
 		s.vmList(now, m)
 	case EvacuationSeen:
 		s.evacuationSeen(now, m)
