core/control: an evacuation outlasts the return of the store

Cause: the copy from which the key-value service comes back may lack a request for an evacuation, and the full read then ended it although the operator had it acknowledged. Measured: TestEvacuationOutlastsReturnOfStore fails without the change.

--- a/core/control/pacing.go
+++ b/core/control/pacing.go
@@ -26,9 +26,16 @@
 // the end at the same time, and servers that were idle may be cold, so that paced
 // servers are approached gradually.
 func (s *State) evacuationSeen(now time.Time, m EvacuationSeen) {
+	delete(s.uncertainEvacuations, m.Domain)
 	if s.evacuated[m.Domain] == m.Active {
 		return
 	}
+	if certainAt := s.storeEra.seenAt.Add(oldEntryTime); !m.Active && now.Before(certainAt) {
+		// The copy from which the key-value service came back may lack the request. The
+		// operator writes it again within a few seconds.
+		s.uncertainEvacuations[m.Domain] = certainAt
+		return
+	}
 	s.logEvent(event.EvacuationChanged, "domain", string(m.Domain), "active", m.Active, "version", uint64(s.version))
 	if m.Active {
 		s.evacuated[m.Domain] = true
@@ -43,6 +50,16 @@
 	s.assignQueued(now)
 }
 
+// expireEvacuations ends the evacuations that the operator has not requested again since
+// the key-value service came back from a copy without them.
+func (s *State) expireEvacuations(now time.Time) {
+	for domain, until := range s.uncertainEvacuations {
+		if !now.Before(until) {
+			s.evacuationSeen(now, EvacuationSeen{Domain: domain})
+		}
+	}
+}
+
 // isEvacuated reports whether nothing may be sent to a server because its failure domain
 // is evacuated.
 func (s *State) isEvacuated(server *fleet.Server) bool {
--- a/core/control/pacing_test.go
+++ b/core/control/pacing_test.go
@@ -125,3 +125,23 @@
 		t.Error("no call is assigned after the evacuation")
 	}
 }
+
+// TestEvacuationOutlastsReturnOfStore guards against calls to an evacuated failure domain
+// because the key-value service came back from a copy that lacks the request.
+func TestEvacuationOutlastsReturnOfStore(t *testing.T) {
+	s := coldState(t, "n0", coldEngines(1, 1, 7), testStart)
+	server := s.servers["e-0"]
+	s.Handle(testStart, StoreEra{Era: 1})
+	s.Handle(testStart, EvacuationSeen{Domain: "a", Active: true})
+	now := testStart.Add(time.Minute)
+	s.Handle(now, StoreEra{Era: 2})
+	s.Handle(now, EvacuationSeen{Domain: "a"})
+	s.Handle(now.Add(oldEntryTime-time.Second), Tick{})
+	if !s.isEvacuated(server) {
+		t.Error("the evacuation ends before the operator can write it again")
+	}
+	s.Handle(now.Add(oldEntryTime), Tick{})
+	if s.isEvacuated(server) {
+		t.Error("an evacuation that the operator did not write again stays")
+	}
+}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -97,8 +97,11 @@
 	serverIndex fleet.Index
 	// pacer limits the calls to cold servers. evacuated has the failure domains whose
 	// servers get nothing because the operator wants it.
-	pacer     *pace.Pacer
-	evacuated map[fleet.Domain]bool
+	pacer *pace.Pacer
+	// uncertainEvacuations has those that the key-value service lacks since it came back
+	// from a copy, with the time at which they end.
+	evacuated            map[fleet.Domain]bool
+	uncertainEvacuations map[fleet.Domain]time.Time
 	// scratch holds the eligible servers during one placement.
 	scratch []*fleet.Server
 	stores  map[fleet.ServerID]*fleet.Store
@@ -194,32 +197,34 @@
 // cannot be loaded.
 func New(options Options, now time.Time) (*State, error) {
 	s := &State{
-		options:         options,
-		following:       changeFollowing{since: now},
-		random:          rand.New(rand.NewPCG(options.Seed, options.Seed)),
-		requests:        map[request.ID]*activeRequest{},
-		drains:          map[request.Class]*limits.Drain{},
-		servers:         map[fleet.ServerID]*fleet.Server{},
-		evacuated:       map[fleet.Domain]bool{},
-		division:        shares.Whole(),
-		demandElsewhere: shares.Demand{},
-		removedPauses:   map[fleet.ServerID]removedPause{},
-		stores:          map[fleet.ServerID]*fleet.Store{},
-		recentPrefixes:  placement.NewRecentPrefixes(),
-		partIndex:       placement.NewPartIndex(),
-		cacheStores:     map[string]*fleet.CacheStore{},
-		queue:           limits.NewQueue(),
-		rates:           limits.NewRateLimiter(),
-		tokenRates:      limits.NewRateLimiter(),
-		retryBudgets:    retry.NewBudgets(),
-		repeatWindows:   retry.NewRepeatLimiter(options.RepeatLimit, now),
-		serverIndex:     fleet.Index{ByService: options.Forwarding},
-		exports:         kvcache.NewExports(),
-		runningExports:  map[request.ID]*transfer{},
-		suspectAttempts: map[quarantine.Fingerprint]int{},
-		orders:          newOrders(),
-		policy:          placement.Estimate{},
-		members:         membership.NewTable(options.Node),
+		options:   options,
+		following: changeFollowing{since: now},
+		random:    rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		requests:  map[request.ID]*activeRequest{},
+		drains:    map[request.Class]*limits.Drain{},
+		servers:   map[fleet.ServerID]*fleet.Server{},
+		evacuated: map[fleet.Domain]bool{},
+
+		uncertainEvacuations: map[fleet.Domain]time.Time{},
+		division:             shares.Whole(),
+		demandElsewhere:      shares.Demand{},
+		removedPauses:        map[fleet.ServerID]removedPause{},
+		stores:               map[fleet.ServerID]*fleet.Store{},
+		recentPrefixes:       placement.NewRecentPrefixes(),
+		partIndex:            placement.NewPartIndex(),
+		cacheStores:          map[string]*fleet.CacheStore{},
+		queue:                limits.NewQueue(),
+		rates:                limits.NewRateLimiter(),
+		tokenRates:           limits.NewRateLimiter(),
+		retryBudgets:         retry.NewBudgets(),
+		repeatWindows:        retry.NewRepeatLimiter(options.RepeatLimit, now),
+		serverIndex:          fleet.Index{ByService: options.Forwarding},
+		exports:              kvcache.NewExports(),
+		runningExports:       map[request.ID]*transfer{},
+		suspectAttempts:      map[quarantine.Fingerprint]int{},
+		orders:               newOrders(),
+		policy:               placement.Estimate{},
+		members:              membership.NewTable(options.Node),
 	}
 	s.placementTurn = s.random.Uint64()
 	if err := s.loadCharts(options.Charts); err != nil {
@@ -354,6 +359,7 @@
 	s.tickAgents(now)
 	s.expireServers(now)
 	s.expirePaces(now)
+	s.expireEvacuations(now)
 	s.expireStores(now)
 	s.expireCacheStores(now)
 	s.divideMemory(now)
