core/placement: the expected first token includes transfers of cached parts

Cause: the cost of a server counted the tokens to compute and no transfer. Change: the wait for the link of a server and the transfer count in the expected first token; the learned speed leaves such calls out; where caches move slowly, nodes report their work to all others, so that calls may leave their domain.

--- a/core/config/routes.go
+++ b/core/config/routes.go
@@ -81,6 +81,9 @@
 	// capacity of one engine's cache in tokens.
 	TokenBytes  int64
 	CacheTokens int
+	// LinkRate is the rate at which an engine transfers KV cache in bytes a second, or 0
+	// when it is unknown.
+	LinkRate float64
 	// MaxFollowers bounds the nodes that may follow the event feed of one engine.
 	MaxFollowers int
 	// ColdRate is the number of calls a second that a cold server bears from all nodes
--- a/core/control/active.go
+++ b/core/control/active.go
@@ -84,6 +84,8 @@
 	// connectionDenied is true when the node refused to send on the open
 	// connection.
 	connectionDenied bool
+	// fetchWait is the expected time until the fetches of the attempt have ended.
+	fetchWait time.Duration
 	// opensPaced is true while the attempt opens a connection to a server whose rate
 	// of calls is limited.
 	opensPaced bool
--- a/core/control/attempt.go
+++ b/core/control/attempt.go
@@ -18,6 +18,9 @@
 	// minSpeedTokens is the smallest prefill work in tokens with which an attempt
 	// counts for the learned speed of its group.
 	minSpeedTokens = 1000
+	// maxFetchPart is the inverse of the largest part of the time to the first token that
+	// the fetches of an attempt may take if it is to count for the learned speed.
+	maxFetchPart = 8
 )
 
 // prepareAttempt sets the attempt that the chart's action begin_attempt starts.
@@ -129,16 +132,18 @@
 func (s *State) observeFirstTokenDelay(now time.Time, req *activeRequest, elapsed time.Duration) {
 	server := req.attempt.server
 	if server.Role == fleet.RoleEngine {
-		server.ObserveFirstToken(server.Speed.Time(float64(req.attempt.backlogAtSend)), elapsed, now)
+		expected := max(server.Speed.Time(float64(req.attempt.backlogAtSend)), req.attempt.fetchWait+server.Speed.Time(float64(req.attempt.choice.Prefill)))
+		server.ObserveFirstToken(expected, elapsed, now)
 	}
 }
 
 // observeSpeed updates the learned speed of the server's group. Attempts with
 // little prefill work are ignored, because the queue determines most of their
-// delay.
+// delay, and so are those whose fetches took a good part of it.
 func (s *State) observeSpeed(req *activeRequest, elapsed time.Duration) {
-	if req.attempt.prefillTokens >= minSpeedTokens {
-		req.attempt.server.Speed.Observe(req.attempt.backlogAtSend, elapsed)
+	attempt := req.attempt
+	if attempt.prefillTokens >= minSpeedTokens && attempt.fetchWait < elapsed/maxFetchPart {
+		attempt.server.Speed.Observe(attempt.backlogAtSend, elapsed)
 	}
 }
 
--- a/core/control/holding.go
+++ b/core/control/holding.go
@@ -13,6 +13,8 @@
 	attempt.prefillTokens = attempt.choice.Prefill
 	attempt.server.PrefillTokens += attempt.prefillTokens
 	attempt.server.ReserveMemory(req.memory, now)
+	attempt.fetchWait = attempt.server.FetchWait(now, attempt.choice.FetchTime)
+	attempt.server.ReserveLink(now, attempt.choice.FetchTime)
 	attempt.opensPaced = attempt.server.Pace.Open()
 	if s.quarantine.IsSuspect(req.fingerprint) {
 		s.countSuspect(req)
--- a/core/control/peerload.go
+++ b/core/control/peerload.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/membership"
+	"tanagerspread/core/placement"
 	"tanagerspread/core/shares"
 )
 
@@ -125,7 +127,19 @@
 // small fleet, and when the failure domains have so few engines that calls often leave
 // their domain.
 func (s *State) sharesAllWork() bool {
-	return len(s.members.Peers()) <= smallFleetPeers || s.fewEngines
+	peers := len(s.members.Peers())
+	return peers <= smallFleetPeers || s.fewEngines || peers <= maxWorkPeers && s.slowCache
+}
+
+// cacheMovesSlowly reports whether the engines of a service take long to move the cache
+// of a long prompt, so that calls go to the engine that has it, in any failure domain.
+func cacheMovesSlowly(rules *config.Rules) bool {
+	for _, pool := range rules.Pools {
+		if placement.MovesSlowly(pool.TokenBytes, pool.LinkRate) {
+			return true
+		}
+	}
+	return false
 }
 
 // sendWork reports work to up to maxWorkPeers random peers for which eligible returns
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -242,6 +242,7 @@
 		Engines:     s.group(req).Servers,
 		CacheStores: s.cacheStoreList,
 		TokenBytes:  s.rules.Pools[req.service].TokenBytes,
+		LinkRate:    s.rules.Pools[req.service].LinkRate,
 	}
 }
 
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -129,6 +129,9 @@
 	following changeFollowing
 	// drains has the drain of the queue of each class.
 	drains map[request.Class]*limits.Drain
+	// slowCache is true when the cache of long prompts moves slowly between the engines
+	// of a service.
+	slowCache bool
 	// fewEngines is true when the failure domains have fewer than minDomainEngines
 	// engines on average.
 	fewEngines bool
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -112,6 +112,9 @@
 	Chart       chart.Instance
 	// ColdUntil is until when the entry of the server states that it is cold.
 	ColdUntil time.Time
+	// LinkFreeAt is when the fetches of this node's calls at the server are expected to
+	// have ended.
+	LinkFreeAt time.Time
 	// Pace limits the calls to the server while it is cold or warms up.
 	Pace pace.Pace
 	// workByPeer is the work that each peer reported, peerPrefillTokens the sum of
--- a/core/placement/appraisal.go
+++ b/core/placement/appraisal.go
@@ -55,7 +55,7 @@
 	if server.WeightsOutdated {
 		cost += outdatedCostShare * m.responseValue
 	}
-	choice.FirstToken = server.QueueTime(now) + server.Speed.Time(float64(choice.Prefill))
+	choice.FirstToken = max(server.QueueTime(now), server.FetchWait(now, choice.FetchTime)) + server.Speed.Time(float64(choice.Prefill))
 	cost += m.responseValue * lateness(choice.FirstToken, query.Target)
 	return choice, cost + view.Reservation.mismatchCost(server, query.PromptTokens, m.responseValue)
 }
@@ -70,8 +70,9 @@
 	if cachedParts < len(shared) {
 		choice.Source = Recompute
 	}
-	fetchedTokens, price := m.fetchableParts(server, salt, cachedParts)
+	fetchedTokens, fetchTime, price := m.fetchableParts(server, salt, cachedParts)
 	choice.Prefill -= fetchedTokens
+	choice.FetchTime = fetchTime
 	remaining := float64(sharedTokens(m.query.Parts) - cachedTokens - fetchedTokens)
 	if server == m.affinityTarget {
 		// Other nodes send the prompt here too, so the server often has parts
@@ -83,18 +84,20 @@
 	return choice, price + (remaining+evicted)*m.view.Prices.RecomputedToken
 }
 
-// fetchableParts returns the tokens and the price of the shared parts that a server
-// can fetch after its cached ones.
-func (m *costModel) fetchableParts(server *fleet.Server, salt string, cachedParts int) (tokens int, price float64) {
+// fetchableParts returns the tokens of the shared parts that a server can fetch after its
+// cached ones, the time for which they occupy its link, and their price.
+func (m *costModel) fetchableParts(server *fleet.Server, salt string, cachedParts int) (tokens int, fetchTime time.Duration, price float64) {
 	for _, part := range SharedParts(m.query.Parts)[cachedParts:] {
 		from, ok := m.sourcesOf(PartKey{Salt: salt, ID: part.ID}).nearest(server)
 		if !ok {
 			break
 		}
 		tokens += part.Tokens
-		price += float64(part.Tokens) * float64(m.view.TokenBytes) * m.view.Prices.MovedByte * transferFactor(server.Domain, from.domain)
+		bytes := float64(part.Tokens) * float64(m.view.TokenBytes) * transferFactor(server.Domain, from.domain)
+		price += bytes * m.view.Prices.MovedByte
+		fetchTime += transferTime(bytes, m.view.LinkRate)
 	}
-	return tokens, price
+	return tokens, fetchTime, price
 }
 
 // planTransfers sets the source of each shared part of a choice, and the stores to
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -49,6 +49,9 @@
 	Engines     []*fleet.Server
 	// CacheStores lists the cache stores for forwarded calls, ordered by name.
 	CacheStores []*fleet.CacheStore
+	// LinkRate is the rate at which an engine transfers KV cache in bytes a second, or 0
+	// when it is unknown.
+	LinkRate float64
 	// TokenBytes is the size of a cached token in bytes.
 	TokenBytes int64
 }
@@ -99,6 +102,8 @@
 	FetchUntilMS int64
 	// Prefill is the expected number of prompt tokens to compute.
 	Prefill int
+	// FetchTime is the estimated time for which the fetches occupy the server's link.
+	FetchTime time.Duration
 	// FirstToken is the estimated time to the first token.
 	FirstToken time.Duration
 }
