core/quarantine: calls after which servers ended are sent one at a time

With two calls a second that crash servers, 13 servers ended before the part was refused; at most 12 may.

A part with two proven crashes and no response since is in the new state "watched" of the chart prompt-part: each node sends its calls one at a time, until a response clears the part or it is quarantined.

TestSilentServersBlameNothing, TestSoundPartsNotBlamed and TestCulpritQuarantined pass.

--- a/core/control/parts.go
+++ b/core/control/parts.go
@@ -183,10 +183,10 @@
 }
 
 // awaitsTrial reports whether a call has to wait because another call with a part that is
-// on trial is in progress.
+// watched or on trial is in progress.
 func (s *State) awaitsTrial(req *activeRequest) bool {
 	for _, part := range req.sharedParts() {
-		if id := quarantine.PartID(part.ID); s.parts.OnTrial(id) && s.isInProgress(id) {
+		if id := quarantine.PartID(part.ID); s.parts.OneAtATime(id) && s.isInProgress(id) {
 			return true
 		}
 	}
--- a/core/control/parts_test.go
+++ b/core/control/parts_test.go
@@ -112,7 +112,7 @@
 		t.Fatalf("a call with a quarantined part: %+v", refusal)
 	}
 	now := testStart
-	for !s.parts.OnTrial(partCulprit) {
+	for !s.parts.OneAtATime(partCulprit) {
 		now = now.Add(time.Minute)
 		s.Handle(now, Tick{})
 	}
@@ -129,7 +129,7 @@
 	}
 	s.Handle(now, Connected{Request: "first", Attempt: first.Attempt})
 	out := s.Handle(now.Add(time.Second), AttemptDone{Request: "first", Attempt: first.Attempt, Outcome: Succeeded, Answered: true})
-	if _, ok := replyTo(t, out, "second").(Dispatch); !ok || s.parts.OnTrial(partCulprit) {
+	if _, ok := replyTo(t, out, "second").(Dispatch); !ok || s.parts.OneAtATime(partCulprit) {
 		t.Errorf("after the response the second call got %+v", out.Replies)
 	}
 }
--- a/core/control/silent.go
+++ b/core/control/silent.go
@@ -59,7 +59,7 @@
 		return
 	}
 	s.serverEnds.RecordEnd(now, server.ID)
-	s.parts.RecordEnd(server.ID)
+	s.parts.RecordEnd(now, server.ID)
 	var runs []quarantine.Run
 	for _, call := range calls {
 		runs = append(runs, call.run)
--- a/core/control/silent_test.go
+++ b/core/control/silent_test.go
@@ -18,7 +18,7 @@
 	for _, c := range []struct {
 		nodes, servers, culpritEvery int
 		interval                     time.Duration
-	}{{3, 9, 120, 50 * time.Millisecond}, {7, 18, 140, 100 * time.Millisecond}, {100, 90, 100, time.Second}} {
+	}{{3, 9, 120, 50 * time.Millisecond}, {7, 18, 140, 100 * time.Millisecond}, {7, 18, 35, 100 * time.Millisecond}, {100, 90, 100, time.Second}} {
 		t.Run(fmt.Sprintf("%d nodes, %d servers, one call in %d every %v", c.nodes, c.servers, c.culpritEvery, c.interval), func(t *testing.T) {
 			seeds, _ := fleetPlay(c.nodes)
 			for seed := range seeds {
@@ -37,6 +37,21 @@
 	}
 }
 
+// TestSilentServersBlameNothing guards against sound parts and calls that are refused because
+// many servers fall silent.
+func TestSilentServersBlameNothing(t *testing.T) {
+	for _, interval := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond} {
+		for seed := range uint64(*fleetSeeds) {
+			x := newCrashingFleet(t, 7, 18, seed)
+			x.lossRate, x.dark = 0.1, true
+			x.play(25*time.Second, interval, 0, time.Second, 0.05)
+			if refused := x.refused[code.Quarantined] + x.refused[code.QuarantinedRan]; len(x.blamed) > 0 || refused > 0 {
+				t.Errorf("a call every %v, seed %d: %v quarantined, %d calls refused", interval, seed, slices.Sorted(maps.Keys(x.blamed)), refused)
+			}
+		}
+	}
+}
+
 // TestSilentPoisonQuarantined guards against a request that goes on to crash servers which
 // fall silent.
 func TestSilentPoisonQuarantined(t *testing.T) {
--- a/core/quarantine/partledger.go
+++ b/core/quarantine/partledger.go
@@ -19,6 +19,9 @@
 	// inseparableCrashes is the number of further crashes after which one of several parts
 	// is quarantined that were in all of the same crashes.
 	inseparableCrashes = 2
+	// watchedEnds is the number of servers that ended after calls with a part, from which on
+	// these calls are sent one at a time.
+	watchedEnds = 2
 	// maxRivals bounds the other parts that are remembered with a quarantined one.
 	maxRivals = 8
 	// maxParts bounds the parts that a node remembers.
@@ -40,6 +43,8 @@
 const (
 	// tagRefusesCalls marks parts whose calls are refused.
 	tagRefusesCalls chart.Tag = "refuses_calls"
+	// tagSuspected marks parts that were not quarantined since they were last cleared.
+	tagSuspected chart.Tag = "suspected"
 	// tagOneCall marks parts whose calls are sent one at a time.
 	tagOneCall chart.Tag = "one_call"
 )
@@ -57,9 +62,23 @@
 	quarantinedAt time.Time
 }
 
-// isSuspect reports whether calls with the part are sent as usual.
 func (p *part) isSuspect() bool {
-	return !p.chart.Is(tagRefusesCalls) && !p.chart.Is(tagOneCall)
+	return p.chart.Is(tagSuspected)
+}
+
+func (p *part) isOnTrial() bool {
+	return p.chart.Is(tagOneCall) && !p.isSuspect()
+}
+
+// endsServers reports whether several servers ended after calls with the part.
+func (p *part) endsServers() bool {
+	proven := 0
+	for _, c := range p.crashes {
+		if c.Proven {
+			proven++
+		}
+	}
+	return proven >= watchedEnds
 }
 
 // PartChange is a change in whether calls with a part are sent.
@@ -109,10 +128,11 @@
 		return nil, err
 	}
 	l.machine, err = chart.NewMachine(def, chart.Bindings[*part]{
-		Tags: []chart.Tag{tagRefusesCalls, tagOneCall},
+		Tags: []chart.Tag{tagRefusesCalls, tagOneCall, tagSuspected},
 		Guards: map[string]func(*part, time.Time) bool{
-			"singled_out": l.isSingledOut,
-			"disproved":   func(p *part, _ time.Time) bool { return l.isDisproved(p) },
+			"singled_out":  l.isSingledOut,
+			"ends_servers": func(p *part, _ time.Time) bool { return p.endsServers() },
+			"disproved":    func(p *part, _ time.Time) bool { return l.isDisproved(p) },
 		},
 		Actions: map[string]func(*part, time.Time){
 			"quarantine":  l.quarantine,
@@ -130,8 +150,9 @@
 	return l.refused[id] != nil
 }
 
-// OnTrial reports whether calls with the part may be sent one at a time only.
-func (l *PartLedger) OnTrial(id PartID) bool {
+// OneAtATime reports whether calls with the part may be sent one at a time only, because it is
+// watched or on trial.
+func (l *PartLedger) OneAtATime(id PartID) bool {
 	p := l.parts[id]
 	return p != nil && p.chart.Is(tagOneCall)
 }
@@ -173,7 +194,7 @@
 			return
 		}
 	}
-	if p.chart.Is(tagOneCall) && c.BrokeAt.Before(p.chart.Entered) {
+	if p.isOnTrial() && c.BrokeAt.Before(p.chart.Entered) {
 		return
 	}
 	var added bool
@@ -194,7 +215,7 @@
 }
 
 // RecordEnd records that a server ended, which proves its crashes to be one.
-func (l *PartLedger) RecordEnd(server fleet.ServerID) {
+func (l *PartLedger) RecordEnd(now time.Time, server fleet.ServerID) {
 	for _, p := range l.parts {
 		proven := false
 		p.crashes = slices.DeleteFunc(p.crashes, func(c PartCrash) bool {
@@ -205,6 +226,9 @@
 		for i, c := range p.crashes {
 			p.crashes[i].Proven = c.Proven || c.Server == server && proven
 		}
+		if proven {
+			l.fire(p, "end", now)
+		}
 	}
 }
 
@@ -426,7 +450,7 @@
 
 func (l *PartLedger) recordChange(p *part, learned bool) {
 	change := PartChange{
-		Part: p.id, Quarantined: p.chart.Is(tagRefusesCalls), Trial: p.chart.Is(tagOneCall), At: p.quarantinedAt,
+		Part: p.id, Quarantined: p.chart.Is(tagRefusesCalls), Trial: p.isOnTrial(), At: p.quarantinedAt,
 		Crashes: len(p.crashes), Needed: l.rate.neededCrashes(), Own: p.crashes.hasOwn(), Learned: learned,
 	}
 	if len(p.crashes) > 0 {
--- a/core/quarantine/partledger_test.go
+++ b/core/quarantine/partledger_test.go
@@ -91,7 +91,7 @@
 			l.RecordCrash(now.Add(time.Second), crash)
 			if i < c.ended {
 				l.servers.RecordEnd(end, crash.Server)
-				l.RecordEnd(crash.Server)
+				l.RecordEnd(now, crash.Server)
 			}
 			if i < c.alive {
 				l.servers.responded.record(end, crash.Server, end)
@@ -142,14 +142,14 @@
 		for i := range 8 {
 			if i == endAfter {
 				l.servers.RecordEnd(end, "s")
-				l.RecordEnd("s")
+				l.RecordEnd(now, "s")
 			}
 			c := crash(2*i, "part", 0)
 			c.Server = "s"
 			l.RecordCrash(end, c)
 		}
 		l.servers.RecordEnd(end, "s")
-		l.RecordEnd("s")
+		l.RecordEnd(now, "s")
 		if crashes := len(l.parts["part"].crashes); crashes != 1 {
 			t.Errorf("%s: %d crashes of one server", name, crashes)
 		}
@@ -202,8 +202,8 @@
 		recordCrashes(l, 0, 6, "part")
 		at := now.Add(quarantineTimeout)
 		l.Review(at)
-		if l.Refuses("part") || !l.OnTrial("part") {
-			t.Fatalf("after %v: refused %t, on trial %t", quarantineTimeout, l.Refuses("part"), l.OnTrial("part"))
+		if l.Refuses("part") || !l.OneAtATime("part") {
+			t.Fatalf("after %v: refused %t, on trial %t", quarantineTimeout, l.Refuses("part"), l.OneAtATime("part"))
 		}
 		at = at.Add(time.Second)
 		if crashes {
@@ -211,8 +211,8 @@
 		} else {
 			l.RecordProof(at, PartProof{Part: "part", At: at})
 		}
-		if l.Refuses("part") != crashes || l.OnTrial("part") {
-			t.Errorf("crash in the trial %t: refused %t, on trial %t", crashes, l.Refuses("part"), l.OnTrial("part"))
+		if l.Refuses("part") != crashes || l.OneAtATime("part") {
+			t.Errorf("crash in the trial %t: refused %t, on trial %t", crashes, l.Refuses("part"), l.OneAtATime("part"))
 		}
 	}
 }
@@ -223,12 +223,12 @@
 	l := newLedger(t)
 	l.Learn(now, PartQuarantine{Part: "part", At: now})
 	trial := now
-	for !l.OnTrial("part") {
+	for !l.OneAtATime("part") {
 		trial = trial.Add(time.Second)
 		l.Review(trial)
 	}
 	l.Learn(trial, PartQuarantine{Part: "part", At: now.Add(time.Second)})
-	if !l.OnTrial("part") {
+	if !l.OneAtATime("part") {
 		t.Error("the report of the same quarantine ended the trial")
 	}
 	l.Learn(trial, PartQuarantine{Part: "part", At: trial.Add(-time.Second)})
@@ -260,8 +260,8 @@
 		t.Fatalf("sound refused %t, culprit refused %t", l.Refuses("sound"), l.Refuses("culprit"))
 	}
 	recordCrashes(l, 8, 8, "culprit")
-	if !l.Refuses("culprit") || l.Refuses("sound") || !l.OnTrial("sound") {
-		t.Errorf("culprit refused %t; sound refused %t, on trial %t", l.Refuses("culprit"), l.Refuses("sound"), l.OnTrial("sound"))
+	if !l.Refuses("culprit") || l.Refuses("sound") || !l.OneAtATime("sound") {
+		t.Errorf("culprit refused %t; sound refused %t, on trial %t", l.Refuses("culprit"), l.Refuses("sound"), l.OneAtATime("sound"))
 	}
 }
 
