--- a/core/control/state.go
+++ b/core/control/state.go
@@ -196,10 +196,9 @@
 	storeEra      storeEra
 }
 
-// New returns the state of a node that starts now. It returns an error when a chart
-// cannot be loaded.
-func New(options Options, now time.Time) (*State, error) {
-	s := &State{
+// newState returns a state without charts.
+func newState(options Options, now time.Time) *State {
+	return &State{
 		options:   options,
 		following: changeFollowing{since: now},
 		random:    rand.New(rand.NewPCG(options.Seed, options.Seed)),
@@ -229,6 +228,12 @@
 		policy:               placement.Estimate{},
 		members:              membership.NewTable(options.Node),
 	}
+}
+
+// New returns the state of a node that starts now. It returns an error when a chart
+// cannot be loaded.
+func New(options Options, now time.Time) (*State, error) {
+	s := newState(options, now)
 	s.placementTurn = s.random.Uint64()
 	if err := s.loadCharts(options.Charts); err != nil {
 		return nil, fmt.Errorf("load charts: %w", err)
