--- a/core/control/state.go
+++ b/core/control/state.go
@@ -196,8 +196,8 @@
 	storeEra      storeEra
 }
 
-// newState returns a state without charts.
-func newState(options Options, now time.Time) *State {
+// emptyState returns a state without charts.
+func emptyState(options Options, now time.Time) *State {
 	return &State{
 		options:   options,
 		following: changeFollowing{since: now},
@@ -233,7 +233,7 @@
 // New returns the state of a node that starts now. It returns an error when a chart
 // cannot be loaded.
 func New(options Options, now time.Time) (*State, error) {
-	s := newState(options, now)
+	s := emptyState(options, now)
 	s.placementTurn = s.random.Uint64()
 	if err := s.loadCharts(options.Charts); err != nil {
 		return nil, fmt.Errorf("load charts: %w", err)
