Test statuses of streams without events through the whole node

The tests of node/ingress replace the control thread. TestStreamWithoutEvents runs its real charts: a call whose first server sent the headers of a stream and broke off is never answered with a status that promises that it has not run, also when all other servers refuse it. The stand-in control thread of node/ingress now wraps a refusal in the same way.

--- a/node/ingress/stop_test.go
+++ b/node/ingress/stop_test.go
@@ -53,7 +53,7 @@
 		if c.repeats--; c.repeats >= 0 {
 			return dispatchOf(q.Attempt + 1), nil
 		}
-		return control.Refusal{Err: q.Cause}, nil
+		return control.Refusal{Err: asOutcomeUnknown(q.Cause)}, nil // The first attempt was sent.
 	}
 	return control.Proceed{}, nil
 }
--- a/node/ingress/streamstart_test.go
+++ b/node/ingress/streamstart_test.go
@@ -32,7 +32,7 @@
 		"closed":                       {responses: [][]string{{framed}}, want: http.StatusBadGateway},
 		"closed without framing":       {responses: [][]string{{streamHeaders}}, want: http.StatusBadGateway},
 		"closed within an event":       {responses: [][]string{{framed + "4\r\ndata\r\n"}}, want: http.StatusBadGateway},
-		"second server refuses":        {responses: [][]string{{framed + comment}, {refused}}, want: http.StatusServiceUnavailable},
+		"second server refuses":        {responses: [][]string{{framed + comment}, {refused}}, want: http.StatusBadGateway},
 		"second server has no stream":  {responses: [][]string{{framed + comment}, {plain}}, want: http.StatusOK, body: "whole"},
 		"second server streams":        {responses: [][]string{{framed + comment}, {streamHeaders + event}}, want: http.StatusOK, body: event},
 		"whole stream without events":  {responses: [][]string{{framed + "0\r\n\r\n"}}, want: http.StatusOK},
--- a/node/process/streams_test.go
+++ b/node/process/streams_test.go
@@ -95,3 +95,36 @@
 		})
 	}
 }
+
+// TestStreamWithoutEvents guards against a closed connection, or a status that promises
+// that the call has not run, when its servers sent the headers of a stream and no event.
+func TestStreamWithoutEvents(t *testing.T) {
+	const events = 2
+	whole := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+	for name, c := range map[string]struct {
+		path  string
+		after []deployed.Behaviour
+		want  int
+		body  string
+	}{
+		"no repeat":       {path: "/caption/", want: http.StatusBadGateway},
+		"closed again":    {path: "/review/", after: []deployed.Behaviour{deployed.CloseConnection, deployed.CloseConnection}, want: http.StatusBadGateway},
+		"refused":         {path: "/review/", after: slices.Repeat([]deployed.Behaviour{deployed.Shed}, 9), want: http.StatusBadGateway},
+		"no response":     {path: "/review/", after: []deployed.Behaviour{deployed.Hang, deployed.Hang}, want: http.StatusGatewayTimeout},
+		"second succeeds": {path: "/review/", after: []deployed.Behaviour{deployed.Respond}, want: http.StatusOK, body: whole},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runAtSite(t, func(s *deployedSite) {
+				servers := []*deployed.Server{s.startServer("i-1", events), s.startServer("i-2", events)}
+				s.writeConfiguration(testKey)
+				n := s.startNode("n1")
+				waitForRepeats()
+				s.plan.SetNext(append([]deployed.Behaviour{deployed.CloseConnection}, c.after...)...)
+				got := n.call("POST", c.path, nil, "x")
+				if got.incomplete || got.status != c.want || c.body != "" && got.body != c.body {
+					t.Errorf("after %d calls at servers: status %d, incomplete %t, body %q", receivedCalls(servers), got.status, got.incomplete, got.body)
+				}
+			})
+		})
+	}
+}
