--- a/core/control/active.go
+++ b/core/control/active.go
@@ -45,6 +45,8 @@
 	// advisedDelay is the delay before a repeat that a refusal advises, or 0 for that
 	// of the code.
 	advisedDelay time.Duration
+	// cacheMovesSlowly is true when the shared parts of the call take long to move.
+	cacheMovesSlowly bool
 	// memory is the memory that the call occupies on an engine.
 	memory fleet.MemoryUse
 	// backoff is the delay before the next attempt.
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -110,7 +110,7 @@
 	s.options.Checker.Check(s.version > before, invariant.VersionIncreases, "version %d after %d", s.version, before)
 	s.configuration.current = current
 	s.rules = rules
-	s.slowCache = cacheMovesSlowly(rules)
+	s.slowCache = hasSlowCache(rules)
 	s.policy = policyOf(rules.Policy.Placement)
 	s.updateIsolation(now)
 	s.journal.rules = rules
--- a/core/control/memory.go
+++ b/core/control/memory.go
@@ -103,7 +103,7 @@
 func (s *State) mayLeaveDomain(req *activeRequest) bool {
 	known := 0
 	for _, server := range s.group(req).Servers {
-		if s.knowsWork(server) && server.ReceivesWork() && !server.Pace.Cold() && !s.isEvacuated(server) {
+		if s.knowsWork(req, server) && server.ReceivesWork() && !server.Pace.Cold() && !s.isEvacuated(server) {
 			known++
 		}
 	}
--- a/core/control/peerload.go
+++ b/core/control/peerload.go
@@ -118,30 +118,50 @@
 	return s.sharesAllWork() || peer.Domain == string(s.options.Domain) || peer.Domain == string(domain)
 }
 
-// knowsWork reports whether this node is told of the work of all nodes at an engine.
-func (s *State) knowsWork(server *fleet.Server) bool {
-	return s.sharesAllWork() || server.Domain == s.options.Domain
+// knowsWork reports whether this node is told of the work of all nodes at an engine, as
+// far as calls like this one need it.
+func (s *State) knowsWork(req *activeRequest, server *fleet.Server) bool {
+	return server.Domain == s.options.Domain || s.isSmallFleet() || req.cacheMovesSlowly && s.sharesAllWork()
+}
+
+// isSmallFleet reports whether calls of all kinds leave their failure domain: in a small
+// fleet, and when the failure domains have so few engines that they often must.
+func (s *State) isSmallFleet() bool {
+	return len(s.members.Peers()) <= smallFleetPeers || s.fewEngines
 }
 
 // sharesAllWork reports whether all nodes are told of the work at all engines: in a
-// small fleet, and when the failure domains have so few engines that calls often leave
-// their domain.
+// small fleet, and where long prompts go to the engines that have their parts.
 func (s *State) sharesAllWork() bool {
-	peers := len(s.members.Peers())
-	return peers <= smallFleetPeers || s.fewEngines || peers <= maxWorkPeers && s.slowCache
+	return s.isSmallFleet() || len(s.members.Peers()) <= maxWorkPeers && s.slowCache
 }
 
-// cacheMovesSlowly reports whether the engines of a service take long to move the cache
-// of a long prompt, so that calls go to the engine that has it, in any failure domain.
-func cacheMovesSlowly(rules *config.Rules) bool {
+// typicalLongPrompt is the length in tokens of a prompt whose cache is large.
+const typicalLongPrompt = 8192
+
+// hasSlowCache reports whether the engines of a service take long to move the cache of a
+// long prompt.
+func hasSlowCache(rules *config.Rules) bool {
 	for _, pool := range rules.Pools {
-		if placement.MovesSlowly(pool.TokenBytes, pool.LinkRate) {
+		if placement.MovesSlowly(typicalLongPrompt, pool.TokenBytes, pool.LinkRate) {
 			return true
 		}
 	}
 	return false
 }
 
+// cacheMovesSlowly reports whether the shared parts of a call take long to move, so that
+// it may go to an engine of any failure domain. Short calls stay in their domain: nodes
+// of all domains would choose the same engines for them.
+func (s *State) cacheMovesSlowly(req *activeRequest) bool {
+	tokens := 0
+	for _, part := range req.sharedParts() {
+		tokens += part.Tokens
+	}
+	pool := s.rules.Pools[req.service]
+	return placement.MovesSlowly(tokens, pool.TokenBytes, pool.LinkRate)
+}
+
 // sendWork reports work to up to maxWorkPeers random peers for which eligible returns
 // true.
 func (s *State) sendWork(work []ServerWork, eligible func(*membership.Peer) bool) {
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -27,6 +27,7 @@
 	req.prefix = m.Prefix
 	req.PromptTokens = m.PromptTokens
 	req.memory = s.memoryUse(req)
+	req.cacheMovesSlowly = s.cacheMovesSlowly(req)
 	if !s.fireRequestEvent(req, "enqueue", now) {
 		s.finishWithError(now, req, "refuse", code.New(code.DeadlinePassedNotRun, "the request waited too long before placement"))
 		return
@@ -253,7 +254,7 @@
 	s.scratch = s.scratch[:0]
 	leavesDomain := req.memory.IsZero() || s.mayLeaveDomain(req)
 	for _, server := range s.group(req).Servers {
-		if !leavesDomain && !s.knowsWork(server) {
+		if !leavesDomain && !s.knowsWork(req, server) {
 			continue
 		}
 		if suspect && server.SuspectAttempts > 0 {
