--- a/node/process/storeera_test.go
+++ b/node/process/storeera_test.go
@@ -37,8 +37,7 @@
 }
 
 // TestStoreReverts explores, with fixed seeds, a store that reverts to an earlier state
-// again and again while weights are loaded and a node is cut off from it or killed. It
-// guards against two holders that act at the same time, a fencing token that is given
+// again and again while weights are loaded and a node is cut off from it. It guards against two holders that act at the same time, a fencing token that is given
 // out again, a revoked key that is accepted again, and a session or a rollout that is lost.
 func TestStoreReverts(t *testing.T) {
 	for seed := range uint64(8) {
@@ -86,8 +85,8 @@
 }
 
 // playReturn names weights and lets the store revert at a random moment of the
-// rollout, which waits for some servers, after which the operator and the servers write again what was lost. cutOff
-// cannot reach the store for some of the time.
+// rollout, which waits for some servers. The operator and the servers then write again
+// what was lost. cutOff cannot reach the store for some of the time.
 func (s *deployedSite) playReturn(random *rand.Rand, servers []*deployed.Server, version int, cutOff string) {
 	pause := func(limit time.Duration) { time.Sleep(time.Duration(random.Int64N(int64(limit)))) }
 	before := s.store.Copy()
