memory: requests may reserve fifteen sixteenths of the budget

Cause: TestBodiesBounded failed in one of the runs of node/process: a small body got 503 beside a large one in a node of 1 MiB, depending on whether an earlier connection had already released its head. Requests could reserve seven eighths, which leaves 275,251 bytes there; the test needs up to 279 KB.

Change: requests may reserve fifteen sixteenths of the budget, responses all of it, large accounts three quarters as before.

--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -9,12 +9,12 @@
 	// that large accounts leave free, so that ordinary calls are served while large
 	// bodies are refused.
 	smallBytes = 64 << 10
-	// largeParts, requestParts and budgetParts are the eighths of the budget up to
+	// largeParts, requestParts and budgetParts are the sixteenths of the budget up to
 	// which large accounts, accounts of requests and accounts of responses may
 	// reserve. A call that has run thus finds memory for a small response.
-	largeParts   = 6
-	requestParts = 7
-	budgetParts  = 8
+	largeParts   = 12
+	requestParts = 15
+	budgetParts  = 16
 )
 
 // Budget is the memory that all accounts share. Its methods may be called by any
