--- a/core/control/isolation.go
+++ b/core/control/isolation.go
@@ -9,9 +9,9 @@
 	"tanagerspread/core/request"
 )
 
-// recordJitter is the upper bound of the random time that a node adds before it first
-// writes a change of the isolated organisations.
-const recordJitter = time.Second
+// maxRecordDelay is the upper bound of the random time after which a node first writes a
+// change of the isolated organisations.
+const maxRecordDelay = 2 * time.Second
 
 // scopeFreeDelay is how long after a change of the isolated organisations parts of earlier
 // scopes are freed: no call has a later deadline.
@@ -118,7 +118,7 @@
 	}
 	// The chart refuses the event of a difference that it knows already.
 	if err := s.charts.isolation.Fire(&i.chart, s, "differ", now); err == nil {
-		i.chart.TimeoutAt = i.chart.TimeoutAt.Add(time.Duration(s.random.Int64N(int64(recordJitter))))
+		i.chart.TimeoutAt = now.Add(time.Duration(s.random.Int64N(int64(maxRecordDelay))))
 	}
 }
 
--- a/core/control/isolation_test.go
+++ b/core/control/isolation_test.go
@@ -130,6 +130,9 @@
 	if len(written) == 0 || written[0].Replaced != 0 || written[0].Record.Changed != 5 {
 		t.Fatalf("the node writes %+v, want the change of version 5 as the first record", written)
 	}
+	if again := writes(a, testStart.Add(3*time.Second), 6*time.Second); len(again) == 0 {
+		t.Error("a write whose result is not seen is not repeated")
+	}
 	first := IsolationSeen{Record: written[0].Record, Revision: 40}
 	configure(late, 9, "north")
 	salt := saltOf(t, a, testStart, 1)
