Isolation: a peer that sends its configuration sends the record as well

A node that started without the store got the configuration from a peer but not the record, and used the scope of a site at which no tenant was ever isolated, or one of its own, so that its prompts were computed again. TestPeerBringsRecord fails without the record in the answer.

--- a/core/control/agentmessage.go
+++ b/core/control/agentmessage.go
@@ -19,6 +19,9 @@
 	FromService bool
 	// AskedAt is when the read started.
 	AskedAt time.Time
+	// Isolation is the newest record of the isolated organisations that the peer has
+	// seen, or the zero value.
+	Isolation config.Isolation
 }
 
 // ServiceReached reports a successful call of the key-value service that did
@@ -86,6 +89,9 @@
 // ConfigAnswer is the configuration in force; version 0 means none.
 type ConfigAnswer struct {
 	Current config.Configuration
+	// Isolation is the newest record of the isolated organisations that this node has
+	// seen, or the zero value.
+	Isolation config.Isolation
 }
 
 // PeerTarget identifies a peer to contact.
@@ -186,7 +192,7 @@
 	case PeerWork:
 		s.peerWork(now, m)
 	case AskConfig:
-		s.reply(m.ID, ConfigAnswer{Current: s.configuration.current})
+		s.reply(m.ID, ConfigAnswer{Current: s.configuration.current, Isolation: s.isolation.newest})
 	case OrderMessage:
 		s.decideOrders(now, m)
 		if _, named := m.(WeightsNamed); named {
--- a/core/control/config.go
+++ b/core/control/config.go
@@ -133,6 +133,9 @@
 		s.recordContact(m.AskedAt)
 		s.repairService(m.Current)
 	}
+	if m.Isolation.Changed > s.isolation.newest.Changed {
+		s.isolation.newest = m.Isolation
+	}
 	s.putInForce(now, m.Current, m.Rules)
 	if m.FromService && m.Current.SameApply(s.configuration.current) {
 		s.confirm(now, m.AskedAt)
--- a/core/control/isolation_test.go
+++ b/core/control/isolation_test.go
@@ -194,3 +194,21 @@
 		t.Error("no part was freed")
 	}
 }
+
+// TestPeerBringsRecord guards against a node that cannot read the record at its start, gets
+// the configuration from a peer and uses a salt that was left before, or another than the
+// peer.
+func TestPeerBringsRecord(t *testing.T) {
+	for _, isolated := range [][]request.Organisation{{"north"}, nil} {
+		peer, s := forwardState(t, 1), forwardState(t, 1)
+		rules := tenantRules(testKeys, isolated...)
+		record := config.Isolation{}.Next([]request.Organisation{"north"}, 8).Next(isolated, 9)
+		peer.Handle(testStart, IsolationSeen{Record: record, Revision: 9})
+		peer.Handle(testStart, Configure{Version: 12, Rules: rules})
+		answer := replyTo(t, peer.Handle(testStart, AskConfig{ID: "a"}), "a").(ConfigAnswer)
+		s.Handle(testStart, ConfigSeen{Current: config.Configuration{Version: 12}, Rules: rules, Isolation: answer.Isolation})
+		if got, want := saltOf(t, s, testStart, 1), saltOf(t, peer, testStart, 1); got != want || got == placement.Salt("m", 1, "") {
+			t.Errorf("isolated %v: the salt is %q, that of the peer %q", isolated, got, want)
+		}
+	}
+}
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -81,7 +81,7 @@
 		a.logCallFailure("watch", err)
 		return
 	}
-	a.reportConfig(current, true, startedAt)
+	a.reportConfig(control.ConfigSeen{Current: current, FromService: true, AskedAt: startedAt})
 }
 
 // runConfigCommands executes commands that read or repair the configuration or write the
@@ -116,7 +116,7 @@
 		a.logCallFailure("read configuration", err)
 		return revision, err
 	}
-	a.reportConfig(current, true, askedAt)
+	a.reportConfig(control.ConfigSeen{Current: current, FromService: true, AskedAt: askedAt})
 	return revision, nil
 }
 
@@ -146,9 +146,8 @@
 // reportConfig parses a configuration and reports it. A configuration that
 // cannot be parsed is reported without rules, so that the control thread knows
 // its version.
-func (a *Agents) reportConfig(current config.Configuration, fromService bool, askedAt time.Time) {
-	message := control.ConfigSeen{Current: current, FromService: fromService, AskedAt: askedAt}
-	if current.Version > 0 {
+func (a *Agents) reportConfig(message control.ConfigSeen) {
+	if current := message.Current; current.Version > 0 {
 		rules, err := a.parseRules(current.Text)
 		if err != nil {
 			eventlog.Write(a.options.Logger, event.ConfigUnreadable, err, "version", uint64(current.Version), "code", int(err.Code))
--- a/node/agent/config_test.go
+++ b/node/agent/config_test.go
@@ -31,7 +31,7 @@
 	}})
 	texts := []string{"first", "first", "second", "second", "first"}
 	for i, text := range texts {
-		a.reportConfig(config.Configuration{Version: config.Version(i + 1), Text: []byte(text)}, true, time.Time{})
+		a.reportConfig(control.ConfigSeen{Current: config.Configuration{Version: config.Version(i + 1), Text: []byte(text)}, FromService: true, AskedAt: time.Time{}})
 	}
 	for i, message := range *messages {
 		if got := message.(control.ConfigSeen).Rules.Comments["text"]; got != texts[i] {
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -47,12 +47,12 @@
 
 func (a *Agents) fetchConfig(ctx context.Context, target control.PeerTarget) {
 	askedAt := time.Now()
-	current, err := a.options.Peers.Config(ctx, target.Address)
+	answer, err := a.options.Peers.Config(ctx, target.Address)
 	if err != nil {
 		a.logPeerFailure(target, err)
 		return
 	}
-	a.reportConfig(current, false, askedAt)
+	a.reportConfig(control.ConfigSeen{Current: answer.Current, Isolation: answer.Isolation, AskedAt: askedAt})
 }
 
 func (a *Agents) logPeerFailure(target control.PeerTarget, err *code.Error) {
--- a/node/confkv/isolation.go
+++ b/node/confkv/isolation.go
@@ -14,15 +14,15 @@
 // KeyIsolation is the key of the record of the isolated organisations. No lease ends it.
 const KeyIsolation = "config-isolation"
 
-// isolationDocument is the JSON form of the record.
-type isolationDocument struct {
+// IsolationDocument is the JSON form of the record.
+type IsolationDocument struct {
 	Changed config.Version                          `json:"changed"`
 	Since   map[request.Organisation]config.Version `json:"since"`
 }
 
 // DecodeIsolation returns the record in an entry, or code.EntryInvalid.
 func DecodeIsolation(entry kv.Entry) (control.IsolationSeen, *code.Error) {
-	var document isolationDocument
+	var document IsolationDocument
 	if err := json.Unmarshal(entry.Value, &document); err != nil {
 		return control.IsolationSeen{}, code.Wrap(code.EntryInvalid, "the record of the isolated organisations is not valid JSON of the expected form", err)
 	}
@@ -35,7 +35,7 @@
 // WriteIsolation writes the record, or returns code.CompareFailed when it has changed since
 // the replaced revision.
 func WriteIsolation(ctx context.Context, service kv.Service, command control.WriteIsolation) *code.Error {
-	data, err := json.Marshal(isolationDocument(command.Record))
+	data, err := json.Marshal(IsolationDocument(command.Record))
 	if err != nil {
 		return code.Wrap(code.Internal, "the record of the isolated organisations cannot be encoded", err)
 	}
--- a/node/peer/capacity_test.go
+++ b/node/peer/capacity_test.go
@@ -74,8 +74,8 @@
 			client, written, _ := newPipeClientTo(ctx, configControl{current})
 			defer client.Close()
 			received, err := client.Config(ctx, "n2")
-			if err != nil || len(received.Text) != len(current.Text) {
-				t.Fatalf("%d bytes of rules, error %v", len(received.Text), err)
+			if err != nil || len(received.Current.Text) != len(current.Text) {
+				t.Fatalf("%d bytes of rules, error %v", len(received.Current.Text), err)
 			}
 			t.Logf("%d bytes of rules: 2 calls, %d bytes", len(current.Text), written.Load())
 		})
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -132,15 +132,15 @@
 // Config returns the peer's configuration, or code.PeerAway when a call fails.
 // It checks the connection by a ping first, because the transfer may take longer
 // than callTimeout, after which a connection is considered unresponsive.
-func (c *Client) Config(ctx context.Context, address string) (config.Configuration, *code.Error) {
+func (c *Client) Config(ctx context.Context, address string) (control.ConfigAnswer, *code.Error) {
 	if err := c.Ping(ctx, address); err != nil {
-		return config.Configuration{}, err
+		return control.ConfigAnswer{}, err
 	}
 	var result configResult
 	if err := c.call(ctx, address, methodConfig, configTimeout, struct{}{}, &result); err != nil {
-		return config.Configuration{}, err
+		return control.ConfigAnswer{}, err
 	}
-	return result.Document.Current(), nil
+	return control.ConfigAnswer{Current: result.Document.Current(), Isolation: config.Isolation(result.Isolation)}, nil
 }
 
 // call makes one call within the timeout and decodes its result into result.
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -176,7 +176,7 @@
 	if !ok {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "unexpected decision"}
 	}
-	return configResult{Document: confkv.NewDocument(answer.Current)}, nil
+	return configResult{Document: confkv.NewDocument(answer.Current), Isolation: confkv.IsolationDocument(answer.Isolation)}, nil
 }
 
 func (s *Server) ask(ctx context.Context, question control.Question) (control.Decision, error) {
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -204,7 +204,8 @@
 
 // configResult is the result of a call for the peer's configuration.
 type configResult struct {
-	Document confkv.Document `json:"document"`
+	Document  confkv.Document          `json:"document"`
+	Isolation confkv.IsolationDocument `json:"isolation"`
 }
 
 func digestToWire(d membership.Digest) digestWire {
