--- a/core/control/config.go
+++ b/core/control/config.go
@@ -135,6 +135,9 @@
 		s.recordContact(m.AskedAt)
 		s.repairService(m.Current)
 	}
+	if m.Isolation.Changed > s.isolation.newest.Changed {
+		s.isolation.newest = m.Isolation
+	}
 	if s.holdFirstConfig(now, m) {
 		return
 	}
