A connection opened before a server became cold no longer bypasses its pace

Cause: maySend did not ask the pace again for an attempt that had recorded its connection while the server warmed up. When the server became cold before the connection was open, each node sent one call, also nodes that do not own the server. Change: Pace.AllowsSend checks the owner and the interval again when the connection is open. Result: TestConnectionOpenedBeforeColdness, 40 nodes with an open connection each: 40 calls in a second before (27 are allowed), within the bound after.

--- a/core/control/pacing.go
+++ b/core/control/pacing.go
@@ -144,7 +144,11 @@
 // connection is open, and counts the call.
 func (s *State) maySend(now time.Time, attempt *activeAttempt) bool {
 	server := attempt.server
-	if s.isEvacuated(server) || !attempt.opensPaced && !server.Pace.Allows(now) {
+	allows := server.Pace.Allows
+	if attempt.opensPaced {
+		allows = server.Pace.AllowsSend
+	}
+	if s.isEvacuated(server) || !allows(now) {
 		return false
 	}
 	attempt.opensPaced = false
--- a/core/control/pacing_test.go
+++ b/core/control/pacing_test.go
@@ -145,3 +145,27 @@
 		t.Error("an evacuation that the operator did not write again stays")
 	}
 }
+
+// TestConnectionOpenedBeforeColdness guards against a cold server that gets one call from
+// each node whose connection was opened while the server warmed up, also from nodes that
+// do not own it.
+func TestConnectionOpenedBeforeColdness(t *testing.T) {
+	const nodes = 40
+	sent := 0
+	for i := range nodes {
+		s := coldState(t, fmt.Sprintf("n%d", i), coldEngines(1, nodes, 7), testStart)
+		now := testStart.Add(3 * time.Second)
+		s.Handle(now, Tick{})
+		d, ok := placeCall(s, now, "a", "review").(Dispatch)
+		if !ok {
+			t.Fatal("the call is not assigned")
+		}
+		s.Handle(now, VMList{VMs: coldEngines(1, nodes, 8)})
+		if _, allowed := replyTo(t, s.Handle(now, Connected{Request: "a", Attempt: d.Attempt}), "a").(Proceed); allowed {
+			sent++
+		}
+	}
+	if sent > 27 {
+		t.Errorf("%d calls in a second, allowed are 27", sent)
+	}
+}
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -177,15 +177,21 @@
 	return p.rate
 }
 
-// Allows reports whether a call may go to the server now.
+// Allows reports whether a connection may be opened for a call now.
 func (p *Pace) Allows(now time.Time) bool {
+	return p.AllowsSend(now) && !(p.Limited() && p.opening)
+}
+
+// AllowsSend reports whether a call may be sent now on the connection that Open recorded.
+// The server may have become cold in the meantime.
+func (p *Pace) AllowsSend(now time.Time) bool {
 	if !p.Limited() {
 		return true
 	}
 	if p.Cold() && !p.owner {
 		return false
 	}
-	return !p.opening && !now.Before(p.next)
+	return !now.Before(p.next)
 }
 
 // Open records that a connection is opened for a call. It returns false when the rate
