An entry of a copy no longer ends the cold time of a server

Cause: recordColdTime took every new revision for newer. The entries of a copy from which the store came back have revisions of a later era, although they may be older than the known cold time; all nodes then took a cold server for warm until the server wrote its entry again. Change: an entry of the copy extends the cold time but does not shorten it. Result: TestColdServerOfCopy fails before and passes after.

--- a/core/control/pacing.go
+++ b/core/control/pacing.go
@@ -67,10 +67,15 @@
 }
 
 // recordColdTime records until when the entry of a server states that it is cold. Only a
-// new revision counts, because an entry that is read again is older.
+// new revision counts, because an entry that is read again is older. An entry of the copy
+// from which the key-value service came back may be older than the known cold time, which
+// it does not shorten.
 func recordColdTime(now time.Time, server *fleet.Server, vm VM) {
-	if vm.Revision == 0 || vm.Revision != server.EntryRevision {
-		server.ColdUntil = now.Add(vm.ColdFor)
+	if vm.Revision != 0 && vm.Revision == server.EntryRevision {
+		return
+	}
+	if until := now.Add(vm.ColdFor); !vm.FromCopy || until.After(server.ColdUntil) {
+		server.ColdUntil = until
 	}
 }
 
--- a/core/control/pacing_test.go
+++ b/core/control/pacing_test.go
@@ -169,3 +169,22 @@
 		t.Errorf("%d calls in a second, allowed are 27", sent)
 	}
 }
+
+// TestColdServerOfCopy guards against a server that is taken for warm because the
+// key-value service came back from a copy in which it was not cold yet.
+func TestColdServerOfCopy(t *testing.T) {
+	s := coldState(t, "n0", coldEngines(1, 30, 7), testStart)
+	copied := coldEngines(1, 30, 1<<40+5)
+	copied[0].ColdFor, copied[0].FromCopy = 0, true
+	now := testStart.Add(time.Second)
+	s.Handle(now, VMList{VMs: copied})
+	if !s.servers["e-0"].Pace.Cold() {
+		t.Error("an older entry ends the cold time")
+	}
+	again := coldEngines(1, 30, 1<<40+9)
+	again[0].ColdFor = 0
+	s.Handle(now, VMList{VMs: again})
+	if s.servers["e-0"].Pace.Cold() {
+		t.Error("the server stays cold although its own entry says that it is not")
+	}
+}
