Calls that wait for evacuated servers are refused at once

Cause: evacuationSeen left waiting calls in the queue. When all their servers were evacuated, they waited until their deadline, while new calls were refused at once. Change: the begin of an evacuation refuses the waiting calls that no server can take. Result: TestEvacuationRefusesWaitingCalls fails before (no reply, one call waits) and passes after.

--- a/core/control/pacing.go
+++ b/core/control/pacing.go
@@ -39,6 +39,7 @@
 	s.logEvent(event.EvacuationChanged, "domain", string(m.Domain), "active", m.Active, "version", uint64(s.version))
 	if m.Active {
 		s.evacuated[m.Domain] = true
+		s.refuseUnservable(now)
 		return
 	}
 	delete(s.evacuated, m.Domain)
@@ -50,6 +51,15 @@
 	s.assignQueued(now)
 }
 
+// refuseUnservable refuses the waiting calls whose servers are all evacuated or leaving.
+func (s *State) refuseUnservable(now time.Time) {
+	for _, req := range s.requests {
+		if req.chart.Is(tagPlaceable) && !s.canServe(req) {
+			s.finishWithError(now, req, "refuse", s.noServerError(req))
+		}
+	}
+}
+
 // expireEvacuations ends the evacuations that the operator has not requested again since
 // the key-value service came back from a copy without them.
 func (s *State) expireEvacuations(now time.Time) {
--- a/core/control/pacing_test.go
+++ b/core/control/pacing_test.go
@@ -188,3 +188,25 @@
 		t.Error("the server stays cold although its own entry says that it is not")
 	}
 }
+
+// TestEvacuationRefusesWaitingCalls guards against calls that wait for the servers of an
+// evacuated failure domain until their deadline, although nothing else can take them.
+func TestEvacuationRefusesWaitingCalls(t *testing.T) {
+	list := coldEngines(1, 1, 7)
+	list[0].ColdFor, list[0].MaxConcurrency = 0, 1
+	s := coldState(t, "n0", list, testStart)
+	if _, ok := placeCall(s, testStart, "a", "review").(Dispatch); !ok {
+		t.Fatal("the call is not assigned")
+	}
+	if decision := placeCall(s, testStart, "b", "review"); decision != nil {
+		t.Fatalf("the second call does not wait: %+v", decision)
+	}
+	s.Handle(testStart, EvacuationSeen{Domain: "other", Active: true})
+	if s.queue.Len() != 1 {
+		t.Error("the evacuation of another domain refuses the call")
+	}
+	out := s.Handle(testStart, EvacuationSeen{Domain: "a", Active: true})
+	if len(out.Replies) != 1 || out.Replies[0].To != "b" || s.queue.Len() != 0 {
+		t.Errorf("replies %+v, %d calls wait", out.Replies, s.queue.Len())
+	}
+}
