Waiting work of a peer counts although its clock is ahead

Cause: a node kept the last two reports of a peer and divides by the last turn of its own clock. When the clock of the peer was 200 ms or more ahead, both reports were of later turns, and the node took the peer's part of free memory as well, for as long as the clocks differed. Change: the last six reports are kept.

--- a/core/control/overload_test.go
+++ b/core/control/overload_test.go
@@ -34,11 +34,15 @@
 	nodes        []*State
 	runTimesVary bool
 	ids          map[string]int
+	// clockDifference is the difference between the clocks of nodes that follow each other.
+	clockDifference time.Duration
 	// silent drops the reports of work between nodes.
 	silent bool
 	// running has the calls at engines and the times at which they end.
 	running map[request.ID]overloadCall
 	memory  map[fleet.ServerID]int
+	// served has the nodes of the calls that were sent to engines.
+	served []int
 	// mostMemory is the most memory that calls needed at one engine.
 	mostMemory int
 	// waiting has the calls that are not at an engine
@@ -100,7 +104,7 @@
 
 // handle delivers a message to a node. Its reports reach the peers in the next step.
 func (x *overload) handle(node int, m Message) {
-	out := x.nodes[node].Handle(x.now, m)
+	out := x.nodes[node].Handle(x.now.Add(time.Duration(node%3)*x.clockDifference), m)
 	for _, reply := range out.Replies {
 		x.decided(node, reply)
 	}
@@ -129,6 +133,7 @@
 	delete(x.waiting, reply.To)
 	x.running[reply.To] = overloadCall{node: node, server: d.Server, attempt: d.Attempt, endsAt: x.now.Add(x.runTime())}
 	x.memory[d.Server] += overloadTokens
+	x.served = append(x.served, node)
 	x.mostMemory = max(x.mostMemory, x.memory[d.Server])
 	x.pending = append(x.pending, func() {
 		x.handle(node, Connected{Request: reply.To, Attempt: d.Attempt})
@@ -240,3 +245,21 @@
 		t.Errorf("without reports calls needed at most %d tokens at one engine", x.mostMemory)
 	}
 }
+
+// TestNodesShareEnginesByOtherClocks guards against nodes that are served less because
+// their clocks are ahead of those of their peers, which ignored their waiting work.
+func TestNodesShareEnginesByOtherClocks(t *testing.T) {
+	const nodes = 9
+	for _, difference := range []time.Duration{0, 150 * time.Millisecond} {
+		x := newOverload(t, nodes)
+		x.clockDifference = difference
+		x.play(40*time.Second, 360*time.Millisecond)
+		var served [3]int
+		for _, call := range x.served {
+			served[call%3]++
+		}
+		if slices.Min(served[:])*14 < slices.Max(served[:])*10 {
+			t.Errorf("clocks differ by %s: calls served by nodes of each clock %d", difference, served)
+		}
+	}
+}
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -31,9 +31,9 @@
 	KeyValueUnreachable bool
 	// LastReportAt is when this node received the last digest of the peer.
 	LastReportAt time.Time
-	// waiting has the work that waited there at the begin of the last two turns that the
-	// peer reported, the newer one first.
-	waiting [2]shares.TurnDemand
+	// waiting has the work that waited there at the begin of the last turns that the peer
+	// reported, the newest one first.
+	waiting [keptReports]shares.TurnDemand
 	// LastSeen is the latest time at which the peer certainly had a configuration
 	// in force, according to its own digest or one relayed by another peer.
 	LastSeen time.Time
@@ -43,10 +43,14 @@
 // valid when newer ones are missing.
 const maxMissingTurns = 3
 
+// keptReports is the number of reports of waiting work that are kept. A peer whose clock is
+// ahead has reported later turns than the one by which this node divides.
+const keptReports = 6
+
 // RecordWaiting records the work that waited at the peer at the begin of a turn.
 func (p *Peer) RecordWaiting(report shares.TurnDemand) {
 	if report.Turn > p.waiting[0].Turn {
-		p.waiting[1] = p.waiting[0]
+		copy(p.waiting[1:], p.waiting[:])
 		p.waiting[0] = report
 	}
 }
