Waiting work of a peer counts again after its clock was set back

Cause: a report of an earlier turn was dropped as a late one. After the clock of a node was set back by an hour, its peers ignored its waiting work for an hour and took its part of free memory. Change: a report that is more than 50 turns older replaces all kept ones. Result: TestWaitingWorkAfterClockStep fails before and passes after.

--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -47,8 +47,15 @@
 // ahead has reported later turns than the one by which this node divides.
 const keptReports = 6
 
+// maxLateTurns is the number of turns by which a report may be late. One that is older
+// shows that the clock of the peer was set back.
+const maxLateTurns = 50
+
 // RecordWaiting records the work that waited at the peer at the begin of a turn.
 func (p *Peer) RecordWaiting(report shares.TurnDemand) {
+	if report.Turn != 0 && report.Turn < p.waiting[0].Turn-maxLateTurns {
+		p.waiting = [keptReports]shares.TurnDemand{}
+	}
 	if report.Turn > p.waiting[0].Turn {
 		copy(p.waiting[1:], p.waiting[:])
 		p.waiting[0] = report
--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -19,3 +19,20 @@
 		}
 	}
 }
+
+// TestWaitingWorkAfterClockStep guards against a peer whose waiting work is ignored because
+// its clock was set back.
+func TestWaitingWorkAfterClockStep(t *testing.T) {
+	var peer Peer
+	peer.RecordWaiting(shares.TurnDemand{Turn: 36100, Demand: shares.Demand{"o": 1}})
+	for turn := int64(100); turn < 110; turn++ {
+		peer.RecordWaiting(shares.TurnDemand{Turn: turn, Demand: shares.Demand{"o": 2}})
+	}
+	if got := peer.WaitingIn(109)["o"]; got != 2 {
+		t.Errorf("demand %d after the clock was set back", got)
+	}
+	peer.RecordWaiting(shares.TurnDemand{Turn: 108, Demand: shares.Demand{"o": 3}})
+	if got := peer.WaitingIn(109)["o"]; got != 2 {
+		t.Errorf("demand %d after a late report", got)
+	}
+}
