node/ingress: a resumed stream may not skip events

Since event ids may increase by more than one, a second server that left out events was joined without notice: after the events 1 and 2 the caller got event 4 and a complete response.

The first event that a resumed stream adds may now be ahead of the last one by at most the largest step between events of the response so far, or by 1 when there was only one event. A larger step ends the attempt with code.AnswerTruncated, and the connection to the caller is broken.

TestResumedStreamSkipsNoEvent fails before the change ("steps of one, one skipped": a complete response without event 3) and passes now; the tests of node/ingress pass.

--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -144,6 +144,12 @@
 	// lastEventID is the id of the last event that the caller has received, or
 	// forward.NoEventID.
 	lastEventID int64
+	// largestStep is the largest difference between the ids of two successive events
+	// of the response, or 0 before the second one.
+	largestStep int64
+	// numbered is true once an event with an id was written to the caller, and joined
+	// once one of the current attempt was.
+	numbered, joined bool
 	// stream holds the headers of the stream of the current attempt, or nil.
 	stream *http.Response
 	// heldComments holds the comments of that stream that are not written yet.
@@ -167,7 +173,7 @@
 	c.dispatch = dispatch
 	c.attemptStartedAt = time.Now()
 	c.resumes = c.streamStarted
-	c.stream, c.heldComments = nil, nil
+	c.stream, c.heldComments, c.joined = nil, nil, false
 	running, end := c.frontend.startAttempt(ctx, attemptKey{c.exchange.request.ID, dispatch.Attempt})
 	defer end()
 	c.running = running
@@ -268,7 +274,8 @@
 // Event writes the next event and flushes it. It skips events that the caller has
 // already received, by their ids, which may increase by more than one. It returns
 // code.AnswerTruncated when events without ids do not show where a resumed stream
-// continues. A comment is no first part of the response, and is held while the response
+// continues, or when the first further event of a resumed stream shows that events may be
+// missing before it. A comment is no first part of the response, and is held while the response
 // has none.
 func (c *callRelay) Event(event forward.Event) error {
 	if !event.IsComment() {
@@ -288,7 +295,9 @@
 		if event.ID <= c.lastEventID {
 			return nil
 		}
-		c.lastEventID = event.ID
+		if err := c.countStep(event.ID); err != nil {
+			return err
+		}
 	}
 	setWriteDeadline(c.w)
 	if err := c.startStream(); err != nil {
@@ -300,6 +309,22 @@
 	return http.NewResponseController(c.w).Flush()
 }
 
+// countStep records the id of the next event. The first event that a resumed stream adds
+// may be ahead of the last one by at most the largest step of the response so far, or 1
+// before there was any. Otherwise its server may have left out events.
+func (c *callRelay) countStep(id int64) error {
+	if c.numbered {
+		step := id - c.lastEventID
+		if c.resumes && !c.joined && step > max(c.largestStep, 1) {
+			return code.Newf(code.AnswerTruncated, "the resumed stream continues with event %d after event %d", id, c.lastEventID)
+		}
+		c.largestStep = max(c.largestStep, step)
+	}
+	c.numbered, c.joined = true, true
+	c.lastEventID = id
+	return nil
+}
+
 // reportFirstEvent reports the first event of an attempt to the control thread. It
 // returns an error when the attempt was stopped before.
 func (c *callRelay) reportFirstEvent() error {
--- a/node/ingress/streamstart_test.go
+++ b/node/ingress/streamstart_test.go
@@ -87,3 +87,33 @@
 		})
 	}
 }
+
+// TestResumedStreamSkipsNoEvent guards against a complete response in which events are
+// missing, because the server that resumed the stream left them out; and against a resumed
+// stream that is cut although its steps are no larger than those before.
+func TestResumedStreamSkipsNoEvent(t *testing.T) {
+	const broken = "id: "
+	event := func(id string) string { return "id: " + id + "\ndata: x\n\n" }
+	for name, c := range map[string]struct {
+		responses [][]string
+		want      string
+		aborted   bool
+	}{
+		"steps of one, one skipped": {[][]string{{streamHeaders + event("1") + event("2") + broken}, {streamHeaders + event("4")}}, event("1") + event("2"), true},
+		"one event, one skipped":    {[][]string{{streamHeaders + event("1") + broken}, {streamHeaders + event("3")}}, event("1"), true},
+		"skipped after a replay":    {[][]string{{streamHeaders + event("1") + event("2") + broken}, {streamHeaders + event("1") + event("2") + event("4")}}, event("1") + event("2"), true},
+		"skipped by the third server": {[][]string{{streamHeaders + event("1") + event("2") + broken}, {streamHeaders + event("3") + broken}, {streamHeaders + event("5")}},
+			event("1") + event("2") + event("3"), true},
+		"steps of ten":       {[][]string{{streamHeaders + event("10") + event("20") + broken}, {streamHeaders + event("30")}}, event("10") + event("20") + event("30"), false},
+		"larger steps later": {[][]string{{streamHeaders + event("1") + broken}, {streamHeaders + event("2") + event("9")}}, event("1") + event("2") + event("9"), false},
+		"no event before": {[][]string{{streamHeaders + strings.Repeat(": wait\n\n", 2*maxHeldCommentBytes/8) + broken}, {streamHeaders + event("7")}},
+			strings.Repeat(": wait\n\n", 2*maxHeldCommentBytes/8) + event("7"), false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			w, aborted := playAttempts(&stopControl{repeats: len(c.responses) - 1}, c.responses, func(int, func()) {})
+			if aborted != c.aborted || w.Body.String() != c.want {
+				t.Errorf("%s: aborted %t, body %q", name, aborted, w.Body)
+			}
+		})
+	}
+}
