node/callerconn: an empty line before a head does not end its count

net/http skips an empty line before the request that follows a POST, and reads the beginning of a pipelined head together with the request before it. The head counter took such an empty line, or the rest of a divided line end, for the end of the head. The rest of the head was then neither bounded by max_header_bytes nor reserved before net/http parsed it, up to the 1 MiB that net/http allows.

A head now ends at the first empty line after one that is not empty. TestEmptyLineEndsNoHead fails before the change (no response to an endless head after an empty line; one with 40 KiB is accepted) and passes now, with the other tests of the package.

--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -109,8 +109,11 @@
 type headCounter struct {
 	bytes, lines int64
 	// line is the number of bytes of the current line without carriage returns.
-	line  int
-	ended bool
+	line int
+	// begun is true after the first line that is not empty. Earlier empty lines end no
+	// head: net/http skips one after a POST, and the beginning of a head may have been
+	// read together with an earlier request.
+	begun, ended bool
 }
 
 func (h *headCounter) count(p []byte) {
@@ -124,7 +127,8 @@
 		p = p[len(text)+1:]
 		h.bytes++
 		h.lines++
-		h.ended = h.line == 0
+		h.ended = h.begun && h.line == 0
+		h.begun = h.begun || h.line > 0
 		h.line = 0
 	}
 }
--- a/node/callerconn/listener_test.go
+++ b/node/callerconn/listener_test.go
@@ -158,6 +158,32 @@
 	})
 }
 
+// TestEmptyLineEndsNoHead guards against a head that is neither counted nor bounded because
+// it follows an empty line, which net/http skips after a POST, or because the carriage
+// return of its first line was read together with an earlier request.
+func TestEmptyLineEndsNoHead(t *testing.T) {
+	long := "Long: " + strings.Repeat("x", 40<<10) + "\r\n\r\n"
+	for name, parts := range map[string][2]string{
+		"empty line after a POST": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", "\r\n" + head("/wait", 0) + long},
+		"divided line end":        {"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /wait HTTP/1.1\r", "\nHost: h\r\n" + long},
+	} {
+		runSite(t, 4<<20, 100, func(t *testing.T, s *site) {
+			conn, _ := s.client(t, parts[0])
+			go func() { _, _ = io.WriteString(conn, parts[1]) }()
+			reader := bufio.NewReader(conn)
+			for _, want := range []string{"200 OK", "431 Request Header Fields Too Large"} {
+				_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil || response.Status != want {
+					t.Errorf("%s: response %+v, error %v, want %q", name, response, err, want)
+					break
+				}
+			}
+			close(s.release)
+		})
+	}
+}
+
 // TestConnectionsBounded guards against more connections than the node may have, against
 // clients that lock out others with connections that send nothing, and against a call in
 // progress that ends for a new connection.
