core/control: parts of a newer scope are not freed

A node frees the parts of all scopes in managed stores that it does not use itself, from an hour after its last change of the isolated tenants. At the next change, a node that still has the older configuration took the parts that nodes with the newer one save and fetch for parts of an earlier scope, and freed them. A store does not accept that while a fetch is in progress.

Only scopes whose version is not later than that of the node are freed. TestNewerScopeNotFreed fails before the change (both newer scopes freed) and passes now, with the other tests of scopes and freed parts.

--- a/core/config/isolation.go
+++ b/core/config/isolation.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/zeebo/blake3"
 
@@ -79,6 +80,16 @@
 	return string(organisation) + "/" + formatVersion(i.Since[organisation])
 }
 
+// ScopeVersion returns the version of the configuration in a scope, or 0 when it has none.
+func ScopeVersion(scope string) Version {
+	digits, _, _ := strings.Cut(scope[strings.LastIndexByte(scope, '/')+1:], "-")
+	version, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return Version(version)
+}
+
 func formatVersion(version Version) string {
 	return strconv.FormatUint(uint64(version), 10)
 }
--- a/core/control/freeparts.go
+++ b/core/control/freeparts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/placement"
 )
@@ -58,7 +59,7 @@
 		outdated := s.partIndex.LeastRecent(store.ID, freeBatch, func(key placement.PartKey) bool {
 			model, weights := placement.WeightsOf(key.Salt)
 			lowest, ok := lowestByModel[model]
-			return ok && (weights < lowest || scopes != nil && !scopes[placement.ScopeOf(key.Salt)])
+			return ok && (weights < lowest || s.isEarlierScope(placement.ScopeOf(key.Salt), scopes))
 		})
 		if len(outdated) > 0 {
 			s.command(FreeParts{
@@ -68,6 +69,12 @@
 	}
 }
 
+// isEarlierScope reports whether no call can use a scope any more, given those in use. A
+// node that has a newer configuration already may use one with a later version.
+func (s *State) isEarlierScope(scope string, usable map[string]bool) bool {
+	return usable != nil && !usable[scope] && config.ScopeVersion(scope) <= s.isolation.current.Changed
+}
+
 // lowestWeights returns the lowest weight version among the engines of each
 // model, including leaving ones.
 func (s *State) lowestWeights() map[string]int {
--- a/core/control/isolation.go
+++ b/core/control/isolation.go
@@ -146,7 +146,8 @@
 }
 
 // usableScopes returns the scopes in use, or nil while calls of an earlier scope may be in
-// progress at any node, or when none was ever left.
+// progress at any node, or when none was ever left. Nodes with a newer configuration use
+// others, with later versions.
 func (s *State) usableScopes(now time.Time) map[string]bool {
 	i := &s.isolation
 	if !i.chart.Is(tagRecorded) || i.current.Changed == 0 || i.current.Changed != i.stored.Changed || now.Sub(i.changedAt) < scopeFreeDelay {
--- a/core/control/isolation_test.go
+++ b/core/control/isolation_test.go
@@ -191,3 +191,30 @@
 		t.Error("no part was freed")
 	}
 }
+
+// TestNewerScopeNotFreed guards against freeing parts that nodes with a newer configuration
+// use, and may be fetching, because this node learns of the configuration later.
+func TestNewerScopeNotFreed(t *testing.T) {
+	s := storeState(t, testStart.Add(-time.Minute))
+	s.Handle(testStart, IsolationSeen{})
+	rules := tenantRules(testKeys, "north")
+	rules.CacheStores = s.rules.CacheStores
+	s.Handle(testStart, Configure{Version: 3, Rules: rules})
+	s.Handle(testStart, IsolationSeen{Record: s.isolation.current, Revision: 9})
+	now := testStart.Add(scopeFreeDelay)
+	newer := s.isolation.current.Next([]request.Organisation{"south"}, 4)
+	for scope, want := range map[string]bool{newer.SharedScope(): false, newer.Scope("south"): false, "south/2": true, "/2-0123456789abcdef": true} {
+		s.Handle(now, CacheEvents{Target: "kept", Epoch: 1, AskedAt: now, ReceivedAt: now, Events: []PartEvent{
+			{Added: true, Salt: placement.Salt("m", 1, scope), ID: "part", Tokens: 10},
+		}})
+		s.output.Commands = nil
+		s.freeParts(now)
+		freed := slices.ContainsFunc(s.output.Commands, func(command Command) bool {
+			free, ok := command.(FreeParts)
+			return ok && slices.Contains(free.Parts, placement.PartKey{Salt: placement.Salt("m", 1, scope), ID: "part"})
+		})
+		if freed != want {
+			t.Errorf("scope %q: freed %t, want %t", scope, freed, want)
+		}
+	}
+}
