core/config: waiting calls use the scope of no earlier period

A call that arrived while its tenant was isolated keeps to a scope of its tenant when it is placed after the isolation has ended. Only parts of the same tenant were reachable through it.

The version is now that of the change that ended the isolation. TestScopeAfterIsolationEnded fails before the change ("the scope a/0 of version 2 is in use again") and passes now.

--- a/core/config/isolation.go
+++ b/core/config/isolation.go
@@ -75,9 +75,15 @@
 }
 
 // Scope returns the text that separates the cached parts of an isolated organisation from
-// all others. Only a version follows its last slash, unlike that of a shared scope.
+// all others. Only a version follows its last slash, unlike that of a shared scope. For an
+// organisation that is no longer isolated, the version is that of the last change, so that
+// its waiting calls use the scope of no earlier period.
 func (i Isolation) Scope(organisation request.Organisation) string {
-	return string(organisation) + "/" + formatVersion(i.Since[organisation])
+	since, isolated := i.Since[organisation]
+	if !isolated {
+		since = i.Changed
+	}
+	return string(organisation) + "/" + formatVersion(since)
 }
 
 // ScopeVersion returns the version of the configuration in a scope, or 0 when it has none.
--- a/core/config/isolation_test.go
+++ b/core/config/isolation_test.go
@@ -50,3 +50,21 @@
 		scopes[scope] = true
 	}
 }
+
+// TestScopeAfterIsolationEnded guards against the scope of an earlier period for calls that
+// still wait when their organisation stops being isolated, whenever that happens.
+func TestScopeAfterIsolationEnded(t *testing.T) {
+	var state config.Isolation
+	used := map[string]config.Version{}
+	for version := config.Version(1); version <= 4; version++ {
+		isolated := []request.Organisation{"a"}
+		if version%2 == 0 {
+			isolated = nil
+		}
+		state = state.Next(isolated, version)
+		if earlier, found := used[state.Scope("a")]; found {
+			t.Errorf("version %d: the scope %q of version %d is in use again", version, state.Scope("a"), earlier)
+		}
+		used[state.Scope("a")] = version
+	}
+}
