--- a/core/control/pacing.go
+++ b/core/control/pacing.go
@@ -39,6 +39,7 @@
 	s.logEvent(event.EvacuationChanged, "domain", string(m.Domain), "active", m.Active, "version", uint64(s.version))
 	if m.Active {
 		s.evacuated[m.Domain] = true
+		s.refuseUnservable(now)
 		return
 	}
 	delete(s.evacuated, m.Domain)
@@ -50,6 +51,15 @@
 	s.assignQueued(now)
 }
 
+// refuseUnservable refuses the waiting calls whose servers are all evacuated or leaving.
+func (s *State) refuseUnservable(now time.Time) {
+	for _, req := range s.requests {
+		if req.chart.Is(tagPlaceable) && !s.canServe(req) {
+			s.finishWithError(now, req, "refuse", s.noServerError(req))
+		}
+	}
+}
+
 // expireEvacuations ends the evacuations that the operator has not requested again since
 // the key-value service came back from a copy without them.
 func (s *State) expireEvacuations(now time.Time) {
@@ -67,10 +77,15 @@
 }
 
 // recordColdTime records until when the entry of a server states that it is cold. Only a
-// new revision counts, because an entry that is read again is older.
+// new revision counts, because an entry that is read again is older. An entry of the copy
+// from which the key-value service came back may be older than the known cold time, which
+// it does not shorten.
 func recordColdTime(now time.Time, server *fleet.Server, vm VM) {
-	if vm.Revision == 0 || vm.Revision != server.EntryRevision {
-		server.ColdUntil = now.Add(vm.ColdFor)
+	if vm.Revision != 0 && vm.Revision == server.EntryRevision {
+		return
+	}
+	if until := now.Add(vm.ColdFor); !vm.FromCopy || until.After(server.ColdUntil) {
+		server.ColdUntil = until
 	}
 }
 
@@ -144,7 +159,11 @@
 // connection is open, and counts the call.
 func (s *State) maySend(now time.Time, attempt *activeAttempt) bool {
 	server := attempt.server
-	if s.isEvacuated(server) || !attempt.opensPaced && !server.Pace.Allows(now) {
+	allows := server.Pace.Allows
+	if attempt.opensPaced {
+		allows = server.Pace.AllowsSend
+	}
+	if s.isEvacuated(server) || !allows(now) {
 		return false
 	}
 	attempt.opensPaced = false
--- a/core/control/pacing_test.go
+++ b/core/control/pacing_test.go
@@ -145,3 +145,68 @@
 		t.Error("an evacuation that the operator did not write again stays")
 	}
 }
+
+// TestConnectionOpenedBeforeColdness guards against a cold server that gets one call from
+// each node whose connection was opened while the server warmed up, also from nodes that
+// do not own it.
+func TestConnectionOpenedBeforeColdness(t *testing.T) {
+	const nodes = 40
+	sent := 0
+	for i := range nodes {
+		s := coldState(t, fmt.Sprintf("n%d", i), coldEngines(1, nodes, 7), testStart)
+		now := testStart.Add(3 * time.Second)
+		s.Handle(now, Tick{})
+		d, ok := placeCall(s, now, "a", "review").(Dispatch)
+		if !ok {
+			t.Fatal("the call is not assigned")
+		}
+		s.Handle(now, VMList{VMs: coldEngines(1, nodes, 8)})
+		if _, allowed := replyTo(t, s.Handle(now, Connected{Request: "a", Attempt: d.Attempt}), "a").(Proceed); allowed {
+			sent++
+		}
+	}
+	if sent > 27 {
+		t.Errorf("%d calls in a second, allowed are 27", sent)
+	}
+}
+
+// TestColdServerOfCopy guards against a server that is taken for warm because the
+// key-value service came back from a copy in which it was not cold yet.
+func TestColdServerOfCopy(t *testing.T) {
+	s := coldState(t, "n0", coldEngines(1, 30, 7), testStart)
+	copied := coldEngines(1, 30, 1<<40+5)
+	copied[0].ColdFor, copied[0].FromCopy = 0, true
+	now := testStart.Add(time.Second)
+	s.Handle(now, VMList{VMs: copied})
+	if !s.servers["e-0"].Pace.Cold() {
+		t.Error("an older entry ends the cold time")
+	}
+	again := coldEngines(1, 30, 1<<40+9)
+	again[0].ColdFor = 0
+	s.Handle(now, VMList{VMs: again})
+	if s.servers["e-0"].Pace.Cold() {
+		t.Error("the server stays cold although its own entry says that it is not")
+	}
+}
+
+// TestEvacuationRefusesWaitingCalls guards against calls that wait for the servers of an
+// evacuated failure domain until their deadline, although nothing else can take them.
+func TestEvacuationRefusesWaitingCalls(t *testing.T) {
+	list := coldEngines(1, 1, 7)
+	list[0].ColdFor, list[0].MaxConcurrency = 0, 1
+	s := coldState(t, "n0", list, testStart)
+	if _, ok := placeCall(s, testStart, "a", "review").(Dispatch); !ok {
+		t.Fatal("the call is not assigned")
+	}
+	if decision := placeCall(s, testStart, "b", "review"); decision != nil {
+		t.Fatalf("the second call does not wait: %+v", decision)
+	}
+	s.Handle(testStart, EvacuationSeen{Domain: "other", Active: true})
+	if s.queue.Len() != 1 {
+		t.Error("the evacuation of another domain refuses the call")
+	}
+	out := s.Handle(testStart, EvacuationSeen{Domain: "a", Active: true})
+	if len(out.Replies) != 1 || out.Replies[0].To != "b" || s.queue.Len() != 0 {
+		t.Errorf("replies %+v, %d calls wait", out.Replies, s.queue.Len())
+	}
+}
