--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -179,7 +179,7 @@
 
 // Allows reports whether a connection may be opened for a call now.
 func (p *Pace) Allows(now time.Time) bool {
-	return p.AllowsSend(now) && !(p.Limited() && p.opening)
+	return p.AllowsSend(now) && (!p.Limited() || !p.opening)
 }
 
 // AllowsSend reports whether a call may be sent now on the connection that Open recorded.
