Only calls that need the memory of engines take turns at it

Cause: the reported demand counted all waiting calls that are not urgent, also those for plain services. Each organisation counts equally, so that calls which waited for a slot of a plain service kept a part of the free memory of all engines from the nodes that had calls for it. Change: the demand counts the calls that have memory to reserve at an engine.

--- a/core/control/fairness_test.go
+++ b/core/control/fairness_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"tanagerspread/core/config"
+	"tanagerspread/core/fleet"
 	"tanagerspread/core/request"
+	"tanagerspread/core/shares"
 )
 
 const fairNodes = 12
@@ -139,3 +141,39 @@
 		}
 	}
 }
+
+// waitingReports returns the reports of waiting work that a node sends.
+func waitingReports(commands []Command) []shares.TurnDemand {
+	var reports []shares.TurnDemand
+	for _, command := range commands {
+		if work, ok := command.(SendWork); ok {
+			reports = append(reports, work.Waiting)
+		}
+	}
+	return reports
+}
+
+// TestOnlyCallsForEnginesTakeTurns guards against free memory of engines that is kept for
+// a node whose waiting calls need none.
+func TestOnlyCallsForEnginesTakeTurns(t *testing.T) {
+	x := newOverload(t, 2)
+	x.rules.Routes.Find("h", "/lookup/x").Priority = 1
+	s := x.nodes[0]
+	s.Handle(x.now, ConfigSeen{Current: config.Configuration{Version: 1, ApplyID: "one"}, Rules: x.rules, FromService: true, AskedAt: x.now})
+	s.Handle(x.now, VMList{VMs: []VM{
+		{ID: "n00", Role: fleet.RoleEntryVM, PeerAddress: "n00"},
+		{ID: "n01", Role: fleet.RoleEntryVM, PeerAddress: "n01"},
+		{ID: "d0", Address: "d0", Role: fleet.RoleService, Serves: "desk", MaxConcurrency: 1},
+	}})
+	for i := range 5 {
+		placeCall(s, x.now, request.ID(fmt.Sprintf("c%d", i)), "lookup")
+	}
+	if s.queue.Len() != 4 {
+		t.Fatalf("%d calls wait", s.queue.Len())
+	}
+	for _, report := range waitingReports(s.Handle(x.now.Add(fleet.TurnLength), Tick{}).Commands) {
+		if report.Demand.Total() > 0 {
+			t.Errorf("the node reports %v", report.Demand)
+		}
+	}
+}
--- a/core/control/peerload.go
+++ b/core/control/peerload.go
@@ -95,7 +95,7 @@
 	s.advertisedWaiting = waits
 	if turn != s.waiting[0].Turn {
 		s.waiting[1] = s.waiting[0]
-		s.waiting[0] = shares.TurnDemand{Turn: turn, Demand: s.queue.Demand().Largest(maxReportedOrganisations)}
+		s.waiting[0] = shares.TurnDemand{Turn: turn, Demand: s.queue.MemoryDemand().Largest(maxReportedOrganisations)}
 	}
 	return true
 }
--- a/core/control/place.go
+++ b/core/control/place.go
@@ -78,6 +78,7 @@
 		Servers:      req.groupKey(),
 		Tokens:       req.PromptTokens,
 		OnTimeUntil:  req.onTimeUntil,
+		NeedsMemory:  !req.memory.IsZero() && s.rules.Pools[req.service].CacheTokens > 0,
 	}
 	if elsewhere := s.demandElsewhere[req.organisation]; elsewhere > 0 && entry.Priority > 0 {
 		entry.Weight = shares.Weight(s.queue.Tokens(req.organisation)+req.PromptTokens, elsewhere)
--- a/core/limits/queue.go
+++ b/core/limits/queue.go
@@ -28,6 +28,8 @@
 	// Tokens is the length of the prompt. Fair queueing counts it as the cost
 	// of the request.
 	Tokens int
+	// NeedsMemory is true for a request that waits for the memory of an engine.
+	NeedsMemory bool
 	// Weight is the weight of the organisation in fair queueing; 0 means 1.
 	Weight float64
 	// OnTimeUntil is when the request is no longer expected to be answered on time. From
@@ -120,9 +122,18 @@
 // Demand returns the prompt tokens of the waiting requests of each organisation that are
 // less urgent than priority 0.
 func (q *Queue) Demand() shares.Demand {
+	return q.demand(func(e *Entry) bool { return e.Priority > 0 })
+}
+
+// MemoryDemand returns the same for the requests that need the memory of an engine.
+func (q *Queue) MemoryDemand() shares.Demand {
+	return q.demand(func(e *Entry) bool { return e.Priority > 0 && e.NeedsMemory })
+}
+
+func (q *Queue) demand(counts func(*Entry) bool) shares.Demand {
 	demand := shares.Demand{}
 	for _, queued := range q.entries {
-		if queued.Priority > 0 {
+		if counts(&queued.Entry) {
 			demand[queued.Organisation] += max(queued.Tokens, 1)
 		}
 	}
