core/quarantine: a loss of power at all engines blames no part

Proven crashes of one moment count individually unless a server ended with them that had no call with the part. When all engines lost power together and each had calls with a first part that all calls share, this part was quarantined for ten minutes, and every call was refused: no further call proves a part whose calls are refused.

Such crashes now count individually only when another server responded before and after them. One that responds for the first time after them may be one of those that came back.

--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -194,7 +194,7 @@
 // RecordResponse records a response of a server, which did not crash shortly before, and
 // returns what to tell the peers.
 func (l *List) RecordResponse(now time.Time, server fleet.ServerID) []Entry {
-	l.servers.responded.record(now, server, now)
+	l.servers.recordResponse(now, server, now)
 	if l.forgetCrashes(now, server) {
 		return []Entry{AliveEntry(now, server)}
 	}
--- a/core/quarantine/merge.go
+++ b/core/quarantine/merge.go
@@ -83,7 +83,7 @@
 	}
 	if e.Server != "" {
 		news := at.Sub(l.servers.responded.last(e.Server)) >= relayInterval
-		l.servers.responded.record(now, e.Server, at)
+		l.servers.recordResponse(now, e.Server, at)
 		return l.forgetCrashes(now, e.Server) || news
 	}
 	p := l.entries[e.Fingerprint]
--- a/core/quarantine/partledger.go
+++ b/core/quarantine/partledger.go
@@ -303,11 +303,11 @@
 }
 
 // events returns the number of crashes of a part until a time. Crashes of one moment count
-// separately when the servers ended, and no server ended with them that had no call with the
-// part, as it would if they had lost power together.
+// separately when the servers ended, and they did not lose power together: then a server ends
+// with them that had no call with the part, or none serves on.
 func (l *PartLedger) events(p *part, until time.Time) int {
 	return p.crashes.events(until, func(c PartCrash) bool {
-		return c.Proven && !l.servers.endedBeside(c.Server, p.crashes.hasServer)
+		return c.Proven && !l.servers.endedBeside(c.Server, p.crashes.hasServer) && l.servers.servesBeside(c.BrokeAt)
 	})
 }
 
--- a/core/quarantine/servers.go
+++ b/core/quarantine/servers.go
@@ -15,13 +15,15 @@
 // back under another id.
 type Servers struct {
 	responded, ended proofs[fleet.ServerID]
+	// began has the first responses of servers that had not responded lately.
+	began proofs[fleet.ServerID]
 	// told is when the peers were last told that a server responded.
 	told proofs[fleet.ServerID]
 }
 
 // NewServers returns an empty record.
 func NewServers(now time.Time) *Servers {
-	return &Servers{responded: newProofs[fleet.ServerID](now), ended: newProofs[fleet.ServerID](now), told: newProofs[fleet.ServerID](now)}
+	return &Servers{responded: newProofs[fleet.ServerID](now), ended: newProofs[fleet.ServerID](now), began: newProofs[fleet.ServerID](now), told: newProofs[fleet.ServerID](now)}
 }
 
 // RecordEnd records that a server ended.
@@ -53,6 +55,27 @@
 	return false
 }
 
+// recordResponse records a response of a server at a time.
+func (s *Servers) recordResponse(now time.Time, server fleet.ServerID, at time.Time) {
+	if s.responded.last(server).IsZero() {
+		s.began.record(now, server, at)
+	}
+	s.responded.record(now, server, at)
+}
+
+// servesBeside reports whether a server that did not end responded before and after a crash at
+// a time. One that began to respond later may have come back itself.
+func (s *Servers) servesBeside(at time.Time) bool {
+	for _, responded := range []map[fleet.ServerID]time.Time{s.responded.current, s.responded.previous} {
+		for server, respondedAt := range responded {
+			if respondedAt.Sub(at) > InFlightMargin && !s.began.last(server).After(at) && !s.HasEnded(server) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isProven reports whether a server ended after it seemed to crash at a time.
 func (s *Servers) isProven(server fleet.ServerID, at time.Time) bool {
 	ended := s.ended.last(server)
