Numbers in the work reports of peers are bounded

Cause: workFromWire took any number of tokens. One report whose numbers add up to more than 2^63 made the committed memory of an engine negative; the node then saw 2^62 free tokens, which ownCalls divides into calls one by one on the control thread. Change: each number of tokens is bounded to 2^40. That the control thread stops was read from the code, not run.

--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -97,8 +97,16 @@
 	maxWorkOrganisations = 256
 	// maxWorkParts bounds the shared parts of one server in such a message.
 	maxWorkParts = 256
+	// maxWorkTokens bounds each number of tokens in such a message, so that sums over all
+	// peers and parts do not overflow.
+	maxWorkTokens = 1 << 40
 )
 
+// boundTokens returns a number of tokens from 0 to maxWorkTokens.
+func boundTokens(tokens int) int {
+	return min(max(tokens, 0), maxWorkTokens)
+}
+
 func workToWire(m control.SendWork) workParams {
 	w := workParams{Node: m.Node}
 	w.Turn = m.Waiting.Turn
@@ -126,19 +134,19 @@
 }
 
 // workFromWire decodes the work of a peer. It omits servers beyond maxWorkServers,
-// servers that lack a number, and negative numbers.
+// servers that lack a number, and bounds the numbers.
 func workFromWire(w workParams) control.PeerWork {
 	m := control.PeerWork{Node: w.Node}
 	if len(w.Demand) <= maxWorkOrganisations {
 		m.Waiting = shares.TurnDemand{Turn: w.Turn, Demand: shares.Demand{}}
 		for organisation, tokens := range w.Demand {
-			m.Waiting.Demand[request.Organisation(organisation)] = max(tokens, 0)
+			m.Waiting.Demand[request.Organisation(organisation)] = boundTokens(tokens)
 		}
 	}
 	for i := range min(len(w.Servers), len(w.Prefill), len(w.Private), len(w.Shared), maxWorkServers) {
 		work := fleet.Work{
-			PrefillTokens: max(w.Prefill[i], 0),
-			Memory:        fleet.MemoryUse{Private: max(w.Private[i], 0), Shared: sharedPartsFromWire(w.Shared[i])},
+			PrefillTokens: boundTokens(w.Prefill[i]),
+			Memory:        fleet.MemoryUse{Private: boundTokens(w.Private[i]), Shared: sharedPartsFromWire(w.Shared[i])},
 		}
 		m.Work = append(m.Work, control.ServerWork{Server: fleet.ServerID(w.Servers[i]), Work: work})
 	}
@@ -148,7 +156,7 @@
 func sharedPartsFromWire(encoded []sharedPartWire) []fleet.SharedPart {
 	var parts []fleet.SharedPart
 	for _, part := range encoded[:min(len(encoded), maxWorkParts)] {
-		parts = append(parts, fleet.SharedPart{Hash: uint32(part[0]), Tokens: int(max(part[1], 0))})
+		parts = append(parts, fleet.SharedPart{Hash: uint32(part[0]), Tokens: boundTokens(int(part[1]))})
 	}
 	return parts
 }
