An evacuation is reported again when the report was lost

Cause: the registry reported a change of op/evacuate/ZONE once. When the queue of the control thread was full at that moment, the report was dropped: the node sent to the evacuated zone, or to none of its servers, until the next full read. Change: the registry keeps the state of each evacuation that it has seen and reports it with every list of servers, which follows each change of an entry.

--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -69,8 +69,8 @@
 	mu      sync.Mutex
 	servers map[string]control.VM
 	nodes   map[string]control.VM
-	// evacuations has the keys of the domains that are being evacuated.
-	evacuations map[string]bool
+	// evacuations has the domains whose evacuation was requested, and whether it still is.
+	evacuations map[fleet.Domain]bool
 	// issuer is the last node that held the issuer's key.
 	issuer string
 	// rejected has the keys of the entries that could not be decoded, which are logged
@@ -86,7 +86,7 @@
 		nodes:    map[string]control.VM{},
 		rejected: map[string]bool{},
 
-		evacuations: map[string]bool{},
+		evacuations: map[fleet.Domain]bool{},
 	}
 }
 
@@ -127,8 +127,8 @@
 			}
 		}
 	}
-	for key := range r.evacuations {
-		if strings.HasPrefix(key, prefix) && !listed[key] {
+	for domain, active := range r.evacuations {
+		if key := r.options.EvacuationPrefix + string(domain); active && strings.HasPrefix(key, prefix) && !listed[key] {
 			r.applyEvacuation(kv.Change{Entry: kv.Entry{Key: key}, Deleted: true})
 		}
 	}
@@ -169,11 +169,16 @@
 		r.logRejected(change.Entry, err)
 		return
 	}
-	delete(r.evacuations, change.Entry.Key)
-	if !change.Deleted {
-		r.evacuations[change.Entry.Key] = true
+	r.evacuations[domain] = !change.Deleted
+	r.reportEvacuations()
+}
+
+// reportEvacuations reports the state of all evacuations. The caller holds mu, so that no
+// earlier state follows a later one.
+func (r *Registry) reportEvacuations() {
+	for domain, active := range r.evacuations {
+		worker.Tell(r.options.Control, r.options.Logger, control.Message(control.EvacuationSeen{Domain: domain, Active: active}))
 	}
-	worker.Tell(r.options.Control, r.options.Logger, control.Message(control.EvacuationSeen{Domain: domain, Active: !change.Deleted}))
 }
 
 // reportVMs reports all servers and nodes to the control thread, including seeds
@@ -182,6 +187,8 @@
 	r.mu.Lock()
 	message := control.VMList{RecoveredAt: r.options.RecoveredAt(), StoreEra: uint64(r.options.Revision().Era())}
 	registered := map[string]bool{}
+	// A report is lost when the queue of the control thread is full.
+	r.reportEvacuations()
 	for _, vm := range r.servers {
 		message.VMs = append(message.VMs, vm)
 	}
