--- a/core/control/pacing.go
+++ b/core/control/pacing.go
@@ -111,7 +111,7 @@
 	members := s.paceMembers()
 	// A node that is not listed yet does not know the other owners.
 	listed := slices.Contains(s.members.Members(), s.options.Node)
-	c.Owner = listed && slices.Contains(c.Rule.Owners(string(server.ID), string(server.Domain), members), s.options.Node)
+	c.Owner = listed && c.Rule.Owns(s.options.Node, string(server.ID), string(server.Domain), members)
 	for _, m := range members {
 		if m.Domain == string(server.Domain) {
 			c.Nodes++
--- a/core/pace/rule.go
+++ b/core/pace/rule.go
@@ -1,9 +1,7 @@
 package pace
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,35 +69,46 @@
 	Domain string
 }
 
-// Owners returns the nodes that send to a cold server: those with the highest
-// rendezvous hash, nodes of the server's failure domain first. Nodes with the same
-// members agree on them.
-func (r Rule) Owners(server, domain string, members []Member) []string {
-	type candidate struct {
-		node   string
-		local  bool
-		weight uint64
-	}
-	candidates := make([]candidate, 0, len(members))
+// Owns reports whether a node sends to a cold server: whether it is among the owners with
+// the highest rendezvous hash, of which nodes of the server's failure domain come first.
+// Nodes with the same members agree on the owners.
+func (r Rule) Owns(node, server, domain string, members []Member) bool {
+	own, listed := uint64(0), false
 	for _, m := range members {
-		candidates = append(candidates, candidate{node: m.Node, local: m.Domain == domain, weight: xxhash.Sum64String(server + "\x00" + m.Node)})
+		if m.Node == node {
+			own, listed = weight(server, domain, m), true
+		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		if a.local != b.local {
-			if a.local {
-				return -1
-			}
-			return 1
+	if !listed {
+		return false
+	}
+	ahead := 0
+	for _, m := range members {
+		if m.Node != node && weight(server, domain, m) >= own {
+			ahead++
 		}
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node, b.node))
-	})
-	owners := make([]string, 0, r.owners())
-	for _, c := range candidates[:min(r.owners(), len(candidates))] {
-		owners = append(owners, c.node)
 	}
-	return owners
+	return ahead < r.owners()
 }
 
+// weight returns the rendezvous hash of a server and a member; its highest bit is set for
+// a member of the server's failure domain.
+func weight(server, domain string, m Member) uint64 {
+	var buffer [hashInputCapacity]byte
+	input := append(buffer[:0], server...)
+	input = append(input, 0)
+	input = append(input, m.Node...)
+	hash := xxhash.Sum64(input) >> 1
+	if m.Domain == domain {
+		hash |= 1 << 63
+	}
+	return hash
+}
+
+// hashInputCapacity is enough for the names of most servers and nodes without an
+// allocation.
+const hashInputCapacity = 128
+
 // interval returns the time between two calls at a rate in calls a second.
 func interval(rate float64) time.Duration {
 	return time.Duration(math.Ceil(float64(time.Second) / rate))
--- a/core/shares/shares.go
+++ b/core/shares/shares.go
@@ -79,12 +79,18 @@
 	totals := Demand{}
 	for _, demand := range demands {
 		for organisation, tokens := range demand {
-			totals[organisation] += tokens
+			if tokens > 0 {
+				totals[organisation] += tokens
+			}
 		}
 	}
+	rates := make(map[request.Organisation]float64, len(totals))
+	for organisation, tokens := range totals {
+		rates[organisation] = 1 / float64(tokens) / float64(len(totals))
+	}
 	division := Division{}
-	for _, name := range slices.Sorted(maps.Keys(demands)) {
-		share := shareOf(demands[name], totals)
+	for name, demand := range demands {
+		share := shareOf(demand, rates)
 		if share == 0 {
 			continue
 		}
@@ -99,16 +105,16 @@
 	return division
 }
 
-// shareOf returns the part of a node with a demand. It adds up the organisations in the
-// order of their names, so that all nodes get the same sum.
-func shareOf(demand, totals Demand) float64 {
+// shareOf returns the part of a node with a demand. rates has the part of the whole that
+// each waiting token of an organisation stands for.
+func shareOf(demand Demand, rates map[request.Organisation]float64) float64 {
 	share := 0.0
-	for _, organisation := range slices.Sorted(maps.Keys(demand)) {
-		if demand[organisation] > 0 {
-			share += float64(demand[organisation]) / float64(totals[organisation])
+	for organisation, tokens := range demand {
+		if tokens > 0 {
+			share += float64(tokens) * rates[organisation]
 		}
 	}
-	return share / float64(len(totals))
+	return share
 }
 
 // minWeight is the smallest weight of an organisation at a node.
