--- a/test.sh
+++ b/test.sh
@@ -63,6 +63,21 @@
 	' KNOWN-RED.txt "$log"
 }
 
+# Runs packages and exits with 1 unless all tests pass that KNOWN-RED.txt does not list.
+# Packages in which the race detector itself crashed run again in full.
+check_tests() {
+	run_tests "$@" && return
+	known_red && return
+	detector_crashed || exit 1
+	mapfile -t crashed < <(awk '$1 == "FAIL" && $2 != "" {print $2}' "$log")
+	echo "== the race detector crashed; again in full: ${crashed[*]}"
+	run_tests "${crashed[@]}" || exit 1
+}
+
+# The tests of the soak start processes whose memory is bounded, so they run after all
+# others.
+mapfile -t packages < <(go list "${patterns[@]}" | grep -v '^tanagerspread/soak')
+
 # On arm64 the race detector ended the test process of node/process with a failed check
 # of its own while no test had failed, so that package runs without it there.
 case $(uname -m) in
@@ -70,17 +85,11 @@
 	without_race=tanagerspread/node/process
 	echo "== tests without the race detector: $without_race"
 	go test "$without_race"
-	mapfile -t patterns < <(go list "${patterns[@]}" | grep -vxF "$without_race")
+	mapfile -t packages < <(printf '%s\n' "${packages[@]}" | grep -vxF "$without_race")
 	;;
 esac
 
 echo "== tests"
-if ! run_tests "${patterns[@]}"; then
-	if known_red; then
-		exit 0
-	fi
-	detector_crashed || exit 1
-	mapfile -t crashed < <(awk '$1 == "FAIL" && $2 != "" {print $2}' "$log")
-	echo "== the race detector crashed; again in full: ${crashed[*]}"
-	run_tests "${crashed[@]}"
-fi
+check_tests "${packages[@]}"
+echo "== tests that start processes"
+check_tests ./soak/...
