core/placement: calls that fit for each waiting node are open at any time

Cause: a node that waited for memory could use only the engines at which a call of the turn fell into its part, also when there was room for all. Calls went to engines that did not have their parts, in other zones too. Change: each waiting node may take an equal number of calls; the parts divide the rest. TestOrganisationsShareEngines and TestEnginesNotOverfilled are unchanged.

--- a/core/placement/turns.go
+++ b/core/placement/turns.go
@@ -26,8 +26,9 @@
 }
 
 // TakesTurn reports whether a node may send a call to an engine. The memory that was free
-// when the turn began is divided into calls, each of which belongs to one node. They are
-// used in the first half of the turn, so that the peers know of them before the next turn
+// when the turn began is divided into calls. Each node with waiting calls may take an equal
+// number of them at any time. Each of the remaining ones, which are fewer than the nodes,
+// belongs to one node by its part. They are used in the first half of the turn, so that the peers know of them before the next turn
 // begins. So nodes that all have calls waiting and see the same free memory together send
 // what the engine has room for.
 func TakesTurn(now time.Time, engine fleet.ServerID, memory FreeMemory) bool {
@@ -37,12 +38,25 @@
 	if memory.Division.Share >= 1 {
 		return true
 	}
+	needed := max(memory.Needed, 1)
+	calls := memory.AtTurnStart / needed
+	nodes := contenders(memory.Division)
+	beyondEqual := memory.OwnInTurn/needed - calls/nodes
+	if beyondEqual < 0 {
+		return true
+	}
 	if now.UnixNano()%int64(fleet.TurnLength) > int64(fleet.TurnLength)/2 {
 		return false
 	}
-	needed := max(memory.Needed, 1)
-	taken := memory.OwnInTurn / needed
-	return taken < ownCalls(memory.AtTurnStart/needed, memory.Division, turnStart(now, engine))
+	return beyondEqual < ownCalls(calls%nodes, memory.Division, turnStart(now, engine))
+}
+
+// contenders returns the number of nodes with waiting calls, this one included.
+func contenders(division shares.Division) int {
+	if division.Share == 0 {
+		return division.Nodes + 1
+	}
+	return division.Nodes
 }
 
 // goldenRatio spaces the calls of a turn evenly, however many there are.
