core/placement: a third of the engines that run few requests is reserved for short prompts

Change: engines that run at most 16 requests at once are reserved in a share of 0.33, others in 0.22 as before.

--- a/core/placement/lanes.go
+++ b/core/placement/lanes.go
@@ -16,8 +16,12 @@
 	// long. An engine computes long prompts in several steps, during which short
 	// prompts wait.
 	longPromptTokens = 2048
-	// reservedShare is the share of the engines that is reserved for short prompts.
-	reservedShare = 0.22
+	// reservedShare is the share of the engines that is reserved for short prompts,
+	// reservedShareOfSmall that of engines that run at most smallConcurrency requests at
+	// once. Few short calls fill such an engine, so that further ones wait behind them.
+	reservedShare        = 0.22
+	reservedShareOfSmall = 0.33
+	smallConcurrency     = 16
 	// shortMismatchCostShare is the share of its value that a short call is expected
 	// to lose behind the long calls of other nodes.
 	shortMismatchCostShare = 0.15
@@ -37,11 +41,11 @@
 // find one in their domain.
 func NewReservation(servers []*fleet.Server) Reservation {
 	domains := map[fleet.Domain][]*fleet.Server{}
-	total := 0
+	reserved := 0.0
 	for _, server := range servers {
 		if server.Role == fleet.RoleEngine {
 			domains[server.Domain] = append(domains[server.Domain], server)
-			total++
+			reserved += shareToReserve(server)
 		}
 	}
 	r := Reservation{reserved: map[fleet.ServerID]bool{}}
@@ -49,7 +53,7 @@
 	for _, name := range names {
 		slices.SortFunc(domains[name], func(a, b *fleet.Server) int { return cmp.Compare(reservationHash(a), reservationHash(b)) })
 	}
-	remaining := int(math.Round(reservedShare * float64(total)))
+	remaining := int(math.Round(reserved))
 	for round := 0; remaining > 0; round++ {
 		for _, name := range names {
 			if remaining > 0 && round < len(domains[name]) {
@@ -61,6 +65,14 @@
 	return r
 }
 
+// shareToReserve returns the share of engines like this one that is reserved.
+func shareToReserve(server *fleet.Server) float64 {
+	if server.MaxConcurrency > 0 && server.MaxConcurrency <= smallConcurrency {
+		return reservedShareOfSmall
+	}
+	return reservedShare
+}
+
 // domainsBySize lists the failure domains, the one with the most engines first.
 func domainsBySize(domains map[fleet.Domain][]*fleet.Server) []fleet.Domain {
 	names := slices.Collect(maps.Keys(domains))
