--- a/core/control/memory.go
+++ b/core/control/memory.go
@@ -69,7 +69,7 @@
 
 // divideMemory determines once in each turn which part of free memory the calls that wait
 // at this node may take beside those that wait at peers. All nodes divide by what waited
-// at the begin of the last turn, which each has heard of. A node whose calls have begun to
+// at the start of the last turn, which each has heard of. A node whose calls have begun to
 // wait since then has no part yet.
 func (s *State) divideMemory(now time.Time) {
 	turn := fleet.TurnNumber(now)
--- a/core/control/peerload.go
+++ b/core/control/peerload.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// recordWaiting records the work that waits at the begin of a turn and reports whether
+// recordWaiting records the work that waits at the start of a turn and reports whether
 // the peers must be told: that calls wait, have begun to wait or have ceased to.
 func (s *State) recordWaiting(now time.Time) bool {
 	waits := s.queue.Len() > 0
@@ -102,7 +102,7 @@
 	return true
 }
 
-// waitingIn returns the work of this node that waited at the begin of a turn.
+// waitingIn returns the work of this node that waited at the start of a turn.
 func (s *State) waitingIn(turn int64) shares.Demand {
 	for _, report := range s.waiting {
 		if report.Turn == turn {
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -141,7 +141,7 @@
 	dividedTurn     int64
 	demandElsewhere shares.Demand
 	// advertisedWaiting is whether calls waited here when peers were last told, waiting
-	// the work at the begin of the last two turns in which it was recorded.
+	// the work at the start of the last two turns in which it was recorded.
 	advertisedWaiting bool
 	waiting           [2]shares.TurnDemand
 	// reservation records the engines that are reserved for short prompts.
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -31,7 +31,7 @@
 	KeyValueUnreachable bool
 	// LastReportAt is when this node received the last digest of the peer.
 	LastReportAt time.Time
-	// waiting has the work that waited there at the begin of the last turns that the peer
+	// waiting has the work that waited there at the start of the last turns that the peer
 	// reported, the newest one first.
 	waiting [keptReports]shares.TurnDemand
 	// LastSeen is the latest time at which the peer certainly had a configuration
@@ -51,7 +51,7 @@
 // shows that the clock of the peer was set back.
 const maxLateTurns = 50
 
-// RecordWaiting records the work that waited at the peer at the begin of a turn.
+// RecordWaiting records the work that waited at the peer at the start of a turn.
 func (p *Peer) RecordWaiting(report shares.TurnDemand) {
 	if report.Turn != 0 && report.Turn < p.waiting[0].Turn-maxLateTurns {
 		p.waiting = [keptReports]shares.TurnDemand{}
@@ -62,7 +62,7 @@
 	}
 }
 
-// WaitingIn returns the work that waited at the peer at the begin of a turn, or shortly
+// WaitingIn returns the work that waited at the peer at the start of a turn, or shortly
 // before when its report of that turn is missing.
 func (p *Peer) WaitingIn(turn int64) shares.Demand {
 	for _, report := range p.waiting {
--- a/core/shares/shares.go
+++ b/core/shares/shares.go
@@ -13,7 +13,7 @@
 // Demand is the work that waits at one node: prompt tokens for each organisation.
 type Demand map[request.Organisation]int
 
-// TurnDemand is the work that waited at a node at the begin of a turn. All nodes divide by
+// TurnDemand is the work that waited at a node at the start of a turn. All nodes divide by
 // the demand of the same turn, so that their divisions agree.
 type TurnDemand struct {
 	Turn   int64
--- a/node/peer/wire.go
+++ b/node/peer/wire.go
@@ -83,7 +83,7 @@
 	Shared  [][]sharedPartWire `json:"x"`
 	// Demand is the waiting work of each organisation in tokens.
 	Demand map[string]int `json:"d,omitempty"`
-	// Turn is the turn at the begin of which it waited.
+	// Turn is the turn at the start of which it waited.
 	Turn int64 `json:"t,omitempty"`
 }
 
