--- a/core/code/table.go
+++ b/core/code/table.go
@@ -52,6 +52,11 @@
 	ConfigTooLarge         Code = 1605
 	NotAccepted            Code = 1606
 	OutcomeOfApplyUnknown  Code = 1607
+	RuleUnresolved         Code = 1608
+	RuleUnused             Code = 1609
+	LimitsConflict         Code = 1610
+	VersionNotHigher       Code = 1611
+	RuleChanged            Code = 1612
 	KeyValueAway           Code = 1701
 	CompareFailed          Code = 1702
 	LeaseLapsed            Code = 1703
@@ -128,6 +133,11 @@
 	{ConfigTooLarge, "config-too-large", 413, NotRun, RetryNever, "the rules are larger than a value of the key-value service may be"},
 	{NotAccepted, "not-accepted", 202, Ran, RetryLater, "the configuration is committed but not yet in force on every node"},
 	{OutcomeOfApplyUnknown, "outcome-of-apply-unknown", 503, Unknown, RetryLater, "the response to the configuration write was lost and the outcome could not be read back"},
+	{RuleUnresolved, "rule-unresolved", 400, NotRun, RetryNever, "a rule names something that no rule defines"},
+	{RuleUnused, "rule-unused", 400, NotRun, RetryNever, "a rule has no effect on any call"},
+	{LimitsConflict, "limits-conflict", 400, NotRun, RetryNever, "two limits contradict each other, or a limit contradicts its entry"},
+	{VersionNotHigher, "version-not-higher", 409, NotRun, RetryNever, "the version is not higher than the one in force, so nodes ignore it"},
+	{RuleChanged, "rule-changed", 200, NotRun, RetryNever, "a rule differs from the version in force"},
 	{KeyValueAway, "key-value-away", 503, Unknown, RetryLater, "the key-value service did not respond"},
 	{CompareFailed, "compare-failed", 409, NotRun, RetryNever, "the compare-and-swap found another revision"},
 	{LeaseLapsed, "lease-lapsed", 410, NotRun, RetryNever, "the lease has expired"},
--- a/ctl/app.go
+++ b/ctl/app.go
@@ -20,7 +20,7 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line is invalid.
 	ExitUsage = 2
-	// ExitFaults means that the rules file has faults.
+	// ExitFaults means that the rules file or the configuration has faults.
 	ExitFaults = 3
 	// ExitNotAccepted means that the rules are committed but not confirmed to
 	// be in force on every node.
@@ -109,6 +109,7 @@
 	}
 	return errors.Join(
 		a.registerRules(parser),
+		a.registerConfig(parser),
 		a.registerNodes(parser),
 		a.registerReference(parser),
 		a.registerSandbox(parser),
