--- /dev/null
+++ b/soak/footprint_test.go
@@ -0,0 +1,186 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// reservedFiles is the number of descriptors of fd_limit that sockets and pipes
+	// cannot use.
+	reservedFiles = 200
+	// footprintInterval is the time between two measurements of a footprint.
+	footprintInterval = 20 * time.Millisecond
+	// tcpListen is the state of a listening socket in /proc/net/tcp. Its queue is a
+	// number of connections.
+	tcpListen = "0A"
+)
+
+// footprint is what a process uses of its machine.
+type footprint struct {
+	residentKB int
+	// unreadKB is the number of KiB that its connections have received and the
+	// process has not read.
+	unreadKB int
+	// sockets counts sockets and pipes.
+	sockets int
+}
+
+func (f footprint) memoryKB() int { return f.residentKB + f.unreadKB }
+
+// footprintWatch measures the footprint of the process of a node until it is stopped.
+type footprintWatch struct {
+	node *node
+	stop chan struct{}
+	done chan struct{}
+
+	mu sync.Mutex
+	// peak has the largest memory, with its parts, and the largest number of sockets.
+	peak footprint
+}
+
+// watchFootprints measures all nodes until the returned function is called. It then
+// verifies that none exceeded its memory or its descriptors at any measurement.
+func (s *site) watchFootprints(t *testing.T) (check func()) {
+	t.Helper()
+	var watches []*footprintWatch
+	for _, n := range s.nodes {
+		w := &footprintWatch{node: n, stop: make(chan struct{}), done: make(chan struct{})}
+		watches = append(watches, w)
+		go w.run()
+	}
+	return sync.OnceFunc(func() {
+		for _, w := range watches {
+			close(w.stop)
+			<-w.done
+			s.checkPeak(t, w.node, w.peak)
+		}
+	})
+}
+
+func (s *site) checkPeak(t *testing.T, n *node, peak footprint) {
+	t.Helper()
+	t.Logf("%s: at most %d KiB resident and %d KiB unread, %d sockets", n.name, peak.residentKB, peak.unreadKB, peak.sockets)
+	if limit := s.options.memoryMB << 10; peak.memoryKB() > limit {
+		t.Errorf("%s: %d KiB resident and %d KiB unread, the memory of the node is %d KiB", n.name, peak.residentKB, peak.unreadKB, limit)
+	}
+	if limit := s.options.descriptors - reservedFiles; peak.sockets > limit {
+		t.Errorf("%s: %d sockets, the node may have %d", n.name, peak.sockets, limit)
+	}
+}
+
+func (w *footprintWatch) run() {
+	defer close(w.done)
+	ticker := time.NewTicker(footprintInterval)
+	defer ticker.Stop()
+	for {
+		if f, err := w.node.footprint(); err == nil {
+			if f.memoryKB() > w.peak.memoryKB() {
+				w.peak.residentKB, w.peak.unreadKB = f.residentKB, f.unreadKB
+			}
+			w.peak.sockets = max(w.peak.sockets, f.sockets)
+		}
+		select {
+		case <-w.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// footprint measures the process of the node. It returns an error when the process has
+// ended.
+func (n *node) footprint() (footprint, error) {
+	var f footprint
+	var err error
+	if f.residentKB, err = statusKB(n.process.Pid, "VmRSS:"); err != nil {
+		return f, err
+	}
+	inodes, err := socketInodes(n.process.Pid)
+	if err != nil {
+		return f, err
+	}
+	f.sockets = len(inodes)
+	bytes, err := unreadBytes(inodes, n.ports())
+	f.unreadKB = bytes >> 10
+	return f, err
+}
+
+// ports returns the ports that the node listens on, in the form of /proc/net/tcp.
+func (n *node) ports() map[string]bool {
+	ports := map[string]bool{}
+	for _, address := range []string{n.callerAddress, n.readyAddress, n.operatorAddress} {
+		_, text, _ := net.SplitHostPort(address)
+		port, _ := strconv.Atoi(text)
+		ports[fmt.Sprintf("%04X", port)] = true
+	}
+	return ports
+}
+
+// statusKB returns a field of /proc/PID/status in KiB. A process that has ended has none.
+func statusKB(pid int, field string) (int, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if value, found := strings.CutPrefix(line, field); found {
+			return strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
+		}
+	}
+	return 0, fmt.Errorf("process %d has no %s", pid, field)
+}
+
+// socketInodes returns the inodes of the sockets and pipes that a process has open.
+func socketInodes(pid int) (map[string]bool, error) {
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	inodes := map[string]bool{}
+	for _, entry := range entries {
+		// A descriptor may have been closed since.
+		target, _ := os.Readlink(dir + "/" + entry.Name())
+		kind, rest, _ := strings.Cut(target, ":[")
+		if kind == "socket" || kind == "pipe" {
+			inodes[strings.TrimSuffix(rest, "]")] = true
+		}
+	}
+	return inodes, nil
+}
+
+// unreadBytes returns the bytes that were received and not read by sockets with the given
+// inodes, and by connections to the given ports that were not accepted yet.
+func unreadBytes(inodes, ports map[string]bool) (int, error) {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0, err
+	}
+	total := 0
+	for line := range strings.Lines(string(table)) {
+		// The fields are: number, local address, remote address, state, queues,
+		// timer, retransmits, user, timeout, inode.
+		fields := strings.Fields(line)
+		if len(fields) < 10 || fields[3] == tcpListen {
+			continue
+		}
+		_, port, _ := strings.Cut(fields[1], ":")
+		if !inodes[fields[9]] && !ports[port] {
+			continue
+		}
+		_, queue, _ := strings.Cut(fields[4], ":")
+		bytes, err := strconv.ParseInt(queue, 16, 64)
+		if err != nil {
+			continue
+		}
+		total += int(bytes)
+	}
+	return total, nil
+}
--- a/soak/site.go
+++ b/soak/site.go
@@ -44,6 +44,11 @@
 	descriptors int
 	// wrapServer wraps the handler of each server, or is nil.
 	wrapServer func(http.Handler) http.Handler
+	// serverConcurrency is the number of calls that a server runs at once;
+	// 0 means soakMaxConcurrency.
+	serverConcurrency int
+	// unreadLogs makes the nodes write their logs to a pipe that nobody reads.
+	unreadLogs bool
 }
 
 // soakOptions are the options of the runs of seeds.
@@ -88,7 +93,9 @@
 	settingsFile  string
 	callerAddress string
 	readyAddress  string
-	logFile       *os.File
+	// operatorAddress is the address of the metrics and the dumps.
+	operatorAddress string
+	logFile         *os.File
 
 	mu      sync.Mutex
 	process *os.Process
@@ -172,7 +179,11 @@
 
 // writeServerEntry writes the entry of a server with a state to the store.
 func (s *site) writeServerEntry(srv *server, state string) {
-	s.store.RegisterServer(srv.Server, srv.proxy.Address(), state, soakMaxConcurrency)
+	concurrency := s.options.serverConcurrency
+	if concurrency == 0 {
+		concurrency = soakMaxConcurrency
+	}
+	s.store.RegisterServer(srv.Server, srv.proxy.Address(), state, concurrency)
 }
 
 func (s *site) addNode(name, storeAddress string) error {
@@ -186,7 +197,8 @@
 	if err != nil {
 		return err
 	}
-	n := &node{name: name, callerAddress: loopbackAddress(ports[0]), readyAddress: loopbackAddress(ports[1]), settingsFile: filepath.Join(s.dir, name+".yaml")}
+	n := &node{name: name, callerAddress: loopbackAddress(ports[0]), readyAddress: loopbackAddress(ports[1]),
+		operatorAddress: loopbackAddress(ports[3]), settingsFile: filepath.Join(s.dir, name+".yaml")}
 	text := fmt.Sprintf(`node: %q
 zone: "a"
 ip: "127.0.0.1"
@@ -200,13 +212,26 @@
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return err
 	}
-	if n.logFile, err = os.Create(filepath.Join(s.dir, name+".log")); err != nil {
+	if n.logFile, err = s.openLog(name); err != nil {
 		return err
 	}
 	s.nodes = append(s.nodes, n)
 	return n.start(s.binary)
 }
 
+// openLog returns the file or pipe that the node writes its log to.
+func (s *site) openLog(name string) (*os.File, error) {
+	if !s.options.unreadLogs {
+		return os.Create(filepath.Join(s.dir, name+".log"))
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	s.closeFuncs = append(s.closeFuncs, func() { _ = reader.Close() })
+	return writer, nil
+}
+
 func loopbackAddress(port int) string {
 	return fmt.Sprintf("127.0.0.1:%d", port)
 }
--- a/soak/untrusted_test.go
+++ b/soak/untrusted_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,15 +42,22 @@
 type crowd struct {
 	clients int
 	client  untrustedClient
+	// address is where they connect to, or empty for the port of callers.
+	address string
 }
 
 // startUntrusted starts a site with one node that is ready for calls.
 func startUntrusted(t *testing.T, descriptors int) *site {
+	t.Helper()
+	return startUntrustedSite(t, siteOptions{nodes: 1, memoryMB: untrustedMemoryMB, descriptors: descriptors, wrapServer: withLargeResponses})
+}
+
+// startUntrustedSite starts a site whose nodes are ready for calls.
+func startUntrustedSite(t *testing.T, options siteOptions) *site {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes of the program")
 	}
-	options := siteOptions{nodes: 1, memoryMB: untrustedMemoryMB, descriptors: descriptors, wrapServer: withLargeResponses}
 	s, err := startSite(buildProgram(t), t.TempDir(), options)
 	if err != nil {
 		t.Fatal(err)
@@ -78,10 +86,12 @@
 }
 
 // checkWithstands runs the crowds at the same time. It verifies that the node keeps
-// running within its memory and descriptors, and that it answers an ordinary call
+// running within its memory, which holds its resident set and the bytes that it has
+// received and not read, and within its descriptors, and that it answers an ordinary call
 // while the connections of the crowds are open and after they are closed.
 func (s *site) checkWithstands(t *testing.T, crowds ...crowd) {
 	t.Helper()
+	defer s.watchFootprints(t)()
 	conns := s.runCrowds(t, crowds)
 	s.checkBounds(t, "while the clients are connected")
 	s.checkAnswers(t, "while the clients are connected")
@@ -102,7 +112,8 @@
 	for _, c := range crowds {
 		for i := range c.clients {
 			group.Go(func() {
-				conn, err := net.DialTimeout("tcp", s.nodes[0].callerAddress, clientPatience)
+				address := cmp.Or(c.address, s.nodes[0].callerAddress)
+				conn, err := net.DialTimeout("tcp", address, clientPatience)
 				if err != nil {
 					return
 				}
@@ -122,7 +133,7 @@
 func (s *site) checkBounds(t *testing.T, when string) {
 	t.Helper()
 	pid := s.nodes[0].process.Pid
-	peak, err := peakResidentKB(pid)
+	peak, err := statusKB(pid, "VmHWM:")
 	if err != nil {
 		t.Fatalf("%s: the node has ended: %v\n%s", when, err, s.logTails())
 	}
@@ -139,21 +150,6 @@
 	}
 }
 
-// peakResidentKB returns the peak resident set of a process in KiB. A process that
-// has ended has none.
-func peakResidentKB(pid int) (int, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(status)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
-			return strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
-		}
-	}
-	return 0, fmt.Errorf("process %d has no resident set", pid)
-}
-
 // checkAnswers verifies that an ordinary call is answered. A refused call is
 // repeated.
 func (s *site) checkAnswers(t *testing.T, when string) {
