--- a/core/control/state.go
+++ b/core/control/state.go
@@ -75,6 +75,9 @@
 	// Prices are the cost factors by which the ways to serve a forwarded call
 	// are compared.
 	Prices placement.Prices
+	// MaxIndexedParts bounds the prompt parts that servers and cache stores are known
+	// to have; 0 means no limit.
+	MaxIndexedParts int
 }
 
 // State is the control state of one node.
@@ -213,7 +216,7 @@
 		removedPauses:        map[fleet.ServerID]removedPause{},
 		stores:               map[fleet.ServerID]*fleet.Store{},
 		recentPrefixes:       placement.NewRecentPrefixes(),
-		partIndex:            placement.NewPartIndex(),
+		partIndex:            placement.NewPartIndex(options.MaxIndexedParts),
 		cacheStores:          map[string]*fleet.CacheStore{},
 		queue:                limits.NewQueue(),
 		rates:                limits.NewRateLimiter(),
--- a/core/placement/holdings.go
+++ b/core/placement/holdings.go
@@ -18,10 +18,15 @@
 	ID   string
 }
 
+// IndexedPartBytes is the memory of an indexed part with the longest id.
+const IndexedPartBytes = 300
+
 // PartIndex records which parts servers and cache stores are expected to have. It is
 // a hint: a part that has been evicted is computed again.
 type PartIndex struct {
 	byServer map[fleet.ServerID]*serverParts
+	// limit bounds count, the number of parts of all servers; 0 means no limit.
+	limit, count int
 }
 
 // serverParts lists the resident parts of one server, the least recently used one
@@ -40,9 +45,10 @@
 	confirmed time.Time
 }
 
-// NewPartIndex returns an empty index.
-func NewPartIndex() *PartIndex {
-	return &PartIndex{byServer: map[fleet.ServerID]*serverParts{}}
+// NewPartIndex returns an empty index that holds up to limit parts of all servers
+// together, or any number if limit is 0.
+func NewPartIndex(limit int) *PartIndex {
+	return &PartIndex{byServer: map[fleet.ServerID]*serverParts{}, limit: limit}
 }
 
 // Confirm records that a server reported that it has a part. The capacity is that of
@@ -76,9 +82,26 @@
 	}
 	entry.parts[key] = entry.byUse.PushFront(residentPart{key: key, tokens: tokens})
 	entry.tokens += tokens
+	x.count++
 	for capacity > 0 && entry.tokens > capacity || len(entry.parts) > maxPartsPerServer {
-		entry.drop(entry.byUse.Back())
+		x.drop(entry, entry.byUse.Back())
+	}
+	if x.limit > 0 && x.count > x.limit {
+		largest := x.largest()
+		x.drop(largest, largest.byUse.Back())
+	}
+}
+
+// largest returns the parts of the server that has most of them. Parts that many calls
+// invent thus take no room from servers with few parts.
+func (x *PartIndex) largest() *serverParts {
+	var largest *serverParts
+	for _, entry := range x.byServer {
+		if largest == nil || len(entry.parts) > len(largest.parts) {
+			largest = entry
+		}
 	}
+	return largest
 }
 
 // Drop records that a server no longer has a part.
@@ -88,13 +111,21 @@
 		return
 	}
 	if element := entry.parts[key]; element != nil {
-		entry.drop(element)
+		x.drop(entry, element)
 	}
 }
 
 // DropServer records that a server no longer has any part.
 func (x *PartIndex) DropServer(id fleet.ServerID) {
-	delete(x.byServer, id)
+	if entry := x.byServer[id]; entry != nil {
+		x.count -= len(entry.parts)
+		delete(x.byServer, id)
+	}
+}
+
+// Len returns the number of indexed parts of all servers.
+func (x *PartIndex) Len() int {
+	return x.count
 }
 
 // Contains reports whether a server is expected to have a part.
@@ -152,7 +183,8 @@
 	return keys
 }
 
-func (entry *serverParts) drop(element *list.Element) {
+func (x *PartIndex) drop(entry *serverParts, element *list.Element) {
+	x.count--
 	part := element.Value.(residentPart)
 	entry.byUse.Remove(element)
 	delete(entry.parts, part.key)
--- a/core/placement/home_test.go
+++ b/core/placement/home_test.go
@@ -22,7 +22,7 @@
 	t.Helper()
 	serverChart := machineOf[*fleet.Server]("server")
 	storeChart := machineOf[*fleet.CacheStore]("cache-store")
-	s := &affinityFixture{view: View{Domain: "a", PartIndex: NewPartIndex(), TokenBytes: 18432, Prices: Prices{
+	s := &affinityFixture{view: View{Domain: "a", PartIndex: NewPartIndex(0), TokenBytes: 18432, Prices: Prices{
 		RecomputedToken: 0.0015, MovedByte: 1.1e-9, CrossDomainByte: 2e-5, ResponseValue: 1.9, TokenValue: 0.0007,
 	}}}
 	domain := func(i int) fleet.Domain { return fleet.Domain(rune('a' + i%3)) }
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -18,6 +18,7 @@
 	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/order"
+	"tanagerspread/core/placement"
 	"tanagerspread/core/retry"
 	"tanagerspread/node/caches"
 	"tanagerspread/node/callerconn"
@@ -38,6 +39,9 @@
 	// callerMemoryShare is the share of the memory of the process that the
 	// connections, heads, bodies and buffered responses of callers may use.
 	callerMemoryShare = 0.3
+	// partIndexShare is the share of the memory of the process that the index of
+	// prompt parts may use.
+	partIndexShare = 0.1
 	// maxBodyBytes bounds the body of a forwarded call.
 	maxBodyBytes = 4 << 20
 	// drainDelay is how long a stopping node still accepts calls. The load
@@ -232,6 +236,8 @@
 		RepeatLimit: retry.RepeatLimit{Window: s.RetryWindow, Ratio: s.RetryRatio, BaseAllowance: s.RetrySlack},
 		Prices:      options.Tuning.Prices,
 
+		MaxIndexedParts: int(float64(s.MemoryBytes) * partIndexShare / placement.IndexedPartBytes),
+
 		ColdOvershoot: s.ColdOvershoot,
 		ColdSlack:     s.ColdSlack,
 
