--- a/core/code/table.go
+++ b/core/code/table.go
@@ -13,6 +13,7 @@
 	SlowCaller             Code = 1007
 	UnknownRoute           Code = 1008
 	TooManyItems           Code = 1009
+	RequestInProgress      Code = 1010
 	MissingToken           Code = 1101
 	UnknownToken           Code = 1102
 	ModelNotAllowed        Code = 1103
@@ -94,6 +95,7 @@
 	{SlowCaller, "slow-caller", 408, NotRun, RetryLater, "the caller did not send its request in time"},
 	{UnknownRoute, "unknown-route", 404, NotRun, RetryNever, "the path or method is not served"},
 	{TooManyItems, "too-many-items", 400, NotRun, RetryNever, "the request has more messages or fields than the limit"},
+	{RequestInProgress, "request-in-progress", 409, Unknown, RetryNever, "a request with this id is in progress at the node"},
 	{MissingToken, "missing-token", 401, NotRun, RetryNever, "the request has no bearer token"},
 	{UnknownToken, "unknown-token", 401, NotRun, RetryNever, "no rule contains the bearer token"},
 	{ModelNotAllowed, "model-not-allowed", 403, NotRun, RetryNever, "the organisation may not use the model or service"},
--- a/core/control/admit.go
+++ b/core/control/admit.go
@@ -48,6 +48,9 @@
 }
 
 func (s *State) checkAdmission(now time.Time, req *activeRequest) *code.Error {
+	if s.requests[req.ID] != nil {
+		return code.New(code.RequestInProgress, "a request with this id is in progress")
+	}
 	if err := s.checkNode(); err != nil {
 		return err
 	}
--- a/core/control/forward_test.go
+++ b/core/control/forward_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerspread/chart"
+	"tanagerspread/core/code"
 	"tanagerspread/core/config"
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/invariant"
@@ -280,3 +281,22 @@
 		t.Errorf("freed %v, want the old part", got)
 	}
 }
+
+// TestRepeatedIDRefused guards against a second call with the id of one in progress that
+// replaces it, so that the place of the first one at its server is never given back.
+func TestRepeatedIDRefused(t *testing.T) {
+	s := forwardState(t, 1)
+	if _, ok := placeCall(s, testStart, "c", "lookup").(Dispatch); !ok {
+		t.Fatal("the first call is not sent")
+	}
+	refusal, ok := placeCall(s, testStart, "c", "lookup").(Refusal)
+	if !ok || refusal.Err.Code != code.RequestInProgress {
+		t.Errorf("the second call got %v", refusal)
+	}
+	s.Handle(testStart, Abandon{Request: "c"})
+	for _, server := range s.serverList {
+		if server.InFlight != 0 {
+			t.Errorf("%d calls in flight after the only one has ended", server.InFlight)
+		}
+	}
+}
--- a/node/ingress/exchange.go
+++ b/node/ingress/exchange.go
@@ -75,6 +75,8 @@
 func (x *exchange) admit(ctx context.Context) *earlyResult {
 	decision, err := x.frontend.options.Control.Ask(ctx, control.Admit{Request: x.request})
 	if err != nil {
+		// The control thread may admit the request after the caller has disconnected.
+		x.frontend.options.Control.Tell(control.Abandon{Request: x.request.ID})
 		return &earlyResult{failure: &requestError{err: err}}
 	}
 	admitted, ok := decision.(control.Admitted)
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -44,6 +44,11 @@
 		f.refuseCall(w, newID(), &requestError{err: err})
 		return
 	}
+	if !f.beginCall(call.ID) {
+		f.refuseCall(w, call.ID, &requestError{err: code.New(code.RequestInProgress, "a request with this id is in progress")})
+		return
+	}
+	defer f.callIDs.Delete(call.ID)
 	account := f.options.Budget.NewAccount()
 	defer account.Release()
 	response := f.options.Budget.NewResponseAccount()
@@ -67,6 +72,13 @@
 	f.serveForwardedCall(ctx, x, &callRelay{frontend: f, w: w, r: r, exchange: x, body: body, response: response, lastEventID: call.LastEventID, arrivedAt: arrivedAt})
 }
 
+// beginCall records a call in progress. It returns false when the id belongs to one
+// already: callers choose the ids, and the control thread addresses its decisions by them.
+func (f *Frontend) beginCall(id request.ID) bool {
+	_, exists := f.callIDs.LoadOrStore(id, struct{}{})
+	return !exists
+}
+
 func (f *Frontend) serveForwardedCall(ctx context.Context, x *exchange, relay *callRelay) {
 	if early := x.admit(ctx); early != nil {
 		f.refuseCall(relay.w, x.request.ID, early.failure)
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -100,6 +100,8 @@
 	// attempts holds the attempts of forwarded calls in progress: values of type
 	// *runningAttempt by attemptKey. The control thread reads it without waiting.
 	attempts sync.Map
+	// callIDs holds the request.ID of each forwarded call in progress.
+	callIDs sync.Map
 }
 
 // NewFrontend returns a frontend that is not ready yet.
--- a/node/ingress/notrun_test.go
+++ b/node/ingress/notrun_test.go
@@ -169,6 +169,8 @@
 var coveredElsewhere = []code.Code{
 	// TestRepeatedCalls, TestConcurrentCalls, TestClaimHolderDies.
 	code.KeyReused, code.InProgress, code.OutcomeUnknown, code.AnswerNotKept,
+	// TestRepeatedIDRefused; the callers of the own interface choose no ids.
+	code.RequestInProgress,
 	// TestCompleteCompletionsOnly and TestCompleteServiceResponsesOnly.
 	code.BackendSilent, code.AnswerTruncated, code.AnswerMismatched,
 	// TestHeldCallNeverBeginsOnOldWeights; only forwarded calls have this limit.
