--- a/node/process/deployed_site_test.go
+++ b/node/process/deployed_site_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,8 @@
 	cacheStore string
 	// maxBodyBytes is the configured limit on bodies, or 0.
 	maxBodyBytes int64
+	// calls is the number of calls so far, which is part of the id of each.
+	calls atomic.Int64
 	// nodeMemoryBytes is the memory of each node.
 	nodeMemoryBytes int64
 	// unfenced is true when the servers do not enforce fencing tokens.
@@ -213,7 +216,7 @@
 		return n.site.network.Dial(ctx, network, n.address)
 	}
 	request.Host = testHost
-	request.Header = deployed.Call{ID: "attempt-1", Key: testKey, Deadline: 3 * time.Second}.Header()
+	request.Header = deployed.Call{ID: fmt.Sprintf("attempt-%d", n.site.calls.Add(1)), Key: testKey, Deadline: 3 * time.Second}.Header()
 	for name, values := range header {
 		request.Header[name] = values
 	}
--- a/node/process/deployed_test.go
+++ b/node/process/deployed_test.go
@@ -444,8 +444,7 @@
 		s.plan.SetNext(deployed.Hang)
 		replies := make(chan reply, 1)
 		half := strings.Repeat("x", 150<<10)
-		first := http.Header{"Request-Attempt-Id": {"first"}}
-		go func() { replies <- n.call("POST", "/charge/", first, half) }()
+		go func() { replies <- n.call("POST", "/charge/", nil, half) }()
 		synctest.Wait()
 		if got := n.call("POST", "/lookup/", nil, half); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 			t.Errorf("a second large body got %+v", got)
