--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -193,12 +193,18 @@
 	}
 }
 
-// BeginBody marks the beginning of the read of a body. The returned function marks its
-// end.
-func (c *Conn) BeginBody() (end func()) {
-	if c == nil {
-		return func() {}
+// BeginBody marks the beginning of the read of a body. Without EndBody the connection
+// stays in this phase until its next request: net/http reads the rest of a body that
+// nobody has read before it sends the response.
+func (c *Conn) BeginBody() {
+	if c != nil {
+		c.setPhase(callerconn.Body)
+	}
+}
+
+// EndBody marks that a body was read to its end.
+func (c *Conn) EndBody() {
+	if c != nil {
+		c.setPhase(callerconn.Waiting)
 	}
-	c.setPhase(callerconn.Body)
-	return func() { c.setPhase(callerconn.Waiting) }
 }
--- a/node/callerconn/listener_test.go
+++ b/node/callerconn/listener_test.go
@@ -53,9 +53,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	end := conn.BeginBody()
+	conn.BeginBody()
 	_, err := io.Copy(io.Discard, r.Body)
-	end()
+	if err == nil {
+		conn.EndBody()
+	}
 	if err == nil && r.URL.Path == "/wait" {
 		<-s.release
 	}
--- a/node/ingress/callmemory.go
+++ b/node/ingress/callmemory.go
@@ -26,13 +26,14 @@
 // closes with unread bytes may be reset before the caller has read the refusal.
 func (f *Frontend) readCountedBody(w http.ResponseWriter, r *http.Request, account *memory.Account) ([]byte, *code.Error) {
 	conn := callerconn.FromContext(r.Context())
-	defer conn.BeginBody()()
+	conn.BeginBody()
 	limit := f.maxBodyBytes.Load()
 	limited := http.MaxBytesReader(w, r.Body, limit)
 	err := memory.ErrNoMemory
 	if conn.AdmitHead(r.Header) && account.Grow(callBytes) {
 		var body []byte
 		if body, err = memory.ReadAll(limited, account, r.ContentLength, limit); err == nil {
+			conn.EndBody()
 			return body, nil
 		}
 	}
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -41,10 +41,12 @@
 	ctx := clock.NewContext(r.Context())
 	call, err := f.options.Protocol.DecodeCall(r)
 	if err != nil {
+		callerconn.FromContext(r.Context()).BeginBody()
 		f.refuseCall(w, newID(), &requestError{err: err})
 		return
 	}
 	if !f.beginCall(call.ID) {
+		callerconn.FromContext(r.Context()).BeginBody()
 		f.refuseCall(w, call.ID, &requestError{err: code.New(code.RequestInProgress, "a request with this id is in progress")})
 		return
 	}
