--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -10,6 +10,7 @@
 
 	"tanagerspread/core/callerconn"
 	"tanagerspread/node/memory"
+	"tanagerspread/node/sockbuf"
 )
 
 // The refusals of a head that net/http does not get to see whole.
@@ -27,7 +28,10 @@
 	listener *Listener
 	// account holds the memory of the connection and of the head of its request. It
 	// belongs to the goroutine of the connection.
-	account     *memory.Account
+	account *memory.Account
+	// unread holds the receive buffer of the connection. It belongs to the same
+	// goroutine.
+	unread      *memory.Account
 	head        headCounter
 	phase       atomic.Pointer[phase]
 	transferred atomic.Int64
@@ -73,10 +77,11 @@
 		c.setPhase(callerconn.Waiting)
 	case http.StateIdle:
 		c.head = headCounter{}
-		c.account.Shrink(c.account.Held() - connectionBytes)
+		c.account.Shrink(c.account.Held() - callerconn.ConnectionBytes)
 		c.setPhase(callerconn.Idle)
 	case http.StateClosed, http.StateHijacked:
 		c.account.Release()
+		c.unread.Release()
 		c.listener.remove(c)
 	}
 }
@@ -140,7 +145,7 @@
 
 // reserveHead makes the account hold the memory of the head.
 func (c *Conn) reserveHead(total int64) bool {
-	missing := connectionBytes + total - c.account.Held()
+	missing := callerconn.ConnectionBytes + total - c.account.Held()
 	return missing <= 0 || c.account.Grow(missing)
 }
 
@@ -202,6 +207,14 @@
 	}
 }
 
+// EnlargeBuffer makes the receive buffer of the connection large, if there is memory for
+// it, because a large body arrives.
+func (c *Conn) EnlargeBuffer() {
+	if c != nil {
+		sockbuf.Enlarge(c.Conn, c.unread)
+	}
+}
+
 // EndBody marks that a body was read to its end.
 func (c *Conn) EndBody() {
 	if c != nil {
--- a/node/callerconn/listener.go
+++ b/node/callerconn/listener.go
@@ -16,17 +16,13 @@
 )
 
 const (
-	// connectionBytes is the memory of a connection without a request: its goroutine
-	// and the buffers of net/http.
-	connectionBytes = 20 << 10
 	// headerLineBytes is the memory of a parsed header line beside its bytes, and of
 	// its copy for an attempt.
 	headerLineBytes = 400
 	// headerByteCopies is how many times the bytes of a head are in memory.
 	headerByteCopies = 2
-	// socketBufferBytes is the size of each socket buffer of a connection. Bytes that
-	// are not read yet are memory of the machine.
-	socketBufferBytes = 64 << 10
+	// writeBufferBytes is the size of the write buffer of a connection.
+	writeBufferBytes = 64 << 10
 	// sweepInterval is the time between two searches for overdue connections.
 	sweepInterval = 500 * time.Millisecond
 	// refusalTimeout bounds the write of a refusal, which fits into the buffer of a
@@ -37,23 +33,14 @@
 // Options configures a Listener.
 type Options struct {
 	Budget *memory.Budget
+	// Unread is the memory of bytes that were received and are not read yet. Each
+	// connection takes a small receive buffer of it, which its socket must have; nil has
+	// no bound.
+	Unread *memory.Budget
 	// MaxConnections bounds the connections that are open at once.
 	MaxConnections int
 }
 
-// MaxConnections returns the number of connections that a node may have open with a
-// budget of budgetBytes and a number of file descriptors, 0 when unknown. Connections
-// without a request take half of the budget, and each call takes a descriptor for its
-// server; reservedDescriptors are for everything else.
-func MaxConnections(budgetBytes int64, descriptors int) int {
-	const reservedDescriptors = 64
-	connections := max(int(budgetBytes/2/connectionBytes), 1)
-	if descriptors > 0 {
-		connections = min(connections, max((descriptors-reservedDescriptors)/2, 1))
-	}
-	return connections
-}
-
 // Listener accepts connections within the limits of a node.
 type Listener struct {
 	net.Listener
@@ -97,19 +84,19 @@
 	if l.Count() >= l.options.MaxConnections && !l.evict() {
 		return nil
 	}
-	account := l.options.Budget.NewAccount()
-	if !account.Grow(connectionBytes) {
+	account, unread := l.options.Budget.NewAccount(), l.options.Unread.NewAccount()
+	if !account.Grow(callerconn.ConnectionBytes) || !unread.Grow(callerconn.SmallUnread) {
+		account.Release()
 		// The memory of an evicted connection is released when its goroutine ends, so
 		// the new one is refused too.
 		l.evict()
 		return nil
 	}
 	if tcp, ok := inner.(*net.TCPConn); ok {
-		// The connection works with the default sizes too.
-		_ = tcp.SetReadBuffer(socketBufferBytes)
-		_ = tcp.SetWriteBuffer(socketBufferBytes)
+		// The connection works with the default size too.
+		_ = tcp.SetWriteBuffer(writeBufferBytes)
 	}
-	conn := &Conn{Conn: inner, listener: l, account: account}
+	conn := &Conn{Conn: inner, listener: l, account: account, unread: unread}
 	conn.setPhase(callerconn.Head)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -169,7 +156,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			l.sweep(now, l.options.Budget.Scarce() || l.Count() > l.options.MaxConnections/2)
+			l.sweep(now, l.options.Budget.Scarce() || l.options.Unread.Scarce() || l.Count() > l.options.MaxConnections/2)
 		}
 	}
 }
--- a/node/callerconn/listener_test.go
+++ b/node/callerconn/listener_test.go
@@ -225,17 +225,3 @@
 		})
 	}
 }
-
-// TestMaxConnections guards against more connections than the memory or the descriptors
-// of a node allow.
-func TestMaxConnections(t *testing.T) {
-	for _, test := range []struct {
-		budget      int64
-		descriptors int
-		want        int
-	}{{40 << 20, 0, 1024}, {40 << 20, 4100, 1024}, {40 << 20, 264, 100}, {1, 1, 1}} {
-		if got := callerconn.MaxConnections(test.budget, test.descriptors); got != test.want {
-			t.Errorf("%+v: got %d", test, got)
-		}
-	}
-}
--- a/node/ingress/callmemory.go
+++ b/node/ingress/callmemory.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	corecallerconn "tanagerspread/core/callerconn"
 	"tanagerspread/core/code"
 	"tanagerspread/node/callerconn"
 	"tanagerspread/node/memory"
@@ -20,19 +21,50 @@
 	pendingRetryAfter = 200 * time.Millisecond
 )
 
-// readCountedBody reads the body of a call. It reserves the memory of the call in the
-// account, of the body as it arrives, and of the header in that of the connection. A body
+// callMemory holds the memory of one call.
+type callMemory struct {
+	// request holds the call and its body, response the response until the caller has
+	// received it.
+	request, response *memory.Account
+	// unread holds the receive buffer of the connection to the server.
+	unread *memory.Account
+}
+
+func (f *Frontend) newCallMemory() *callMemory {
+	return &callMemory{
+		request:  f.options.Budget.NewAccount(),
+		response: f.options.Budget.NewResponseAccount(),
+		unread:   f.options.Unread.NewAccount(),
+	}
+}
+
+// admit reserves the memory of a call beside its head and body.
+func (m *callMemory) admit() bool {
+	return m.request.Grow(callBytes) && m.unread.Grow(corecallerconn.SmallUnread)
+}
+
+func (m *callMemory) release() {
+	m.request.Release()
+	m.response.Release()
+	m.unread.Release()
+}
+
+// readCountedBody reads the body of a call. It reserves the memory of the call, of the body
+// as it arrives, and of the header in the account of the connection. A body
 // that is refused counts no longer; it is read and discarded, because a connection that
 // closes with unread bytes may be reset before the caller has read the refusal.
-func (f *Frontend) readCountedBody(w http.ResponseWriter, r *http.Request, account *memory.Account) ([]byte, *code.Error) {
+func (f *Frontend) readCountedBody(w http.ResponseWriter, r *http.Request, account *callMemory) ([]byte, *code.Error) {
 	conn := callerconn.FromContext(r.Context())
 	conn.BeginBody()
 	limit := f.maxBodyBytes.Load()
 	limited := http.MaxBytesReader(w, r.Body, limit)
 	err := memory.ErrNoMemory
-	if conn.AdmitHead(r.Header) && account.Grow(callBytes) {
+	if conn.AdmitHead(r.Header) && account.admit() {
+		if r.ContentLength < 0 || r.ContentLength > corecallerconn.SmallBuffer {
+			conn.EnlargeBuffer()
+		}
 		var body []byte
-		if body, err = memory.ReadAll(limited, account, r.ContentLength, limit); err == nil {
+		if body, err = memory.ReadAll(limited, account.request, r.ContentLength, limit); err == nil {
 			conn.EndBody()
 			return body, nil
 		}
@@ -40,7 +72,7 @@
 	if !errors.Is(err, memory.ErrNoMemory) {
 		return nil, bodyError(err, limit)
 	}
-	account.Release()
+	account.release()
 	// The call is refused in any case; a failed read means that the caller has
 	// disconnected or sends more than the limit.
 	_, _ = io.Copy(io.Discard, limited)
--- a/node/ingress/callmemory_test.go
+++ b/node/ingress/callmemory_test.go
@@ -37,8 +37,8 @@
 		released := make(chan struct{})
 		results := make(chan *code.Error, 2)
 		read := func(bytes int) {
-			account := budget.NewAccount()
-			defer account.Release()
+			account := front.newCallMemory()
+			defer account.release()
 			r := httptest.NewRequest(http.MethodPost, "/", &stalledBody{bytes, released})
 			r.ContentLength = -1
 			_, err := front.readCountedBody(httptest.NewRecorder(), r, account)
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -16,7 +16,6 @@
 	"tanagerspread/node/egress"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/forward"
-	"tanagerspread/node/memory"
 )
 
 // errCallerGone is the error of an attempt whose response cannot be written to
@@ -51,10 +50,8 @@
 		return
 	}
 	defer f.callIDs.Delete(call.ID)
-	account := f.options.Budget.NewAccount()
-	defer account.Release()
-	response := f.options.Budget.NewResponseAccount()
-	defer response.Release()
+	account := f.newCallMemory()
+	defer account.release()
 	body, err := f.readCountedBody(w, r, account)
 	if err != nil {
 		f.refuseCall(w, call.ID, &requestError{err: err, retryAfter: pendingRetryAfter})
@@ -71,7 +68,7 @@
 		MaxTokens:    call.MaxTokens,
 		Call:         &call.Routing,
 	}}
-	f.serveForwardedCall(ctx, x, &callRelay{frontend: f, w: w, r: r, exchange: x, body: body, response: response, lastEventID: call.LastEventID, arrivedAt: arrivedAt})
+	f.serveForwardedCall(ctx, x, &callRelay{frontend: f, w: w, r: r, exchange: x, body: body, memory: account, lastEventID: call.LastEventID, arrivedAt: arrivedAt})
 }
 
 // beginCall records a call in progress. It returns false when the id belongs to one
@@ -145,8 +142,7 @@
 	r        *http.Request
 	exchange *exchange
 	body     []byte
-	// response holds the memory of the buffered response.
-	response *memory.Account
+	memory   *callMemory
 	dispatch control.Dispatch
 	running  *runningAttempt
 	// arrivedAt is when the call arrived, attemptStartedAt when its attempt
@@ -200,7 +196,7 @@
 		Header: c.frontend.options.Protocol.AttemptHeader(c.r.Header, *dispatch.Forward, c.workTime(), c.lastEventID),
 		Body:   c.body,
 
-		Account: c.response,
+		Account: c.memory.response,
 		Resumes: c.resumes,
 	}
 	return c.frontend.options.Egress.Forward(running.ctx, dispatch.Address, c.frontend.options.Protocol, attempt, timeoutsOf(dispatch), checkSend, c)
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -86,6 +86,9 @@
 	MaxBodyBytes int64
 	// Budget is the memory of the forwarded calls in progress; nil has no bound.
 	Budget *memory.Budget
+	// Unread is the memory of bytes of their connections that were received and are not
+	// read yet; nil has no bound.
+	Unread *memory.Budget
 	// Protocol is the protocol of forwarded calls. If it is nil, the frontend
 	// serves the product's own interface.
 	Protocol forward.Protocol
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -14,6 +14,7 @@
 
 	"tanagerspread/chart"
 	"tanagerspread/client/wire"
+	corecallerconn "tanagerspread/core/callerconn"
 	"tanagerspread/core/control"
 	"tanagerspread/core/event"
 	"tanagerspread/core/fleet"
@@ -21,7 +22,6 @@
 	"tanagerspread/core/placement"
 	"tanagerspread/core/retry"
 	"tanagerspread/node/caches"
-	"tanagerspread/node/callerconn"
 	"tanagerspread/node/confkv"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/memory"
@@ -29,6 +29,7 @@
 	"tanagerspread/node/registry"
 	"tanagerspread/node/runtime"
 	"tanagerspread/node/settings"
+	"tanagerspread/node/sockbuf"
 	"tanagerspread/platform"
 )
 
@@ -36,9 +37,6 @@
 	// logQueueLines is the capacity of the queue of log lines for standard
 	// output; further lines are dropped.
 	logQueueLines = 4096
-	// callerMemoryShare is the share of the memory of the process that the
-	// connections, heads, bodies and buffered responses of callers may use.
-	callerMemoryShare = 0.3
 	// partIndexShare is the share of the memory of the process that the index of
 	// prompt parts may use.
 	partIndexShare = 0.1
@@ -147,27 +145,25 @@
 func openDeployed(options DeployedOptions) (*deployed, error) {
 	s := options.Settings
 	d := &deployed{dial: options.Dial}
-	if d.dial == nil {
-		d.dial = (&net.Dialer{
-			Timeout:         connectTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveCount},
-		}).DialContext
-	}
-	listen := options.Listen
-	if listen == nil {
-		listen = net.Listen
+	if options.Dial == nil {
+		d.dial = dialer(corecallerconn.LargeBuffer)
 	}
 	addresses := []struct {
 		name     string
 		address  string
+		buffer   int
 		listener *net.Listener
 	}{
-		{"callers", s.CallerAddress, &d.callers},
-		{"readiness checks", s.ReadinessAddress, &d.readiness},
-		{"peers", s.PeerAddress, &d.peers},
-		{"operators", net.JoinHostPort(s.IP, strconv.Itoa(s.LastPort)), &d.operators},
+		{"callers", s.CallerAddress, corecallerconn.SmallBuffer, &d.callers},
+		{"readiness checks", s.ReadinessAddress, corecallerconn.SmallBuffer, &d.readiness},
+		{"peers", s.PeerAddress, corecallerconn.LargeBuffer, &d.peers},
+		{"operators", net.JoinHostPort(s.IP, strconv.Itoa(s.LastPort)), corecallerconn.SmallBuffer, &d.operators},
 	}
 	for _, a := range addresses {
+		listen := options.Listen
+		if listen == nil {
+			listen = listenWithBuffer(a.buffer)
+		}
 		listener, err := listen("tcp", a.address)
 		if err != nil {
 			return nil, fmt.Errorf("listen for %s: %w", a.name, err)
@@ -178,9 +174,28 @@
 	return d, nil
 }
 
+// dialer returns a function that opens connections with a receive buffer of a number of
+// bytes.
+func dialer(buffer int) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveCount},
+		Control:         sockbuf.Control(buffer),
+	}).DialContext
+}
+
+// listenWithBuffer returns a function that listens for connections with a receive buffer of
+// a number of bytes.
+func listenWithBuffer(buffer int) func(network, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: sockbuf.Control(buffer)}
+	return func(network, address string) (net.Listener, error) {
+		return config.Listen(context.Background(), network, address)
+	}
+}
+
 func (d *deployed) nodeOptions(options DeployedOptions, logger logr.Logger, counters *metrics.Metrics) runtime.Options {
 	s := options.Settings
-	callerBytes := int64(float64(s.MemoryBytes) * callerMemoryShare)
+	capacity := corecallerconn.CapacityOf(s.MemoryBytes, s.Descriptors)
 	return runtime.Options{
 		Control:        controlOptions(options),
 		Listener:       d.callers,
@@ -193,8 +208,9 @@
 		Metrics:        counters,
 		MaxBodyBytes:   maxBodyBytes,
 		Suspended:      options.Suspended,
-		Budget:         memory.NewBudget(callerBytes),
-		MaxConnections: callerconn.MaxConnections(callerBytes, s.Descriptors),
+		Budget:         memory.NewBudget(capacity.CallerBytes),
+		Unread:         memory.NewBudget(capacity.UnreadBytes),
+		MaxConnections: capacity.Connections,
 		Protocol:       platform.Protocol{},
 		Caches: func(address string) caches.Client {
 			return platform.NewCacheClient(address, d.dial)
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -57,9 +57,10 @@
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64
 	// Budget is the memory that callers and the responses to forwarded calls may
-	// use, and MaxConnections the number of connections of callers. With nil both
-	// have no bound.
+	// use, Unread the bytes of their connections that are not read yet, and
+	// MaxConnections the number of connections of callers. With nil they have no bound.
 	Budget         *memory.Budget
+	Unread         *memory.Budget
 	MaxConnections int
 	// Fleet connects the node to the platform and to its peers. With nil the
 	// node serves with the configuration that control messages set.
@@ -129,9 +130,10 @@
 		MaxBodyBytes: options.MaxBodyBytes,
 		Protocol:     options.Protocol,
 		Budget:       options.Budget,
+		Unread:       options.Unread,
 	})
 	if options.Budget != nil {
-		n.callers = callerconn.NewListener(options.Listener, callerconn.Options{Budget: options.Budget, MaxConnections: options.MaxConnections})
+		n.callers = callerconn.NewListener(options.Listener, callerconn.Options{Budget: options.Budget, Unread: options.Unread, MaxConnections: options.MaxConnections})
 	}
 	n.orders = newOrderWorkers(n.loop, options)
 	if options.Fleet != nil {
