--- a/node/egress/completion.go
+++ b/node/egress/completion.go
@@ -49,11 +49,11 @@
 	if err != nil {
 		return Result{Outcome: control.Stopped, Cause: code.Wrap(code.Internal, "the request cannot be encoded", err)}
 	}
-	response, closeConn, err := c.send(request, timeouts, checkSend)
+	response, conn, err := c.send(request, timeouts, checkSend)
 	if err != nil {
 		return failedResult(ctx, err)
 	}
-	defer closeConn()
+	defer conn.close()
 	defer func() { _ = response.Body.Close() }()
 	result := headerResult(response.Header)
 	if response.StatusCode != http.StatusOK {
--- a/node/egress/egress.go
+++ b/node/egress/egress.go
@@ -61,29 +61,42 @@
 	return &Client{dial: dial}
 }
 
-// send sends the request on a new connection. It returns the response and a
-// function that closes the connection.
-func (c *Client) send(request *http.Request, timeouts Timeouts, checkSend SendCheck) (*http.Response, func(), error) {
+// serverConn is the connection of one attempt.
+type serverConn struct {
+	transport *http.Transport
+	// opened is the connection as the dialer returned it.
+	opened net.Conn
+}
+
+// close closes the connection after its response.
+func (s *serverConn) close() {
+	s.transport.CloseIdleConnections()
+}
+
+// send sends the request on a new connection. It returns the response and the connection,
+// which the caller closes.
+func (c *Client) send(request *http.Request, timeouts Timeouts, checkSend SendCheck) (*http.Response, *serverConn, error) {
 	request.GetBody = nil
-	transport := &http.Transport{
-		DialContext:           c.checkedDial(request, timeouts, checkSend),
+	conn := &serverConn{}
+	conn.transport = &http.Transport{
+		DialContext:           c.checkedDial(request, timeouts, checkSend, conn),
 		DisableKeepAlives:     true,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: timeouts.Header,
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
-	response, err := transport.RoundTrip(request)
+	response, err := conn.transport.RoundTrip(request)
 	if err != nil {
-		transport.CloseIdleConnections()
+		conn.close()
 		return nil, nil, err
 	}
-	return response, transport.CloseIdleConnections, nil
+	return response, conn, nil
 }
 
 // checkedDial returns a dial function that closes a new connection and returns an
-// error with NotSent if checkSend returns an error.
-func (c *Client) checkedDial(request *http.Request, timeouts Timeouts, checkSend SendCheck) Dialer {
+// error with NotSent if checkSend returns an error. It stores the connection in opened.
+func (c *Client) checkedDial(request *http.Request, timeouts Timeouts, checkSend SendCheck, opened *serverConn) Dialer {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		dialContext, cancel := context.WithTimeout(ctx, timeouts.Dial)
 		defer cancel()
@@ -94,6 +107,7 @@
 		if err := checkSend(ctx); err != nil {
 			return nil, &notSentError{cause: errors.Join(err, conn.Close())}
 		}
+		opened.opened = conn
 		return newTargetConn(newDeadlineConn(ctx, conn, timeouts.Header), request), nil
 	}
 }
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"net/url"
 
+	"tanagerspread/core/callerconn"
 	"tanagerspread/core/code"
 	"tanagerspread/core/control"
 	"tanagerspread/core/request"
 	"tanagerspread/node/forward"
 	"tanagerspread/node/memory"
+	"tanagerspread/node/sockbuf"
 )
 
 // maxForwardResponseBytes bounds the body of a response that is not a
@@ -36,6 +38,8 @@
 	Body   []byte
 	// Account holds the memory of the response until the caller has received it.
 	Account *memory.Account
+	// Unread holds the receive buffer of the connection, a small one at first.
+	Unread *memory.Account
 	// Resumes is true when the caller has received the beginning of a stream, which
 	// only a stream can continue.
 	Resumes bool
@@ -59,11 +63,11 @@
 func (c *Client) Forward(ctx context.Context, address string, protocol forward.Protocol, attempt ForwardAttempt, timeouts Timeouts, checkSend SendCheck, receiver Receiver) Result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	response, closeConn, err := c.send(newForwardRequest(ctx, address, attempt), timeouts, checkSend)
+	response, conn, err := c.send(newForwardRequest(ctx, address, attempt), timeouts, checkSend)
 	if err != nil {
 		return failedResult(ctx, err)
 	}
-	defer closeConn()
+	defer conn.close()
 	defer func() { _ = response.Body.Close() }()
 	if !validStatus(response) {
 		return invalidStatusResult(response)
@@ -89,6 +93,11 @@
 	if attempt.Resumes {
 		return Result{Outcome: control.Lost, Cause: code.Newf(code.BackendLost, "the backend server responded with status %d to a resumed stream", response.StatusCode)}
 	}
+	if !isSmall(response) {
+		unread := attempt.Unread.Held()
+		sockbuf.Enlarge(conn.opened, attempt.Unread)
+		defer func() { attempt.Unread.Shrink(attempt.Unread.Held() - unread) }()
+	}
 	body, err := readBody(reader, attempt.Account, response.ContentLength)
 	if err == nil {
 		receiver.CompleteResponse(response, body)
@@ -146,6 +155,11 @@
 	return err == nil && media == mediaTypeEventStream && response.StatusCode == http.StatusOK
 }
 
+// isSmall reports whether the body of a response fits into a small receive buffer.
+func isSmall(response *http.Response) bool {
+	return response.ContentLength >= 0 && response.ContentLength <= callerconn.SmallBuffer
+}
+
 // readBody reads a complete response and reserves its memory in the account, which keeps it
 // until the response was written to the caller. It returns code.AnswerTooLarge for a
 // response of more than maxForwardResponseBytes. For one that does not fit into the memory
--- a/node/egress/service.go
+++ b/node/egress/service.go
@@ -49,11 +49,11 @@
 	if err != nil {
 		return ServiceResponse{}, Result{Outcome: control.DialFailed, Cause: code.Wrap(code.MalformedHeader, "the call cannot be encoded", err)}
 	}
-	response, closeConn, err := c.send(request, timeouts, checkSend)
+	response, conn, err := c.send(request, timeouts, checkSend)
 	if err != nil {
 		return ServiceResponse{}, failedResult(ctx, err)
 	}
-	defer closeConn()
+	defer conn.close()
 	defer func() { _ = response.Body.Close() }()
 	if !validStatus(response) {
 		return ServiceResponse{}, invalidStatusResult(response)
--- a/node/ingress/forward.go
+++ b/node/ingress/forward.go
@@ -197,6 +197,7 @@
 		Body:   c.body,
 
 		Account: c.memory.response,
+		Unread:  c.memory.unread,
 		Resumes: c.resumes,
 	}
 	return c.frontend.options.Egress.Forward(running.ctx, dispatch.Address, c.frontend.options.Protocol, attempt, timeoutsOf(dispatch), checkSend, c)
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -103,7 +103,10 @@
 	peers     net.Listener
 	operators net.Listener
 	store     *platform.Store
-	dial      func(ctx context.Context, network, address string) (net.Conn, error)
+	// dial opens connections to the store and to peers, dialServer those of calls to
+	// servers, which have small receive buffers.
+	dial       func(ctx context.Context, network, address string) (net.Conn, error)
+	dialServer func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // RunDeployed serves until the planned stop is complete. It returns
@@ -144,9 +147,10 @@
 // unreachable.
 func openDeployed(options DeployedOptions) (*deployed, error) {
 	s := options.Settings
-	d := &deployed{dial: options.Dial}
+	d := &deployed{dial: options.Dial, dialServer: options.Dial}
 	if options.Dial == nil {
 		d.dial = dialer(corecallerconn.LargeBuffer)
+		d.dialServer = dialer(corecallerconn.SmallBuffer)
 	}
 	addresses := []struct {
 		name     string
@@ -200,7 +204,7 @@
 		Control:        controlOptions(options),
 		Listener:       d.callers,
 		Readiness:      d.readiness,
-		Dial:           d.dial,
+		Dial:           d.dialServer,
 		KeyValue:       d.store,
 		OrderService:   d.store,
 		Engines:        platform.EngineClient{Dial: d.dial, Holder: s.Node},
