--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -22,6 +22,7 @@
 	"tanagerspread/core/placement"
 	"tanagerspread/core/retry"
 	"tanagerspread/node/caches"
+	"tanagerspread/node/callerconn"
 	"tanagerspread/node/confkv"
 	"tanagerspread/node/eventlog"
 	"tanagerspread/node/memory"
@@ -132,7 +133,7 @@
 	}
 	server := adminServer(node, counters)
 	defer func() { _ = server.Close() }()
-	go serveAdmin(server, d.operators, logger)
+	go serveAdmin(server, callerconn.Manage(ctx, server, d.operators), logger)
 	go watchSignals(ctx, cancel, options.Signals, node)
 	go watchReloads(ctx, options, logger)
 	err = node.Run(ctx)
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -228,9 +228,10 @@
 	serveErrors := make(chan error, 2)
 	go func() { serveErrors <- server.Serve(listener) }()
 	if n.options.Readiness != nil {
-		readinessServer := &http.Server{Handler: n.front.Readiness(), ReadHeaderTimeout: headerTimeout}
+		readinessServer := &http.Server{Handler: n.front.Readiness(), ReadTimeout: bodyTimeout, WriteTimeout: bodyTimeout}
 		defer func() { _ = readinessServer.Close() }()
-		go func() { serveErrors <- readinessServer.Serve(n.options.Readiness) }()
+		readiness := callerconn.Manage(ctx, readinessServer, n.options.Readiness)
+		go func() { serveErrors <- readinessServer.Serve(readiness) }()
 	}
 	eventlog.Write(n.options.Logger, event.NodeStarted, nil,
 		"node", n.options.Control.Node, "domain", string(n.options.Control.Domain), "listen", n.options.Listener.Addr().String())
