--- a/node/callerconn/listener.go
+++ b/node/callerconn/listener.go
@@ -46,6 +46,8 @@
 	net.Listener
 	options Options
 	limits  atomic.Pointer[callerconn.Limits]
+	// draining is true once only the connections with progress are kept.
+	draining atomic.Bool
 	// mu guards the set of open connections; no decision depends on who holds it.
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -64,6 +66,12 @@
 	l.limits.Store(&limits)
 }
 
+// Drain closes connections without progress from now on, as if memory were scarce, because
+// the node stops and waits for the others.
+func (l *Listener) Drain() {
+	l.draining.Store(true)
+}
+
 // Accept returns the next connection. When there is no room for it, it closes the evictable
 // connection that is in its phase for longest, or the new one if there is none.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -156,7 +164,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			l.sweep(now, l.options.Budget.Scarce() || l.options.Unread.Scarce() || l.Count() > l.options.MaxConnections/2)
+			l.sweep(now, l.draining.Load() || l.options.Budget.Scarce() || l.options.Unread.Scarce() || l.Count() > l.options.MaxConnections/2)
 		}
 	}
 }
--- a/node/runtime/runtime.go
+++ b/node/runtime/runtime.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -94,6 +95,8 @@
 	orders   *orders.Workers
 	caches   *caches.Followers
 	stopped  chan struct{}
+	// drainedAt is when Drain was called first, or nil.
+	drainedAt atomic.Pointer[time.Time]
 	// callers accepts the connections of callers within Options.Budget, or is nil.
 	callers *callerconn.Listener
 	fleet   *fleetComponents
@@ -195,6 +198,8 @@
 
 // Drain starts the planned stop of the node and does not wait for it.
 func (n *Node) Drain() {
+	now := time.Now()
+	n.drainedAt.CompareAndSwap(nil, &now)
 	n.loop.Tell(corecontrol.Drain{})
 }
 
@@ -241,12 +246,35 @@
 	case <-ctx.Done():
 		return errors.Join(ctx.Err(), server.Close())
 	case <-n.stopped:
-		err := server.Shutdown(ctx)
+		err := n.shutdown(ctx, server)
 		eventlog.Write(n.options.Logger, event.NodeStopped, err)
 		return err
 	}
 }
 
+// shutdownMargin is the time between the end of a planned stop and that of the grace of the
+// process, after which it is killed.
+const shutdownMargin = 250 * time.Millisecond
+
+// shutdown waits until the responses have been read by their callers. Connections without
+// progress are closed, and all others before the grace of the process ends.
+func (n *Node) shutdown(ctx context.Context, server *http.Server) error {
+	if n.callers != nil {
+		n.callers.Drain()
+	}
+	drainedAt, grace := n.drainedAt.Load(), n.options.Control.StopGrace
+	if drainedAt == nil || grace <= 0 {
+		return server.Shutdown(ctx)
+	}
+	graceContext, cancel := context.WithDeadline(ctx, drainedAt.Add(grace-shutdownMargin))
+	defer cancel()
+	err := server.Shutdown(graceContext)
+	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+		return server.Close()
+	}
+	return err
+}
+
 // callerListener returns the listener of callers. With a budget, it enforces the limits of
 // the server until the context ends.
 func (n *Node) callerListener(ctx context.Context, server *http.Server) net.Listener {
