--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -17,6 +17,7 @@
 	"tanagerspread/core/fleet"
 	"tanagerspread/core/membership"
 	"tanagerspread/core/quarantine"
+	"tanagerspread/standin/pipe"
 )
 
 // controlBytesPerSecond is the bandwidth that a node may use for control
@@ -191,3 +192,30 @@
 		t.Errorf("got %+v", decoded)
 	}
 }
+
+// TestPeerConnectionsBounded guards against peers that take descriptors which the
+// connections of callers need.
+func TestPeerConnectionsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := pipe.NewNetwork()
+		server := NewServer(fakeControl{})
+		server.MaxConnections = 2
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		listener := network.Listen("peers")
+		go func() { done <- server.Serve(ctx, listener) }()
+		open := 0
+		for range 3 {
+			client := NewClient(network.Dial, nil)
+			defer client.Close()
+			if client.call(ctx, "peers", methodPing, pingTimeout, struct{}{}, nil) == nil {
+				open++
+			}
+		}
+		if open != 2 {
+			t.Errorf("%d connections are served, want 2", open)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -17,9 +18,8 @@
 	"tanagerspread/node/confkv"
 )
 
-// maxConnections bounds the open connections of a server. Further ones are
-// closed at once.
-const maxConnections = 1024
+// defaultMaxConnections is the MaxConnections of a server without one.
+const defaultMaxConnections = 1024
 
 // ControlThread is the part of the control thread that this package uses.
 type ControlThread interface {
@@ -35,6 +35,9 @@
 	// Feeds holds the event feeds of the cache stores and engines that this node
 	// follows itself. When it is nil, calls for them are rejected.
 	Feeds *caches.Feeds
+	// MaxConnections bounds the open connections; further ones are closed at once. 0
+	// means defaultMaxConnections.
+	MaxConnections int
 
 	control ControlThread
 }
@@ -62,10 +65,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
-	slots := make(chan struct{}, maxConnections)
+	limit := cmp.Or(s.MaxConnections, defaultMaxConnections)
+	slots := make(chan struct{}, limit)
 	defer func() {
 		cancel()
-		for range maxConnections {
+		for range limit {
 			slots <- struct{}{}
 		}
 	}()
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -225,8 +225,11 @@
 			Parse:        platform.ParseRules,
 			Source:       confkv.Source{Key: platform.KeyConfig, Decode: platform.DecodeConfig},
 			PeerListener: d.peers,
-			PeerDial:     d.dial,
-			PeerAddress:  s.PeerAddress,
+
+			PeerConnections: capacity.PeerConnections,
+
+			PeerDial:    d.dial,
+			PeerAddress: s.PeerAddress,
 			Registry: &registry.Options{
 				ServerPrefix:  platform.PrefixServers,
 				WeightsPrefix: platform.PrefixWeights,
--- a/node/runtime/fleet.go
+++ b/node/runtime/fleet.go
@@ -28,7 +28,10 @@
 	Source confkv.Source
 	// PeerListener accepts the connections of peers.
 	PeerListener net.Listener
-	PeerDial     peer.Dialer
+	// PeerConnections bounds the connections that peers open; 0 means the default of the
+	// peer server.
+	PeerConnections int
+	PeerDial        peer.Dialer
 	// PeerAddress is the address that is published to peers; it is empty when
 	// they read it from the VM list.
 	PeerAddress string
@@ -64,6 +67,7 @@
 	if f.PeerServerTLS != nil {
 		components.listener = tls.NewListener(f.PeerListener, f.PeerServerTLS)
 	}
+	components.server.MaxConnections = f.PeerConnections
 	service := f.Service
 	if f.Registry != nil {
 		service = components.newMirror(loop, options)
