--- a/core/placement/holdings.go
+++ b/core/placement/holdings.go
@@ -64,7 +64,8 @@
 
 // Expect records that a server is about to compute a part or to use it. The least
 // recently used parts are removed from the index when the server's parts exceed the
-// capacity in tokens; 0 means no limit.
+// capacity in tokens; 0 means no limit. A part that is larger than the capacity is not
+// indexed, because the server cannot keep it.
 func (x *PartIndex) Expect(now time.Time, id fleet.ServerID, key PartKey, tokens, capacity int) {
 	entry := x.byServer[id]
 	if entry == nil {
@@ -80,6 +81,9 @@
 		}
 		return
 	}
+	if capacity > 0 && tokens > capacity {
+		return
+	}
 	entry.parts[key] = entry.byUse.PushFront(residentPart{key: key, tokens: tokens})
 	entry.tokens += tokens
 	x.count++
--- a/core/placement/holdings_test.go
+++ b/core/placement/holdings_test.go
@@ -43,3 +43,17 @@
 		t.Errorf("%d parts after all other servers were dropped, want 1", x.Len())
 	}
 }
+
+// TestPartLargerThanServer guards against a call that claims a part larger than the memory of
+// its server, and so removes all other parts of the server from the index.
+func TestPartLargerThanServer(t *testing.T) {
+	x := NewPartIndex(0)
+	now := time.Now()
+	kept, huge := PartKey{ID: "kept"}, PartKey{ID: "huge"}
+	x.Confirm(now, "i-1", kept, 800, 1000)
+	x.Expect(now, "i-1", huge, 1001, 1000)
+	x.Confirm(now, "i-2", huge, 1001, 1000)
+	if !x.Contains("i-1", kept) || x.Contains("i-1", huge) || x.Contains("i-2", huge) {
+		t.Error("the index does not have the kept part alone")
+	}
+}
