--- a/core/callerconn/capacity.go
+++ b/core/callerconn/capacity.go
@@ -10,15 +10,17 @@
 	// and the buffers of net/http.
 	ConnectionBytes = 20 << 10
 	// SmallBuffer is the size of the receive buffer of each connection of a caller and
-	// to a server. LargeBuffer is that of a connection with a large body, if there is
-	// memory for it.
+	// to a server.
 	SmallBuffer = 8 << 10
+	// LargeBuffer is the size of that of a connection with a large body, if there is
+	// memory for it.
 	LargeBuffer = 64 << 10
 	// bufferOverhead is the factor by which the kernel enlarges the size of a buffer. It
 	// counts its own structures too, but data may fill most of the buffer.
 	bufferOverhead = 2
-	// SmallUnread and LargeUnread are the unread bytes that such buffers hold at most.
+	// SmallUnread is the number of unread bytes that a small buffer holds at most.
 	SmallUnread = bufferOverhead * SmallBuffer
+	// LargeUnread is the number of unread bytes that a large buffer holds at most.
 	LargeUnread = bufferOverhead * LargeBuffer
 	// reservedFiles is the number of descriptors that sockets cannot use.
 	reservedFiles = 200
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -216,6 +216,8 @@
 			t.Errorf("%d connections are served, want 2", open)
 		}
 		cancel()
-		<-done
+		if err := <-done; err == nil {
+			t.Error("the server ended without an error of its listener")
+		}
 	})
 }
--- a/soak/footprint_test.go
+++ b/soak/footprint_test.go
@@ -39,8 +39,6 @@
 	node *node
 	stop chan struct{}
 	done chan struct{}
-
-	mu sync.Mutex
 	// peak has the largest memory, with its parts, and the largest number of sockets.
 	peak footprint
 }
