--- a/soak/untrusted_states_test.go
+++ b/soak/untrusted_states_test.go
@@ -96,6 +96,13 @@
 	}})
 }
 
+// TestUnreadStreamsFreeServers guards against streams that keep their places at servers after
+// their deadline, because the node waits for clients that have stopped reading.
+func TestUnreadStreamsFreeServers(t *testing.T) {
+	s := startStates(t, siteOptions{memoryMB: untrustedMemoryMB, descriptors: untrustedDescriptors})
+	s.checkWithstands(t, crowd{clients: 100, client: readOneByte("stream", streamPath)})
+}
+
 // TestRefusedBodies guards against clients that hold all connections with calls that were
 // refused for their head, because the node waits for bodies that do not arrive.
 func TestRefusedBodies(t *testing.T) {
@@ -304,6 +311,37 @@
 	}
 }
 
+// TestLargestLegalCall guards against limits that a single call within the documented ones
+// meets: a head of 16,384 bytes in lines as short as they can be, and a body of 4 MiB with a
+// length or in chunks.
+func TestLargestLegalCall(t *testing.T) {
+	s := startStates(t, siteOptions{memoryMB: 112, descriptors: untrustedDescriptors})
+	const headBytes, bodyBytes, chunkBytes = 16_384, 4 << 20, 1 << 10
+	bodies := map[string]string{
+		fmt.Sprintf("Content-Length: %d", bodyBytes): strings.Repeat("x", bodyBytes),
+		"Transfer-Encoding: chunked":                 strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("x", chunkBytes)), bodyBytes/chunkBytes) + "0\r\n\r\n",
+	}
+	for framing, body := range bodies {
+		conn, err := net.DialTimeout("tcp", s.nodes[0].callerAddress, clientPatience)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(answerPatience))
+		head := headOf("legal", len(framing), "/lookup/", framing)
+		head += strings.Repeat("a:\r\n", (headBytes-len(head))/len("a:\r\n")-1) + "\r\n"
+		if _, err := io.WriteString(conn, head+body); err != nil {
+			t.Errorf("%s: %v", framing, err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Errorf("%s: %v", framing, err)
+		} else if _ = response.Body.Close(); response.StatusCode != http.StatusOK {
+			t.Errorf("%s: got %d", framing, response.StatusCode)
+		}
+		_ = conn.Close()
+	}
+}
+
 // untrueRefusals returns the calls that were refused as not run and ran, and those that
 // ran twice.
 func (s *site) untrueRefusals(outcomes []outcome) []string {
