--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -10,7 +10,7 @@
 
 	"tanagerspread/core/callerconn"
 	"tanagerspread/node/memory"
-	"tanagerspread/node/sockbuf"
+	"tanagerspread/node/sockopt"
 )
 
 // The refusals of a head that net/http does not get to see whole.
@@ -211,7 +211,7 @@
 // it, because a large body arrives.
 func (c *Conn) EnlargeBuffer() {
 	if c != nil {
-		sockbuf.Enlarge(c.Conn, c.unread)
+		sockopt.Enlarge(c.Conn, c.unread)
 	}
 }
 
--- a/node/callerconn/management.go
+++ b/node/callerconn/management.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// managementConnections bounds the connections to a port for readiness checks or for
+	// ManagementConnections bounds the connections to a port for readiness checks or for
 	// operators, which have a few clients each.
-	managementConnections = 16
+	ManagementConnections = 16
 	// managementBytes bounds the memory of these connections and their heads.
 	managementBytes = 2 << 20
 )
@@ -20,7 +20,7 @@
 // and heads are bounded, and a connection can be closed for a new one at any time. The
 // limits are enforced until the context ends.
 func Manage(ctx context.Context, server *http.Server, inner net.Listener) net.Listener {
-	l := NewListener(inner, Options{Budget: memory.NewBudget(managementBytes), MaxConnections: managementConnections})
+	l := NewListener(inner, Options{Budget: memory.NewBudget(managementBytes), MaxConnections: ManagementConnections})
 	Attach(server)
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -15,7 +15,7 @@
 	"tanagerspread/core/request"
 	"tanagerspread/node/forward"
 	"tanagerspread/node/memory"
-	"tanagerspread/node/sockbuf"
+	"tanagerspread/node/sockopt"
 )
 
 // maxForwardResponseBytes bounds the body of a response that is not a
@@ -95,7 +95,7 @@
 	}
 	if !isSmall(response) {
 		unread := attempt.Unread.Held()
-		sockbuf.Enlarge(conn.opened, attempt.Unread)
+		sockopt.Enlarge(conn.opened, attempt.Unread)
 		defer func() { attempt.Unread.Shrink(attempt.Unread.Held() - unread) }()
 	}
 	body, err := readBody(reader, attempt.Account, response.ContentLength)
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -30,7 +30,7 @@
 	"tanagerspread/node/registry"
 	"tanagerspread/node/runtime"
 	"tanagerspread/node/settings"
-	"tanagerspread/node/sockbuf"
+	"tanagerspread/node/sockopt"
 	"tanagerspread/platform"
 )
 
@@ -153,21 +153,24 @@
 		d.dial = dialer(corecallerconn.LargeBuffer)
 		d.dialServer = dialer(corecallerconn.SmallBuffer)
 	}
+	capacity := corecallerconn.CapacityOf(s.MemoryBytes, s.Descriptors)
 	addresses := []struct {
-		name     string
-		address  string
-		buffer   int
-		listener *net.Listener
+		name    string
+		address string
+		// buffer is the size of the receive buffers, backlog the number of connections
+		// that may wait to be accepted.
+		buffer, backlog int
+		listener        *net.Listener
 	}{
-		{"callers", s.CallerAddress, corecallerconn.SmallBuffer, &d.callers},
-		{"readiness checks", s.ReadinessAddress, corecallerconn.SmallBuffer, &d.readiness},
-		{"peers", s.PeerAddress, corecallerconn.LargeBuffer, &d.peers},
-		{"operators", net.JoinHostPort(s.IP, strconv.Itoa(s.LastPort)), corecallerconn.SmallBuffer, &d.operators},
+		{"callers", s.CallerAddress, corecallerconn.SmallBuffer, capacity.Connections, &d.callers},
+		{"readiness checks", s.ReadinessAddress, corecallerconn.SmallBuffer, callerconn.ManagementConnections, &d.readiness},
+		{"peers", s.PeerAddress, corecallerconn.LargeBuffer, capacity.PeerConnections, &d.peers},
+		{"operators", net.JoinHostPort(s.IP, strconv.Itoa(s.LastPort)), corecallerconn.SmallBuffer, callerconn.ManagementConnections, &d.operators},
 	}
 	for _, a := range addresses {
 		listen := options.Listen
 		if listen == nil {
-			listen = listenWithBuffer(a.buffer)
+			listen = listenWithLimits(a.buffer, a.backlog)
 		}
 		listener, err := listen("tcp", a.address)
 		if err != nil {
@@ -185,16 +188,26 @@
 	return (&net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveCount},
-		Control:         sockbuf.Control(buffer),
+		Control:         sockopt.ReceiveBuffer(buffer),
 	}).DialContext
 }
 
-// listenWithBuffer returns a function that listens for connections with a receive buffer of
-// a number of bytes.
-func listenWithBuffer(buffer int) func(network, address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: sockbuf.Control(buffer)}
+// listenWithLimits returns a function that listens for connections with a receive buffer of
+// a number of bytes, of which up to backlog wait to be accepted.
+func listenWithLimits(buffer, backlog int) func(network, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: sockopt.ReceiveBuffer(buffer)}
 	return func(network, address string) (net.Listener, error) {
-		return config.Listen(context.Background(), network, address)
+		listener, err := config.Listen(context.Background(), network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := listener.(*net.TCPListener); ok {
+			err = sockopt.LimitBacklog(tcp, backlog)
+		}
+		if err != nil {
+			return nil, errors.Join(err, listener.Close())
+		}
+		return listener, nil
 	}
 }
 
--- a/soak/untrusted_states_test.go
+++ b/soak/untrusted_states_test.go
@@ -23,6 +23,8 @@
 	streamBytes      = 8 << 20
 	// followingBytes is what a client sends behind a call on the same connection.
 	followingBytes = 2 << 20
+	// pauseTime is how long a node is paused.
+	pauseTime = 5 * time.Second
 )
 
 // startStates starts a site whose servers have calls with slowPath and streamPath.
@@ -135,6 +137,18 @@
 	}})
 }
 
+// TestPausedNode guards against connections that wait to be accepted while the machine of the
+// node is suspended, with what their clients have sent already.
+func TestPausedNode(t *testing.T) {
+	s := startStates(t, siteOptions{memoryMB: 48, descriptors: untrustedDescriptors})
+	head := headOf("paused", 0, "/lookup/") + strings.Repeat("a:\r\n", 3000)
+	s.nodes[0].signal(syscall.SIGSTOP)
+	time.AfterFunc(pauseTime, func() { s.nodes[0].signal(syscall.SIGCONT) })
+	s.checkWithstands(t, crowd{clients: 4000, client: func(conn net.Conn, _ int) {
+		_, _ = io.WriteString(conn, head)
+	}})
+}
+
 // TestStopAmidClients guards against a planned stop that does not end, because clients
 // keep their connections open: with incomplete heads and bodies, with responses that they
 // do not read, and with calls that wait.
