--- a/soak/cmd/tanagersoak/main.go
+++ b/soak/cmd/tanagersoak/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -15,11 +16,12 @@
 )
 
 type arguments struct {
-	Binary string `long:"binary" required:"true" value-name:"FILE" description:"the program tanagerspread"`
-	Seed   uint64 `long:"seed" description:"the first seed; by default one of the time of day"`
-	Seeds  int    `long:"seeds" default:"1" description:"number of seeds"`
-	Faults int    `long:"faults" default:"20" description:"faults of each seed"`
-	Logs   string `long:"logs" value-name:"DIR" description:"keep the logs of the nodes there"`
+	Binary  string `long:"binary" required:"true" value-name:"FILE" description:"the program tanagerspread"`
+	Seed    uint64 `long:"seed" description:"the first seed; by default one of the time of day"`
+	Seeds   int    `long:"seeds" default:"1" description:"number of seeds"`
+	Faults  int    `long:"faults" default:"20" description:"faults of each seed"`
+	Clients int    `long:"untrusted" value-name:"N" description:"number of clients that do not keep to the protocol"`
+	Logs    string `long:"logs" value-name:"DIR" description:"keep the logs of the nodes there"`
 }
 
 func main() {
@@ -51,8 +53,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	report, err := soak.Run(context.Background(), soak.Options{Binary: args.Binary, Dir: dir, Seed: seed, Faults: args.Faults})
-	fmt.Printf("seed %d: %d calls, %d answered, %d broken\n", seed, report.Calls, report.Answered, len(report.Violations))
+	report, err := soak.Run(context.Background(), soak.Options{Binary: args.Binary, Dir: dir, Seed: seed, Faults: args.Faults, Untrusted: args.Clients})
+	fmt.Printf("seed %d: %d calls, %d answered, %d broken; %s\n", seed, report.Calls, report.Answered, len(report.Violations), strings.Join(report.Footprints, "; "))
 	if err == nil && len(report.Violations) == 0 {
 		if args.Logs == "" {
 			_ = os.RemoveAll(dir)
--- a/soak/footprint_test.go
+++ b/soak/footprint.go
@@ -6,8 +6,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
-	"testing"
 	"time"
 )
 
@@ -34,6 +32,11 @@
 
 func (f footprint) memoryKB() int { return f.residentKB + f.unreadKB }
 
+// String describes the footprint.
+func (f footprint) String() string {
+	return fmt.Sprintf("%d KiB resident and %d KiB unread, %d sockets", f.residentKB, f.unreadKB, f.sockets)
+}
+
 // footprintWatch measures the footprint of the process of a node until it is stopped.
 type footprintWatch struct {
 	node *node
@@ -43,33 +46,29 @@
 	peak footprint
 }
 
-// watchFootprints measures all nodes until the returned function is called. It then
-// verifies that none exceeded its memory or its descriptors at any measurement.
-func (s *site) watchFootprints(t *testing.T) (check func()) {
-	t.Helper()
+// watchFootprints measures all nodes until the returned function is called, which returns
+// the nodes that exceeded their memory or their descriptors at any measurement, and the peaks
+// of all.
+func (s *site) watchFootprints() (stop func() (violations, peaks []string)) {
 	var watches []*footprintWatch
 	for _, n := range s.nodes {
 		w := &footprintWatch{node: n, stop: make(chan struct{}), done: make(chan struct{})}
 		watches = append(watches, w)
 		go w.run()
 	}
-	return sync.OnceFunc(func() {
+	return func() (violations, peaks []string) {
 		for _, w := range watches {
 			close(w.stop)
 			<-w.done
-			s.checkPeak(t, w.node, w.peak)
+			peaks = append(peaks, fmt.Sprintf("%s: %s", w.node.name, w.peak))
+			if w.peak.memoryKB() > s.options.memoryMB<<10 {
+				violations = append(violations, fmt.Sprintf("%s: %s, its memory is %d KiB", w.node.name, w.peak, s.options.memoryMB<<10))
+			}
+			if limit := s.options.descriptors - reservedFiles; w.peak.sockets > limit {
+				violations = append(violations, fmt.Sprintf("%s: %s, it may have %d sockets", w.node.name, w.peak, limit))
+			}
 		}
-	})
-}
-
-func (s *site) checkPeak(t *testing.T, n *node, peak footprint) {
-	t.Helper()
-	t.Logf("%s: at most %d KiB resident and %d KiB unread, %d sockets", n.name, peak.residentKB, peak.unreadKB, peak.sockets)
-	if limit := s.options.memoryMB << 10; peak.memoryKB() > limit {
-		t.Errorf("%s: %d KiB resident and %d KiB unread, the memory of the node is %d KiB", n.name, peak.residentKB, peak.unreadKB, limit)
-	}
-	if limit := s.options.descriptors - reservedFiles; peak.sockets > limit {
-		t.Errorf("%s: %d sockets, the node may have %d", n.name, peak.sockets, limit)
+		return violations, peaks
 	}
 }
 
@@ -97,10 +96,13 @@
 func (n *node) footprint() (footprint, error) {
 	var f footprint
 	var err error
-	if f.residentKB, err = statusKB(n.process.Pid, "VmRSS:"); err != nil {
+	n.mu.Lock()
+	pid := n.process.Pid
+	n.mu.Unlock()
+	if f.residentKB, err = statusKB(pid, "VmRSS:"); err != nil {
 		return f, err
 	}
-	inodes, err := socketInodes(n.process.Pid)
+	inodes, err := socketInodes(pid)
 	if err != nil {
 		return f, err
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -31,6 +32,9 @@
 	Seed   uint64
 	// Faults is the number of faults to inject.
 	Faults int
+	// Untrusted is the number of clients that do not keep to the protocol. With any, the
+	// nodes have less memory, and their footprints are checked.
+	Untrusted int
 }
 
 // Report is the result of a run.
@@ -38,6 +42,8 @@
 	Calls int
 	// Answered is the number of calls with status 200 and a complete response.
 	Answered int
+	// Footprints has the largest footprint of each node.
+	Footprints []string
 	// Injected describes the injected faults in order.
 	Injected []string
 	// Violations describes the violated guarantees.
@@ -50,7 +56,11 @@
 // Run runs one seed. It returns an error when the nodes do not start; violated
 // guarantees are in the report.
 func Run(ctx context.Context, options Options) (Report, error) {
-	s, err := startSite(options.Binary, options.Dir, soakOptions)
+	properties := soakOptions
+	if options.Untrusted > 0 {
+		properties.memoryMB = untrustedMemory
+	}
+	s, err := startSite(options.Binary, options.Dir, properties)
 	if err != nil {
 		return Report{}, err
 	}
@@ -67,6 +77,11 @@
 		defer close(done)
 		c.run(callContext, options.Seed)
 	}()
+	stopWatch := s.watchFootprints()
+	var untrusted sync.WaitGroup
+	for i := range options.Untrusted {
+		untrusted.Go(func() { s.runUntrusted(callContext, options.Seed, i) })
+	}
 	faults := newInjector(s, options.Seed)
 	for range options.Faults {
 		report.Injected = append(report.Injected, faults.inject())
@@ -80,6 +95,10 @@
 	report.Violations = append(report.Violations, s.checkGracefulStop()...)
 	stop()
 	<-done
+	untrusted.Wait()
+	exceeded, peaks := stopWatch()
+	report.Footprints = peaks
+	report.Violations = append(report.Violations, exceeded...)
 	report.Violations = append(report.Violations, findViolations(s, c.outcomes)...)
 	report.Calls = len(c.outcomes)
 	for _, o := range c.outcomes {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,12 +35,21 @@
 		t.Skip("starts processes of the program")
 	}
 	binary := buildProgram(t)
-	runSeed(t, binary, shortSeed, shortFaults)
+	runSeed(t, Options{Binary: binary, Seed: shortSeed, Faults: shortFaults})
 	for _, seed := range regressionSeeds {
-		runSeed(t, binary, seed, fullFaults)
+		runSeed(t, Options{Binary: binary, Seed: seed, Faults: fullFaults})
 	}
 }
 
+// TestSeedsAmidUntrusted guards against the same while untrusted clients are connected, and
+// against nodes that exceed their memory or descriptors.
+func TestSeedsAmidUntrusted(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes of the program")
+	}
+	runSeed(t, Options{Binary: buildProgram(t), Seed: shortSeed, Faults: shortFaults, Untrusted: 24})
+}
+
 // buildProgram builds the program and returns its path.
 func buildProgram(t *testing.T) string {
 	t.Helper()
@@ -52,9 +61,11 @@
 	return binary
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, faults int) {
+func runSeed(t *testing.T, options Options) {
 	t.Helper()
-	report, err := Run(t.Context(), Options{Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: faults})
+	options.Dir = t.TempDir()
+	seed := options.Seed
+	report, err := Run(t.Context(), options)
 	if err != nil {
 		t.Fatalf("seed %d: %v\n%s", seed, err, report.Logs)
 	}
--- a/soak/untrusted_states_test.go
+++ b/soak/untrusted_states_test.go
@@ -154,7 +154,7 @@
 // do not read, and with calls that wait.
 func TestStopAmidClients(t *testing.T) {
 	s := startStates(t, siteOptions{memoryMB: untrustedMemoryMB, descriptors: untrustedDescriptors})
-	defer s.watchFootprints(t)()
+	defer s.checkFootprints(t)()
 	conns := s.runCrowds(t, []crowd{
 		{clients: 40, client: func(conn net.Conn, number int) {
 			_, _ = io.WriteString(conn, headOf("head", number, "/lookup/"))
@@ -237,7 +237,7 @@
 // as long as a head may be.
 func TestNewPartsInEachCall(t *testing.T) {
 	s := startStates(t, siteOptions{memoryMB: untrustedMemoryMB, descriptors: untrustedDescriptors, nodes: 2})
-	defer s.watchFootprints(t)()
+	defer s.checkFootprints(t)()
 	const senders, calls = 8, 900
 	spaces := strings.Repeat(" ", 15_000)
 	var group sync.WaitGroup
@@ -274,7 +274,7 @@
 // reads.
 func TestUnreadLogs(t *testing.T) {
 	s := startStates(t, siteOptions{memoryMB: untrustedMemoryMB, descriptors: untrustedDescriptors, unreadLogs: true})
-	defer s.watchFootprints(t)()
+	defer s.checkFootprints(t)()
 	var group sync.WaitGroup
 	for sender := range 8 {
 		group.Go(func() {
--- a/soak/untrusted_test.go
+++ b/soak/untrusted_test.go
@@ -91,7 +91,7 @@
 // while the connections of the crowds are open and after they are closed.
 func (s *site) checkWithstands(t *testing.T, crowds ...crowd) {
 	t.Helper()
-	defer s.watchFootprints(t)()
+	defer s.checkFootprints(t)()
 	conns := s.runCrowds(t, crowds)
 	s.checkBounds(t, "while the clients are connected")
 	s.checkAnswers(t, "while the clients are connected")
@@ -102,6 +102,20 @@
 	s.checkBounds(t, "after the clients have left")
 }
 
+// checkFootprints measures all nodes until the returned function is called, which verifies
+// that each stayed within its memory and its descriptors at every measurement.
+func (s *site) checkFootprints(t *testing.T) (check func()) {
+	stop := s.watchFootprints()
+	return func() {
+		t.Helper()
+		violations, peaks := stop()
+		t.Log(strings.Join(peaks, "; "))
+		for _, violation := range violations {
+			t.Error(violation)
+		}
+	}
+}
+
 // runCrowds connects the clients of all crowds and returns when all have sent what
 // they send.
 func (s *site) runCrowds(t *testing.T, crowds []crowd) []net.Conn {
