--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -12,9 +12,11 @@
 	// largeParts, requestParts and budgetParts are the sixteenths of the budget up to
 	// which large accounts, accounts of requests and accounts of responses may
 	// reserve. A call that has run thus finds memory for a small response.
-	largeParts   = 12
-	requestParts = 15
-	budgetParts  = 16
+	// optionalParts are those for memory that a call can do without.
+	optionalParts = 8
+	largeParts    = 12
+	requestParts  = 15
+	budgetParts   = 16
 )
 
 // Budget is the memory that all accounts share. Its methods may be called by any
@@ -40,7 +42,7 @@
 
 // Scarce reports whether more than half of the budget is reserved.
 func (b *Budget) Scarce() bool {
-	return b != nil && b.used.Load() > b.limit/2
+	return b != nil && b.used.Load() > b.limit/budgetParts*optionalParts
 }
 
 // reserve reserves n bytes for an account that holds held bytes, unless that exceeds
@@ -50,7 +52,7 @@
 		return true
 	}
 	if held+n > smallBytes {
-		parts = largeParts
+		parts = min(parts, largeParts)
 	}
 	limit := b.limit / budgetParts * parts
 	if b.used.Add(n) > limit {
@@ -81,10 +83,20 @@
 // Grow reserves n more bytes. It returns false and reserves nothing when the budget
 // does not allow it.
 func (a *Account) Grow(n int64) bool {
+	return a.grow(n, budgetParts)
+}
+
+// GrowOptional is Grow for memory that a call can do without. It returns false when the
+// budget would be scarce with it.
+func (a *Account) GrowOptional(n int64) bool {
+	return a.grow(n, optionalParts)
+}
+
+func (a *Account) grow(n, parts int64) bool {
 	if a == nil {
 		return true
 	}
-	if !a.budget.reserve(a.held, n, a.parts) {
+	if !a.budget.reserve(a.held, n, min(a.parts, parts)) {
 		return false
 	}
 	a.held += n
--- a/node/memory/budget_test.go
+++ b/node/memory/budget_test.go
@@ -74,3 +74,19 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestOptionalMemory guards against memory that calls can do without and that makes the
+// budget scarce for all others.
+func TestOptionalMemory(t *testing.T) {
+	budget := NewBudget(1 << 20)
+	accounts := 0
+	for budget.NewAccount().GrowOptional(128 << 10) {
+		accounts++
+	}
+	if accounts != 4 || budget.Scarce() {
+		t.Errorf("%d accounts of an eighth of the budget got optional memory, scarce: %v; want 4 and not", accounts, budget.Scarce())
+	}
+	if !budget.NewAccount().Grow(128 << 10) {
+		t.Error("other memory is refused")
+	}
+}
--- a/node/sockopt/sockopt.go
+++ b/node/sockopt/sockopt.go
@@ -49,7 +49,7 @@
 		return
 	}
 	before := account.Held()
-	if !account.Grow(callerconn.LargeUnread - before) {
+	if !account.GrowOptional(callerconn.LargeUnread - before) {
 		return
 	}
 	if sized.SetReadBuffer(callerconn.LargeBuffer) != nil {
