--- a/core/callerconn/callerconn.go
+++ b/core/callerconn/callerconn.go
@@ -20,6 +20,8 @@
 	Writing
 	// Idle is a connection between two requests.
 	Idle
+	// Closing is a connection that the node closes. It does not leave this phase.
+	Closing
 )
 
 // MinProgress is the number of bytes that a connection with a body or a write transfers
@@ -89,7 +91,7 @@
 		return mark, now.Sub(view.Since) > limits.HeaderTimeout
 	case Idle:
 		return mark, now.Sub(view.Since) > limits.IdleTimeout
-	case Waiting:
+	case Waiting, Closing:
 		return mark, false
 	}
 	if mark.View.Phase != view.Phase || !mark.View.Since.Equal(view.Since) {
@@ -101,16 +103,33 @@
 	return Mark{At: now, View: view}, scarce && view.Transferred-mark.View.Transferred < MinProgress
 }
 
-// Evictable reports whether a connection may be closed to make room for a new one. A
-// client may reuse a connection that was idle for four fifths of the idle timeout; one that
-// never made an admitted call has no claim to that, or a few clients without a valid call
-// would keep all connections of the node.
-func Evictable(now time.Time, view View, limits Limits) bool {
+// Eviction says when a connection may be closed to make room for a new one.
+type Eviction int
+
+// The ranks of connections, in the order in which they are closed.
+const (
+	// Never is a connection with a call in progress.
+	Never Eviction = iota
+	// Last is an idle connection that its client may reuse. A client whose request
+	// crosses the close sends it again, because the node has not read it, while a new
+	// client would not be served at all.
+	Last
+	// First is any other connection.
+	First
+)
+
+// EvictionOf returns the rank of a connection. A client may reuse a connection that was idle
+// for four fifths of the idle timeout; one that never made an admitted call has no claim to
+// that, or a few clients without a valid call would keep all connections of the node.
+func EvictionOf(now time.Time, view View, limits Limits) Eviction {
 	switch view.Phase {
 	case Head, Body:
-		return true
+		return First
 	case Idle:
-		return !view.Admitted || now.Sub(view.Since) > limits.IdleTimeout
+		if view.Admitted && now.Sub(view.Since) <= limits.IdleTimeout {
+			return Last
+		}
+		return First
 	}
-	return false
+	return Never
 }
--- a/core/callerconn/capacity.go
+++ b/core/callerconn/capacity.go
@@ -43,6 +43,9 @@
 	// open.
 	Connections     int
 	PeerConnections int
+	// Backlog bounds the connections of callers that are not accepted yet. They need no
+	// descriptor, but hold unread bytes.
+	Backlog int
 }
 
 // maxPeerConnections bounds the connections that peers open to a process with unlimited
@@ -59,7 +62,8 @@
 		UnreadBytes:     int64(float64(memoryBytes) * unreadShare),
 		PeerConnections: maxPeerConnections,
 	}
-	c.Connections = int(min(c.CallerBytes/2/ConnectionBytes, c.UnreadBytes/2/SmallUnread))
+	c.Backlog = max(int(c.UnreadBytes/2/SmallUnread), 1)
+	c.Connections = min(int(c.CallerBytes/2/ConnectionBytes), c.Backlog)
 	if descriptors > 0 {
 		sockets := descriptors - reservedFiles
 		c.Connections = min(c.Connections, sockets*callerParts/socketParts)
--- a/node/callerconn/conn.go
+++ b/node/callerconn/conn.go
@@ -19,6 +19,9 @@
 	refusalTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
+// errClosing is the error of a read after the node has decided to close the connection.
+var errClosing = errors.New("the node closes the connection")
+
 // errRefused is the error of a read after the node refused the head.
 var errRefused = errors.New("the head was refused")
 
@@ -46,21 +49,38 @@
 	since time.Time
 }
 
-func (c *Conn) setPhase(name callerconn.Phase) {
-	c.phase.Store(&phase{name, time.Now()})
+// setPhase begins a phase. It returns false when the node closes the connection.
+func (c *Conn) setPhase(name callerconn.Phase) bool {
+	return c.changePhase(&phase{name, time.Now()})
 }
 
-func (c *Conn) view() callerconn.View {
-	p := c.phase.Load()
+func (c *Conn) changePhase(next *phase) bool {
+	for {
+		current := c.phase.Load()
+		if current != nil && current.name == callerconn.Closing {
+			return false
+		}
+		if c.phase.CompareAndSwap(current, next) {
+			return true
+		}
+	}
+}
+
+func (c *Conn) view(p *phase) callerconn.View {
 	return callerconn.View{Phase: p.name, Since: p.since, Transferred: c.transferred.Load(), Admitted: c.admitted.Load()}
 }
 
-// drop closes the connection from another goroutine than its own, which then releases
-// its memory.
-func (c *Conn) drop() {
+// drop closes the connection from another goroutine than its own, which then releases its
+// memory. It returns false and does nothing when the phase is no longer the one that the
+// decision was based on: a request that has arrived since must not be cut.
+func (c *Conn) drop(seen *phase) bool {
+	if !c.phase.CompareAndSwap(seen, &phase{callerconn.Closing, time.Now()}) {
+		return false
+	}
 	c.listener.remove(c)
 	// The connection may be closed already.
 	_ = c.Conn.Close()
+	return true
 }
 
 // Close closes the connection.
@@ -93,10 +113,12 @@
 	c.transferred.Add(int64(n))
 	switch c.phase.Load().name {
 	case callerconn.Idle:
-		if n > 0 {
-			c.setPhase(callerconn.Head)
+		if n > 0 && !c.setPhase(callerconn.Head) {
+			return 0, errClosing
 		}
 	case callerconn.Head:
+	case callerconn.Closing:
+		return 0, errClosing
 	default:
 		return n, err
 	}
@@ -162,7 +184,7 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	before := c.phase.Load()
 	c.setPhase(callerconn.Writing)
-	defer c.phase.Store(before)
+	defer c.changePhase(before)
 	written := 0
 	for {
 		piece := p[written:min(len(p), written+callerconn.MinProgress)]
@@ -215,9 +237,8 @@
 	}
 }
 
-// EndBody marks that a body was read to its end.
-func (c *Conn) EndBody() {
-	if c != nil {
-		c.setPhase(callerconn.Waiting)
-	}
+// EndBody marks that a body was read to its end. It returns false when the node closes the
+// connection, so that the call must not be served.
+func (c *Conn) EndBody() bool {
+	return c == nil || c.setPhase(callerconn.Waiting)
 }
--- a/node/callerconn/listener.go
+++ b/node/callerconn/listener.go
@@ -72,8 +72,8 @@
 	l.draining.Store(true)
 }
 
-// Accept returns the next connection. When there is no room for it, it closes the evictable
-// connection that is in its phase for longest, or the new one if there is none.
+// Accept returns the next connection. When there is no room for it, it evicts another one,
+// or closes the new one if there is none.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
@@ -136,23 +136,32 @@
 	return conns
 }
 
-// evict closes the connection that is evictable and in its phase for longest. It
+// evict closes the connection of the highest rank that is in its phase for longest. It
 // returns false when there is none.
 func (l *Listener) evict() bool {
-	var oldest *Conn
-	var since time.Time
-	now := time.Now()
-	for _, c := range l.open() {
-		view := c.view()
-		if callerconn.Evictable(now, view, *l.limits.Load()) && (oldest == nil || view.Since.Before(since)) {
-			oldest, since = c, view.Since
+	for {
+		chosen, seen := l.chooseEviction()
+		if chosen == nil {
+			return false
+		}
+		if chosen.drop(seen) {
+			return true
 		}
 	}
-	if oldest == nil {
-		return false
+}
+
+// chooseEviction returns the connection to evict, or nil, and the phase that it was in.
+func (l *Listener) chooseEviction() (chosen *Conn, seen *phase) {
+	now, limits := time.Now(), *l.limits.Load()
+	highest := callerconn.Never
+	for _, c := range l.open() {
+		p := c.phase.Load()
+		rank := callerconn.EvictionOf(now, c.view(p), limits)
+		if rank > highest || rank == highest && chosen != nil && p.since.Before(seen.since) {
+			chosen, seen, highest = c, p, rank
+		}
 	}
-	oldest.drop()
-	return true
+	return chosen, seen
 }
 
 // Run closes overdue connections until the context ends.
@@ -173,8 +182,10 @@
 	limits := *l.limits.Load()
 	for _, c := range l.open() {
 		var overdue bool
-		if c.mark, overdue = callerconn.Overdue(now, c.mark, c.view(), limits, scarce); overdue {
-			c.drop()
+		p := c.phase.Load()
+		if c.mark, overdue = callerconn.Overdue(now, c.mark, c.view(p), limits, scarce); overdue {
+			// A connection that has gone on since is not overdue.
+			_ = c.drop(p)
 		}
 	}
 }
--- a/node/ingress/callmemory.go
+++ b/node/ingress/callmemory.go
@@ -65,7 +65,9 @@
 		}
 		var body []byte
 		if body, err = memory.ReadAll(limited, account.request, r.ContentLength, limit); err == nil {
-			conn.EndBody()
+			if !conn.EndBody() {
+				return nil, code.New(code.Overloaded, "the node closes the connection")
+			}
 			return body, nil
 		}
 	}
--- a/node/process/deployed.go
+++ b/node/process/deployed.go
@@ -162,7 +162,7 @@
 		buffer, backlog int
 		listener        *net.Listener
 	}{
-		{"callers", s.CallerAddress, corecallerconn.SmallBuffer, capacity.Connections, &d.callers},
+		{"callers", s.CallerAddress, corecallerconn.SmallBuffer, capacity.Backlog, &d.callers},
 		{"readiness checks", s.ReadinessAddress, corecallerconn.SmallBuffer, callerconn.ManagementConnections, &d.readiness},
 		{"peers", s.PeerAddress, corecallerconn.LargeBuffer, capacity.PeerConnections, &d.peers},
 		{"operators", net.JoinHostPort(s.IP, strconv.Itoa(s.LastPort)), corecallerconn.SmallBuffer, callerconn.ManagementConnections, &d.operators},
--- a/soak/untrusted_states_test.go
+++ b/soak/untrusted_states_test.go
@@ -115,6 +115,45 @@
 	}})
 }
 
+// TestIdleClientsReturn guards against clients that keep all connections of a node idle after
+// an answered call each, and connect again as soon as the node closes them.
+func TestIdleClientsReturn(t *testing.T) {
+	s := startStates(t, siteOptions{memoryMB: untrustedMemoryMB, descriptors: 320})
+	defer s.checkFootprints(t)()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*answerPatience)
+	var group sync.WaitGroup
+	for number := range 200 {
+		group.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				s.callAndIdle(ctx, fmt.Sprintf("idle-%d-%d", number, i))
+			}
+		})
+	}
+	sleep(ctx, pauseTime)
+	s.checkAnswers(t, "while the clients return")
+	cancel()
+	group.Wait()
+	s.checkAnswers(t, "after the clients have left")
+}
+
+// callAndIdle makes a call on a new connection and keeps it until the node closes it or the
+// context ends.
+func (s *site) callAndIdle(ctx context.Context, id string) {
+	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", s.nodes[0].callerAddress)
+	if err != nil {
+		sleep(ctx, 10*time.Millisecond)
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	send(conn, completeCall(id, "/lookup/"))
+	reader := bufio.NewReader(conn)
+	if skipResponse(reader) == nil {
+		_, _ = reader.ReadByte()
+	}
+}
+
 // TestOtherPorts guards against heads of any size on the ports of readiness checks and of
 // metrics.
 func TestOtherPorts(t *testing.T) {
