--- a/soak/callers.go
+++ b/soak/callers.go
@@ -99,6 +99,17 @@
 	c.outcomes = append(c.outcomes, o)
 }
 
+// answered returns the number of calls with status 200 and a complete response.
+func (c *callers) answered() int {
+	answered := 0
+	for _, o := range c.outcomes {
+		if o.status == http.StatusOK && o.complete {
+			answered++
+		}
+	}
+	return answered
+}
+
 func newClient() *http.Transport {
 	return &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
--- a/soak/run.go
+++ b/soak/run.go
@@ -70,18 +70,7 @@
 		report.Logs = s.logTails()
 		return report, fmt.Errorf("start: %w", err)
 	}
-	c := &callers{site: s}
-	callContext, stop := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.run(callContext, options.Seed)
-	}()
-	stopWatch := s.watchFootprints()
-	var untrusted sync.WaitGroup
-	for i := range options.Untrusted {
-		untrusted.Go(func() { s.runUntrusted(callContext, options.Seed, i) })
-	}
+	l := s.startLoad(ctx, options)
 	faults := newInjector(s, options.Seed)
 	for range options.Faults {
 		report.Injected = append(report.Injected, faults.inject())
@@ -93,25 +82,43 @@
 	}
 	report.Violations = append(report.Violations, s.checkRevokedKey()...)
 	report.Violations = append(report.Violations, s.checkGracefulStop()...)
-	stop()
-	<-done
-	untrusted.Wait()
-	exceeded, peaks := stopWatch()
+	exceeded, peaks := l.stop()
 	report.Footprints = peaks
 	report.Violations = append(report.Violations, exceeded...)
-	report.Violations = append(report.Violations, findViolations(s, c.outcomes)...)
-	report.Calls = len(c.outcomes)
-	for _, o := range c.outcomes {
-		if o.status == http.StatusOK && o.complete {
-			report.Answered++
-		}
-	}
+	report.Violations = append(report.Violations, findViolations(s, l.callers.outcomes)...)
+	report.Calls = len(l.callers.outcomes)
+	report.Answered = l.callers.answered()
 	if len(report.Violations) > 0 {
 		report.Logs = s.logTails()
 	}
 	return report, nil
 }
 
+// load is the callers and the untrusted clients of a run.
+type load struct {
+	callers *callers
+	// stop ends all clients and returns the nodes that exceeded their memory or
+	// descriptors, and the largest footprint of each.
+	stop func() (exceeded, peaks []string)
+}
+
+// startLoad starts the clients of a run, and the watch of the footprints of the nodes.
+func (s *site) startLoad(ctx context.Context, options Options) *load {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &callers{site: s}
+	var clients sync.WaitGroup
+	clients.Go(func() { c.run(ctx, options.Seed) })
+	for i := range options.Untrusted {
+		clients.Go(func() { s.runUntrusted(ctx, options.Seed, i) })
+	}
+	stopWatch := s.watchFootprints()
+	return &load{callers: c, stop: func() (exceeded, peaks []string) {
+		cancel()
+		clients.Wait()
+		return stopWatch()
+	}}
+}
+
 // sleep waits for the duration or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
