--- a/node/egress/egress.go
+++ b/node/egress/egress.go
@@ -64,8 +64,8 @@
 // serverConn is the connection of one attempt.
 type serverConn struct {
 	transport *http.Transport
-	// opened is the connection as the dialer returned it.
-	opened net.Conn
+	// socket is the connection as the dialer returned it.
+	socket net.Conn
 }
 
 // close closes the connection after its response.
@@ -95,7 +95,8 @@
 }
 
 // checkedDial returns a dial function that closes a new connection and returns an
-// error with NotSent if checkSend returns an error. It stores the connection in opened.
+// error with NotSent if checkSend returns an error. It stores that of the
+// dialer in opened.
 func (c *Client) checkedDial(request *http.Request, timeouts Timeouts, checkSend SendCheck, opened *serverConn) Dialer {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		dialContext, cancel := context.WithTimeout(ctx, timeouts.Dial)
@@ -107,7 +108,7 @@
 		if err := checkSend(ctx); err != nil {
 			return nil, &notSentError{cause: errors.Join(err, conn.Close())}
 		}
-		opened.opened = conn
+		opened.socket = conn
 		return newTargetConn(newDeadlineConn(ctx, conn, timeouts.Header), request), nil
 	}
 }
--- a/node/egress/forward.go
+++ b/node/egress/forward.go
@@ -95,7 +95,7 @@
 	}
 	if !isSmall(response) {
 		unread := attempt.Unread.Held()
-		sockopt.Enlarge(conn.opened, attempt.Unread)
+		sockopt.Enlarge(conn.socket, attempt.Unread)
 		defer func() { attempt.Unread.Shrink(attempt.Unread.Held() - unread) }()
 	}
 	body, err := readBody(reader, attempt.Account, response.ContentLength)
--- a/node/sockopt/sockopt.go
+++ b/node/sockopt/sockopt.go
@@ -14,8 +14,8 @@
 )
 
 // ReceiveBuffer returns a Control function for net.Dialer and net.ListenConfig that sets the
-// size of the receive buffer in bytes. Accepted connections inherit that of their listener, so that it
-// holds before they are accepted too.
+// size of the receive buffer in bytes. Connections inherit that of their listener, so that it
+// holds before they are accepted.
 func ReceiveBuffer(size int) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var err error
