--- a/node/egress/egress.go
+++ b/node/egress/egress.go
@@ -95,8 +95,8 @@
 }
 
 // checkedDial returns a dial function that closes a new connection and returns an
-// error with NotSent if checkSend returns an error. It stores that of the
-// dialer in opened.
+// error with NotSent if checkSend returns an error. It sets opened.socket to the new
+// connection.
 func (c *Client) checkedDial(request *http.Request, timeouts Timeouts, checkSend SendCheck, opened *serverConn) Dialer {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		dialContext, cancel := context.WithTimeout(ctx, timeouts.Dial)
--- a/soak/untrusted.go
+++ b/soak/untrusted.go
@@ -8,6 +8,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"tanagerspread/standin/deployed"
 )
 
 const (
@@ -27,13 +29,21 @@
 
 // untrustedHead returns the head of a call without its last empty line.
 func untrustedHead(id, path string, lines ...string) string {
-	head := "POST " + path + id + " HTTP/1.1\r\nHost: " + soakHost + "\r\nRequest-Attempt-Id: " + id + "\r\nApi-Key: " + validKey + "\r\nDeadline-Ms: 4000\r\n"
+	head := "POST " + path + id + " HTTP/1.1\r\nHost: " + soakHost + "\r\n" + callLines(id)
 	if len(lines) > 0 {
 		head += strings.Join(lines, "\r\n") + "\r\n"
 	}
 	return head
 }
 
+// callLines returns the header lines that each call has.
+func callLines(id string) string {
+	var lines strings.Builder
+	// A strings.Builder takes all writes.
+	_ = deployed.Call{ID: id, Key: validKey, Deadline: callDeadline}.Header().Write(&lines)
+	return lines.String()
+}
+
 // completeCall returns a call with its body.
 func completeCall(id, path string) string {
 	body := "body of " + id
@@ -80,8 +90,9 @@
 	send(conn, completeCall(id, "/lookup/"))
 }
 
+// sendRefusedBody sends a call that is refused because its header lines are repeated.
 func sendRefusedBody(conn net.Conn, id string, _ *rand.Rand) {
-	send(conn, untrustedHead(id, "/charge/", "Last-Event-Id: none", "Content-Length: 100000")+"\r\n"+strings.Repeat("x", 1000))
+	send(conn, untrustedHead(id, "/charge/", strings.TrimSuffix(callLines(id), "\r\n"), "Content-Length: 100000")+"\r\n"+strings.Repeat("x", 1000))
 }
 
 // repeatID sends a call whose id other clients use at the same time. It may be repeated, so
