--- a/review/second/rig/server.go
+++ b/review/second/rig/server.go
@@ -34,8 +34,10 @@
 	// EventGap is the pause between the events of a stream, Events their number.
 	EventGap time.Duration
 	Events   int
-	// Crashes reports whether a request crashes the server that runs it.
-	Crashes func(r *http.Request) bool
+	// Crashes reports whether a request crashes the server that runs it. The server crashes
+	// when it begins to answer, or CrashAfter later, with the first event sent.
+	Crashes    func(r *http.Request) bool
+	CrashAfter time.Duration
 	// Wrap replaces the handler of a server, or is nil.
 	Wrap func(server *Server, handler http.Handler) http.Handler
 	// RestartTime is how long a server is away after a crash.
@@ -213,7 +215,8 @@
 		return
 	case <-time.After(s.pool.Work):
 	}
-	if s.pool.Crashes(r) {
+	crashes := s.pool.Crashes(r)
+	if crashes && s.pool.CrashAfter == 0 {
 		s.crash(id)
 		return
 	}
@@ -228,6 +231,9 @@
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
+	if crashes {
+		time.AfterFunc(s.pool.CrashAfter, func() { s.crash(id) })
+	}
 	for i := first; i <= s.pool.Events; i++ {
 		if i > first {
 			time.Sleep(s.pool.EventGap)
