--- a/review/second/cmd/endlesshead/main.go
+++ b/review/second/cmd/endlesshead/main.go
@@ -1,10 +1,11 @@
-// The program endlesshead plays model servers in trouble whose answers are a head without
-// end, until the caller closes. The rig acts as the platform: it kills a process that exceeds
+// The program endlesshead plays model servers in trouble whose answers have no end: to requests
+// a head, to management calls a body, until the caller closes. The rig acts as the platform: it kills a process that exceeds
 // the memory of its machine, and starts it again.
 package main
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -18,9 +19,9 @@
 const (
 	nodes    = 3
 	memoryMB = 134
-	// requestInterval is the time between two requests of all clients: 30 a second at each
-	// node.
-	requestInterval = time.Second / (30 * nodes)
+	// requestInterval is the time between two requests of all clients: 18 a second at each
+	// node, as on the sheet.
+	requestInterval = time.Second / (18 * nodes)
 	calmTime        = 5 * time.Second
 	troubleTime     = 70 * time.Second
 	// firstBytes is how much of the head the server sends at once. Then it sends a line a
@@ -47,9 +48,14 @@
 	models.Work, models.Events, models.EventGap = 60*time.Millisecond, 10, 30*time.Millisecond
 	models.Wrap = func(_ *rig.Server, handler http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if inTrouble.Load() && strings.HasPrefix(r.URL.Path, "/caption/") {
+			switch {
+			case !inTrouble.Load():
+			case strings.HasPrefix(r.URL.Path, "/caption/"):
 				sendEndlessHead(w)
 				return
+			default:
+				sendEndlessBody(w)
+				return
 			}
 			handler.ServeHTTP(w, r)
 		})
@@ -108,6 +114,16 @@
 	}
 }
 
+// sendEndlessBody sends a body until the caller closes the connection.
+func sendEndlessBody(w http.ResponseWriter) {
+	block := bytes.Repeat([]byte("x"), 32<<10)
+	for {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
 // lineName returns the name of a header line.
 func lineName(i int) string {
 	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
