--- a/review/second/cmd/samerequest/main.go
+++ b/review/second/cmd/samerequest/main.go
@@ -18,7 +18,7 @@
 	jobs        = 4
 	jobInterval = 5 * time.Second
 	// spread is the time over which the clients of one job send.
-	spread = 10 * time.Millisecond
+	spread = 50 * time.Millisecond
 	// crashLimit and allowedRetries are the bounds of the rule.
 	crashLimit     = 3
 	allowedRetries = 3
@@ -39,7 +39,7 @@
 	}
 	defer site.Close()
 	desk := site.NewPool(rig.PlainService, 6)
-	desk.Work = 15 * time.Millisecond
+	desk.Work = 70 * time.Millisecond
 	desk.Crashes = func(r *http.Request) bool { return trouble && r.URL.Path == crashPath }
 	if err := desk.StartServers(4); err != nil {
 		return rig.Verdict{}, err
