--- a/review/second/cmd/samerequest/main.go
+++ b/review/second/cmd/samerequest/main.go
@@ -18,7 +18,7 @@
 	jobs        = 4
 	jobInterval = 5 * time.Second
 	// spread is the time over which the clients of one job send.
-	spread = 50 * time.Millisecond
+	spread = 30 * time.Millisecond
 	// crashLimit and allowedRetries are the bounds of the rule.
 	crashLimit     = 3
 	allowedRetries = 3
--- a/review/second/rig/load.go
+++ b/review/second/rig/load.go
@@ -13,11 +13,19 @@
 	mu    sync.Mutex
 	// sent and lost count the requests, and those without a complete success.
 	sent, lost int
+	// answered is told of each answer and when its request was sent, or nil.
+	answered func(sentAt time.Time, a Answer)
 }
 
 // StartLoad sends a request each interval, to the nodes in turn.
 func (s *Site) StartLoad(interval time.Duration, call func(i int) Call) *Load {
-	l := &Load{stop: make(chan struct{})}
+	return s.StartWatchedLoad(interval, call, nil)
+}
+
+// StartWatchedLoad is StartLoad, and calls answered with each answer and the time at which
+// its request was sent.
+func (s *Site) StartWatchedLoad(interval time.Duration, call func(i int) Call, answered func(sentAt time.Time, a Answer)) *Load {
+	l := &Load{stop: make(chan struct{}), answered: answered}
 	l.group.Go(func() {
 		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
@@ -27,7 +35,14 @@
 				return
 			case <-ticker.C:
 			}
-			l.group.Go(func() { l.count(s.Send(s.Nodes[i%len(s.Nodes)], call(i))) })
+			l.group.Go(func() {
+				sentAt := time.Now()
+				a := s.Send(s.Nodes[i%len(s.Nodes)], call(i))
+				if l.answered != nil {
+					l.answered(sentAt, a)
+				}
+				l.count(a)
+			})
 		}
 	})
 	return l
