--- a/review/second/cmd/samerequest/main.go
+++ b/review/second/cmd/samerequest/main.go
@@ -39,7 +39,7 @@
 	}
 	defer site.Close()
 	desk := site.NewPool(rig.PlainService, 6)
-	desk.Work = 70 * time.Millisecond
+	desk.Work = 100 * time.Millisecond
 	desk.Crashes = func(r *http.Request) bool { return trouble && r.URL.Path == crashPath }
 	if err := desk.StartServers(4); err != nil {
 		return rig.Verdict{}, err
