--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program="$root/target/review-2/samerequest"
+program="$root/target/review-2/copiedentry"
 if [ ! -x "$program" ] || [ ! -x "$root/target/tanagerspread" ]; then
 	echo "build the program first: the build of deploy/system.toml and review/build-2.sh" >&2
 	exit 2
--- a/review/second/rig/client.go
+++ b/review/second/rig/client.go
@@ -27,7 +27,10 @@
 	Body   string
 	// Complete is true when the answer was received to its end.
 	Complete bool
-	Err      error
+	// Header is the head of the answer, and HeadAt when the client had received it.
+	Header http.Header
+	HeadAt time.Time
+	Err    error
 }
 
 // String describes the answer without its body.
@@ -76,6 +79,7 @@
 		return Answer{Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
+	headAt := time.Now()
 	body, err := io.ReadAll(response.Body)
-	return Answer{Status: response.StatusCode, Body: string(body), Complete: err == nil, Err: err}
+	return Answer{Status: response.StatusCode, Body: string(body), Complete: err == nil, Header: response.Header, HeadAt: headAt, Err: err}
 }
--- a/review/second/rig/server.go
+++ b/review/second/rig/server.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +47,7 @@
 	mu       sync.Mutex
 	arrivals []Arrival
 	crashes  []time.Time
+	servers  []*Server
 	next     int
 	closed   bool
 }
@@ -55,7 +57,9 @@
 	ID      string
 	pool    *Pool
 	born    int64
+	entry   map[string]any
 	http    *http.Server
+	leaving atomic.Bool
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
 	crashed bool
@@ -104,6 +108,8 @@
 		entry["stage"] = "both"
 		entry["models"] = []map[string]any{{"name": Model, "version": 1, "adapters": []string{}}}
 	}
+	server.entry = entry
+	p.servers = append(p.servers, server)
 	p.site.Store.Put("servers/"+server.ID, entry)
 	p.site.record.Printf("server %s starts at %s", server.ID, listener.Addr())
 	return nil
@@ -115,6 +121,40 @@
 	p.closed = true
 }
 
+// Servers returns the servers that were started, in their order.
+func (p *Pool) Servers() []*Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]*Server(nil), p.servers...)
+}
+
+// Leave removes the entry of a server, which goes on serving until End and says in all its
+// answers that it leaves.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+	s.pool.site.Store.Remove("servers/" + s.ID)
+	s.pool.site.record.Printf("server %s leaves: its entry is removed", s.ID)
+}
+
+// End ends a server that leaves. Its entry is removed again, if the store has it again.
+func (s *Server) End() {
+	_ = s.http.Close()
+	s.pool.site.Store.Remove("servers/" + s.ID)
+	s.pool.site.record.Printf("server %s ends", s.ID)
+}
+
+// WriteAgain writes the entry of a server again.
+func (s *Server) WriteAgain() {
+	s.pool.site.Store.Put("servers/"+s.ID, s.entry)
+}
+
+// sayLeaving sets the header of an answer of a server that leaves.
+func (s *Server) sayLeaving(w http.ResponseWriter) {
+	if s.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
+}
+
 // Arrivals returns the requests that reached the servers of the pool.
 func (p *Pool) Arrivals() []Arrival {
 	p.mu.Lock()
@@ -174,6 +214,7 @@
 }
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	s.sayLeaving(w)
 	switch r.URL.Path {
 	case "/report":
 		writeText(w, `{"stage":"both","models":[{"name":"m0","version":1,"adapters":[]}],"busy":false,"sequence":0,"waiting":0,"running":0,"kv_used":0,"kv_total":64955,"handles":0}`)
@@ -184,6 +225,7 @@
 		case <-r.Context().Done():
 		case <-time.After(time.Duration(wait) * time.Millisecond):
 		}
+		s.sayLeaving(w)
 		writeText(w, fmt.Sprintf(`{"boot_epoch":%d,"next":0,"lost":false,"events":[],"clock_ms":%d}`, s.born, time.Now().UnixMilli()))
 		return
 	case "/kv-list":
@@ -220,6 +262,7 @@
 		s.crash(id)
 		return
 	}
+	s.sayLeaving(w)
 	w.Header().Set("Server-Seal", "seal."+s.ID+"."+id)
 	if s.pool.service != ModelService {
 		_, _ = io.WriteString(w, "answer to "+id)
